Lay out the workspace, shared types and wire messages

Cause: a new repository; parts built in parallel need one set of message types to compile against. A separate protocol crate per interface was ruled out: all interfaces share identifiers and failure verdicts.

--- /dev/null
+++ b/crates/celeryshed_base/src/names.rs
@@ -0,0 +1,112 @@
+//! Checked names of the things that operators and the platform name.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Longest accepted name in bytes.
+const MAX_NAME_BYTES: usize = 64;
+
+/// A name that doesn't meet the rules.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error(
+    "{kind} {value:?} is not a name: accepted are 1 to {MAX_NAME_BYTES} of a-z, A-Z, 0-9, '-', '_' and '.'"
+)]
+pub struct NameError {
+    /// What the name was for.
+    pub kind: &'static str,
+    /// The rejected text.
+    pub value: String,
+}
+
+fn check(kind: &'static str, value: &str) -> Result<(), NameError> {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    let valid = (1..=MAX_NAME_BYTES).contains(&value.len()) && value.chars().all(allowed);
+    if valid { Ok(()) } else { Err(NameError { kind, value: value.to_owned() }) }
+}
+
+macro_rules! checked_name {
+    ($(#[$doc:meta])* $name:ident, $kind:literal) => {
+        $(#[$doc])*
+        ///
+        /// ```
+        #[doc = concat!("use celeryshed_base::", stringify!($name), ";")]
+        #[doc = concat!("let name = ", stringify!($name), "::try_from(\"alpha-1\").unwrap();")]
+        /// assert_eq!(name.as_str(), "alpha-1");
+        #[doc = concat!("assert!(", stringify!($name), "::try_from(\"no spaces\").is_err());")]
+        /// ```
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(String);
+
+        impl $name {
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl TryFrom<&str> for $name {
+            type Error = NameError;
+
+            fn try_from(value: &str) -> Result<Self, NameError> {
+                check($kind, value)?;
+                Ok(Self(value.to_owned()))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = NameError;
+
+            fn try_from(value: String) -> Result<Self, NameError> {
+                check($kind, &value)?;
+                Ok(Self(value))
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> String {
+                name.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    };
+}
+
+checked_name!(
+    /// Name of a customer.
+    CustomerName, "customer"
+);
+checked_name!(
+    /// Name of a service that endpoints serve.
+    ServiceName, "service"
+);
+checked_name!(
+    /// Name of an instance (machine).
+    InstanceName, "instance"
+);
+checked_name!(
+    /// Name of an availability zone.
+    AvailabilityZone, "availability zone"
+);
+checked_name!(
+    /// Name of a region.
+    RegionName, "region"
+);
+checked_name!(
+    /// Name of a model.
+    ModelName, "model"
+);
+checked_name!(
+    /// Name of a model's version.
+    VersionName, "version"
+);
+checked_name!(
+    /// Name of an adapter on top of a model.
+    AdapterName, "adapter"
+);
--- /dev/null
+++ b/crates/celeryshed_base/src/units.rs
@@ -0,0 +1,55 @@
+//! Newtypes for units and positions.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+macro_rules! unit {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl $name {
+            /// The next larger value.
+            #[must_use]
+            pub fn next(self) -> Self {
+                Self(self.0 + 1)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+    };
+}
+
+unit!(
+    /// A number of bytes.
+    ByteCount
+);
+unit!(
+    /// A number of model tokens.
+    TokenCount
+);
+unit!(
+    /// Model tokens per second.
+    TokenRate
+);
+unit!(
+    /// Revision of the accepted configuration; it only rises.
+    ConfigRevision
+);
+unit!(
+    /// Position of a record in one stream of the log.
+    LogOffset
+);
+unit!(
+    /// Number that orders the givers of orders to one endpoint.
+    FenceNumber
+);
--- /dev/null
+++ b/crates/celeryshed_cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder until the first module lands.
--- /dev/null
+++ b/crates/celeryshed_cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/celeryshed_daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! The daemon.
+
+fn main() {}
--- /dev/null
+++ b/crates/celeryshed_measure/src/lib.rs
@@ -0,0 +1,6 @@
+//! Experiments and the demo.
+
+pub mod demo;
+pub mod scarcity;
+pub mod slopes;
+pub mod spread;
--- /dev/null
+++ b/crates/celeryshed_platform/src/lib.rs
@@ -0,0 +1,14 @@
+//! Clients of the platform: log service, instance list, weight store and origin.
+//!
+//! The traits are the edge of a process: tasks hold `Arc<dyn LogClient>` and so on, the daemons
+//! pass the HTTP implementations and tests pass in-memory fakes.
+
+mod blobs;
+mod error;
+mod list;
+mod log;
+
+pub use blobs::BlobClient;
+pub use error::{PlatformError, Result};
+pub use list::ListClient;
+pub use log::LogClient;
--- /dev/null
+++ b/crates/celeryshed_side/src/lib.rs
@@ -0,0 +1,7 @@
+//! The side role: a sidecar beside one endpoint.
+
+pub mod attempts;
+pub mod claims;
+pub mod configuration;
+pub mod reports;
+pub mod weights;
--- /dev/null
+++ b/crates/celeryshed_standin/src/service/mod.rs
@@ -0,0 +1,1 @@
+//! Placeholder until this module lands.
--- /dev/null
+++ b/crates/celeryshed_wire/src/lib.rs
@@ -0,0 +1,44 @@
+//! Wire types of every HTTP interface and log record, and their codecs.
+//!
+//! Between the system's own processes bodies are MessagePack ([`encode`], [`decode`]); streams are
+//! sequences of length-prefixed frames ([`FrameDecoder`]). Types here are plain data: the rules
+//! that they must meet are checked when they turn into the types of `celeryshed_core`.
+
+mod attempts;
+mod bookings;
+mod claims;
+mod codec;
+mod configuration;
+mod crashes;
+mod engines;
+mod peers;
+mod platform;
+mod problem;
+mod reports;
+mod weights;
+
+pub use attempts::{
+    AttemptEvent, AttemptEventKind, AttemptFailure, AttemptRequest, AttemptWork, CallWork,
+    CancelRequest, ClaimTicket, CompletionWork, FailureCause, NotRunVerdict, PriorityClass,
+    ServiceAnswer,
+};
+pub use bookings::{BookingForward, BookingReply, SealReply, SealRequest};
+pub use claims::{ClaimOutcome, ClaimRecord};
+pub use codec::{CodecError, FrameDecoder, MSGPACK, decode, encode, encode_frame};
+pub use configuration::{
+    ConfigurationChange, ConfigurationEntry, ConfigurationRecord, ConfigurationSnapshot,
+    ContractTerms, ScarcityRule, ServiceKind, ServiceTerms, VersionTerms,
+};
+pub use crashes::CrashNotice;
+pub use engines::{
+    CompletionChunk, EngineCommand, EngineCommandKind, EngineCommandReply, EngineEvent, EngineLoad,
+    EngineRequest,
+};
+pub use peers::{BurnCount, BurnReply, ConfigurationReply, ProcessStatus, RevisionExchange};
+pub use platform::{
+    AppendReply, AppendRequest, InstanceRole, InstanceState, ListReply, ListedInstance, LogEntry,
+    ReadReply,
+};
+pub use problem::ProblemDetails;
+pub use reports::{EndpointReport, EndpointState, LoadReport, ReportReply};
+pub use weights::WeightManifest;
