--- /dev/null
+++ b/crates/celeryshed_observe/src/logging.rs
@@ -0,0 +1,42 @@
+//! Set-up of log4rs.
+
+use log::LevelFilter;
+use log4rs::append::console::{ConsoleAppender, Target};
+use log4rs::config::{Appender, Logger, Root};
+use log4rs::encode::pattern::PatternEncoder;
+
+/// Time, level and module, then the event's own fields.
+const LINE_PATTERN: &str = "ts={d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} level={l} module={M} {m}{n}";
+
+/// Libraries that log at info level for each request.
+const QUIET_LIBRARIES: [&str; 4] = ["rocket", "hyper", "reqwest", "_"];
+
+/// The logger could not be installed.
+#[derive(Debug, thiserror::Error)]
+pub enum LogError {
+    /// The logger's configuration is invalid.
+    #[error("logger configuration is invalid: {0}")]
+    Configuration(#[from] log4rs::config::runtime::ConfigErrors),
+    /// A logger is installed already.
+    #[error("a logger is installed already: {0}")]
+    Installed(#[from] log::SetLoggerError),
+}
+
+/// Result of this module.
+pub(crate) type Result<T> = std::result::Result<T, LogError>;
+
+/// Installs the process's logger; lines go to standard error.
+///
+/// ```
+/// celeryshed_observe::install_logging(log::LevelFilter::Info).unwrap();
+/// ```
+pub fn install_logging(level: LevelFilter) -> Result<()> {
+    let encoder = Box::new(PatternEncoder::new(LINE_PATTERN));
+    let console = ConsoleAppender::builder().target(Target::Stderr).encoder(encoder).build();
+    let appender = Appender::builder().build("stderr", Box::new(console));
+    let loggers = QUIET_LIBRARIES.map(|name| Logger::builder().build(name, LevelFilter::Warn));
+    let root = Root::builder().appender("stderr").build(level);
+    let config = log4rs::Config::builder().appender(appender).loggers(loggers).build(root)?;
+    log4rs::init_config(config)?;
+    Ok(())
+}
