--- a/crates/celeryshed_core/src/configuration/mod.rs
+++ b/crates/celeryshed_core/src/configuration/mod.rs
@@ -1,8 +1,24 @@
 //! The accepted configuration: contracts, services and model versions.
+//!
+//! [`ConfigurationFold`] takes the records of stream `configuration` in offset order and gives a
+//! [`ChangeVerdict`] for each change. The verdict depends on the records alone, so every process
+//! that reads the same records reaches the same verdicts.
 
+mod change;
+mod fold;
+mod rules;
+mod schedule;
 mod state;
+mod verdict;
 
+#[cfg(test)]
+mod tests;
+
+pub use change::{ChangeKind, ChangeRecord, LogRecord, PositionedRecord, UNCONTRACTED};
+pub use fold::{ConfigurationFold, FoldBatch, FoldProgress, FoldReport, SnapshotMark};
+pub use schedule::SnapshotSchedule;
 pub use state::{
     ConfigurationState, CustomerContract, EndpointKind, ModelVersion, ScarcityPolicy,
     ServiceDefinition,
 };
+pub use verdict::{ChangeOutcome, ChangeVerdict, RefusalReason};
--- /dev/null
+++ b/crates/celeryshed_core/src/membership/tests.rs
@@ -0,0 +1,1 @@
+//! Placeholder, replaced below.
--- a/crates/celeryshed_core/src/membership/view.rs
+++ b/crates/celeryshed_core/src/membership/view.rs
@@ -40,7 +40,7 @@
         Live,
         /// Takes no new work.
         Leaving,
-        /// Nothing heard for longer than the limit.
+        /// Takes no work: nothing heard for longer than the limit, or it has not started yet.
         Silent,
     }
 
--- /dev/null
+++ b/crates/celeryshed_wire/src/configuration_convert.rs
@@ -0,0 +1,281 @@
+//! Conversions between configuration records and the checked types of the core.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use celeryshed_base::{ByteCount, CustomerName, NameError, TokenCount, TokenRate};
+use celeryshed_core::configuration::{
+    ChangeKind, ChangeRecord, ConfigurationState, CustomerContract, EndpointKind, FoldBatch,
+    LogRecord, ModelVersion, PositionedRecord, ScarcityPolicy, ServiceDefinition, UNCONTRACTED,
+};
+
+use crate::codec::decode;
+use crate::configuration::{
+    ConfigurationChange, ConfigurationEntry, ConfigurationRecord, ConfigurationSnapshot,
+    ContractTerms, ScarcityRule, ServiceKind, ServiceTerms, VersionTerms,
+};
+use crate::platform::{LogEntry, ReadReply};
+
+impl From<ServiceKind> for EndpointKind {
+    fn from(kind: ServiceKind) -> Self {
+        match kind {
+            ServiceKind::Engine => Self::Engine,
+            ServiceKind::Plain => Self::Plain,
+        }
+    }
+}
+
+impl From<EndpointKind> for ServiceKind {
+    fn from(kind: EndpointKind) -> Self {
+        match kind {
+            EndpointKind::Engine => Self::Engine,
+            EndpointKind::Plain => Self::Plain,
+        }
+    }
+}
+
+impl From<ServiceTerms> for ServiceDefinition {
+    fn from(terms: ServiceTerms) -> Self {
+        Self {
+            kind: terms.kind.into(),
+            endpoints: terms.endpoints,
+            slots_per_endpoint: terms.slots_per_endpoint,
+            tokens_per_endpoint: TokenRate(terms.tokens_per_s_per_endpoint),
+            version: terms.version,
+        }
+    }
+}
+
+impl From<ServiceDefinition> for ServiceTerms {
+    fn from(definition: ServiceDefinition) -> Self {
+        Self {
+            kind: definition.kind.into(),
+            endpoints: definition.endpoints,
+            slots_per_endpoint: definition.slots_per_endpoint,
+            tokens_per_s_per_endpoint: definition.tokens_per_endpoint.0,
+            version: definition.version,
+        }
+    }
+}
+
+impl From<ScarcityRule> for ScarcityPolicy {
+    fn from(rule: ScarcityRule) -> Self {
+        match rule {
+            ScarcityRule::Wait { deadline_ms } => Self::Wait(Duration::from_millis(deadline_ms)),
+            ScarcityRule::SmallerModel { service } => Self::SmallerModel(service),
+            ScarcityRule::Refuse => Self::Refuse,
+        }
+    }
+}
+
+impl From<ScarcityPolicy> for ScarcityRule {
+    fn from(policy: ScarcityPolicy) -> Self {
+        match policy {
+            ScarcityPolicy::Wait(wait) => Self::Wait { deadline_ms: wait.as_millis() as u64 },
+            ScarcityPolicy::SmallerModel(service) => Self::SmallerModel { service },
+            ScarcityPolicy::Refuse => Self::Refuse,
+        }
+    }
+}
+
+impl TryFrom<ContractTerms> for CustomerContract {
+    type Error = NameError;
+
+    fn try_from(terms: ContractTerms) -> Result<Self, NameError> {
+        let displaces_uncontracted = terms.displaces.iter().any(|name| name == UNCONTRACTED);
+        let customers = terms.displaces.into_iter().filter(|name| name != UNCONTRACTED);
+        let displaces: Result<BTreeSet<_>, _> = customers.map(CustomerName::try_from).collect();
+        Ok(Self {
+            api_key_hash: terms.api_key_hash,
+            service: terms.service,
+            token_rate: TokenRate(terms.tokens_per_s),
+            requests_in_progress: terms.requests_in_progress,
+            burst: TokenCount(terms.burst_tokens),
+            displaces: displaces?,
+            displaces_uncontracted,
+            scarcity: terms.scarcity.into(),
+            retry_budget_percent: terms.retry_budget_percent,
+            first_token: Duration::from_millis(terms.first_token_ms),
+            objective_basis_points: terms.objective_basis_points,
+        })
+    }
+}
+
+impl From<CustomerContract> for ContractTerms {
+    fn from(contract: CustomerContract) -> Self {
+        let mut displaces: Vec<String> = contract.displaces.into_iter().map(String::from).collect();
+        if contract.displaces_uncontracted {
+            displaces.push(UNCONTRACTED.to_owned());
+        }
+        Self {
+            api_key_hash: contract.api_key_hash,
+            service: contract.service,
+            tokens_per_s: contract.token_rate.0,
+            requests_in_progress: contract.requests_in_progress,
+            burst_tokens: contract.burst.0,
+            displaces,
+            scarcity: contract.scarcity.into(),
+            retry_budget_percent: contract.retry_budget_percent,
+            first_token_ms: contract.first_token.as_millis() as u64,
+            objective_basis_points: contract.objective_basis_points,
+        }
+    }
+}
+
+impl From<VersionTerms> for ModelVersion {
+    fn from(terms: VersionTerms) -> Self {
+        Self { model: terms.model, manifest: terms.manifest, size: ByteCount(terms.size_bytes) }
+    }
+}
+
+impl TryFrom<ConfigurationChange> for ChangeKind {
+    type Error = NameError;
+
+    fn try_from(change: ConfigurationChange) -> Result<Self, NameError> {
+        Ok(match change {
+            ConfigurationChange::PutService { service, terms } => {
+                Self::PutService(service, terms.into())
+            }
+            ConfigurationChange::PutContract { customer, terms } => {
+                Self::PutContract(customer, terms.try_into()?)
+            }
+            ConfigurationChange::RemoveContract { customer } => Self::RemoveContract(customer),
+            ConfigurationChange::PublishModel { version } => {
+                Self::PublishModel(version.version.clone(), version.into())
+            }
+            ConfigurationChange::SelectVersion { service, version } => {
+                Self::SelectVersion(service, version)
+            }
+        })
+    }
+}
+
+impl From<ChangeKind> for ConfigurationChange {
+    fn from(change: ChangeKind) -> Self {
+        match change {
+            ChangeKind::PutService(service, definition) => {
+                Self::PutService { service, terms: definition.into() }
+            }
+            ChangeKind::PutContract(customer, contract) => {
+                Self::PutContract { customer, terms: contract.into() }
+            }
+            ChangeKind::RemoveContract(customer) => Self::RemoveContract { customer },
+            ChangeKind::PublishModel(version, model) => Self::PublishModel {
+                version: VersionTerms {
+                    model: model.model,
+                    version,
+                    manifest: model.manifest,
+                    size_bytes: model.size.0,
+                },
+            },
+            ChangeKind::SelectVersion(service, version) => Self::SelectVersion { service, version },
+        }
+    }
+}
+
+impl TryFrom<ConfigurationRecord> for ChangeRecord {
+    type Error = NameError;
+
+    fn try_from(record: ConfigurationRecord) -> Result<Self, NameError> {
+        Ok(Self {
+            record_id: record.record_id,
+            base_revision: record.base_revision,
+            change: record.change.try_into()?,
+        })
+    }
+}
+
+impl From<ChangeRecord> for ConfigurationRecord {
+    fn from(record: ChangeRecord) -> Self {
+        Self {
+            record_id: record.record_id,
+            base_revision: record.base_revision,
+            change: record.change.into(),
+        }
+    }
+}
+
+impl TryFrom<ConfigurationSnapshot> for ConfigurationState {
+    type Error = NameError;
+
+    fn try_from(snapshot: ConfigurationSnapshot) -> Result<Self, NameError> {
+        let contracts = snapshot.contracts.into_iter();
+        let contracts = contracts.map(|(customer, terms)| Ok((customer, terms.try_into()?)));
+        let services = snapshot.services.into_iter();
+        let versions = snapshot.versions.into_iter();
+        Ok(Self {
+            revision: snapshot.revision,
+            folded_to: snapshot.folded_to,
+            services: services.map(|(service, terms)| (service, terms.into())).collect(),
+            contracts: contracts.collect::<Result<_, NameError>>()?,
+            versions: versions.map(|(version, terms)| (version, terms.into())).collect(),
+        })
+    }
+}
+
+impl From<&ConfigurationState> for ConfigurationSnapshot {
+    fn from(state: &ConfigurationState) -> Self {
+        let state = state.clone();
+        let versions = state.versions.into_iter().map(|(version, model)| {
+            let terms = VersionTerms {
+                model: model.model,
+                version: version.clone(),
+                manifest: model.manifest,
+                size_bytes: model.size.0,
+            };
+            (version, terms)
+        });
+        Self {
+            revision: state.revision,
+            folded_to: state.folded_to,
+            services: state.services.into_iter().map(|(name, item)| (name, item.into())).collect(),
+            contracts: state
+                .contracts
+                .into_iter()
+                .map(|(name, item)| (name, item.into()))
+                .collect(),
+            versions: versions.collect(),
+        }
+    }
+}
+
+impl From<ConfigurationEntry> for LogRecord {
+    fn from(entry: ConfigurationEntry) -> Self {
+        match entry {
+            ConfigurationEntry::Change(record) => {
+                let record_id = Some(record.record_id);
+                match ChangeRecord::try_from(record) {
+                    Ok(change) => Self::Change(change),
+                    Err(error) => Self::Malformed { record_id, reason: error.to_string() },
+                }
+            }
+            ConfigurationEntry::Snapshot(snapshot) => {
+                match ConfigurationState::try_from(snapshot) {
+                    Ok(state) => Self::Snapshot(state),
+                    Err(error) => Self::Malformed { record_id: None, reason: error.to_string() },
+                }
+            }
+        }
+    }
+}
+
+impl From<&LogEntry> for PositionedRecord {
+    /// Bytes that are no configuration record become a malformed one, so that all readers agree.
+    fn from(entry: &LogEntry) -> Self {
+        let record = match decode::<ConfigurationEntry>(&entry.payload) {
+            Ok(record) => record.into(),
+            Err(error) => LogRecord::Malformed { record_id: None, reason: error.to_string() },
+        };
+        Self { offset: entry.offset, appended_at: entry.appended_at, record }
+    }
+}
+
+impl From<&ReadReply> for FoldBatch {
+    fn from(reply: &ReadReply) -> Self {
+        Self {
+            oldest: reply.oldest_offset,
+            end: reply.end_offset,
+            records: reply.entries.iter().map(PositionedRecord::from).collect(),
+        }
+    }
+}
