--- a/crates/celeryshed_platform/src/error.rs
+++ b/crates/celeryshed_platform/src/error.rs
@@ -43,3 +43,21 @@
 
 /// Result of this package.
 pub type Result<T> = std::result::Result<T, PlatformError>;
+
+/// A text that is not the base URL of a platform service.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error(
+    "base URL {value:?} is rejected ({reason}): accepted is http://ADDRESS:PORT with a numeric IP address"
+)]
+pub struct BaseUrlError {
+    /// The rejected text.
+    pub value: String,
+    /// The reason.
+    pub reason: String,
+}
+
+impl BaseUrlError {
+    pub(crate) fn new(value: &str, reason: String) -> Self {
+        Self { value: value.to_owned(), reason }
+    }
+}
--- /dev/null
+++ b/crates/celeryshed_platform/src/fakes/log.rs
@@ -0,0 +1,247 @@
+//! In-memory log.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use celeryshed_base::{ClockSource, LogOffset};
+use celeryshed_wire::{LogEntry, ReadReply};
+
+use super::{lock, reply_lost, take_one, unreachable};
+use crate::LogClient;
+use crate::error::{PlatformError, Result};
+
+const TARGET: &str = "fake log";
+
+/// What a [`FakeLog`] has counted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LogCounts {
+    /// Appends that took effect, those whose reply was lost included.
+    pub appends: u64,
+    /// Records appended.
+    pub records: u64,
+    /// Reads answered.
+    pub reads: u64,
+    /// Calls that failed because of a fault.
+    pub faults: u64,
+}
+
+/// An in-memory log with switchable faults.
+///
+/// ```
+/// use celeryshed_base::ClockSource;
+/// use celeryshed_platform::{LogClient, fakes::FakeLog};
+/// let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap();
+/// runtime.block_on(async {
+///     let log = FakeLog::new(ClockSource::start());
+///     log.lose_next_replies(1);
+///     assert!(log.append("crashes", vec!["record".into()]).await.is_err());
+///     assert_eq!(log.entries("crashes").len(), 1);
+/// });
+/// ```
+#[derive(Clone, Debug)]
+pub struct FakeLog {
+    state: Arc<Mutex<LogState>>,
+}
+
+#[derive(Debug)]
+struct LogState {
+    clock: ClockSource,
+    streams: BTreeMap<String, StreamState>,
+    retention: Option<Duration>,
+    latency: Duration,
+    outage: bool,
+    refusals: u32,
+    retry_after: Option<Duration>,
+    lost_replies: u32,
+    lost_requests: u32,
+    counts: LogCounts,
+}
+
+#[derive(Debug, Default)]
+struct StreamState {
+    entries: VecDeque<LogEntry>,
+    end: LogOffset,
+}
+
+impl FakeLog {
+    /// An empty log without faults that keeps records for ever and stamps them by `clock`.
+    pub fn new(clock: ClockSource) -> Self {
+        let state = LogState {
+            clock,
+            streams: BTreeMap::new(),
+            retention: None,
+            latency: Duration::ZERO,
+            outage: false,
+            refusals: 0,
+            retry_after: None,
+            lost_replies: 0,
+            lost_requests: 0,
+            counts: LogCounts::default(),
+        };
+        Self { state: Arc::new(Mutex::new(state)) }
+    }
+
+    /// Switches an outage on or off: calls fail as unreachable.
+    pub fn set_outage(&self, outage: bool) {
+        self.lock().outage = outage;
+    }
+
+    /// Refuses the next `calls` calls.
+    pub fn refuse_next(&self, calls: u32, retry_after: Option<Duration>) {
+        let mut state = self.lock();
+        state.refusals = calls;
+        state.retry_after = retry_after;
+    }
+
+    /// Loses the replies of the next `appends` appends after they took effect.
+    pub fn lose_next_replies(&self, appends: u32) {
+        self.lock().lost_replies = appends;
+    }
+
+    /// Loses the next `appends` appends before they take effect; the caller can't tell it from a
+    /// lost reply.
+    pub fn lose_next_requests(&self, appends: u32) {
+        self.lock().lost_requests = appends;
+    }
+
+    /// Delays each call by `latency` of the runtime's clock.
+    pub fn set_latency(&self, latency: Duration) {
+        self.lock().latency = latency;
+    }
+
+    /// Drops records when they are older than `retention`.
+    pub fn set_retention(&self, retention: Option<Duration>) {
+        self.lock().retention = retention;
+    }
+
+    /// Drops the records of `stream` before `offset`.
+    pub fn trim_before(&self, stream: &str, offset: LogOffset) {
+        let mut state = self.lock();
+        let stream = state.streams.entry(stream.to_owned()).or_default();
+        stream.drop_while(|entry| entry.offset < offset);
+    }
+
+    /// Appends records directly, past all faults.
+    pub fn insert(&self, stream: &str, records: Vec<Bytes>) -> LogOffset {
+        self.lock().append(stream, records)
+    }
+
+    /// The records of `stream` that are kept now.
+    pub fn entries(&self, stream: &str) -> Vec<LogEntry> {
+        let mut state = self.lock();
+        state.expire(stream);
+        state.streams.get(stream).map(|s| s.entries.iter().cloned().collect()).unwrap_or_default()
+    }
+
+    /// What was counted so far.
+    pub fn counts(&self) -> LogCounts {
+        self.lock().counts
+    }
+
+    fn lock(&self) -> MutexGuard<'_, LogState> {
+        lock(&self.state)
+    }
+
+    async fn delay(&self) {
+        let latency = self.lock().latency;
+        if !latency.is_zero() {
+            tokio::time::sleep(latency).await;
+        }
+    }
+}
+
+impl StreamState {
+    fn drop_while(&mut self, dropped: impl Fn(&LogEntry) -> bool) {
+        while self.entries.front().is_some_and(&dropped) {
+            self.entries.pop_front();
+        }
+    }
+
+    fn oldest(&self) -> LogOffset {
+        self.entries.front().map_or(self.end, |entry| entry.offset)
+    }
+}
+
+impl LogState {
+    /// Fails when an outage or a pending refusal applies to the call.
+    fn check_faults(&mut self) -> Result<()> {
+        if self.outage {
+            self.counts.faults += 1;
+            return Err(unreachable(TARGET));
+        }
+        if take_one(&mut self.refusals) {
+            self.counts.faults += 1;
+            let reason = "refused by fault".to_owned();
+            let retry_after = self.retry_after;
+            return Err(PlatformError::Refused { target: TARGET.to_owned(), reason, retry_after });
+        }
+        Ok(())
+    }
+
+    fn append(&mut self, stream: &str, records: Vec<Bytes>) -> LogOffset {
+        let appended_at = self.clock.unix_now();
+        let stream = self.streams.entry(stream.to_owned()).or_default();
+        let first = stream.end;
+        self.counts.appends += 1;
+        self.counts.records += records.len() as u64;
+        for record in records {
+            let payload = Vec::from(record).into();
+            stream.entries.push_back(LogEntry { offset: stream.end, appended_at, payload });
+            stream.end = stream.end.next();
+        }
+        first
+    }
+
+    fn expire(&mut self, stream: &str) {
+        let now = self.clock.unix_now();
+        if let (Some(retention), Some(stream)) = (self.retention, self.streams.get_mut(stream)) {
+            stream.drop_while(|entry| now.since(entry.appended_at) > retention);
+        }
+    }
+
+    fn read(&mut self, stream: &str, from: LogOffset, limit: u32) -> ReadReply {
+        self.expire(stream);
+        self.counts.reads += 1;
+        let now = self.clock.unix_now();
+        let Some(stream) = self.streams.get(stream) else {
+            let start = LogOffset(0);
+            return ReadReply { entries: Vec::new(), oldest_offset: start, end_offset: start, now };
+        };
+        let kept = stream.entries.iter().filter(|entry| entry.offset >= from);
+        ReadReply {
+            entries: kept.take(limit as usize).cloned().collect(),
+            oldest_offset: stream.oldest(),
+            end_offset: stream.end,
+            now,
+        }
+    }
+}
+
+#[async_trait]
+impl LogClient for FakeLog {
+    async fn append(&self, stream: &str, records: Vec<Bytes>) -> Result<LogOffset> {
+        self.delay().await;
+        let mut state = self.lock();
+        state.check_faults()?;
+        if take_one(&mut state.lost_requests) {
+            state.counts.faults += 1;
+            return Err(reply_lost(TARGET));
+        }
+        let first = state.append(stream, records);
+        if take_one(&mut state.lost_replies) {
+            state.counts.faults += 1;
+            return Err(reply_lost(TARGET));
+        }
+        Ok(first)
+    }
+
+    async fn read(&self, stream: &str, from: LogOffset, limit: u32) -> Result<ReadReply> {
+        self.delay().await;
+        let mut state = self.lock();
+        state.check_faults()?;
+        Ok(state.read(stream, from, limit))
+    }
+}
