Read contract files into checked configuration changes

Cause: the settings package had its own change type beside the core's. Change: contract files yield the core's ChangeKind; the duplicate is gone.

--- a/crates/celeryshed_settings/src/contract_file.rs
+++ b/crates/celeryshed_settings/src/contract_file.rs
@@ -3,54 +3,19 @@
 use std::collections::BTreeSet;
 use std::path::Path;
 
-use celeryshed_base::{
-    CustomerName, ServiceName, TokenCount, TokenRate, VersionName, common_derives,
-};
+use celeryshed_base::{CustomerName, TokenCount, TokenRate, common_derives};
 use celeryshed_core::configuration::{
-    CustomerContract, EndpointKind, ScarcityPolicy, ServiceDefinition,
+    ChangeKind, CustomerContract, EndpointKind, ScarcityPolicy, ServiceDefinition, UNCONTRACTED,
 };
 
 use crate::fault::Result;
 use crate::reader::{SectionReader, SettingsReader};
 
-/// Word in `displaces` for work without a contract.
-const UNCONTRACTED: &str = "uncontracted";
-
 common_derives! { value:
     /// A file to publish.
     pub struct ContractFile {
         /// Changes in the order in which they are published.
-        pub changes: Vec<ChangeRequest>,
-    }
-
-    /// One change.
-    pub enum ChangeRequest {
-        /// Section `[service NAME]`.
-        PutService {
-            /// The service.
-            service: ServiceName,
-            /// Its definition.
-            definition: ServiceDefinition,
-        },
-        /// Section `[contract CUSTOMER]`.
-        PutContract {
-            /// The customer.
-            customer: CustomerName,
-            /// The contract.
-            contract: CustomerContract,
-        },
-        /// Section `[remove CUSTOMER]`.
-        RemoveContract {
-            /// The customer.
-            customer: CustomerName,
-        },
-        /// Section `[select SERVICE]`.
-        SelectVersion {
-            /// The service.
-            service: ServiceName,
-            /// The version.
-            version: VersionName,
-        },
+        pub changes: Vec<ChangeKind>,
     }
 }
 
@@ -73,7 +38,7 @@
         let mut changes = Vec::new();
         for (name, section) in reader.named_sections("remove") {
             let customer = checked_name(&section, &name);
-            changes.extend(customer.map(|customer| ChangeRequest::RemoveContract { customer }));
+            changes.extend(customer.map(ChangeKind::RemoveContract));
         }
         for (name, section) in reader.named_sections("service") {
             changes.extend(read_service(&section, &name));
@@ -85,7 +50,7 @@
             let service = checked_name(&section, &name);
             let version = section.checked("version");
             if let (Some(service), Some(version)) = (service, version) {
-                changes.push(ChangeRequest::SelectVersion { service, version });
+                changes.push(ChangeKind::SelectVersion(service, version));
             }
         }
         reader.finish()?;
@@ -106,7 +71,7 @@
     }
 }
 
-fn read_service(section: &SectionReader<'_>, name: &str) -> Option<ChangeRequest> {
+fn read_service(section: &SectionReader<'_>, name: &str) -> Option<ChangeKind> {
     let service = checked_name(section, name);
     let kinds = [("engine", EndpointKind::Engine), ("plain", EndpointKind::Plain)];
     let kind = section.choice("kind", &kinds, EndpointKind::Engine);
@@ -123,10 +88,10 @@
         tokens_per_endpoint: TokenRate(tokens),
         version: None,
     };
-    Some(ChangeRequest::PutService { service: service?, definition })
+    Some(ChangeKind::PutService(service?, definition))
 }
 
-fn read_contract(section: &SectionReader<'_>, name: &str) -> Option<ChangeRequest> {
+fn read_contract(section: &SectionReader<'_>, name: &str) -> Option<ChangeKind> {
     let customer = checked_name(section, name);
     let api_key_hash = section.checked("api_key_hash");
     let service = section.checked("service");
@@ -151,7 +116,7 @@
         first_token,
         objective_basis_points,
     };
-    Some(ChangeRequest::PutContract { customer: customer?, contract })
+    Some(ChangeKind::PutContract(customer?, contract))
 }
 
 fn read_displaces(section: &SectionReader<'_>) -> (BTreeSet<CustomerName>, bool) {
--- a/crates/celeryshed_settings/src/lib.rs
+++ b/crates/celeryshed_settings/src/lib.rs
@@ -11,7 +11,7 @@
 mod side_settings;
 mod standin_settings;
 
-pub use contract_file::{ChangeRequest, ContractFile};
+pub use contract_file::ContractFile;
 pub use entry_settings::EntrySettings;
 pub use fault::{SettingsError, SettingsFault};
 pub use reader::{SectionReader, SettingsReader};
