Run configuration and membership tasks in entries and sidecars

Cause: an accepted change has to reach every process within 13 s, also while the log is down, and an entry may only use endpoints it hears of.

The membership task merges list, reports, attempts' signs of life and rate-limited probes. The sidecar's task reports, fetches newer state, and sends leaving notices. All I/O runs in child tasks, so that a hanging log delays neither exchanges nor reports. Ruled out: exchanging with peers while the log works (1 KB/s for nothing); pull only (it triples the informed entries per 2 s round, about 18 s at 410 entries by calculation).

--- a/crates/celeryshed_core/src/membership/rendezvous.rs
+++ b/crates/celeryshed_core/src/membership/rendezvous.rs
@@ -3,8 +3,6 @@
 //! Every process computes the same order from the same instances; an instance that comes or goes
 //! changes only the choices that it is part of.
 
-use std::collections::BTreeSet;
-
 use celeryshed_base::{ContentDigest, InstanceName, ServiceName};
 
 use super::view::MemberView;
@@ -74,15 +72,16 @@
     targets
 }
 
-/// The endpoints of `service` that the entry `instance` chooses among.
+/// The endpoints of `service` that the entry `instance` chooses among, first choice first.
 pub fn endpoint_subset<'a>(
     instance: &InstanceName,
     service: &ServiceName,
     view: &'a MemberView,
-) -> BTreeSet<&'a InstanceName> {
+) -> Vec<&'a InstanceName> {
     let parts = [b"subset", instance.as_str().as_bytes(), service.as_str().as_bytes()];
     let key = ContentDigest::of_parts(&parts);
     let endpoints = view.sides.iter().filter(|(_, side)| side.service == *service);
-    let ranked = by_rendezvous(key.as_bytes(), endpoints.map(|(endpoint, _)| endpoint));
-    ranked.into_iter().take(SUBSET_ENDPOINTS).collect()
+    let mut subset = by_rendezvous(key.as_bytes(), endpoints.map(|(endpoint, _)| endpoint));
+    subset.truncate(SUBSET_ENDPOINTS);
+    subset
 }
--- a/crates/celeryshed_core/src/membership/tracker.rs
+++ b/crates/celeryshed_core/src/membership/tracker.rs
@@ -21,6 +21,13 @@
 /// Longer than the list's lag of up to a minute, so that a leaving mark outlives the listing.
 const FORGET_AFTER: Duration = Duration::from_secs(120);
 
+/// Shortest pause between two reads of the list.
+const MIN_LIST_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Pause per listed instance between two reads of the list: an instance takes about 200 bytes, so
+/// that the list costs a process about 0.8 KB/s of its 3 KB/s at any size.
+const LIST_INTERVAL_PER_INSTANCE: Duration = Duration::from_millis(250);
+
 common_derives! { value:
     /// Options of a tracker.
     #[derive(Copy)]
@@ -160,12 +167,16 @@
     }
 
     /// Takes a sidecar's report; a leaving incarnation stays leaving whatever comes later.
-    pub fn report(&mut self, report: SideReport, now: MonoTime) {
+    ///
+    /// Reports of an incarnation that another one has replaced are ignored. Returns whether the
+    /// view changes.
+    pub fn report(&mut self, report: SideReport, now: MonoTime) -> bool {
         let before = self.heard.get(&report.instance);
         let mut side = HeardSide { report, previous: None, heard_at: now };
+        let mut changed = true;
         if let Some(before) = before {
             if before.previous == Some(side.report.incarnation) {
-                return;
+                return false;
             }
             if before.report.incarnation == side.report.incarnation {
                 if before.report.state == ReportedState::Leaving {
@@ -175,8 +186,10 @@
             } else {
                 side.previous = Some(before.report.incarnation);
             }
+            changed = before.report != side.report || self.is_silent(before, now);
         }
         self.heard.insert(side.report.instance.clone(), side);
+        changed
     }
 
     /// Takes note that an incarnation answered, for instance an attempt.
@@ -212,9 +225,11 @@
         self.unreachable.remove(instance);
     }
 
-    /// Number of listed instances, which determines how often the list may be read.
-    pub fn listed_count(&self) -> usize {
-        self.listed_entries.len() + self.listed_sides.len()
+    /// Pause until the list is read again; it grows with the list's size.
+    pub fn list_interval(&self) -> Duration {
+        let listed = self.listed_entries.len() + self.listed_sides.len();
+        let listed = u32::try_from(listed).unwrap_or(u32::MAX);
+        MIN_LIST_INTERVAL.max(LIST_INTERVAL_PER_INSTANCE.saturating_mul(listed))
     }
 
     /// Whether the platform marks `instance` as leaving.
@@ -227,6 +242,12 @@
         self.heard.get(instance).map(|side| side.heard_at)
     }
 
+    /// When the next sidecar falls silent if nothing more is heard; `None` when none can.
+    pub fn next_silence(&self, now: MonoTime) -> Option<MonoTime> {
+        let heard = self.heard.values().filter(|side| !self.is_silent(side, now));
+        heard.map(|side| side.heard_at + self.options.silence_limit).min()
+    }
+
     /// The view as of `now`.
     pub fn view(&self, now: MonoTime) -> MemberView {
         let entries = self.listed_entries.iter().filter(|(instance, _)| {
@@ -249,6 +270,10 @@
         self.unreachable.get(instance).is_some_and(|since| now - *since < UNREACHABLE_PAUSE)
     }
 
+    fn is_silent(&self, side: &HeardSide, now: MonoTime) -> bool {
+        self.options.expect_reports && now - side.heard_at >= self.options.silence_limit
+    }
+
     fn unheard_state(&self, instance: &InstanceName) -> MemberState {
         if self.listed_leaving.contains(instance) {
             MemberState::Leaving
@@ -261,12 +286,12 @@
 
     fn heard_member(&self, side: &HeardSide, now: MonoTime) -> SideMember {
         let report = side.report.clone();
-        let silent = now - side.heard_at > self.options.silence_limit;
+        let silent = self.is_silent(side, now);
         let listed_leaving = self.listed_leaving.contains(&report.instance);
         let state = match report.state {
             ReportedState::Leaving => MemberState::Leaving,
             _ if listed_leaving => MemberState::Leaving,
-            _ if silent && self.options.expect_reports => MemberState::Silent,
+            _ if silent => MemberState::Silent,
             ReportedState::Starting => MemberState::Silent,
             ReportedState::Serving => MemberState::Live,
         };
--- /dev/null
+++ b/crates/celeryshed_entry/src/configuration/peer.rs
@@ -0,0 +1,70 @@
+//! Calls to other entries.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use celeryshed_wire::{ConfigurationReply, MSGPACK, RevisionExchange, decode, encode};
+use reqwest::header::CONTENT_TYPE;
+
+/// Idle connections are closed before rocket's keep-alive of 5 s ends, so that a call rarely meets a
+/// connection that the server is closing.
+const POOL_IDLE: Duration = Duration::from_secs(4);
+
+/// A failed call to a peer.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("call to {address} failed: {reason}")]
+pub struct PeerError {
+    /// The peer's address.
+    pub address: String,
+    /// The reason.
+    pub reason: String,
+}
+
+/// Client of other entries.
+#[async_trait]
+pub trait PeerClient: Send + Sync {
+    /// Tells the entry at `address` the own revision; the reply has the state when it is newer.
+    async fn exchange(
+        &self,
+        address: &str,
+        exchange: &RevisionExchange,
+    ) -> Result<ConfigurationReply, PeerError>;
+}
+
+/// Client of other entries over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpPeers {
+    client: reqwest::Client,
+}
+
+impl HttpPeers {
+    /// A client whose calls take at most `timeout`.
+    ///
+    /// ```
+    /// use celeryshed_entry::configuration::HttpPeers;
+    /// assert!(HttpPeers::try_new(std::time::Duration::from_secs(1)).is_ok());
+    /// ```
+    pub fn try_new(timeout: Duration) -> reqwest::Result<Self> {
+        let builder = reqwest::Client::builder().no_proxy().timeout(timeout);
+        let client = builder.pool_idle_timeout(POOL_IDLE).build()?;
+        Ok(Self { client })
+    }
+}
+
+#[async_trait]
+impl PeerClient for HttpPeers {
+    async fn exchange(
+        &self,
+        address: &str,
+        exchange: &RevisionExchange,
+    ) -> Result<ConfigurationReply, PeerError> {
+        let failed = |reason: String| PeerError { address: address.to_owned(), reason };
+        let body = encode(exchange).map_err(|error| failed(error.to_string()))?;
+        let url = format!("http://{address}/entry/v1/revisions");
+        let request = self.client.post(url).header(CONTENT_TYPE, MSGPACK).body(body);
+        let reply = request.send().await.and_then(reqwest::Response::error_for_status);
+        let reply = reply.map_err(|error| failed(error.to_string()))?;
+        let body = reply.bytes().await.map_err(|error| failed(error.to_string()))?;
+        decode(&body).map_err(|error| failed(error.to_string()))
+    }
+}
--- /dev/null
+++ b/crates/celeryshed_entry/src/configuration/routes.rs
@@ -0,0 +1,20 @@
+//! Routes of the configuration.
+
+use celeryshed_wire::{ConfigurationReply, RevisionExchange};
+use rocket::{Route, State, post, routes};
+
+use super::handle::ConfigurationHandle;
+use super::packed::Packed;
+
+/// `POST /entry/v1/revisions`, for peers and sidecars; needs a managed [`ConfigurationHandle`].
+pub fn configuration_routes() -> Vec<Route> {
+    routes![exchange_revisions]
+}
+
+#[post("/entry/v1/revisions", data = "<exchange>")]
+async fn exchange_revisions(
+    exchange: Packed<RevisionExchange>,
+    configuration: &State<ConfigurationHandle>,
+) -> Packed<ConfigurationReply> {
+    Packed(configuration.reply(&exchange.0))
+}
--- /dev/null
+++ b/crates/celeryshed_entry/src/membership/probe.rs
@@ -0,0 +1,65 @@
+//! Probes of sidecars.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use celeryshed_wire::{ENTRY_HEADER, EndpointReport, MSGPACK, RevisionExchange, decode, encode};
+use reqwest::header::CONTENT_TYPE;
+
+use crate::configuration::PeerError;
+
+/// Idle connections are closed before rocket's keep-alive of 5 s ends, so that a call rarely meets a
+/// connection that the server is closing.
+const POOL_IDLE: Duration = Duration::from_secs(4);
+
+/// Client of sidecars.
+#[async_trait]
+pub trait SideClient: Send + Sync {
+    /// Asks the sidecar at `address` for its report; `entry` is the address of the asker.
+    async fn probe(
+        &self,
+        address: &str,
+        entry: &str,
+        exchange: &RevisionExchange,
+    ) -> Result<EndpointReport, PeerError>;
+}
+
+/// Client of sidecars over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpSides {
+    client: reqwest::Client,
+}
+
+impl HttpSides {
+    /// A client whose calls take at most `timeout`.
+    ///
+    /// ```
+    /// use celeryshed_entry::membership::HttpSides;
+    /// assert!(HttpSides::try_new(std::time::Duration::from_secs(1)).is_ok());
+    /// ```
+    pub fn try_new(timeout: Duration) -> reqwest::Result<Self> {
+        let builder = reqwest::Client::builder().no_proxy().timeout(timeout);
+        let client = builder.pool_idle_timeout(POOL_IDLE).build()?;
+        Ok(Self { client })
+    }
+}
+
+#[async_trait]
+impl SideClient for HttpSides {
+    async fn probe(
+        &self,
+        address: &str,
+        entry: &str,
+        exchange: &RevisionExchange,
+    ) -> Result<EndpointReport, PeerError> {
+        let failed = |reason: String| PeerError { address: address.to_owned(), reason };
+        let body = encode(exchange).map_err(|error| failed(error.to_string()))?;
+        let url = format!("http://{address}/side/v1/report");
+        let request = self.client.post(url).header(CONTENT_TYPE, MSGPACK);
+        let reply = request.header(ENTRY_HEADER, entry).body(body).send().await;
+        let reply = reply.and_then(reqwest::Response::error_for_status);
+        let reply = reply.map_err(|error| failed(error.to_string()))?;
+        let body = reply.bytes().await.map_err(|error| failed(error.to_string()))?;
+        decode(&body).map_err(|error| failed(error.to_string()))
+    }
+}
--- /dev/null
+++ b/crates/celeryshed_entry/src/membership/routes.rs
@@ -0,0 +1,24 @@
+//! Routes of the membership.
+
+use celeryshed_wire::{EndpointReport, ReportReply};
+use rocket::{Route, State, post, routes};
+
+use super::handle::MembershipHandle;
+use crate::configuration::{ConfigurationHandle, Packed, ProcessIdentity};
+
+/// `POST /entry/v1/reports`, for sidecars; needs a managed [`MembershipHandle`],
+/// [`ConfigurationHandle`] and [`ProcessIdentity`].
+pub fn membership_routes() -> Vec<Route> {
+    routes![take_report]
+}
+
+#[post("/entry/v1/reports", data = "<report>")]
+async fn take_report(
+    report: Packed<EndpointReport>,
+    membership: &State<MembershipHandle>,
+    configuration: &State<ConfigurationHandle>,
+    identity: &State<ProcessIdentity>,
+) -> Packed<ReportReply> {
+    membership.report(report.0).await;
+    Packed(ReportReply { incarnation: identity.incarnation, revision: configuration.revision() })
+}
--- a/crates/celeryshed_side/src/configuration/mod.rs
+++ b/crates/celeryshed_side/src/configuration/mod.rs
@@ -1,1 +1,20 @@
-//! Placeholder until this module lands.
+//! The configuration and the membership in a sidecar.
+//!
+//! [`spawn_configuration`] starts the task that reports to the sidecar's entries every two seconds,
+//! fetches a newer configuration from an entry whose reply shows one, reads the platform's list and
+//! sends notices when the sidecar leaves.
+
+mod client;
+mod handle;
+mod options;
+mod packed;
+mod routes;
+mod senders;
+mod task;
+
+pub use client::{EntryClient, EntryError, HttpEntries};
+pub use handle::ConfigurationHandle;
+pub use options::{EndpointStatus, OptionsError, ReportOptions, SideIdentity};
+pub use packed::Packed;
+pub use routes::configuration_routes;
+pub use task::{ConfigurationClients, spawn_configuration};
--- /dev/null
+++ b/crates/celeryshed_side/src/configuration/packed.rs
@@ -0,0 +1,43 @@
+//! MessagePack bodies of routes.
+
+use celeryshed_wire::{decode, encode};
+use rocket::Request;
+use rocket::data::{self, Data, FromData, ToByteUnit};
+use rocket::http::{ContentType, Status};
+use rocket::outcome::Outcome;
+use rocket::response::{self, Responder};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Largest accepted body in mebibytes.
+const MAX_BODY_MIB: u64 = 4;
+
+/// A value whose body is MessagePack with named fields.
+///
+/// rocket's own guard writes structs as arrays, which would make every added field incompatible.
+#[derive(Debug)]
+pub struct Packed<T>(pub T);
+
+#[rocket::async_trait]
+impl<'r, T: DeserializeOwned> FromData<'r> for Packed<T> {
+    type Error = String;
+
+    async fn from_data(_request: &'r Request<'_>, data: Data<'r>) -> data::Outcome<'r, Self> {
+        let body = match data.open(MAX_BODY_MIB.mebibytes()).into_bytes().await {
+            Ok(body) if body.is_complete() => body.into_inner(),
+            Ok(_) => return Outcome::Error((Status::PayloadTooLarge, "body too large".to_owned())),
+            Err(error) => return Outcome::Error((Status::BadRequest, error.to_string())),
+        };
+        match decode(&body) {
+            Ok(value) => Outcome::Success(Self(value)),
+            Err(error) => Outcome::Error((Status::BadRequest, error.to_string())),
+        }
+    }
+}
+
+impl<'r, T: Serialize> Responder<'r, 'static> for Packed<T> {
+    fn respond_to(self, request: &'r Request<'_>) -> response::Result<'static> {
+        let body = encode(&self.0).map_err(|_| Status::InternalServerError)?;
+        (ContentType::MsgPack, Vec::from(body)).respond_to(request)
+    }
+}
--- /dev/null
+++ b/crates/celeryshed_side/src/configuration/task.rs
@@ -0,0 +1,303 @@
+//! The task that reports to entries and follows their configuration.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use celeryshed_base::{ClockSource, ConfigRevision, InstanceName};
+use celeryshed_core::configuration::{ConfigurationFold, ConfigurationState};
+use celeryshed_core::membership::{
+    ListedMember, MemberView, MembershipTracker, TrackerOptions, report_targets,
+};
+use celeryshed_observe::EventLine;
+use celeryshed_platform::{ListClient, PlatformError};
+use celeryshed_wire::{
+    ConfigurationReply, EndpointReport, EndpointState, ListedInstance, ReportReply,
+    RevisionExchange,
+};
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until, timeout};
+
+use super::client::{EntryClient, EntryError};
+use super::handle::ConfigurationHandle;
+use super::options::{EndpointStatus, OptionsError, ReportOptions, SideIdentity};
+use super::senders::WorkSenders;
+
+/// Addresses of senders that wait to be noted.
+const SENDER_QUEUE: usize = 256;
+
+/// What the configuration task calls and reads.
+#[derive(Clone)]
+pub struct ConfigurationClients {
+    /// The platform's list.
+    pub list: Arc<dyn ListClient>,
+    /// Entries.
+    pub entries: Arc<dyn EntryClient>,
+    /// State of the endpoint for reports.
+    pub status: watch::Receiver<EndpointStatus>,
+}
+
+/// Starts the task.
+pub fn spawn_configuration(
+    identity: SideIdentity,
+    options: ReportOptions,
+    clock: ClockSource,
+    clients: ConfigurationClients,
+) -> Result<ConfigurationHandle, OptionsError> {
+    options.check()?;
+    let (state_publisher, states) = watch::channel(None);
+    let (view_publisher, views) = watch::channel(Arc::default());
+    let (leaving_publisher, listed_leaving) = watch::channel(false);
+    let (senders, inbox) = mpsc::channel(SENDER_QUEUE);
+    let identity = Arc::new(identity);
+    let status = clients.status.clone();
+    let tracker_options = TrackerOptions { expect_reports: false, ..TrackerOptions::default() };
+    let task = ReportTask {
+        identity: Arc::clone(&identity),
+        options,
+        clock,
+        clients,
+        fold: ConfigurationFold::default(),
+        tracker: MembershipTracker::new(tracker_options),
+        work_senders: WorkSenders::new(options.sender_memory),
+        state_publisher,
+        view_publisher,
+        leaving_publisher,
+        calls: JoinSet::new(),
+        fetching: BTreeSet::new(),
+    };
+    tokio::spawn(task.run(inbox));
+    Ok(ConfigurationHandle { identity, states, views, listed_leaving, status, senders })
+}
+
+/// A call that has ended.
+enum CallResult {
+    Listed(Result<Vec<ListedInstance>, PlatformError>),
+    Reported(InstanceName, Result<ReportReply, EntryError>),
+    Notified(Result<ReportReply, EntryError>),
+    Fetched(InstanceName, Result<ConfigurationReply, EntryError>),
+}
+
+struct ReportTask {
+    identity: Arc<SideIdentity>,
+    options: ReportOptions,
+    clock: ClockSource,
+    clients: ConfigurationClients,
+    fold: ConfigurationFold,
+    tracker: MembershipTracker,
+    work_senders: WorkSenders,
+    state_publisher: watch::Sender<Option<Arc<ConfigurationState>>>,
+    view_publisher: watch::Sender<Arc<MemberView>>,
+    leaving_publisher: watch::Sender<bool>,
+    calls: JoinSet<CallResult>,
+    fetching: BTreeSet<InstanceName>,
+}
+
+impl ReportTask {
+    async fn run(mut self, mut inbox: mpsc::Receiver<String>) {
+        let mut reports = interval(self.options.report_interval);
+        reports.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut list_due = Instant::now();
+        let mut status = self.clients.status.clone();
+        let mut reported_state = status.borrow_and_update().state;
+        let mut status_open = true;
+        loop {
+            tokio::select! {
+                sender = inbox.recv() => match sender {
+                    Some(address) => self.work_senders.note(address, self.clock.now()),
+                    None => return,
+                },
+                changed = status.changed(), if status_open => {
+                    status_open = changed.is_ok();
+                    let state = status.borrow_and_update().state;
+                    if state != reported_state {
+                        reported_state = state;
+                        self.send_reports();
+                    }
+                }
+                Some(ended) = self.calls.join_next() => match ended {
+                    Ok(result) => self.take_result(result),
+                    Err(error) => EventLine::new("report_call_failed").field("error", error).error(),
+                },
+                _ = sleep_until(list_due) => {
+                    self.start_list();
+                    list_due = Instant::now() + self.tracker.list_interval();
+                }
+                _ = reports.tick() => self.send_reports(),
+            }
+        }
+    }
+
+    fn report(&self) -> EndpointReport {
+        let mut status = self.clients.status.borrow().clone();
+        if *self.leaving_publisher.borrow() {
+            status.state = EndpointState::Leaving;
+        }
+        self.identity.report(&status, self.fold.revision())
+    }
+
+    fn send_reports(&mut self) {
+        let report = Arc::new(self.report());
+        let view = self.view_publisher.borrow().clone();
+        let mut told = BTreeSet::new();
+        for entry in report_targets(&self.identity.instance, &view) {
+            let address = view.entries[entry].address.clone();
+            told.insert(address.clone());
+            self.start_report(entry.clone(), address, Arc::clone(&report));
+        }
+        if report.state == EndpointState::Leaving {
+            self.notify_senders(&report, &told);
+        }
+        self.work_senders.forget_old(self.clock.now());
+    }
+
+    /// Tells the entries that sent work lately and get no reports otherwise.
+    fn notify_senders(&mut self, report: &Arc<EndpointReport>, told: &BTreeSet<String>) {
+        let senders = self.work_senders.addresses().filter(|address| !told.contains(*address));
+        for address in senders.cloned().collect::<Vec<_>>() {
+            let call = self.report_call(address, Arc::clone(report));
+            self.calls.spawn(async move { CallResult::Notified(call.await) });
+        }
+    }
+
+    fn start_report(&mut self, entry: InstanceName, address: String, report: Arc<EndpointReport>) {
+        let call = self.report_call(address, report);
+        self.calls.spawn(async move { CallResult::Reported(entry, call.await) });
+    }
+
+    fn report_call(
+        &self,
+        address: String,
+        report: Arc<EndpointReport>,
+    ) -> impl Future<Output = Result<ReportReply, EntryError>> + use<> {
+        let entries = Arc::clone(&self.clients.entries);
+        let limit = self.options.call_timeout;
+        async move {
+            let reply = timeout(limit, entries.report(&address, &report)).await;
+            let late = || EntryError { address, reason: format!("no reply within {limit:?}") };
+            reply.unwrap_or_else(|_| Err(late()))
+        }
+    }
+
+    fn take_result(&mut self, result: CallResult) {
+        match result {
+            CallResult::Listed(Ok(instances)) => self.take_list(instances),
+            CallResult::Listed(Err(error)) => {
+                EventLine::new("instance_list_failed").field("error", error).warn();
+            }
+            CallResult::Reported(entry, Ok(reply)) => {
+                self.tracker.reachable(&entry);
+                self.fetch_newer(&entry, reply.revision);
+            }
+            CallResult::Reported(entry, Err(error)) => {
+                EventLine::new("report_failed").field("error", error).debug();
+                self.tracker.unreachable(&entry, self.clock.now());
+                self.publish_view();
+            }
+            CallResult::Notified(Ok(_)) => {}
+            CallResult::Notified(Err(error)) => {
+                EventLine::new("leaving_notice_failed").field("error", error).debug();
+            }
+            CallResult::Fetched(entry, reply) => {
+                self.fetching.remove(&entry);
+                self.take_fetched(&entry, reply);
+            }
+        }
+    }
+
+    fn take_list(&mut self, instances: Vec<ListedInstance>) {
+        let members: Vec<_> = instances.into_iter().map(ListedMember::from).collect();
+        let first = self.view_publisher.borrow().entries.is_empty();
+        self.tracker.list(&members, self.clock.now());
+        let leaving = self.tracker.is_listed_leaving(&self.identity.instance);
+        let newly_leaving = leaving && !self.leaving_publisher.send_replace(leaving);
+        if !leaving {
+            self.leaving_publisher.send_replace(false);
+        }
+        self.publish_view();
+        if first || newly_leaving {
+            self.send_reports();
+        }
+    }
+
+    fn publish_view(&self) {
+        let view = self.tracker.view(self.clock.now());
+        self.view_publisher.send_if_modified(|published| {
+            let changed = **published != view;
+            if changed {
+                *published = Arc::new(view);
+            }
+            changed
+        });
+    }
+
+    fn start_list(&mut self) {
+        let list = Arc::clone(&self.clients.list);
+        let limit = self.options.call_timeout;
+        self.calls.spawn(async move {
+            let late = |_| {
+                let reason = format!("no reply within {limit:?}");
+                Err(PlatformError::ReplyLost { target: "instance list".to_owned(), reason })
+            };
+            CallResult::Listed(timeout(limit, list.instances()).await.unwrap_or_else(late))
+        });
+    }
+
+    /// Fetches the state of an entry that is ahead; one fetch at a time is enough, because the next
+    /// report tells whether it helped.
+    fn fetch_newer(&mut self, entry: &InstanceName, revision: Option<ConfigRevision>) {
+        if revision <= self.fold.revision() || !self.fetching.is_empty() {
+            return;
+        }
+        let view = self.view_publisher.borrow().clone();
+        let Some(member) = view.entries.get(entry) else { return };
+        let address = member.address.clone();
+        let entries = Arc::clone(&self.clients.entries);
+        let limit = self.options.call_timeout;
+        let exchange = RevisionExchange {
+            instance: self.identity.instance.clone(),
+            incarnation: self.identity.incarnation,
+            revision: self.fold.revision(),
+        };
+        self.fetching.insert(entry.clone());
+        let entry = entry.clone();
+        self.calls.spawn(async move {
+            let reply = timeout(limit, entries.fetch(&address, &exchange)).await;
+            let late = || EntryError { address, reason: format!("no reply within {limit:?}") };
+            CallResult::Fetched(entry, reply.unwrap_or_else(|_| Err(late())))
+        });
+    }
+
+    fn take_fetched(
+        &mut self,
+        entry: &InstanceName,
+        reply: Result<ConfigurationReply, EntryError>,
+    ) {
+        let snapshot = match reply {
+            Ok(reply) => reply.snapshot,
+            Err(error) => {
+                EventLine::new("configuration_fetch_failed").field("error", error).debug();
+                None
+            }
+        };
+        let Some(snapshot) = snapshot else { return };
+        match ConfigurationState::try_from(snapshot) {
+            Ok(state) => self.adopt(entry, &state),
+            Err(error) => {
+                let line = EventLine::new("entry_state_invalid").field("entry", entry);
+                line.field("error", error).error();
+            }
+        }
+    }
+
+    fn adopt(&mut self, entry: &InstanceName, state: &ConfigurationState) {
+        if !self.fold.adopt(state) && self.state_publisher.borrow().is_some() {
+            return;
+        }
+        EventLine::new("configuration_adopted")
+            .field("entry", entry)
+            .field("revision", state.revision)
+            .info();
+        self.state_publisher.send_replace(self.fold.state().cloned().map(Arc::new));
+    }
+}
--- a/crates/celeryshed_wire/src/lib.rs
+++ b/crates/celeryshed_wire/src/lib.rs
@@ -42,5 +42,5 @@
     ReadReply,
 };
 pub use problem::ProblemDetails;
-pub use reports::{EndpointReport, EndpointState, LoadReport, ReportReply};
+pub use reports::{ENTRY_HEADER, EndpointReport, EndpointState, LoadReport, ReportReply};
 pub use weights::WeightManifest;
--- a/crates/celeryshed_wire/src/reports.rs
+++ b/crates/celeryshed_wire/src/reports.rs
@@ -5,6 +5,9 @@
     ServiceName, common_derives,
 };
 
+/// Header of attempts and probes with the entry's address, to which a leaving sidecar sends a notice.
+pub const ENTRY_HEADER: &str = "Celeryshed-Entry";
+
 common_derives! { wire:
     /// State of an endpoint, sent to a few entries every two seconds.
     pub struct EndpointReport {
