--- /dev/null
+++ b/crates/celeryshed_core/src/booking/fold.rs
@@ -0,0 +1,232 @@
+//! Folds the records of one claim stream in offset order.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use celeryshed_base::{ClaimId, ContentDigest, LogOffset, UnixMillis, common_derives};
+
+use super::key::FUTURE_ALLOWANCE;
+use super::record::{
+    BookingStanding, ClaimDetails, ClaimSight, ClaimState, FoldRecord, OutcomeKind,
+};
+
+/// Time that a booking is kept beyond the window: covers the longest request (600 s).
+const KEEP_MARGIN: Duration = Duration::from_secs(900);
+
+common_derives! { value:
+    /// Options of a fold.
+    #[derive(Copy)]
+    pub struct FoldOptions {
+        /// Longest age of a key.
+        pub window: Duration,
+        /// Age below which the log removes no record.
+        pub retention: Duration,
+    }
+
+    /// A record with its position.
+    pub struct StampedRecord {
+        /// Its offset.
+        pub offset: LogOffset,
+        /// When the log took it.
+        pub appended_at: UnixMillis,
+        /// The record; `None` when it can't be decoded.
+        pub record: Option<FoldRecord>,
+    }
+
+    /// One reply of the log to a read from [`PartitionFold::next_offset`].
+    pub struct LogPage {
+        /// The records in offset order.
+        pub records: Vec<StampedRecord>,
+        /// Offset of the oldest retained record.
+        pub oldest: LogOffset,
+        /// Offset that the next record will get.
+        pub end: LogOffset,
+        /// Time at the log.
+        pub log_now: UnixMillis,
+    }
+}
+
+/// The claims of one partition, as far as it has been read.
+#[derive(Clone, Debug)]
+pub struct PartitionFold {
+    options: FoldOptions,
+    next_offset: LogOffset,
+    /// Every record that the log took at or after this time and below `next_offset` is folded in.
+    complete_from: UnixMillis,
+    last_reply: Option<UnixMillis>,
+    bookings: BTreeMap<ContentDigest, BookingRecord>,
+    booking_of: BTreeMap<ClaimId, ContentDigest>,
+    /// Claims released before the claim itself arrived, as after a delayed append.
+    released_early: BTreeMap<ClaimId, UnixMillis>,
+    /// Bookings by the time of their last record, for removal.
+    by_age: BTreeSet<(UnixMillis, ContentDigest)>,
+}
+
+#[derive(Clone, Debug)]
+struct BookingRecord {
+    standing: BookingStanding,
+    last_record: UnixMillis,
+}
+
+impl PartitionFold {
+    /// An empty fold.
+    ///
+    /// ```
+    /// use celeryshed_core::booking::{FoldOptions, PartitionFold};
+    /// use std::time::Duration;
+    /// let hour = Duration::from_secs(3600);
+    /// let fold = PartitionFold::new(FoldOptions { window: 6 * hour, retention: 12 * hour });
+    /// assert_eq!(fold.next_offset().0, 0);
+    /// ```
+    pub fn new(options: FoldOptions) -> Self {
+        Self {
+            options,
+            next_offset: LogOffset::default(),
+            complete_from: UnixMillis::default(),
+            last_reply: None,
+            bookings: BTreeMap::new(),
+            booking_of: BTreeMap::new(),
+            released_early: BTreeMap::new(),
+            by_age: BTreeSet::new(),
+        }
+    }
+
+    /// Offset to read from next.
+    pub fn next_offset(&self) -> LogOffset {
+        self.next_offset
+    }
+
+    /// Number of bookings kept.
+    pub fn booking_count(&self) -> usize {
+        self.bookings.len()
+    }
+
+    /// Whether every claim that a key created at `issued_at` can have is folded in.
+    pub fn covers(&self, issued_at: UnixMillis) -> bool {
+        let earliest_claim = issued_at.0.saturating_sub(FUTURE_ALLOWANCE.as_millis() as u64);
+        self.complete_from.0 <= earliest_claim
+    }
+
+    /// The claims of `booking`.
+    pub fn standing(&self, booking: &ContentDigest) -> BookingStanding {
+        self.bookings.get(booking).map(|record| record.standing.clone()).unwrap_or_default()
+    }
+
+    /// Folds in a reply; returns whether it reached the end of the stream.
+    pub fn apply(&mut self, page: &LogPage) -> bool {
+        self.note_missing(page);
+        for record in &page.records {
+            self.apply_record(record);
+        }
+        self.last_reply = Some(page.log_now);
+        self.remove_expired(page.log_now);
+        self.next_offset >= page.end
+    }
+
+    /// Moves over records that the log removed before they were read.
+    fn note_missing(&mut self, page: &LogPage) {
+        if page.oldest <= self.next_offset {
+            return;
+        }
+        let retention = self.options.retention.as_millis() as u64;
+        let removed_before = page.log_now.0.saturating_sub(retention);
+        let kept_too_short = self.last_reply.is_some_and(|last| last.0 > removed_before);
+        // Missing records were appended after the last reply. If that is within the retention, the
+        // log has removed records that it should still have, of any age up to now.
+        let complete_from = if kept_too_short { page.log_now.0 } else { removed_before };
+        self.complete_from = self.complete_from.max(UnixMillis(complete_from));
+        self.next_offset = page.oldest;
+    }
+
+    fn apply_record(&mut self, stamped: &StampedRecord) {
+        if stamped.offset < self.next_offset {
+            return;
+        }
+        self.next_offset = stamped.offset.next();
+        match &stamped.record {
+            Some(FoldRecord::Claim(details)) => self.add_claim(details, stamped),
+            Some(FoldRecord::Sealed(claim_id)) => {
+                self.end_claim(*claim_id, ClaimState::Sealed, stamped.appended_at);
+            }
+            Some(FoldRecord::Released(claim_id)) => {
+                self.end_claim(*claim_id, ClaimState::Released, stamped.appended_at);
+            }
+            Some(FoldRecord::Outcome(claim_id, outcome)) => {
+                self.settle_claim(*claim_id, *outcome, stamped);
+            }
+            None => {}
+        }
+    }
+
+    fn add_claim(&mut self, details: &ClaimDetails, stamped: &StampedRecord) {
+        // A repeated append of the same claim must not bring it into force a second time.
+        if self.booking_of.contains_key(&details.claim_id) {
+            return;
+        }
+        let standing = self.touch(details.booking, stamped.appended_at);
+        let taken = standing.is_taken();
+        let state = if taken { ClaimState::Void } else { ClaimState::InForce };
+        standing.claims.push(ClaimSight {
+            claim_id: details.claim_id,
+            offset: stamped.offset,
+            appended_at: stamped.appended_at,
+            terms: details.terms.clone(),
+            state,
+        });
+        self.booking_of.insert(details.claim_id, details.booking);
+        if self.released_early.remove(&details.claim_id).is_some() {
+            self.end_claim(details.claim_id, ClaimState::Released, stamped.appended_at);
+        }
+    }
+
+    fn end_claim(&mut self, claim_id: ClaimId, ended: ClaimState, appended_at: UnixMillis) {
+        let Some(claim) = self.claim_mut(claim_id, appended_at) else {
+            self.released_early.insert(claim_id, appended_at);
+            return;
+        };
+        if claim.state == ClaimState::InForce {
+            claim.state = ended;
+        }
+    }
+
+    fn settle_claim(&mut self, claim_id: ClaimId, outcome: OutcomeKind, stamped: &StampedRecord) {
+        let Some(claim) = self.claim_mut(claim_id, stamped.appended_at) else {
+            return;
+        };
+        // The sidecar repeats an append whose reply is lost; the first outcome stays.
+        if !matches!(claim.state, ClaimState::Settled { .. }) {
+            claim.state = ClaimState::Settled { outcome, offset: stamped.offset };
+        }
+    }
+
+    fn claim_mut(&mut self, claim_id: ClaimId, at: UnixMillis) -> Option<&mut ClaimSight> {
+        let booking = *self.booking_of.get(&claim_id)?;
+        let standing = self.touch(booking, at);
+        standing.claims.iter_mut().find(|claim| claim.claim_id == claim_id)
+    }
+
+    fn touch(&mut self, booking: ContentDigest, at: UnixMillis) -> &mut BookingStanding {
+        let fresh = || BookingRecord { standing: BookingStanding::default(), last_record: at };
+        let record = self.bookings.entry(booking).or_insert_with(fresh);
+        self.by_age.remove(&(record.last_record, booking));
+        record.last_record = record.last_record.max(at);
+        self.by_age.insert((record.last_record, booking));
+        &mut record.standing
+    }
+
+    fn remove_expired(&mut self, log_now: UnixMillis) {
+        let keep = self.options.window + FUTURE_ALLOWANCE + KEEP_MARGIN;
+        let limit = UnixMillis(log_now.0.saturating_sub(keep.as_millis() as u64));
+        while let Some(&(last_record, booking)) = self.by_age.first() {
+            if last_record >= limit {
+                break;
+            }
+            self.by_age.pop_first();
+            let removed = self.bookings.remove(&booking);
+            for claim in removed.iter().flat_map(|record| &record.standing.claims) {
+                self.booking_of.remove(&claim.claim_id);
+            }
+        }
+        self.released_early.retain(|_, appended_at| *appended_at >= limit);
+    }
+}
--- /dev/null
+++ b/crates/celeryshed_core/src/booking/key.rs
@@ -0,0 +1,121 @@
+//! Idempotency keys and the identity of a booking.
+
+use std::time::Duration;
+
+use celeryshed_base::{ContentDigest, CustomerName, ServiceName, UnixMillis, common_derives};
+use uuid::Uuid;
+
+/// How far in the future a key's creation time may lie, for callers with a fast clock.
+pub(super) const FUTURE_ALLOWANCE: Duration = Duration::from_secs(60);
+
+/// An idempotency key that is not accepted.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("Idempotency-Key {value:?} is not accepted: it must be a UUID version 7")]
+pub struct KeyError {
+    /// The rejected text.
+    pub value: String,
+}
+
+common_derives! { index:
+    /// An idempotency key: a UUID version 7, which carries its creation time.
+    pub struct BookingKey(Uuid);
+
+    /// Age of a key in relation to the booking window.
+    pub enum KeyWindow {
+        /// Within the window.
+        Open,
+        /// Older than the window.
+        Expired,
+        /// Created too far in the future.
+        Future,
+    }
+}
+
+impl BookingKey {
+    /// When the caller created the key.
+    ///
+    /// ```
+    /// use celeryshed_core::booking::BookingKey;
+    /// let key = BookingKey::try_from("01890a5d-ac96-774b-bcce-b302099a8057").unwrap();
+    /// assert_eq!(key.issued_at().0, 0x0189_0a5d_ac96);
+    /// ```
+    pub fn issued_at(&self) -> UnixMillis {
+        UnixMillis((self.0.as_u128() >> 80) as u64)
+    }
+}
+
+impl TryFrom<&str> for BookingKey {
+    type Error = KeyError;
+
+    fn try_from(value: &str) -> Result<Self, KeyError> {
+        let uuid = Uuid::try_parse(value).ok();
+        let versioned = uuid.filter(|uuid| uuid.get_version_num() == 7);
+        versioned.map(Self).ok_or_else(|| KeyError { value: value.to_owned() })
+    }
+}
+
+impl KeyWindow {
+    /// The age of a key created at `issued_at`, seen at `now`.
+    ///
+    /// ```
+    /// use celeryshed_base::UnixMillis;
+    /// use celeryshed_core::booking::KeyWindow;
+    /// use std::time::Duration;
+    /// let window = Duration::from_secs(10);
+    /// let issued = UnixMillis(100_000);
+    /// assert_eq!(KeyWindow::of(issued, UnixMillis(110_000), window), KeyWindow::Open);
+    /// assert_eq!(KeyWindow::of(issued, UnixMillis(110_001), window), KeyWindow::Expired);
+    /// assert_eq!(KeyWindow::of(issued, UnixMillis(39_999), window), KeyWindow::Future);
+    /// ```
+    pub fn of(issued_at: UnixMillis, now: UnixMillis, window: Duration) -> Self {
+        if now.since(issued_at) > window {
+            return Self::Expired;
+        }
+        if issued_at.since(now) > FUTURE_ALLOWANCE {
+            return Self::Future;
+        }
+        Self::Open
+    }
+}
+
+common_derives! { value:
+    /// What a request books: the key, and digests of the booking and of the call.
+    #[derive(Copy)]
+    pub struct BookingIdentity {
+        /// The key.
+        pub key: BookingKey,
+        /// Digest of customer and key.
+        pub booking: ContentDigest,
+        /// Digest of service, method, path and body.
+        pub body_digest: ContentDigest,
+    }
+}
+
+impl BookingIdentity {
+    /// Identifies the call `method path body` to `service` under `key` of `customer`.
+    ///
+    /// ```
+    /// use celeryshed_base::{CustomerName, ServiceName};
+    /// use celeryshed_core::booking::{BookingIdentity, BookingKey};
+    /// let key = BookingKey::try_from("01890a5d-ac96-774b-bcce-b302099a8057").unwrap();
+    /// let customer = CustomerName::try_from("clinic").unwrap();
+    /// let service = ServiceName::try_from("orders").unwrap();
+    /// let first = BookingIdentity::of(&customer, key, &service, "POST", "kits", b"1");
+    /// let second = BookingIdentity::of(&customer, key, &service, "POST", "kits", b"2");
+    /// assert_eq!(first.booking, second.booking);
+    /// assert_ne!(first.body_digest, second.body_digest);
+    /// ```
+    pub fn of(
+        customer: &CustomerName,
+        key: BookingKey,
+        service: &ServiceName,
+        method: &str,
+        path: &str,
+        body: &[u8],
+    ) -> Self {
+        let booking = ContentDigest::of_parts(&[customer.as_str().as_bytes(), key.0.as_bytes()]);
+        let call = [service.as_str().as_bytes(), method.as_bytes(), path.as_bytes(), body];
+        let body_digest = ContentDigest::of_parts(&call);
+        Self { key, booking, body_digest }
+    }
+}
--- a/crates/celeryshed_core/src/booking/mod.rs
+++ b/crates/celeryshed_core/src/booking/mod.rs
@@ -1,1 +1,31 @@
-//! Placeholder until this module lands.
+//! Bookings: requests that run at most once.
+//!
+//! [`PartitionFold`] folds the records of one claim stream, [`ClaimProcedure`] decides what one
+//! entry does for one request, and [`ClaimRegister`] is the sidecar's record of the claims that it
+//! ran or sealed. `docs/design.md`, section 5, states the rules and the interleavings.
+
+mod fold;
+mod key;
+mod partition;
+mod procedure;
+mod record;
+mod register;
+mod verdict;
+
+pub use fold::{FoldOptions, LogPage, PartitionFold, StampedRecord};
+pub use key::{BookingIdentity, BookingKey, KeyError, KeyWindow};
+pub use partition::{partition_of, readers_of};
+pub use procedure::{
+    AppendResult, BookingRequest, ClaimAction, ClaimEvent, ClaimProcedure, DispatchResult,
+    DispatchTicket, LogSight, ProcedureOptions, SealResult, SideTarget,
+};
+pub use record::{
+    BookingStanding, ClaimDetails, ClaimSight, ClaimState, ClaimTerms, FoldRecord, OutcomeKind,
+};
+pub use register::{
+    BeginRefusal, BeginVerdict, ClaimRegister, RegisterOptions, RunOutcome, SealVerdict,
+};
+pub use verdict::{BookingResult, RefusalReason, RunVerdict};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/celeryshed_core/src/booking/procedure/mod.rs
@@ -0,0 +1,483 @@
+//! The decisions of one entry for one request of a booking.
+//!
+//! The procedure is level-triggered: each event updates what is known, then [`ClaimProcedure`]
+//! derives the next actions from that knowledge alone. After its reply it lives on until it has
+//! released a claim that it will not use.
+
+mod event;
+mod reply;
+mod state;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use celeryshed_base::{ClaimId, InstanceName, MonoTime, UnixMillis, common_derives};
+
+pub use event::{
+    AppendResult, BookingRequest, ClaimAction, ClaimEvent, DispatchResult, DispatchTicket,
+    LogSight, ProcedureOptions, SealResult, SideTarget,
+};
+
+use self::state::{AppendProgress, DispatchProgress, OwnClaim, SealProgress, SealWord};
+use super::key::KeyWindow;
+use super::record::{ClaimDetails, ClaimSight, ClaimState, ClaimTerms, FoldRecord};
+use super::verdict::RefusalReason;
+
+impl Default for ProcedureOptions {
+    fn default() -> Self {
+        Self {
+            window: Duration::from_secs(6 * 3600),
+            log_wait: Duration::from_secs(2),
+            seal_after: Duration::from_secs(1),
+            retry_pause: Duration::from_millis(200),
+            freshness: Duration::from_secs(1),
+            max_claims: 4,
+        }
+    }
+}
+
+common_derives! { value:
+    /// Phase of a procedure.
+    #[derive(Copy)]
+    enum ProcedurePhase {
+        /// The caller waits.
+        Serving,
+        /// The caller has its reply; a claim may have to be released.
+        Closing,
+        /// Nothing is left to do.
+        Finished,
+    }
+
+    /// The choice of a sidecar.
+    enum SideChoice {
+        /// Not asked for.
+        Open,
+        /// Asked for.
+        Asked,
+        /// No sidecar is available.
+        Unavailable,
+    }
+}
+
+/// State machine of one request at one entry.
+#[derive(Clone, Debug)]
+pub struct ClaimProcedure<A> {
+    options: ProcedureOptions,
+    request: BookingRequest,
+    started: MonoTime,
+    phase: ProcedurePhase,
+    sight: Option<LogSight>,
+    own: Option<OwnClaim>,
+    seal: Option<SealProgress>,
+    choice: SideChoice,
+    claims_made: u32,
+    avoided: BTreeSet<InstanceName>,
+    refusal: Option<RefusalReason>,
+    reading_answer: bool,
+    read_answer_at: MonoTime,
+    wake: MonoTime,
+    actions: Vec<ClaimAction<A>>,
+}
+
+impl<A: Clone> ClaimProcedure<A> {
+    /// Starts serving `request` at `now`. The first action follows the first event.
+    pub fn new(request: BookingRequest, options: ProcedureOptions, now: MonoTime) -> Self {
+        Self {
+            options,
+            request,
+            started: now,
+            phase: ProcedurePhase::Serving,
+            sight: None,
+            own: None,
+            seal: None,
+            choice: SideChoice::Open,
+            claims_made: 0,
+            avoided: BTreeSet::new(),
+            refusal: None,
+            reading_answer: false,
+            read_answer_at: now,
+            wake: request.deadline.min(now + options.log_wait),
+            actions: Vec::new(),
+        }
+    }
+
+    /// When the driver must deliver [`ClaimEvent::TimePassed`] unless another event comes first.
+    pub fn next_wake(&self) -> Option<MonoTime> {
+        (self.phase == ProcedurePhase::Serving).then_some(self.wake)
+    }
+
+    /// Whether nothing is left to do.
+    pub fn is_finished(&self) -> bool {
+        self.phase == ProcedurePhase::Finished
+    }
+
+    /// Takes in `event` and returns what to do next.
+    pub fn handle(&mut self, event: ClaimEvent<A>, now: MonoTime) -> Vec<ClaimAction<A>> {
+        self.note(event, now);
+        self.wake = self.request.deadline;
+        if self.phase == ProcedurePhase::Serving {
+            self.serve(now);
+        }
+        if self.phase == ProcedurePhase::Closing {
+            self.close();
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    fn note(&mut self, event: ClaimEvent<A>, now: MonoTime) {
+        match event {
+            ClaimEvent::LogRead(sight) => self.note_sight(sight),
+            ClaimEvent::SideChosen { side, claim_id } => self.note_choice(side, claim_id, now),
+            ClaimEvent::AppendEnded { record, result } => self.note_append(&record, result, now),
+            ClaimEvent::DispatchEnded { claim_id, result } => self.note_dispatch(claim_id, result),
+            ClaimEvent::SealEnded { claim_id, result } => self.note_seal(claim_id, result, now),
+            ClaimEvent::AnswerRead(answer) => self.note_answer(answer, now),
+            ClaimEvent::TimePassed => {}
+        }
+    }
+
+    fn note_sight(&mut self, sight: LogSight) {
+        if self.sight.as_ref().is_some_and(|known| known.began > sight.began) {
+            return;
+        }
+        if let Some(own) = &mut self.own {
+            match sight.standing.find(own.claim_id).map(|claim| claim.state) {
+                None => own.append.note_missing(sight.began),
+                Some(ClaimState::InForce) => own.release.note_missing(sight.began),
+                Some(_) => {}
+            }
+        }
+        if let Some(seal) = &mut self.seal {
+            seal.append.note_missing(sight.began);
+        }
+        self.sight = Some(sight);
+    }
+
+    fn note_choice(&mut self, side: Option<SideTarget>, claim_id: ClaimId, now: MonoTime) {
+        let Some(side) = side else {
+            self.choice = SideChoice::Unavailable;
+            return;
+        };
+        self.choice = SideChoice::Open;
+        if self.phase == ProcedurePhase::Serving {
+            self.claims_made += 1;
+            self.own = Some(OwnClaim::new(claim_id, side, now));
+        }
+    }
+
+    fn note_append(&mut self, record: &FoldRecord, result: AppendResult, now: MonoTime) {
+        let retry_at = now + self.options.retry_pause;
+        let own = self.own.as_mut();
+        match record {
+            FoldRecord::Claim(details) => {
+                if let Some(own) = own.filter(|own| own.claim_id == details.claim_id) {
+                    own.append.end(result, now, retry_at);
+                }
+            }
+            FoldRecord::Released(claim_id) => {
+                if let Some(own) = own.filter(|own| own.claim_id == *claim_id) {
+                    // Once the caller has its reply the release is only a courtesy to others.
+                    let serving = self.phase == ProcedurePhase::Serving;
+                    let result = if serving { result } else { AppendResult::Done };
+                    own.release.end(result, now, retry_at);
+                }
+            }
+            FoldRecord::Sealed(claim_id) => {
+                let seal = self.seal.as_mut();
+                if let Some(seal) = seal.filter(|seal| seal.claim_id == *claim_id) {
+                    seal.append.end(result, now, retry_at);
+                }
+            }
+            FoldRecord::Outcome(..) => {}
+        }
+    }
+
+    fn note_dispatch(&mut self, claim_id: ClaimId, result: DispatchResult<A>) {
+        // Another entry may have sealed the claim of an earlier dispatch since: only an answer
+        // still matters then.
+        let own = self.own.as_mut().filter(|own| own.claim_id == claim_id);
+        match (result, own) {
+            (DispatchResult::Answer(answer), _) => self.reply_answer(answer, false),
+            (DispatchResult::NotRun { .. } | DispatchResult::Lost, None) => {}
+            (DispatchResult::NotRun { detail, claim_only }, Some(own)) => {
+                own.dispatch = DispatchProgress::NotRun;
+                if !claim_only {
+                    self.avoided.insert(own.side.instance.clone());
+                }
+                let side = own.side.instance.clone();
+                self.refusal = Some(RefusalReason::EndpointRefused { side, detail });
+            }
+            (DispatchResult::Lost, Some(own)) => own.dispatch = DispatchProgress::Lost,
+        }
+    }
+
+    fn note_seal(&mut self, claim_id: ClaimId, result: SealResult<A>, now: MonoTime) {
+        let replayed = self.own.as_ref().is_none_or(|own| own.claim_id != claim_id);
+        let Some(seal) = self.seal.as_mut().filter(|seal| seal.claim_id == claim_id) else {
+            return;
+        };
+        seal.asking = false;
+        seal.ask_at = now + self.options.seal_after;
+        match result {
+            SealResult::Ran(answer) => self.reply_answer(answer, replayed),
+            SealResult::Sealed => seal.word = SealWord::Sealed,
+            SealResult::Lost | SealResult::OtherIncarnation => seal.word = SealWord::Lost(now),
+            SealResult::Running | SealResult::Recorded | SealResult::Unreachable => {}
+        }
+    }
+
+    fn note_answer(&mut self, answer: Option<A>, now: MonoTime) {
+        self.reading_answer = false;
+        self.read_answer_at = now + self.options.retry_pause;
+        let settled = self.sight.as_ref().and_then(|sight| sight.standing.settled());
+        let own_id = self.own.as_ref().map(|own| own.claim_id);
+        let replayed = settled.map(|claim| claim.claim_id) != own_id;
+        if let Some(answer) = answer {
+            self.reply_answer(answer, replayed);
+        }
+    }
+
+    fn serve(&mut self, now: MonoTime) {
+        if now >= self.request.deadline {
+            return self.refuse(RefusalReason::DeadlinePassed, now);
+        }
+        let Some(sight) = self.sight.clone().filter(|sight| sight.began >= self.started) else {
+            return self.await_log(self.started, now);
+        };
+        if let Some(claim) = sight.standing.settled() {
+            return self.serve_outcome(claim, now);
+        }
+        if let Some(reason) = self.key_refusal(&sight, now) {
+            return self.refuse(reason, now);
+        }
+        match sight.standing.in_force() {
+            Some(claim) if self.is_own(claim.claim_id) => self.serve_own(claim, &sight, now),
+            Some(claim) if claim.terms.body_digest != self.request.identity.body_digest => {
+                self.refuse(RefusalReason::BodyMismatch, now);
+            }
+            Some(claim) => self.seek_seal(claim, self.first_ask(claim, &sight, now), now),
+            None => self.serve_vacant(&sight, now),
+        }
+    }
+
+    /// Waits for a read of the log that began at or after `since`, up to the limit.
+    fn await_log(&mut self, since: MonoTime, now: MonoTime) {
+        let limit = since + self.options.log_wait;
+        if now >= limit {
+            return self.refuse(RefusalReason::LogUnreadable, now);
+        }
+        self.wake_by(limit);
+    }
+
+    fn key_refusal(&self, sight: &LogSight, now: MonoTime) -> Option<RefusalReason> {
+        let own_sent = self.own.as_ref().is_some_and(|own| !own.is_harmless());
+        if own_sent {
+            return None;
+        }
+        match self.key_window(sight, now) {
+            KeyWindow::Expired => Some(RefusalReason::KeyExpired),
+            KeyWindow::Future => Some(RefusalReason::KeyInFuture),
+            KeyWindow::Open if !sight.covered => Some(RefusalReason::WindowIncomplete),
+            KeyWindow::Open => None,
+        }
+    }
+
+    /// The key's age by the log's clock, so that entries with skewed clocks agree.
+    ///
+    /// The time of the log's reply is a lower bound for the time of a later claim, which the check
+    /// for future keys needs; adding the time since the read began gives an upper bound, which the
+    /// check for expired keys needs.
+    fn key_window(&self, sight: &LogSight, now: MonoTime) -> KeyWindow {
+        let issued_at = self.request.identity.key.issued_at();
+        let window = self.options.window;
+        if KeyWindow::of(issued_at, sight.log_now, window) == KeyWindow::Future {
+            return KeyWindow::Future;
+        }
+        match KeyWindow::of(issued_at, log_time(sight, now), window) {
+            KeyWindow::Expired => KeyWindow::Expired,
+            KeyWindow::Open | KeyWindow::Future => KeyWindow::Open,
+        }
+    }
+
+    fn serve_own(&mut self, claim: &ClaimSight, sight: &LogSight, now: MonoTime) {
+        let Some(own) = &mut self.own else { return };
+        match own.dispatch {
+            DispatchProgress::Unsent => {
+                own.dispatch = DispatchProgress::InFlight;
+                let side = own.side.clone();
+                let ticket = DispatchTicket {
+                    claim_id: claim.claim_id,
+                    offset: claim.offset,
+                    appended_at: claim.appended_at,
+                };
+                self.actions.push(ClaimAction::Dispatch { side, ticket });
+            }
+            DispatchProgress::InFlight => {}
+            DispatchProgress::NotRun => {
+                self.send_release(now);
+                self.await_log(sight.began, now);
+            }
+            DispatchProgress::Lost => self.seek_seal(claim, now, now),
+        }
+    }
+
+    fn send_release(&mut self, now: MonoTime) {
+        let Some(own) = &mut self.own else { return };
+        let AppendProgress::Due(due) = own.release else { return };
+        if now < due {
+            return self.wake_by(due);
+        }
+        own.release = AppendProgress::InFlight;
+        let record = FoldRecord::Released(own.claim_id);
+        self.actions.push(ClaimAction::Append(record));
+    }
+
+    fn first_ask(&self, claim: &ClaimSight, sight: &LogSight, now: MonoTime) -> MonoTime {
+        let age = log_time(sight, now).since(claim.appended_at);
+        now + self.options.seal_after.saturating_sub(age)
+    }
+
+    /// Waits for the outcome of the claim in force, and asks its sidecar to seal it.
+    fn seek_seal(&mut self, claim: &ClaimSight, first_ask: MonoTime, now: MonoTime) {
+        let known = self.seal.filter(|seal| seal.claim_id == claim.claim_id);
+        let mut seal = known.unwrap_or(SealProgress {
+            claim_id: claim.claim_id,
+            asking: false,
+            ask_at: first_ask,
+            word: SealWord::Open,
+            append: AppendProgress::Due(now),
+        });
+        match seal.word {
+            SealWord::Open if seal.asking => {}
+            SealWord::Open if now < seal.ask_at => self.wake_by(seal.ask_at),
+            SealWord::Open => {
+                seal.asking = true;
+                let side = SideTarget {
+                    instance: claim.terms.side_instance.clone(),
+                    incarnation: claim.terms.side_incarnation,
+                };
+                self.actions.push(ClaimAction::AskSeal { claim_id: claim.claim_id, side });
+            }
+            SealWord::Sealed => {
+                self.record_seal(&mut seal, now);
+                self.await_log(self.last_read(), now);
+            }
+            SealWord::Lost(learned) => {
+                let reread = self.sight.as_ref().is_some_and(|sight| sight.began >= learned);
+                if reread {
+                    return self.refuse(RefusalReason::OutcomeUnknown, now);
+                }
+                self.await_log(learned, now);
+            }
+        }
+        self.seal = Some(seal);
+    }
+
+    fn record_seal(&mut self, seal: &mut SealProgress, now: MonoTime) {
+        match seal.append {
+            AppendProgress::Due(due) if now < due => self.wake_by(due),
+            AppendProgress::Due(_) => {
+                seal.append = AppendProgress::InFlight;
+                self.actions.push(ClaimAction::Append(FoldRecord::Sealed(seal.claim_id)));
+            }
+            AppendProgress::InFlight | AppendProgress::Ended(_) => {}
+        }
+    }
+
+    /// No claim is in force: brings an own claim into force.
+    fn serve_vacant(&mut self, sight: &LogSight, now: MonoTime) {
+        let own_ended =
+            self.own.as_ref().is_some_and(|own| sight.standing.find(own.claim_id).is_some());
+        if own_ended {
+            self.own = None;
+        }
+        self.await_log(sight.began, now);
+        if self.phase != ProcedurePhase::Serving {
+            return;
+        }
+        match &self.own {
+            Some(_) => self.send_claim(now),
+            None => self.choose_side(now),
+        }
+    }
+
+    fn send_claim(&mut self, now: MonoTime) {
+        let Some(own) = &mut self.own else { return };
+        let AppendProgress::Due(due) = own.append else { return };
+        if now < due {
+            return self.wake_by(due);
+        }
+        own.append = AppendProgress::InFlight;
+        let details = ClaimDetails {
+            claim_id: own.claim_id,
+            booking: self.request.identity.booking,
+            terms: ClaimTerms {
+                body_digest: self.request.identity.body_digest,
+                side_instance: own.side.instance.clone(),
+                side_incarnation: own.side.incarnation,
+            },
+        };
+        self.actions.push(ClaimAction::Append(FoldRecord::Claim(details)));
+    }
+
+    fn choose_side(&mut self, now: MonoTime) {
+        let exhausted = self.claims_made >= self.options.max_claims;
+        match self.choice {
+            SideChoice::Asked => {}
+            SideChoice::Open if !exhausted => {
+                self.choice = SideChoice::Asked;
+                let avoid = self.avoided.iter().cloned().collect();
+                self.actions.push(ClaimAction::ChooseSide { avoid });
+            }
+            SideChoice::Open | SideChoice::Unavailable => {
+                let reason = self.refusal.clone().unwrap_or(RefusalReason::NoEndpoint);
+                self.refuse(reason, now);
+            }
+        }
+    }
+
+    /// After the reply: releases a claim that was never run, so that others need not seal it.
+    fn close(&mut self) {
+        let standing = self.sight.as_ref().map(|sight| &sight.standing);
+        let own_id = self.own.as_ref().map(|own| own.claim_id);
+        let seen = standing.zip(own_id).and_then(|(standing, own_id)| standing.find(own_id));
+        let ended = seen.is_some_and(|claim| claim.state != ClaimState::InForce);
+        let finished = match &mut self.own {
+            None => true,
+            Some(_) if ended => true,
+            Some(own) if own.dispatch == DispatchProgress::InFlight => false,
+            Some(own) if !own.is_harmless() => true,
+            Some(own) => match own.release {
+                AppendProgress::Due(_) => {
+                    own.release = AppendProgress::InFlight;
+                    let record = FoldRecord::Released(own.claim_id);
+                    self.actions.push(ClaimAction::Append(record));
+                    false
+                }
+                AppendProgress::InFlight => false,
+                AppendProgress::Ended(_) => true,
+            },
+        };
+        if finished {
+            self.phase = ProcedurePhase::Finished;
+            self.actions.push(ClaimAction::Finish);
+        }
+    }
+
+    fn last_read(&self) -> MonoTime {
+        self.sight.as_ref().map_or(self.started, |sight| sight.began)
+    }
+
+    fn is_own(&self, claim_id: ClaimId) -> bool {
+        self.own.as_ref().is_some_and(|own| own.claim_id == claim_id)
+    }
+
+    fn wake_by(&mut self, time: MonoTime) {
+        self.wake = self.wake.min(time);
+    }
+}
+
+/// The time at the log, rounded up by the duration of the read.
+fn log_time(sight: &LogSight, now: MonoTime) -> UnixMillis {
+    UnixMillis(sight.log_now.0 + (now - sight.began).as_millis() as u64)
+}
