Decide where chunks come from and what to fetch next

Cause: a new model must reach all instances with few copies from the origin. Change: per-chunk trees by rendezvous hashing, a fetch scheduler and a link budget, without I/O. Ruled out: falling outside of the tree when an ancestor is merely waiting, because a long outage of the store would then end in one copy per instance.

--- a/crates/celeryshed_core/src/spread/mod.rs
+++ b/crates/celeryshed_core/src/spread/mod.rs
@@ -1,1 +1,21 @@
-//! Placeholder until this module lands.
+//! Distribution of weights: where each chunk comes from, what to fetch next, and how fast.
+//!
+//! [`SpreadPlan`] orders the sidecars for each chunk, [`FetchScheduler`] decides what to fetch from
+//! whom, and [`LinkBudget`] paces the traffic to what live requests leave of the link.
+
+mod budget;
+mod items;
+mod options;
+mod penalties;
+mod plan;
+mod scheduler;
+mod versions;
+
+#[cfg(test)]
+mod tests;
+
+pub use budget::LinkBudget;
+pub use options::{FetchOptions, OptionError, SpreadWeighing};
+pub use plan::{ChunkRoute, ChunkSource, OuterSource, SpreadPlan};
+pub use scheduler::{FetchFailure, FetchScheduler, SpreadAction, SpreadEvent};
+pub use versions::{ChunkRef, WantedVersion};
--- /dev/null
+++ b/crates/celeryshed_core/src/spread/penalties.rs
@@ -0,0 +1,69 @@
+//! Senders that are avoided for a while.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use celeryshed_base::MonoTime;
+
+use super::plan::ChunkSource;
+
+/// Backoff after the first failure of a sender.
+const FIRST_BACKOFF: Duration = Duration::from_millis(500);
+
+/// Longest backoff of a sidecar.
+const PEER_BACKOFF_LIMIT: Duration = Duration::from_secs(30);
+
+/// Longest backoff of an outer source. Shorter than a sidecar's, because the whole tree of a chunk
+/// waits for its first sidecar.
+const OUTER_BACKOFF_LIMIT: Duration = Duration::from_secs(10);
+
+#[derive(Clone, Copy, Debug)]
+struct SenderPenalty {
+    until: MonoTime,
+    backoff: Duration,
+}
+
+/// Senders with recent failures and how long each is avoided.
+#[derive(Clone, Debug, Default)]
+pub(super) struct SenderPenalties {
+    penalties: BTreeMap<ChunkSource, SenderPenalty>,
+}
+
+impl SenderPenalties {
+    /// Avoids `source`, twice as long as the last time.
+    pub(super) fn record_failure(&mut self, source: &ChunkSource, now: MonoTime) {
+        let limit = match source {
+            ChunkSource::Peer(_) => PEER_BACKOFF_LIMIT,
+            ChunkSource::Outer(_) => OUTER_BACKOFF_LIMIT,
+        };
+        // Several fetches in progress from one sender fail together; they count as one failure.
+        match self.penalties.get_mut(source) {
+            Some(penalty) if penalty.until > now => {}
+            Some(penalty) => {
+                penalty.backoff = (penalty.backoff * 2).min(limit);
+                penalty.until = now + penalty.backoff;
+            }
+            None => {
+                let penalty = SenderPenalty { until: now + FIRST_BACKOFF, backoff: FIRST_BACKOFF };
+                self.penalties.insert(source.clone(), penalty);
+            }
+        }
+    }
+
+    /// Avoids `source` for the time that it asked for.
+    pub(super) fn record_busy(&mut self, source: &ChunkSource, pause: Duration, now: MonoTime) {
+        let backoff = self.penalties.get(source).map_or(FIRST_BACKOFF, |penalty| penalty.backoff);
+        let pause = pause.min(PEER_BACKOFF_LIMIT);
+        self.penalties.insert(source.clone(), SenderPenalty { until: now + pause, backoff });
+    }
+
+    /// Forgets the failures of `source`.
+    pub(super) fn record_success(&mut self, source: &ChunkSource) {
+        self.penalties.remove(source);
+    }
+
+    /// When `source` may be used again; `None` when it may be used now.
+    pub(super) fn avoided_until(&self, source: &ChunkSource, now: MonoTime) -> Option<MonoTime> {
+        self.penalties.get(source).map(|penalty| penalty.until).filter(|until| *until > now)
+    }
+}
--- /dev/null
+++ b/crates/celeryshed_core/src/spread/scheduler.rs
@@ -0,0 +1,461 @@
+//! What to fetch next, and from whom.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::time::Duration;
+
+use celeryshed_base::{ByteCount, ContentDigest, InstanceName, MonoTime, common_derives};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use super::items::MissingItem;
+use super::options::FetchOptions;
+use super::penalties::SenderPenalties;
+use super::plan::{ChunkRoute, ChunkSource, SpreadPlan};
+use super::versions::{ChunkRef, VersionTable, WantedVersion};
+
+/// Factor of [`FetchOptions::stuck_limit`] per level. With four, twice as many sidecars per level
+/// ask half as often in total, so that a long outage of the store costs few extra copies.
+const STUCK_FACTOR: u32 = 4;
+
+/// Levels after which the stuck limit no longer grows.
+const STUCK_LEVELS: u32 = 8;
+
+/// Positions after which the random delay before asking outside no longer grows.
+const SPACING_POSITIONS: usize = 30;
+
+/// Shortest wait that is asked of the caller's timer.
+const TIMER_STEP: Duration = Duration::from_millis(1);
+
+common_derives! { value:
+    /// Why a fetch failed.
+    #[derive(Copy)]
+    pub enum FetchFailure {
+        /// The bytes don't have the digest.
+        Corrupt,
+        /// The sender neither holds nor wants the chunk.
+        NotWanted,
+        /// The sender waits for the chunk itself.
+        Pending,
+        /// The transfer stalled.
+        TimedOut,
+        /// No connection, or a broken one.
+        Unreachable,
+        /// The sender asks for a pause.
+        Busy(Duration),
+    }
+}
+
+/// What the scheduler is told.
+#[derive(Clone, Debug)]
+pub enum SpreadEvent {
+    /// These versions are wanted now, the selected one first.
+    VersionsWanted(Vec<WantedVersion>),
+    /// A manifest was read and agrees with the configuration.
+    ManifestRead {
+        /// Its digest.
+        manifest: ContentDigest,
+        /// The chunks, in order.
+        chunks: Vec<ChunkRef>,
+    },
+    /// A manifest has the right digest but contradicts the configuration.
+    ManifestRejected {
+        /// Its digest.
+        manifest: ContentDigest,
+    },
+    /// The membership changed.
+    PlanChanged(SpreadPlan),
+    /// A chunk or manifest arrived and was verified.
+    ChunkArrived {
+        /// Its digest.
+        chunk: ContentDigest,
+        /// Its size.
+        size: ByteCount,
+        /// Its sender.
+        source: ChunkSource,
+    },
+    /// A fetch ended without the chunk.
+    FetchFailed {
+        /// The chunk.
+        chunk: ContentDigest,
+        /// The sender.
+        source: ChunkSource,
+        /// Why.
+        failure: FetchFailure,
+    },
+    /// The time that [`FetchScheduler::next_wake`] named has come.
+    TimePassed,
+}
+
+common_derives! { value:
+    /// What the scheduler asks for.
+    pub enum SpreadAction {
+        /// Fetch a chunk.
+        Fetch {
+            /// Its digest.
+            chunk: ContentDigest,
+            /// From where.
+            source: ChunkSource,
+        },
+        /// Stop fetching a chunk.
+        Cancel {
+            /// Its digest.
+            chunk: ContentDigest,
+        },
+        /// Free a chunk's memory.
+        Drop {
+            /// Its digest.
+            chunk: ContentDigest,
+        },
+        /// Every chunk of a wanted version is held.
+        VersionComplete {
+            /// Digest of its manifest.
+            manifest: ContentDigest,
+        },
+        /// A wanted version doesn't fit into memory.
+        VersionTooLarge {
+            /// Digest of its manifest.
+            manifest: ContentDigest,
+            /// Its size.
+            size: ByteCount,
+        },
+    }
+}
+
+enum SourceChoice {
+    Use(ChunkSource),
+    WaitUntil(MonoTime),
+}
+
+/// Decides what one sidecar fetches.
+#[derive(Clone, Debug)]
+pub struct FetchScheduler {
+    options: FetchOptions,
+    plan: Option<SpreadPlan>,
+    versions: VersionTable,
+    held: BTreeMap<ContentDigest, u64>,
+    held_bytes: u64,
+    missing: BTreeMap<ContentDigest, MissingItem>,
+    in_flight: usize,
+    penalties: SenderPenalties,
+    random: StdRng,
+}
+
+impl FetchScheduler {
+    /// A scheduler that holds nothing; `seed` decides its random delays.
+    pub fn new(options: FetchOptions, seed: u64) -> Self {
+        Self {
+            options,
+            plan: None,
+            versions: VersionTable::default(),
+            held: BTreeMap::new(),
+            held_bytes: 0,
+            missing: BTreeMap::new(),
+            in_flight: 0,
+            penalties: SenderPenalties::default(),
+            random: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Takes an event and returns what to do.
+    pub fn handle(&mut self, event: SpreadEvent, now: MonoTime) -> Vec<SpreadAction> {
+        let mut actions = Vec::new();
+        match event {
+            SpreadEvent::VersionsWanted(wanted) => self.want(&wanted, now, &mut actions),
+            SpreadEvent::ManifestRead { manifest, chunks } => {
+                if let Some(entry) = self.versions.get_mut(&manifest) {
+                    entry.chunks = Some(chunks);
+                }
+                self.refresh_missing(now, &mut actions);
+            }
+            SpreadEvent::ManifestRejected { manifest } => {
+                if let Some(entry) = self.versions.get_mut(&manifest) {
+                    entry.rejected = true;
+                }
+                self.refresh_missing(now, &mut actions);
+            }
+            SpreadEvent::PlanChanged(plan) => self.change_plan(plan),
+            SpreadEvent::ChunkArrived { chunk, size, source } => {
+                self.penalties.record_success(&source);
+                self.take_chunk(chunk, size);
+                self.announce_complete(&mut actions);
+            }
+            SpreadEvent::FetchFailed { chunk, source, failure } => {
+                self.record_failure(&chunk, &source, failure, now);
+            }
+            SpreadEvent::TimePassed => {}
+        }
+        self.start_fetches(now, &mut actions);
+        actions
+    }
+
+    /// Whether the chunk is held.
+    pub fn holds(&self, chunk: &ContentDigest) -> bool {
+        self.held.contains_key(chunk)
+    }
+
+    /// Whether the chunk may arrive here: it is missing, or a manifest is still to come that may
+    /// name it.
+    pub fn expects(&self, chunk: &ContentDigest) -> bool {
+        self.missing.contains_key(chunk) || self.versions.awaits_manifest()
+    }
+
+    /// Bytes of the chunks and manifests held.
+    pub fn held_bytes(&self) -> ByteCount {
+        ByteCount(self.held_bytes)
+    }
+
+    /// The chunks of a complete version that is wanted, in order.
+    pub fn complete_chunks(&self, manifest: &ContentDigest) -> Option<&[ChunkRef]> {
+        let entry = self.versions.wanted.iter().find(|entry| entry.wanted.manifest == *manifest)?;
+        if entry.complete { entry.chunks.as_deref() } else { None }
+    }
+
+    /// When to send [`SpreadEvent::TimePassed`] at the latest; `None` while nothing waits.
+    pub fn next_wake(&mut self, now: MonoTime) -> Option<MonoTime> {
+        if self.plan.is_none() || self.in_flight >= self.options.parallel_fetches {
+            return None;
+        }
+        let waiting = self.missing.values().filter(|item| item.in_flight.is_none());
+        waiting.map(|item| item.not_before.max(now)).min()
+    }
+
+    fn want(&mut self, wanted: &[WantedVersion], now: MonoTime, actions: &mut Vec<SpreadAction>) {
+        for version in self.versions.replace(wanted, self.options.memory) {
+            let WantedVersion { manifest, size } = version;
+            actions.push(SpreadAction::VersionTooLarge { manifest, size });
+        }
+        let complete = self.versions.wanted.iter().filter(|entry| entry.complete);
+        actions.extend(
+            complete.map(|entry| SpreadAction::VersionComplete { manifest: entry.wanted.manifest }),
+        );
+        self.refresh_missing(now, actions);
+    }
+
+    /// Brings the missing chunks in line with the wanted versions.
+    fn refresh_missing(&mut self, now: MonoTime, actions: &mut Vec<SpreadAction>) {
+        let mut previous = std::mem::take(&mut self.missing);
+        let open = self.versions.wanted.iter().enumerate().filter(|(_, entry)| !entry.rejected);
+        for (rank, entry) in open {
+            let manifest = ChunkRef { digest: entry.wanted.manifest, size: ByteCount(0) };
+            let mut offset = 0;
+            for chunk in std::iter::once(&manifest).chain(entry.chunks.iter().flatten()) {
+                let release = release_delay(self.options.outer_bytes_per_s, offset);
+                offset += chunk.size.0;
+                if self.held.contains_key(&chunk.digest) || self.missing.contains_key(&chunk.digest)
+                {
+                    continue;
+                }
+                let item = match previous.remove(&chunk.digest) {
+                    Some(item) => MissingItem { rank, ..item },
+                    None => {
+                        let mut item = MissingItem::new(chunk.size.0, rank, now);
+                        item.not_before = now + release;
+                        place(&mut item, &chunk.digest, self.plan.as_ref());
+                        item
+                    }
+                };
+                self.missing.insert(chunk.digest, item);
+            }
+        }
+        let dropped = previous.iter().filter(|(_, item)| item.in_flight.is_some());
+        actions.extend(dropped.map(|(chunk, _)| SpreadAction::Cancel { chunk: *chunk }));
+        self.count_in_flight();
+        self.announce_complete(actions);
+        self.free_memory(actions);
+    }
+
+    fn change_plan(&mut self, plan: SpreadPlan) {
+        if self.plan.as_ref() == Some(&plan) {
+            return;
+        }
+        for (chunk, item) in &mut self.missing {
+            place(item, chunk, Some(&plan));
+            item.forget_senders();
+        }
+        self.plan = Some(plan);
+    }
+
+    fn take_chunk(&mut self, chunk: ContentDigest, size: ByteCount) {
+        // A chunk that arrives after it was cancelled isn't counted as held.
+        if self.missing.remove(&chunk).is_some() {
+            self.held.insert(chunk, size.0);
+            self.held_bytes += size.0;
+        }
+        self.count_in_flight();
+    }
+
+    fn announce_complete(&mut self, actions: &mut Vec<SpreadAction>) {
+        let completed = self.versions.complete(&self.held);
+        let announce = |manifest| SpreadAction::VersionComplete { manifest };
+        actions.extend(completed.into_iter().map(announce));
+    }
+
+    fn record_failure(
+        &mut self,
+        chunk: &ContentDigest,
+        source: &ChunkSource,
+        failure: FetchFailure,
+        now: MonoTime,
+    ) {
+        match failure {
+            FetchFailure::Corrupt | FetchFailure::TimedOut | FetchFailure::Unreachable => {
+                self.penalties.record_failure(source, now);
+            }
+            FetchFailure::Busy(pause) => self.penalties.record_busy(source, pause, now),
+            FetchFailure::NotWanted | FetchFailure::Pending => {}
+        }
+        let Some(item) = self.missing.get_mut(chunk) else { return };
+        if item.in_flight.as_ref() != Some(source) {
+            return;
+        }
+        item.in_flight = None;
+        item.not_before = now;
+        match failure {
+            FetchFailure::NotWanted => item.avoid(source, now),
+            FetchFailure::Pending => item.record_pending(source, self.options.patience, now),
+            FetchFailure::Corrupt
+            | FetchFailure::TimedOut
+            | FetchFailure::Unreachable
+            | FetchFailure::Busy(_) => item.sender_pending_since = None,
+        }
+        self.count_in_flight();
+    }
+
+    /// Frees chunks of no version, and then retained versions, until the rest fits.
+    fn free_memory(&mut self, actions: &mut Vec<SpreadAction>) {
+        let missing: u64 = self.missing.values().map(|item| item.size).sum();
+        let needed = |held: u64| held.saturating_add(missing);
+        // Unknown chunks of a version without a manifest may be among those held.
+        let over = needed(self.held_bytes) > self.options.memory.0;
+        if self.versions.awaits_manifest() && !over {
+            return;
+        }
+        loop {
+            let referenced = self.versions.referenced();
+            let unused: Vec<_> =
+                self.held.keys().filter(|chunk| !referenced.contains(chunk)).copied().collect();
+            for chunk in unused {
+                self.held_bytes -= self.held.remove(&chunk).unwrap_or_default();
+                actions.push(SpreadAction::Drop { chunk });
+            }
+            if needed(self.held_bytes) <= self.options.memory.0
+                || self.versions.retained.pop().is_none()
+            {
+                return;
+            }
+        }
+    }
+
+    fn start_fetches(&mut self, now: MonoTime, actions: &mut Vec<SpreadAction>) {
+        if self.in_flight >= self.options.parallel_fetches {
+            return;
+        }
+        let Some(plan) = self.plan.take() else { return };
+        let ready = self.missing.iter().filter(|(_, item)| item.is_ready(now));
+        let ready = ready.map(|(chunk, item)| Reverse((item.order(chunk), *chunk)));
+        let mut ready: BinaryHeap<_> = ready.collect();
+        while self.in_flight < self.options.parallel_fetches
+            && let Some(Reverse((_, chunk))) = ready.pop()
+        {
+            let route = plan.route(&chunk);
+            let choice = self.choose(&chunk, &route, now);
+            let Some(item) = self.missing.get_mut(&chunk) else { continue };
+            match choice {
+                SourceChoice::Use(source) => {
+                    item.in_flight = Some(source.clone());
+                    self.in_flight += 1;
+                    actions.push(SpreadAction::Fetch { chunk, source });
+                }
+                // Always later than now, so that the caller's timer doesn't spin.
+                SourceChoice::WaitUntil(time) => item.not_before = time.max(now + TIMER_STEP),
+            }
+        }
+        self.plan = Some(plan);
+    }
+
+    fn choose(&mut self, chunk: &ContentDigest, route: &ChunkRoute, now: MonoTime) -> SourceChoice {
+        let Some(item) = self.missing.get_mut(chunk) else {
+            return SourceChoice::WaitUntil(now + self.options.settle);
+        };
+        let peers = |names: &[InstanceName]| -> Vec<ChunkSource> {
+            names.iter().cloned().map(ChunkSource::Peer).collect()
+        };
+        let outer: Vec<_> = self.options.outer.iter().copied().map(ChunkSource::Outer).collect();
+        let far = peers(&route.far);
+        let (inside, outside) = match (route.near.is_empty(), route.outer_first) {
+            (false, true) => (peers(&route.near), [outer, far].concat()),
+            (false, false) => (peers(&route.near), [far, outer].concat()),
+            (true, true) => (Vec::new(), [outer, far].concat()),
+            (true, false) => (far, outer),
+        };
+        let stuck = is_stuck(item, &self.options, now);
+        let free = |item: &MissingItem, source: &ChunkSource| {
+            let penalty = self.penalties.avoided_until(source, now);
+            penalty.max(item.avoided_until(source, now))
+        };
+        if !stuck && let Some(source) = inside.iter().find(|source| free(item, source).is_none()) {
+            return SourceChoice::Use(source.clone());
+        }
+        let inside_at = inside.iter().filter_map(|source| free(item, source)).min();
+        // Only senders that fail let the item go outside; a live one that waits itself doesn't.
+        let failing = inside.iter().all(|source| {
+            self.penalties.avoided_until(source, now).is_some() || !item.is_waiting(source, now)
+        });
+        if !inside.is_empty() && !stuck && !failing {
+            return SourceChoice::WaitUntil(inside_at.unwrap_or(now));
+        }
+        if !inside.is_empty() && !stuck {
+            let delay = outside_delay(&self.options, item, &mut self.random);
+            let earliest = item.wanted_at + self.options.settle;
+            let outside_at = *item.outside_at.get_or_insert(earliest.max(now) + delay);
+            if outside_at > now {
+                return SourceChoice::WaitUntil(
+                    inside_at.map_or(outside_at, |at| at.min(outside_at)),
+                );
+            }
+        }
+        item.pending_since = None;
+        item.outside_at = None;
+        match outside.iter().find(|source| free(item, source).is_none()) {
+            Some(source) => SourceChoice::Use(source.clone()),
+            None => {
+                let outside_at = outside.iter().filter_map(|source| free(item, source)).min();
+                SourceChoice::WaitUntil(outside_at.min(inside_at.or(outside_at)).unwrap_or(now))
+            }
+        }
+    }
+
+    fn count_in_flight(&mut self) {
+        self.in_flight = self.missing.values().filter(|item| item.in_flight.is_some()).count();
+    }
+}
+
+/// Updates position and depth of `item`.
+fn place(item: &mut MissingItem, chunk: &ContentDigest, plan: Option<&SpreadPlan>) {
+    if let Some(plan) = plan {
+        (item.position, item.depth) = plan.place(chunk);
+    }
+}
+
+/// When the outer source, at its rate, gets to the byte at `offset`.
+fn release_delay(outer_bytes_per_s: Option<ByteCount>, offset: u64) -> Duration {
+    match outer_bytes_per_s {
+        Some(rate) => Duration::from_secs_f64(offset as f64 / rate.0.max(1) as f64),
+        None => Duration::ZERO,
+    }
+}
+
+/// Whether live senders have been without the chunk for so long that one below them tries the
+/// outside. The first of a tree doesn't wait: it asks outside anyway.
+fn is_stuck(item: &MissingItem, options: &FetchOptions, now: MonoTime) -> bool {
+    let level = item.depth.min(STUCK_LEVELS).saturating_sub(1);
+    let limit = options.stuck_limit * STUCK_FACTOR.pow(level);
+    item.pending_since.is_some_and(|since| now - since >= limit)
+}
+
+/// Random delay before asking outside of the tree; the first positions tend to go first.
+fn outside_delay(options: &FetchOptions, item: &MissingItem, random: &mut StdRng) -> Duration {
+    let positions = item.position.clamp(1, SPACING_POSITIONS) as u32;
+    options.outside_spacing.mul_f64(random.random::<f64>()) * positions
+}
