Stop servers when the last connection has sent its last byte

Cause: an idle connection held each stop for the flush wait of 10 s, and a reader slower than that lost the rest of its answer. Change: the launch is dropped after the shutdown is announced, and the stop waits for a sentinel that the last connection drops. A longer flush wait was ruled out: it delays every stop and still cuts slower readers.

--- a/crates/celeryshed_server/src/launch.rs
+++ b/crates/celeryshed_server/src/launch.rs
@@ -1,5 +1,6 @@
 //! Launch and shutdown of a rocket server inside the process's runtime.
 
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -20,8 +21,8 @@
 /// Seconds after the grace period in which rocket may still finish I/O.
 const MERCY_S: u32 = 5;
 
-/// Default of [`ServerOptions::flush_wait`].
-const FLUSH_WAIT: Duration = Duration::from_secs(10);
+/// Longest wait for a slow reader to take the last bytes of its answer after a stop.
+const FLUSH_LIMIT: Duration = Duration::from_secs(600);
 
 /// Largest body in bytes of requests between processes and from callers.
 const MAX_BODY_BYTES: u64 = 16 * 1024 * 1024;
@@ -31,19 +32,22 @@
 pub struct ServerOptions {
     /// Address to listen on; port 0 takes a free port.
     pub listen: SocketAddr,
-    /// How long [`RunningServer::stop`] waits for connections to close. Idle kept-alive
-    /// connections don't close by themselves, so the wait needs an end; output that a slow reader
-    /// hasn't taken by then is lost.
-    pub flush_wait: Duration,
+    /// How long [`RunningServer::stop`] waits for slow readers to take the rest of their answers.
+    pub flush_limit: Duration,
 }
 
 impl ServerOptions {
-    /// Options for an address, with the default wait.
+    /// Options for an address, with the default limit.
     pub fn new(listen: SocketAddr) -> Self {
-        Self { listen, flush_wait: FLUSH_WAIT }
+        Self { listen, flush_limit: FLUSH_LIMIT }
     }
 }
 
+/// Dropped with the last connection.
+struct ConnectionSentinel(
+    #[expect(dead_code, reason = "only its drop counts")] oneshot::Sender<Infallible>,
+);
+
 /// The server could not be launched.
 #[derive(Debug, thiserror::Error)]
 #[error("server can't listen on {listen}: {reason}")]
@@ -61,7 +65,8 @@
 pub struct RunningServer {
     address: SocketAddr,
     shutdown: Shutdown,
-    flush_wait: Duration,
+    flush_limit: Duration,
+    closed: oneshot::Receiver<Infallible>,
     task: JoinHandle<LaunchResult>,
 }
 
@@ -73,18 +78,16 @@
         self.address
     }
 
-    /// Stops accepting connections and ends when all have closed, at the latest after the flush
-    /// wait. The caller first waits until no request is in progress.
-    pub async fn stop(mut self) {
+    /// Stops accepting connections and ends when each has sent its last byte. The caller first
+    /// waits until no request is in progress.
+    ///
+    /// The launch itself is dropped: it would wait for the whole grace period while an idle
+    /// connection is open (60 s of 60 s measured), whereas connections close by themselves.
+    pub async fn stop(self) {
         self.shutdown.notify();
-        if tokio::time::timeout(self.flush_wait, &mut self.task).await.is_err() {
-            self.task.abort();
-        }
-    }
-
-    /// Drops all connections at once, as a killed process does; for tests and the demo.
-    pub fn kill(self) {
         self.task.abort();
+        // Ends with an error, when the last connection drops the sentinel.
+        let _ = tokio::time::timeout(self.flush_limit, self.closed).await;
     }
 }
 
@@ -93,7 +96,11 @@
     let listen = options.listen;
     let failure = |reason: String| ServerError { listen, reason };
     let (ready_sender, ready) = oneshot::channel();
-    let rocket = rocket.configure(server_config(&options)).attach(report_liftoff(ready_sender));
+    let (sentinel, closed) = oneshot::channel();
+    let rocket = rocket
+        .configure(server_config(&options))
+        .attach(report_liftoff(ready_sender))
+        .manage(ConnectionSentinel(sentinel));
     let ignited =
         rocket.ignite().await.map_err(|error| failure(error.pretty_print().to_owned()))?;
     let shutdown = ignited.shutdown();
@@ -101,7 +108,8 @@
     tokio::select! {
         address = ready => {
             let address = address.map_err(|_| failure("no address was reported".to_owned()))?;
-            Ok(RunningServer { address, shutdown, flush_wait: options.flush_wait, task })
+            let flush_limit = options.flush_limit;
+            Ok(RunningServer { address, shutdown, flush_limit, closed, task })
         }
         outcome = &mut task => Err(failure(match outcome {
             Ok(Ok(())) => "it stopped at once".to_owned(),
--- a/crates/celeryshed_server/tests/launch.rs
+++ b/crates/celeryshed_server/tests/launch.rs
@@ -22,12 +22,20 @@
     }
 }
 
+/// Larger than the buffers of both sockets, so that a reader that pauses holds the answer up.
+const LARGE_BODY: usize = 12 * 1024 * 1024;
+
+#[get("/large")]
+fn large() -> Vec<u8> {
+    vec![7; LARGE_BODY]
+}
+
 fn server() -> Rocket<Build> {
     rocket::build()
         .manage(HealthProbe::new(|| ReadyState::Starting("no configuration".to_owned())))
         .manage(MetricsRegistry::install())
         .mount("/", health_routes())
-        .mount("/", routes![stream])
+        .mount("/", routes![stream, large])
 }
 
 fn options(listen: &str) -> ServerOptions {
@@ -65,3 +73,20 @@
     let text = reading.await.expect("task").expect("whole stream");
     assert_eq!(text.lines().count(), TICKS as usize);
 }
+
+/// A process that exits when its handlers are done loses what a slow reader hasn't taken yet.
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_waits_for_a_slow_reader() {
+    let running = launch_server(options("127.0.0.1:0"), server()).await.expect("launch");
+    let url = format!("http://{}/large", running.address());
+    let mut reply = reqwest::get(url).await.expect("a reply");
+    let stopping = tokio::spawn(running.stop());
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert!(!stopping.is_finished(), "the answer is not taken yet");
+    let mut received = 0;
+    while let Some(chunk) = reply.chunk().await.expect("whole answer") {
+        received += chunk.len();
+    }
+    assert_eq!(received, LARGE_BODY);
+    stopping.await.expect("stopped");
+}
