Add stand-ins of the log, list, store and origin

Cause: the platform's clients and all roles need a platform to be met through its own protocol, with faults.

Change: rocket servers on 127.0.0.1 for the log, the lagging list and blobs (store and origin are one type with other options). The bound port is reported by a liftoff fairing; a bind probe was ruled out because the port can be taken between probe and launch. A lost reply or request is a connection cut: rocket drops the connection when a header can't be sent. An error in a body without a length ends it cleanly, so blobs carry a Content-Length. Replies share the link piece by piece (16 KiB). The first state of the list has no lag, in the fake too. Concurrent fetches of a blob that the store lacks pull one copy. Defaults that the design doesn't give: 400 appends a second, retention of 1 h, list lag of 30 s, 20 Mbit/s and 200 fetches a second for store and origin.

--- a/crates/celeryshed_platform/src/fakes/list.rs
+++ b/crates/celeryshed_platform/src/fakes/list.rs
@@ -47,7 +47,7 @@
         Self { state: Arc::new(Mutex::new(state)) }
     }
 
-    /// Replaces the instances; readers see them after the lag.
+    /// Replaces the instances; readers see them after the lag, the first ones at once.
     pub fn set_instances(&self, instances: Vec<ListedInstance>) {
         let mut state = self.lock();
         let now = state.clock.now();
@@ -77,7 +77,8 @@
             return Err(unreachable(TARGET));
         }
         let now = state.clock.now();
-        let shown = state.history.iter().rev().find(|(since, _)| *since + state.lag <= now);
+        let old_enough = state.history.iter().rev().find(|(since, _)| now - *since >= state.lag);
+        let shown = old_enough.or_else(|| state.history.first());
         Ok(shown.map(|(_, instances)| instances.clone()).unwrap_or_default())
     }
 }
--- a/crates/celeryshed_standin/src/platform/mod.rs
+++ b/crates/celeryshed_standin/src/platform/mod.rs
@@ -1,1 +1,23 @@
-//! Placeholder until this module lands.
+//! Stand-ins of the platform: log service, instance list, weight store and origin.
+//!
+//! The routes are those documented in `celeryshed_wire` for the platform. In addition:
+//!
+//! - list: `POST /control/instances` with a JSON list of instances replaces the list;
+//! - store and origin: `PUT /control/blobs/<digest>` adds a blob past all faults and limits.
+
+mod blob_pieces;
+mod blob_state;
+mod blobs;
+mod list;
+mod log;
+mod log_state;
+mod options;
+
+pub use blob_state::{BlobCounts, BlobFaults};
+pub use blobs::{BlobControl, RunningBlobs};
+pub use list::{ListControl, ListCounts, ListFaults, RunningList};
+pub use log::{LogControl, RunningLog};
+pub use log_state::{LogCounts, LogFaults};
+pub use options::{
+    BlobOptions, ListOptions, LogOptions, RawBlobOptions, RawListOptions, RawLogOptions,
+};
--- /dev/null
+++ b/crates/celeryshed_standin/src/platform/options.rs
@@ -0,0 +1,214 @@
+//! Options of the platform's stand-ins.
+//!
+//! The defaults hold for both deployments: their inter-region links carry 20 Mbit/s, and the
+//! numbers that the deployments don't name are stated with each constant.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use celeryshed_base::common_derives;
+
+use crate::error::{Result, StandinError};
+
+/// Bytes a second of a link of 20 Mbit/s.
+const LINK_BYTES_PER_S: u64 = 20_000_000 / 8;
+
+/// "Several hundred" appends a second for the whole fleet.
+const APPENDS_PER_S: u32 = 400;
+
+/// An hour covers the longest partition between regions that the design expects.
+const RETENTION_S: u64 = 3_600;
+
+/// Largest number of records in one reply.
+const MAX_READ_RECORDS: u32 = 10_000;
+
+/// The list lags up to a minute; half of that is the usual case.
+const LIST_LAG_MS: u64 = 30_000;
+
+/// One-way latency between zones of a region is 1 to 1.5 ms.
+const LATENCY_MS: u64 = 1;
+
+/// Requests a second that the store accepts.
+const BLOB_REQUESTS_PER_S: u32 = 200;
+
+common_derives! { value:
+    /// Unchecked options of the log.
+    pub struct RawLogOptions {
+        /// Age in milliseconds after which records are dropped.
+        pub retention_ms: u64,
+        /// Appends a second, all streams together.
+        pub appends_per_s: u32,
+        /// Delay of each call in milliseconds.
+        pub latency_ms: u64,
+    }
+
+    /// Checked options of the log.
+    pub struct LogOptions {
+        pub(super) retention: Duration,
+        pub(super) appends_per_s: u32,
+        pub(super) latency: Duration,
+        pub(super) max_read_records: u32,
+    }
+
+    /// Unchecked options of the instance list.
+    pub struct RawListOptions {
+        /// Age in milliseconds of the state that the list shows.
+        pub lag_ms: u64,
+        /// Delay of each call in milliseconds.
+        pub latency_ms: u64,
+    }
+
+    /// Checked options of the instance list.
+    pub struct ListOptions {
+        pub(super) lag: Duration,
+        pub(super) latency: Duration,
+    }
+
+    /// Unchecked options of the weight store or the origin.
+    pub struct RawBlobOptions {
+        /// Bytes a second that its link carries, all replies together.
+        pub bytes_per_s: u64,
+        /// Fetches a second above which it replies 429.
+        pub requests_per_s: u32,
+        /// Delay of each call in milliseconds.
+        pub latency_ms: u64,
+        /// Whether clients may put blobs; only the origin accepts them.
+        pub accepts_puts: bool,
+        /// Where to fetch blobs that aren't here, `ADDRESS:PORT` of the origin.
+        pub pull_from: Option<String>,
+    }
+
+    /// Checked options of the weight store or the origin.
+    pub struct BlobOptions {
+        pub(super) bytes_per_s: u64,
+        pub(super) requests_per_s: u32,
+        pub(super) latency: Duration,
+        pub(super) accepts_puts: bool,
+        pub(super) pull_from: Option<SocketAddr>,
+    }
+}
+
+impl Default for RawLogOptions {
+    fn default() -> Self {
+        Self {
+            retention_ms: RETENTION_S * 1000,
+            appends_per_s: APPENDS_PER_S,
+            latency_ms: LATENCY_MS,
+        }
+    }
+}
+
+impl TryFrom<RawLogOptions> for LogOptions {
+    type Error = StandinError;
+
+    fn try_from(raw: RawLogOptions) -> Result<Self> {
+        positive("retention_ms", raw.retention_ms)?;
+        positive("appends_per_s", raw.appends_per_s.into())?;
+        Ok(Self::from_checked(&raw))
+    }
+}
+
+impl LogOptions {
+    fn from_checked(raw: &RawLogOptions) -> Self {
+        Self {
+            retention: Duration::from_millis(raw.retention_ms),
+            appends_per_s: raw.appends_per_s,
+            latency: Duration::from_millis(raw.latency_ms),
+            max_read_records: MAX_READ_RECORDS,
+        }
+    }
+}
+
+impl Default for LogOptions {
+    fn default() -> Self {
+        Self::from_checked(&RawLogOptions::default())
+    }
+}
+
+impl Default for RawListOptions {
+    fn default() -> Self {
+        Self { lag_ms: LIST_LAG_MS, latency_ms: LATENCY_MS }
+    }
+}
+
+impl TryFrom<RawListOptions> for ListOptions {
+    type Error = StandinError;
+
+    fn try_from(raw: RawListOptions) -> Result<Self> {
+        const MAX_LAG_MS: u64 = 600_000;
+        if raw.lag_ms > MAX_LAG_MS {
+            return Err(StandinError::option("lag_ms", raw.lag_ms, "0 to 600000"));
+        }
+        Ok(Self::from_checked(&raw))
+    }
+}
+
+impl ListOptions {
+    fn from_checked(raw: &RawListOptions) -> Self {
+        Self {
+            lag: Duration::from_millis(raw.lag_ms),
+            latency: Duration::from_millis(raw.latency_ms),
+        }
+    }
+}
+
+impl Default for ListOptions {
+    fn default() -> Self {
+        Self::from_checked(&RawListOptions::default())
+    }
+}
+
+impl RawBlobOptions {
+    /// The origin of both deployments.
+    ///
+    /// ```
+    /// use celeryshed_standin::platform::RawBlobOptions;
+    /// assert!(RawBlobOptions::origin().accepts_puts);
+    /// ```
+    pub fn origin() -> Self {
+        Self {
+            bytes_per_s: LINK_BYTES_PER_S,
+            requests_per_s: BLOB_REQUESTS_PER_S,
+            latency_ms: LATENCY_MS,
+            accepts_puts: true,
+            pull_from: None,
+        }
+    }
+
+    /// The weight store of both deployments; it pulls from the origin at `origin`, if given.
+    ///
+    /// ```
+    /// use celeryshed_standin::platform::{BlobOptions, RawBlobOptions};
+    /// let raw = RawBlobOptions::store(Some("origin:80".to_owned()));
+    /// assert!(BlobOptions::try_from(raw).is_err());
+    /// ```
+    pub fn store(origin: Option<String>) -> Self {
+        Self { accepts_puts: false, pull_from: origin, ..Self::origin() }
+    }
+}
+
+impl TryFrom<RawBlobOptions> for BlobOptions {
+    type Error = StandinError;
+
+    fn try_from(raw: RawBlobOptions) -> Result<Self> {
+        positive("bytes_per_s", raw.bytes_per_s)?;
+        positive("requests_per_s", raw.requests_per_s.into())?;
+        let pull_from = raw.pull_from.as_deref().map(parse_address).transpose()?;
+        Ok(Self {
+            bytes_per_s: raw.bytes_per_s,
+            requests_per_s: raw.requests_per_s,
+            latency: Duration::from_millis(raw.latency_ms),
+            accepts_puts: raw.accepts_puts,
+            pull_from,
+        })
+    }
+}
+
+fn positive(key: &'static str, value: u64) -> Result<()> {
+    if value == 0 { Err(StandinError::option(key, value, "1 or more")) } else { Ok(()) }
+}
+
+fn parse_address(value: &str) -> Result<SocketAddr> {
+    let accepted = "ADDRESS:PORT with a numeric IP address";
+    value.parse().map_err(|_| StandinError::option("pull_from", value, accepted))
+}
