Serve completions and calls from callers through sidecars to endpoints

Cause: nothing carried a request yet.

Change: the sidecar runs attempts (slots owned by one task, engine and plain clients, claims through a gate) and answers with frames. The entry accepts OpenAI-style completions and calls below /services, checks each frame against its attempt, version and token index, and resumes on another endpoint with the same version. A drain refuses new work and ends a server when its last connection has sent its last byte. Ruled out: awaiting rocket's launch() after the shutdown, because it waits for the whole grace period (600 s) whenever a connection is open at that moment (seen: servers still running 5 s after the last stream ended). Wire: AttemptEventKind gains Load.

Result: 6 tests over loopback pass, among them a stream of 8 s that survives the drain of both servers.

--- a/crates/celeryshed_core/src/admission/mod.rs
+++ b/crates/celeryshed_core/src/admission/mod.rs
@@ -1,1 +1,8 @@
-//! Placeholder until this module lands.
+//! Limits: capacity reserved per customer, queues with deadlines, displacement, retry budgets.
+
+mod slots;
+
+#[cfg(test)]
+mod tests;
+
+pub use slots::{SlotClass, SlotDecision, SlotLoad, SlotRequest, SlotTable};
--- /dev/null
+++ b/crates/celeryshed_core/src/admission/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of admission.
--- a/crates/celeryshed_core/src/routing/mod.rs
+++ b/crates/celeryshed_core/src/routing/mod.rs
@@ -1,1 +1,8 @@
-//! Placeholder until this module lands.
+//! Which endpoint gets a request.
+
+mod table;
+
+#[cfg(test)]
+mod tests;
+
+pub use table::{EndpointTable, RoutingChoice, RoutingNeed};
--- /dev/null
+++ b/crates/celeryshed_entry/src/completions/problems.rs
@@ -0,0 +1,132 @@
+//! Problem details towards callers.
+
+use std::io::Cursor;
+use std::time::Duration;
+
+use celeryshed_base::RequestId;
+use celeryshed_wire::{NotRunVerdict, ProblemDetails};
+use rocket::http::{ContentType, Header, Status};
+use rocket::request::Request;
+use rocket::response::{self, Responder, Response};
+use serde_json::{Value, json};
+
+/// Kinds of problems.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ProblemKind {
+    /// The request can't be understood.
+    Malformed,
+    /// The key belongs to no contract.
+    UnknownKey,
+    /// The service doesn't exist.
+    UnknownService,
+    /// This entry is leaving.
+    Draining,
+    /// This entry knows no configuration yet.
+    Starting,
+    /// No endpoint can take the request.
+    Overloaded,
+    /// The endpoint failed.
+    EndpointFailed,
+    /// No endpoint has the version that began the answer.
+    VersionGone,
+    /// The deadline passed.
+    DeadlinePassed,
+}
+
+impl ProblemKind {
+    fn status(self) -> u16 {
+        match self {
+            Self::Malformed => 400,
+            Self::UnknownKey => 401,
+            Self::UnknownService => 404,
+            Self::Draining | Self::Starting | Self::Overloaded => 503,
+            Self::EndpointFailed | Self::VersionGone => 502,
+            Self::DeadlinePassed => 504,
+        }
+    }
+
+    fn name_and_title(self) -> (&'static str, &'static str) {
+        match self {
+            Self::Malformed => ("malformed", "The request is malformed"),
+            Self::UnknownKey => ("unknown-key", "The API key is not known"),
+            Self::UnknownService => ("unknown-service", "The service is not known"),
+            Self::Draining => ("draining", "This entry takes no new work"),
+            Self::Starting => ("starting", "This entry is starting"),
+            Self::Overloaded => ("overloaded", "No endpoint can take the request now"),
+            Self::EndpointFailed => ("endpoint-failed", "The endpoint failed"),
+            Self::VersionGone => ("version-gone", "The version that began the answer is gone"),
+            Self::DeadlinePassed => ("deadline-passed", "The deadline passed"),
+        }
+    }
+}
+
+/// Describes a problem of one request.
+pub(super) fn problem(
+    kind: ProblemKind,
+    request_id: RequestId,
+    not_run: NotRunVerdict,
+    detail: &str,
+) -> ProblemDetails {
+    let (name, title) = kind.name_and_title();
+    ProblemDetails {
+        kind: format!("/problems/{name}"),
+        title: title.to_owned(),
+        status: kind.status(),
+        detail: detail.to_owned(),
+        request_id,
+        not_run,
+        retry_after_ms: None,
+    }
+}
+
+/// Adds the suggested pause.
+pub(super) fn with_retry_after(problem: ProblemDetails, pause: Duration) -> ProblemDetails {
+    ProblemDetails { retry_after_ms: Some(pause.as_millis() as u64), ..problem }
+}
+
+/// The problem as callers see it: `not_run` is `true`, `false` or `"unknown"`.
+pub(super) fn problem_json(problem: &ProblemDetails) -> Value {
+    let not_run = match problem.not_run {
+        NotRunVerdict::NotRun => json!(true),
+        NotRunVerdict::Ran => json!(false),
+        NotRunVerdict::Unknown => json!("unknown"),
+    };
+    let mut value = json!({
+        "type": problem.kind,
+        "title": problem.title,
+        "status": problem.status,
+        "detail": problem.detail,
+        "request_id": problem.request_id,
+        "not_run": not_run,
+    });
+    if let Some(pause) = problem.retry_after_ms {
+        value["retry_after_ms"] = json!(pause);
+    }
+    value
+}
+
+/// Answers a caller with a problem.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ProblemReply(pub ProblemDetails);
+
+impl From<ProblemDetails> for ProblemReply {
+    fn from(problem: ProblemDetails) -> Self {
+        Self(problem)
+    }
+}
+
+impl<'r> Responder<'r, 'static> for ProblemReply {
+    fn respond_to(self, _request: &'r Request<'_>) -> response::Result<'static> {
+        let body = problem_json(&self.0).to_string();
+        let mut response = Response::build();
+        response.status(Status::new(self.0.status));
+        response.header(ContentType::new("application", "problem+json"));
+        if let Some(pause) = self.0.retry_after_ms {
+            response.header(Header::new("Retry-After", pause.div_ceil(1000).to_string()));
+        }
+        if self.0.status == 401 {
+            response.header(Header::new("WWW-Authenticate", "Bearer"));
+        }
+        response.sized_body(body.len(), Cursor::new(body)).ok()
+    }
+}
--- /dev/null
+++ b/crates/celeryshed_entry/src/completions/routes.rs
@@ -0,0 +1,210 @@
+//! Routes for callers.
+
+use std::time::Duration;
+
+use celeryshed_base::{ContentDigest, RequestId, ServiceName};
+use celeryshed_core::configuration::{ConfigurationState, EndpointKind};
+use celeryshed_wire::{NotRunVerdict, ProblemDetails};
+use rocket::data::{Data, ToByteUnit};
+use rocket::request::{FromRequest, Outcome, Request};
+use rocket::serde::json::Json;
+use rocket::{Route, State, get, post};
+use serde_json::{Value, json};
+use tokio::time::Instant;
+
+use super::customers::{RequestCustomer, customer_of};
+use super::dispatch::CompletionJob;
+use super::handle::CompletionsHandle;
+use super::openai::{AnswerForm, AnswerWriter, CompletionAsk, prompt_tokens};
+use super::options::CompletionOptions;
+use super::problems::{ProblemKind, ProblemReply, problem};
+use super::services::service_routes;
+use super::streams::{CompletionReply, event_reply, whole_reply};
+
+/// Largest accepted body.
+const MAX_BODY_MIB: u64 = 8;
+
+/// Header with the time that the caller allows, in milliseconds.
+const DEADLINE_HEADER: &str = "Celeryshed-Deadline-Ms";
+
+/// Routes to mount at `/`; the server manages a [`CompletionsHandle`].
+pub fn routes() -> Vec<Route> {
+    let mut routes = rocket::routes![complete, complete_chat, list_models];
+    routes.extend(service_routes());
+    routes
+}
+
+/// Headers of a caller's request.
+pub(super) struct CallerHeaders {
+    pub(super) request_id: RequestId,
+    authorization: Option<String>,
+    deadline: Option<String>,
+}
+
+impl CallerHeaders {
+    pub(super) fn of(request: &Request<'_>) -> Self {
+        let header = |name| request.headers().get_one(name).map(str::to_owned);
+        Self {
+            request_id: RequestId::random(),
+            authorization: header("Authorization"),
+            deadline: header(DEADLINE_HEADER),
+        }
+    }
+
+    /// The customer; an unknown key is refused.
+    pub(super) fn customer(
+        &self,
+        state: &ConfigurationState,
+    ) -> Result<RequestCustomer, ProblemDetails> {
+        customer_of(self.authorization.as_deref(), state)
+            .map_err(|error| self.refuse(ProblemKind::UnknownKey, &error.to_string()))
+    }
+
+    /// The request's deadline: the caller's, and never later than the largest age.
+    pub(super) fn deadline(&self, options: &CompletionOptions) -> Result<Instant, ProblemDetails> {
+        let Some(text) = &self.deadline else {
+            return Ok(Instant::now() + options.max_request);
+        };
+        let milliseconds = text.parse().map_err(|_| {
+            let detail = format!(
+                "header {DEADLINE_HEADER} is {text:?}: accepted is a number of milliseconds"
+            );
+            self.refuse(ProblemKind::Malformed, &detail)
+        })?;
+        Ok(Instant::now() + Duration::from_millis(milliseconds).min(options.max_request))
+    }
+
+    /// A refusal of a request that was not run.
+    pub(super) fn refuse(&self, kind: ProblemKind, detail: &str) -> ProblemDetails {
+        problem(kind, self.request_id, NotRunVerdict::NotRun, detail)
+    }
+
+    /// Checks that the service exists and has this kind of endpoints.
+    pub(super) fn check_service(
+        &self,
+        state: &ConfigurationState,
+        service: &ServiceName,
+        kind: EndpointKind,
+    ) -> Result<(), ProblemDetails> {
+        match state.services.get(service) {
+            Some(definition) if definition.kind == kind => Ok(()),
+            Some(_) => {
+                let detail = format!("service {service} doesn't take requests of this kind");
+                Err(self.refuse(ProblemKind::UnknownService, &detail))
+            }
+            None => {
+                let detail = format!("service {service} doesn't exist");
+                Err(self.refuse(ProblemKind::UnknownService, &detail))
+            }
+        }
+    }
+}
+
+#[rocket::async_trait]
+impl<'r> FromRequest<'r> for CallerHeaders {
+    type Error = std::convert::Infallible;
+
+    async fn from_request(request: &'r Request<'_>) -> Outcome<Self, Self::Error> {
+        Outcome::Success(Self::of(request))
+    }
+}
+
+#[post("/v1/completions", data = "<data>")]
+async fn complete(
+    handle: &State<CompletionsHandle>,
+    headers: CallerHeaders,
+    data: Data<'_>,
+) -> Result<CompletionReply, ProblemReply> {
+    Ok(answer(handle, &headers, data, AnswerForm::Text).await?)
+}
+
+#[post("/v1/chat/completions", data = "<data>")]
+async fn complete_chat(
+    handle: &State<CompletionsHandle>,
+    headers: CallerHeaders,
+    data: Data<'_>,
+) -> Result<CompletionReply, ProblemReply> {
+    Ok(answer(handle, &headers, data, AnswerForm::Chat).await?)
+}
+
+#[get("/v1/models")]
+fn list_models(
+    handle: &State<CompletionsHandle>,
+    headers: CallerHeaders,
+) -> Result<Json<Value>, ProblemReply> {
+    let (_guard, state) = handle.enter(headers.request_id)?;
+    headers.customer(&state)?;
+    let services = state.services.iter();
+    let engines = services.filter(|(_, definition)| definition.kind == EndpointKind::Engine);
+    let models = engines.map(|(service, definition)| {
+        json!({
+            "id": service,
+            "object": "model",
+            "owned_by": "celeryshed",
+            "version": definition.version,
+        })
+    });
+    let models: Vec<Value> = models.collect();
+    Ok(Json(json!({"object": "list", "data": models})))
+}
+
+async fn answer(
+    handle: &CompletionsHandle,
+    headers: &CallerHeaders,
+    data: Data<'_>,
+    form: AnswerForm,
+) -> Result<CompletionReply, ProblemDetails> {
+    let (guard, state) = handle.enter(headers.request_id)?;
+    let customer = headers.customer(&state)?;
+    let body = read_body(data, headers).await?;
+    let ask = CompletionAsk::parse(&body, form)
+        .map_err(|error| headers.refuse(ProblemKind::Malformed, &error.to_string()))?;
+    headers.check_service(&state, &ask.service, EndpointKind::Engine)?;
+    let job = completion_job(handle.options(), headers, customer, &ask)?;
+    let writer = AnswerWriter {
+        form,
+        request_id: headers.request_id,
+        model: ask.service.to_string(),
+        prompt_tokens: prompt_tokens(&ask.prompt),
+        max_tokens: ask.max_tokens,
+    };
+    let events = handle.complete(job);
+    match ask.stream {
+        true => event_reply(events, writer, guard).await,
+        false => whole_reply(events, &writer).await,
+    }
+}
+
+fn completion_job(
+    options: &CompletionOptions,
+    headers: &CallerHeaders,
+    customer: RequestCustomer,
+    ask: &CompletionAsk,
+) -> Result<CompletionJob, ProblemDetails> {
+    let adapter = ask.adapter.as_ref().map_or("", celeryshed_base::AdapterName::as_str);
+    let content = [ask.service.as_str().as_bytes(), adapter.as_bytes(), ask.prompt.as_bytes()];
+    Ok(CompletionJob {
+        request_id: headers.request_id,
+        customer,
+        service: ask.service.clone(),
+        prompt: ask.prompt.clone(),
+        max_tokens: ask.max_tokens,
+        adapter: ask.adapter.clone(),
+        fingerprint: ContentDigest::of_parts(&content),
+        deadline: headers.deadline(options)?,
+    })
+}
+
+/// Reads a body within the limit.
+pub(super) async fn read_body(
+    data: Data<'_>,
+    headers: &CallerHeaders,
+) -> Result<Vec<u8>, ProblemDetails> {
+    let body = data.open(MAX_BODY_MIB.mebibytes()).into_bytes().await;
+    let body = body.map_err(|error| headers.refuse(ProblemKind::Malformed, &error.to_string()))?;
+    if !body.is_complete() {
+        let detail = format!("the body is larger than {MAX_BODY_MIB} MiB");
+        return Err(headers.refuse(ProblemKind::Malformed, &detail));
+    }
+    Ok(body.into_inner())
+}
--- /dev/null
+++ b/crates/celeryshed_entry/src/completions/services.rs
@@ -0,0 +1,119 @@
+//! Calls of plain services: any method below `/services/<service>/`.
+
+use celeryshed_base::ServiceName;
+use celeryshed_core::configuration::EndpointKind;
+use celeryshed_wire::{BookingForward, BookingReply, CallWork, ProblemDetails, ServiceAnswer};
+use rocket::data::Data;
+use rocket::http::{ContentType, Method, Status};
+use rocket::request::Request;
+use rocket::response::Responder;
+use rocket::route::{Handler, Outcome};
+use rocket::{Response, Route};
+use serde_bytes::ByteBuf;
+use std::io::Cursor;
+use tokio::time::Instant;
+
+use super::calls::CallJob;
+use super::handle::CompletionsHandle;
+use super::problems::{ProblemKind, ProblemReply};
+use super::routes::{CallerHeaders, read_body};
+
+/// Header that makes a call a booking.
+const KEY_HEADER: &str = "Idempotency-Key";
+
+/// Path below which the services are.
+const SERVICES_PATH: &str = "/services/";
+
+/// Methods that are passed through.
+const METHODS: [Method; 5] =
+    [Method::Get, Method::Post, Method::Put, Method::Delete, Method::Patch];
+
+/// One route per method.
+pub(super) fn service_routes() -> Vec<Route> {
+    METHODS.map(|method| Route::new(method, "/services/<service>/<path..>", ServiceHandler)).into()
+}
+
+#[derive(Clone, Copy, Debug)]
+struct ServiceHandler;
+
+#[rocket::async_trait]
+impl Handler for ServiceHandler {
+    async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
+        let headers = CallerHeaders::of(request);
+        let responded = match pass_through(request, &headers, data).await {
+            Ok(answer) => ServiceReply(answer).respond_to(request),
+            Err(problem) => ProblemReply(problem).respond_to(request),
+        };
+        match responded {
+            Ok(response) => Outcome::Success(response),
+            Err(status) => Outcome::Error(status),
+        }
+    }
+}
+
+async fn pass_through(
+    request: &Request<'_>,
+    headers: &CallerHeaders,
+    data: Data<'_>,
+) -> Result<ServiceAnswer, ProblemDetails> {
+    let handle = request.rocket().state::<CompletionsHandle>();
+    let handle = handle.expect("the server manages a CompletionsHandle");
+    let (_guard, state) = handle.enter(headers.request_id)?;
+    let customer = headers.customer(&state)?;
+    let (service, path) = service_and_path(request, headers)?;
+    headers.check_service(&state, &service, EndpointKind::Plain)?;
+    let body = read_body(data, headers).await?;
+    let call = CallWork {
+        method: request.method().as_str().to_owned(),
+        path,
+        content_type: request.content_type().map(ToString::to_string),
+        body: ByteBuf::from(body),
+        claim: None,
+    };
+    let deadline = headers.deadline(handle.options())?;
+    let request_id = headers.request_id;
+    let Some(key) = request.headers().get_one(KEY_HEADER) else {
+        return handle.call(CallJob { request_id, customer, service, call, deadline }).await;
+    };
+    let left = deadline.saturating_duration_since(Instant::now());
+    let (key, deadline_ms) = (key.to_owned(), left.as_millis() as u64);
+    let customer = customer.name;
+    let booking = BookingForward { request_id, customer, service, key, deadline_ms, call };
+    match handle.book(booking).await {
+        BookingReply::Answer { answer, replayed: _ } => Ok(answer),
+        BookingReply::Problem(problem) => Err(problem),
+    }
+}
+
+/// Splits the path as the caller wrote it, with its query, so that its escapes stay unchanged.
+fn service_and_path(
+    request: &Request<'_>,
+    headers: &CallerHeaders,
+) -> Result<(ServiceName, String), ProblemDetails> {
+    let uri = request.uri();
+    let below = uri.path().as_str().strip_prefix(SERVICES_PATH).unwrap_or_default();
+    let (service, path) = below.split_once('/').unwrap_or((below, ""));
+    let service = ServiceName::try_from(service)
+        .map_err(|error| headers.refuse(ProblemKind::Malformed, &error.to_string()))?;
+    let path = match uri.query() {
+        Some(query) => format!("{path}?{query}"),
+        None => path.to_owned(),
+    };
+    Ok((service, path))
+}
+
+/// A service's answer as it came.
+struct ServiceReply(ServiceAnswer);
+
+impl<'r> Responder<'r, 'static> for ServiceReply {
+    fn respond_to(self, _request: &'r Request<'_>) -> rocket::response::Result<'static> {
+        let ServiceAnswer { status, content_type, body } = self.0;
+        let body = body.into_vec();
+        let mut response = Response::build();
+        response.status(Status::new(status));
+        if let Some(content_type) = content_type.as_deref().and_then(ContentType::parse_flexible) {
+            response.header(content_type);
+        }
+        response.sized_body(body.len(), Cursor::new(body)).ok()
+    }
+}
--- /dev/null
+++ b/crates/celeryshed_entry/tests/support/rig.rs
@@ -0,0 +1,229 @@
+//! Starts sidecars and an entry in this process.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use celeryshed_base::*;
+use celeryshed_core::configuration::*;
+use celeryshed_core::membership::{MemberState, MemberView, SideMember};
+use celeryshed_entry::completions::{self, BookingGate, CompletionInputs, CompletionOptions};
+use celeryshed_side::attempts::{
+    self, AttemptInputs, AttemptOptions, ClaimGate, ClaimPermission, ClaimRefusal, EndpointTarget,
+};
+use celeryshed_wire::*;
+use tokio::sync::watch;
+
+/// A running server.
+pub(crate) struct Served {
+    pub(crate) address: String,
+    pub(crate) ended: tokio::task::JoinHandle<()>,
+}
+
+/// Serves `routes` on a free port of loopback until `drained`.
+pub(crate) async fn serve<T: Send + Sync + Clone + 'static>(
+    state: T,
+    routes: Vec<rocket::Route>,
+    drained: impl Future<Output = ()> + Send + 'static,
+) -> Served {
+    let port = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port();
+    let config = rocket::Config {
+        port,
+        shutdown: completions::shutdown_settings(Duration::from_secs(600)),
+        log_level: rocket::config::LogLevel::Off,
+        ..rocket::Config::release_default()
+    };
+    let rocket = rocket::custom(config).manage(state).mount("/", routes);
+    let ended = tokio::spawn(async move {
+        completions::serve_until_drained(rocket, drained).await.unwrap();
+    });
+    let address = format!("127.0.0.1:{port}");
+    while tokio::net::TcpStream::connect(&address).await.is_err() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    Served { address, ended }
+}
+
+/// A register that permits each claim once.
+#[derive(Default)]
+pub(crate) struct FakeGate {
+    begun: Mutex<BTreeMap<ClaimId, Option<ClaimOutcome>>>,
+}
+
+#[async_trait]
+impl ClaimGate for FakeGate {
+    async fn begin(&self, ticket: &ClaimTicket) -> Result<ClaimPermission, ClaimRefusal> {
+        let mut begun = self.begun.lock().unwrap();
+        match begun.get(&ticket.claim_id) {
+            Some(Some(ClaimOutcome::Answer(answer))) => Ok(ClaimPermission::Replay(answer.clone())),
+            Some(Some(_)) => Err(ClaimRefusal::OutcomeLost),
+            Some(None) => Err(ClaimRefusal::Running),
+            None => {
+                begun.insert(ticket.claim_id, None);
+                Ok(ClaimPermission::Run)
+            }
+        }
+    }
+
+    async fn finish(&self, claim_id: ClaimId, outcome: ClaimOutcome) {
+        self.begun.lock().unwrap().insert(claim_id, Some(outcome));
+    }
+}
+
+/// Answers each booking with its key.
+pub(crate) struct FakeBookings;
+
+#[async_trait]
+impl BookingGate for FakeBookings {
+    async fn book(&self, booking: BookingForward) -> BookingReply {
+        let body = serde_bytes::ByteBuf::from(booking.key.into_bytes());
+        let answer = ServiceAnswer { status: 201, content_type: None, body };
+        BookingReply::Answer { answer, replayed: false }
+    }
+}
+
+pub(crate) const KEY: &str = "key-of-seeds";
+
+pub(crate) fn version(number: u8) -> ContentDigest {
+    ContentDigest::of(&[number])
+}
+
+fn service(kind: EndpointKind) -> ServiceDefinition {
+    ServiceDefinition {
+        kind,
+        endpoints: 2,
+        slots_per_endpoint: 4,
+        tokens_per_endpoint: TokenRate(1000),
+        version: None,
+    }
+}
+
+/// Services `copywriter` (engines) and `order-desk` (plain), and the contract of `seeds`.
+pub(crate) fn configuration() -> ConfigurationState {
+    let name = |text: &str| ServiceName::try_from(text).unwrap();
+    let contract = CustomerContract {
+        api_key_hash: ContentDigest::of(KEY.as_bytes()),
+        service: name("copywriter"),
+        token_rate: TokenRate(1000),
+        requests_in_progress: 8,
+        burst: TokenCount(10_000),
+        displaces: Default::default(),
+        displaces_uncontracted: true,
+        scarcity: ScarcityPolicy::Refuse,
+        retry_budget_percent: 10,
+        first_token: Duration::from_millis(500),
+        objective_basis_points: 9900,
+    };
+    ConfigurationState {
+        revision: ConfigRevision(1),
+        services: BTreeMap::from([
+            (name("copywriter"), service(EndpointKind::Engine)),
+            (name("order-desk"), service(EndpointKind::Plain)),
+        ]),
+        contracts: BTreeMap::from([(CustomerName::try_from("seeds").unwrap(), contract)]),
+        ..Default::default()
+    }
+}
+
+/// An endpoint of the rig.
+pub(crate) struct RigSide {
+    pub(crate) handle: attempts::AttemptsHandle,
+    pub(crate) served: Served,
+    pub(crate) drain: watch::Sender<attempts::DrainState>,
+    pub(crate) service: ServiceName,
+}
+
+/// Starts a sidecar beside the endpoint at `address`.
+pub(crate) async fn start_side(
+    kind: EndpointKind,
+    address: &str,
+    live: Option<ContentDigest>,
+) -> RigSide {
+    let url = format!("http://{address}");
+    let (service, target) = match kind {
+        EndpointKind::Engine => ("copywriter", EndpointTarget::Engine(url)),
+        EndpointKind::Plain => ("order-desk", EndpointTarget::Plain(url)),
+    };
+    let service = ServiceName::try_from(service).unwrap();
+    let instance = InstanceName::try_from("side").unwrap();
+    let (drain, drain_watch) = watch::channel(attempts::DrainState::Serving);
+    let live_version = watch::channel(live).1;
+    let inputs = AttemptInputs {
+        options: AttemptOptions::new(instance, service.clone(), target, 4),
+        configuration: watch::channel(Some(Arc::new(configuration()))).1,
+        live_version,
+        drain: drain_watch,
+        claims: Arc::new(FakeGate::default()),
+    };
+    let handle = attempts::spawn(inputs).unwrap();
+    let (idle, mut draining) = (handle.clone(), drain.subscribe());
+    let drained = async move {
+        let _ = draining.wait_for(|state| *state == attempts::DrainState::Draining).await;
+        idle.idle().await;
+    };
+    let served = serve(handle.clone(), attempts::routes(), drained).await;
+    RigSide { handle, served, drain, service }
+}
+
+/// A running entry.
+pub(crate) struct RigEntry {
+    pub(crate) handle: completions::CompletionsHandle,
+    pub(crate) served: Served,
+    pub(crate) drain: watch::Sender<completions::DrainState>,
+}
+
+impl RigEntry {
+    pub(crate) fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.served.address)
+    }
+}
+
+/// The view of an entry; instances are named by position, so that the first is preferred.
+pub(crate) fn view_of(sides: &[&RigSide]) -> MemberView {
+    let mut view = MemberView::default();
+    for (position, side) in sides.iter().enumerate() {
+        let member = SideMember {
+            address: side.served.address.clone(),
+            incarnation: None,
+            zone: AvailabilityZone::try_from("a").unwrap(),
+            region: RegionName::try_from("r").unwrap(),
+            service: side.service.clone(),
+            state: MemberState::Live,
+        };
+        view.sides.insert(InstanceName::try_from(format!("side-{position}")).unwrap(), member);
+    }
+    view
+}
+
+/// Starts an entry that sees `sides`.
+pub(crate) async fn start_entry(
+    sides: &[&RigSide],
+    change: impl FnOnce(&mut CompletionOptions),
+) -> RigEntry {
+    let (drain, drain_watch) = watch::channel(completions::DrainState::Serving);
+    let members = watch::channel(Arc::new(view_of(sides))).1;
+    let mut options = CompletionOptions::new(
+        InstanceName::try_from("entry").unwrap(),
+        AvailabilityZone::try_from("a").unwrap(),
+        RegionName::try_from("r").unwrap(),
+    );
+    change(&mut options);
+    let inputs = CompletionInputs {
+        options,
+        configuration: watch::channel(Some(Arc::new(configuration()))).1,
+        members,
+        drain: drain_watch,
+        sides: Arc::new(completions::HttpSideClient::default()),
+        bookings: Arc::new(FakeBookings),
+    };
+    let handle = completions::spawn(inputs).unwrap();
+    let (idle, mut draining) = (handle.clone(), drain.subscribe());
+    let drained = async move {
+        let _ = draining.wait_for(|state| *state == completions::DrainState::Draining).await;
+        idle.idle().await;
+    };
+    let served = serve(handle.clone(), completions::routes(), drained).await;
+    RigEntry { handle, served, drain }
+}
--- /dev/null
+++ b/crates/celeryshed_side/src/attempts/plain.rs
@@ -0,0 +1,58 @@
+//! Client of a plain service.
+
+use std::time::Duration;
+
+use celeryshed_wire::{AttemptFailure, CallWork, FailureCause, NotRunVerdict, ServiceAnswer};
+use reqwest::Method;
+use reqwest::header::CONTENT_TYPE;
+use serde_bytes::ByteBuf;
+use tokio::time::timeout;
+
+use super::engine::send_failure;
+use super::runner::failure;
+
+/// One call of a plain service.
+#[derive(Debug)]
+pub(super) struct PlainCall<'a> {
+    pub(super) http: &'a reqwest::Client,
+    pub(super) base_url: &'a str,
+    pub(super) deadline: Duration,
+}
+
+impl PlainCall<'_> {
+    /// Calls the service once.
+    pub(super) async fn run(&self, work: &CallWork) -> Result<ServiceAnswer, AttemptFailure> {
+        match timeout(self.deadline, self.call(work)).await {
+            Ok(answer) => answer,
+            Err(_) => {
+                let detail = "the service did not answer before the deadline";
+                Err(failure(NotRunVerdict::Unknown, FailureCause::DeadlinePassed, detail))
+            }
+        }
+    }
+
+    async fn call(&self, work: &CallWork) -> Result<ServiceAnswer, AttemptFailure> {
+        let method = Method::from_bytes(work.method.as_bytes()).map_err(|_| {
+            let detail = format!("{:?} is not an HTTP method", work.method);
+            failure(NotRunVerdict::NotRun, FailureCause::NotLive, &detail)
+        })?;
+        let url = format!("{}/{}", self.base_url, work.path);
+        let mut request = self.http.request(method, url).body(work.body.to_vec());
+        if let Some(content_type) = &work.content_type {
+            request = request.header(CONTENT_TYPE, content_type);
+        }
+        let response = request.send().await.map_err(send_failure)?;
+        read_answer(response).await
+    }
+}
+
+async fn read_answer(response: reqwest::Response) -> Result<ServiceAnswer, AttemptFailure> {
+    let status = response.status().as_u16();
+    let content_type = response.headers().get(CONTENT_TYPE);
+    let content_type = content_type.and_then(|value| value.to_str().ok()).map(str::to_owned);
+    let body = response.bytes().await.map_err(|error| {
+        let detail = format!("the answer was cut off: {error}");
+        failure(NotRunVerdict::Ran, FailureCause::EndpointFailed, &detail)
+    })?;
+    Ok(ServiceAnswer { status, content_type, body: ByteBuf::from(body.to_vec()) })
+}
--- /dev/null
+++ b/crates/celeryshed_side/src/attempts/runner.rs
@@ -0,0 +1,299 @@
+//! Runs attempts.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use celeryshed_base::{AttemptId, ContentDigest};
+use celeryshed_core::admission::{SlotClass, SlotDecision, SlotLoad, SlotRequest};
+use celeryshed_wire::{
+    AttemptEvent, AttemptEventKind, AttemptFailure, AttemptRequest, AttemptWork, CallWork,
+    ClaimOutcome, CompletionWork, FailureCause, LoadReport, NotRunVerdict, PriorityClass,
+    ServiceAnswer, encode_frame,
+};
+use tokio::sync::{mpsc, watch};
+use tokio::time::timeout;
+
+use super::drain::DrainState;
+use super::engine::EngineCall;
+use super::gate::{ClaimGate, ClaimPermission};
+use super::options::{AttemptOptions, AttemptOptionsError, EndpointTarget};
+use super::plain::PlainCall;
+use super::slots::{ConfigurationWatch, SlotPermit, SlotsHandle, spawn_slots};
+
+/// Frames that wait for a slow entry before the endpoint is slowed down.
+const FRAMES_AHEAD: usize = 64;
+
+/// Longest time to connect to the endpoint, which runs on the same machine.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Idle connections are dropped before the usual keep-alive of servers (5 s) ends, so that a
+/// request is not sent on a connection that the server closes at that moment.
+const POOL_IDLE: Duration = Duration::from_secs(2);
+
+/// What the attempts need from the other tasks.
+pub struct AttemptInputs {
+    /// Options.
+    pub options: AttemptOptions,
+    /// Configuration in force.
+    pub configuration: ConfigurationWatch,
+    /// Version that the engine confirmed; `None` for plain services and before the first load.
+    pub live_version: watch::Receiver<Option<ContentDigest>>,
+    /// Whether new work is taken.
+    pub drain: watch::Receiver<DrainState>,
+    /// The register of claims.
+    pub claims: Arc<dyn ClaimGate>,
+}
+
+struct Shared {
+    options: AttemptOptions,
+    live_version: watch::Receiver<Option<ContentDigest>>,
+    drain: watch::Receiver<DrainState>,
+    claims: Arc<dyn ClaimGate>,
+    slots: SlotsHandle,
+    http: reqwest::Client,
+}
+
+/// Handle of the attempts, for routes, reports and shutdown.
+#[derive(Clone)]
+pub struct AttemptsHandle {
+    shared: Arc<Shared>,
+}
+
+/// Starts the attempts; a tokio runtime must run.
+pub fn spawn(inputs: AttemptInputs) -> Result<AttemptsHandle, AttemptOptionsError> {
+    let AttemptInputs { options, configuration, live_version, drain, claims } = inputs;
+    options.check()?;
+    let slots = spawn_slots(options.slots, configuration);
+    let client = reqwest::Client::builder().no_proxy();
+    let client = client.connect_timeout(CONNECT_TIMEOUT).pool_idle_timeout(POOL_IDLE);
+    let http = client.build().expect("client without TLS needs nothing from the system");
+    let shared = Shared { options, live_version, drain, claims, slots, http };
+    Ok(AttemptsHandle { shared: Arc::new(shared) })
+}
+
+impl AttemptsHandle {
+    /// Starts an attempt and returns its frames.
+    pub fn start(&self, request: AttemptRequest) -> mpsc::Receiver<Bytes> {
+        let (frames, receiver) = mpsc::channel(FRAMES_AHEAD);
+        let sink = EventSink { attempt_id: request.attempt_id, frames };
+        let shared = Arc::clone(&self.shared);
+        tokio::spawn(async move { shared.attempt(request, sink).await });
+        receiver
+    }
+
+    /// Stops an attempt, also one that has not arrived yet.
+    pub fn cancel(&self, attempt_id: AttemptId) {
+        self.shared.slots.cancel(attempt_id);
+    }
+
+    /// The load, as it changes.
+    pub fn load(&self) -> watch::Receiver<SlotLoad> {
+        self.shared.slots.load()
+    }
+
+    /// Waits until no attempt runs; used after the drain began.
+    pub async fn idle(&self) {
+        let mut load = self.load();
+        let _ = load.wait_for(|load| load.running == 0).await;
+    }
+}
+
+/// Sends the events of one attempt as frames.
+#[derive(Debug)]
+pub(super) struct EventSink {
+    attempt_id: AttemptId,
+    frames: mpsc::Sender<Bytes>,
+}
+
+impl EventSink {
+    /// Sends one event; fails when the entry is gone.
+    pub(super) async fn send(&self, kind: AttemptEventKind) -> Result<(), AttemptFailure> {
+        let event = AttemptEvent { attempt_id: self.attempt_id, kind };
+        let frame = encode_frame(&event).map_err(|error| {
+            failure(NotRunVerdict::Unknown, FailureCause::EndpointFailed, &error.to_string())
+        })?;
+        self.frames.send(frame).await.map_err(|_| {
+            failure(NotRunVerdict::Ran, FailureCause::Cancelled, "the entry closed the connection")
+        })
+    }
+
+    async fn gone(&self) {
+        self.frames.closed().await;
+    }
+}
+
+/// A failure without a suggested pause.
+pub(super) fn failure(not_run: NotRunVerdict, cause: FailureCause, detail: &str) -> AttemptFailure {
+    AttemptFailure { not_run, cause, detail: detail.to_owned(), retry_after_ms: None }
+}
+
+fn not_run(cause: FailureCause, detail: &str) -> AttemptFailure {
+    failure(NotRunVerdict::NotRun, cause, detail)
+}
+
+impl Shared {
+    async fn attempt(&self, request: AttemptRequest, sink: EventSink) {
+        let _ = sink.send(AttemptEventKind::Load(self.load_report())).await;
+        let last = match self.admitted(&request, &sink).await {
+            Ok(tokens) => AttemptEventKind::Finished { tokens },
+            Err(failure) => AttemptEventKind::Failed(failure),
+        };
+        let _ = sink.send(last).await;
+    }
+
+    async fn admitted(
+        &self,
+        request: &AttemptRequest,
+        sink: &EventSink,
+    ) -> Result<u32, AttemptFailure> {
+        self.check_drain()?;
+        if request.service != self.options.service {
+            let detail = format!("this endpoint serves {}", self.options.service);
+            return Err(not_run(FailureCause::NotLive, &detail));
+        }
+        let permit = self.slots.request(slot_request(request)).await.map_err(slot_failure)?;
+        // The drain may have begun while the slot was awaited.
+        self.check_drain()?;
+        match &request.work {
+            AttemptWork::Completion(work) => self.complete(request, work, permit, sink).await,
+            AttemptWork::Call(work) => self.call(request, work, permit, sink).await,
+        }
+    }
+
+    fn check_drain(&self) -> Result<(), AttemptFailure> {
+        match *self.drain.borrow() {
+            DrainState::Serving => Ok(()),
+            DrainState::Draining => {
+                Err(not_run(FailureCause::Leaving, "this endpoint takes no new work"))
+            }
+        }
+    }
+
+    async fn complete(
+        &self,
+        request: &AttemptRequest,
+        work: &CompletionWork,
+        mut permit: SlotPermit,
+        sink: &EventSink,
+    ) -> Result<u32, AttemptFailure> {
+        let EndpointTarget::Engine(_) = &self.options.target else {
+            return Err(not_run(FailureCause::NotLive, "this endpoint is no engine"));
+        };
+        let call = EngineCall {
+            http: &self.http,
+            base_url: self.options.target.base_url(),
+            attempt_id: request.attempt_id,
+            priority: request.priority,
+            version: Some(self.version_for(work)?),
+            token_gap: self.options.token_gap,
+        };
+        let limit = Duration::from_millis(request.deadline_ms).min(self.options.max_request);
+        let stopped = tokio::select! {
+            biased;
+            result = timeout(limit, call.run(work, sink)) => match result {
+                Ok(result) => return result,
+                Err(_) => FailureCause::DeadlinePassed,
+            },
+            cause = permit.stopped() => cause,
+            () = sink.gone() => FailureCause::Cancelled,
+        };
+        call.cancel().await;
+        Err(failure(NotRunVerdict::Ran, stopped, "the attempt was stopped"))
+    }
+
+    fn version_for(&self, work: &CompletionWork) -> Result<ContentDigest, AttemptFailure> {
+        let Some(live) = *self.live_version.borrow() else {
+            return Err(not_run(FailureCause::NotLive, "no version is live here yet"));
+        };
+        match work.version {
+            Some(version) if version != live => {
+                let detail = format!("version {live} is live here");
+                Err(not_run(FailureCause::NotLive, &detail))
+            }
+            _ => Ok(live),
+        }
+    }
+
+    async fn call(
+        &self,
+        request: &AttemptRequest,
+        work: &CallWork,
+        _permit: SlotPermit,
+        sink: &EventSink,
+    ) -> Result<u32, AttemptFailure> {
+        let EndpointTarget::Plain(_) = &self.options.target else {
+            return Err(not_run(FailureCause::NotLive, "this endpoint is no plain service"));
+        };
+        let answer = self.answer(request, work).await?;
+        sink.send(AttemptEventKind::Started { version: None }).await?;
+        sink.send(AttemptEventKind::Answer(answer)).await?;
+        Ok(0)
+    }
+
+    /// Runs the call to its end even when the entry is gone, because a claim's outcome must be
+    /// recorded and a call that was sent can't be taken back.
+    async fn answer(
+        &self,
+        request: &AttemptRequest,
+        work: &CallWork,
+    ) -> Result<ServiceAnswer, AttemptFailure> {
+        let deadline = Duration::from_millis(request.deadline_ms).min(self.options.max_request);
+        let base_url = self.options.target.base_url();
+        let call = PlainCall { http: &self.http, base_url, deadline };
+        let Some(ticket) = &work.claim else {
+            return call.run(work).await;
+        };
+        match self.claims.begin(ticket).await {
+            Ok(ClaimPermission::Replay(answer)) => return Ok(answer),
+            Ok(ClaimPermission::Run) => {}
+            Err(refusal) => {
+                return Err(not_run(FailureCause::ClaimRefused, &refusal.to_string()));
+            }
+        }
+        let result = call.run(work).await;
+        let outcome = match &result {
+            Ok(answer) => ClaimOutcome::Answer(answer.clone()),
+            Err(_) => ClaimOutcome::Unknown,
+        };
+        self.claims.finish(ticket.claim_id, outcome).await;
+        result
+    }
+
+    fn load_report(&self) -> LoadReport {
+        let load = *self.slots.load().borrow();
+        LoadReport { slots: load.slots, running: load.running, ..LoadReport::default() }
+    }
+}
+
+fn slot_request(request: &AttemptRequest) -> SlotRequest {
+    let class = match request.priority {
+        PriorityClass::BestEffort => SlotClass::BestEffort,
+        PriorityClass::Contracted => SlotClass::Contracted,
+        PriorityClass::Booking => SlotClass::Booking,
+    };
+    SlotRequest {
+        attempt_id: request.attempt_id,
+        customer: request.customer.clone(),
+        class,
+        resumable: matches!(request.work, AttemptWork::Completion(_)),
+        suspect: request.suspect,
+    }
+}
+
+fn slot_failure(decision: SlotDecision) -> AttemptFailure {
+    match decision {
+        SlotDecision::SuspectRuns => {
+            not_run(FailureCause::Quarantined, "another suspect runs at this endpoint")
+        }
+        SlotDecision::Cancelled => not_run(FailureCause::Cancelled, "cancelled before it arrived"),
+        SlotDecision::Duplicate => failure(
+            NotRunVerdict::Unknown,
+            FailureCause::Cancelled,
+            "an attempt with this id runs already",
+        ),
+        SlotDecision::Busy | SlotDecision::Granted | SlotDecision::Displaced { .. } => {
+            not_run(FailureCause::Busy, "all slots are taken")
+        }
+    }
+}
--- a/crates/celeryshed_wire/src/attempts.rs
+++ b/crates/celeryshed_wire/src/attempts.rs
@@ -6,6 +6,8 @@
 };
 use serde_bytes::ByteBuf;
 
+use crate::reports::LoadReport;
+
 common_derives! { wire:
     /// One attempt to run a request at the endpoint beside a sidecar.
     pub struct AttemptRequest {
@@ -100,6 +102,8 @@
 
     /// Kinds of events.
     pub enum AttemptEventKind {
+        /// Load of the endpoint as of now; sent before the other events.
+        Load(LoadReport),
         /// The endpoint took the work.
         Started {
             /// Version of the model that answers; `None` for plain services.
