--- a/crates/celeryshed_wire/src/lib.rs
+++ b/crates/celeryshed_wire/src/lib.rs
@@ -9,8 +9,10 @@
 mod claims;
 mod codec;
 mod configuration;
+mod configuration_convert;
 mod crashes;
 mod engines;
+mod membership_convert;
 mod peers;
 mod platform;
 mod problem;
@@ -40,5 +42,5 @@
     ReadReply,
 };
 pub use problem::ProblemDetails;
-pub use reports::{EndpointReport, EndpointState, LoadReport, ReportReply};
+pub use reports::{ENTRY_HEADER, EndpointReport, EndpointState, LoadReport, ReportReply};
 pub use weights::WeightManifest;
