Fetch, verify, serve and load weights beside each endpoint

Change: tasks that own the chunks, the scheduler, the link's budget, the fence number and the engine's commands; the route for other sidecars; model publication for the command line; stream fences. What is reported live is what the engine itself states, also after a restart of either process. Ruled out: reporting the version that was commanded, because an engine that restarted meanwhile would be routed to.

--- a/crates/celeryshed_cli/src/lib.rs
+++ b/crates/celeryshed_cli/src/lib.rs
@@ -1,1 +1,2 @@
 //! Placeholder until the first module lands.
+pub mod model;
--- a/crates/celeryshed_core/src/spread/scheduler.rs
+++ b/crates/celeryshed_core/src/spread/scheduler.rs
@@ -200,6 +200,12 @@
         self.missing.contains_key(chunk) || self.versions.awaits_manifest()
     }
 
+    /// Size of a missing chunk; `None` for a manifest, whose size isn't known.
+    pub fn size_of(&self, chunk: &ContentDigest) -> Option<ByteCount> {
+        let item = self.missing.get(chunk)?;
+        (item.size > 0).then_some(ByteCount(item.size))
+    }
+
     /// Bytes of the chunks and manifests held.
     pub fn held_bytes(&self) -> ByteCount {
         ByteCount(self.held_bytes)
--- /dev/null
+++ b/crates/celeryshed_side/src/weights/fetch.rs
@@ -0,0 +1,111 @@
+//! One fetch of one chunk.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use celeryshed_base::ContentDigest;
+use celeryshed_core::spread::{ChunkSource, FetchFailure, OuterSource};
+use celeryshed_platform::{BlobClient, PlatformError};
+use futures::StreamExt;
+use tokio::time::timeout;
+
+use super::pacer::LinkPacer;
+use super::peers::{ChunkStream, PeerClient, PeerReply};
+
+/// Pause before asking an overloaded outer source again when it names none.
+const BUSY_PAUSE: Duration = Duration::from_secs(1);
+
+/// Most bytes of a manifest, whose size isn't known beforehand.
+const MANIFEST_LIMIT: usize = 64 * 1024 * 1024;
+
+/// What every fetch uses.
+pub(super) struct FetchContext {
+    pub(super) peers: Arc<dyn PeerClient>,
+    pub(super) outer: BTreeMap<OuterSource, Arc<dyn BlobClient>>,
+    pub(super) pacer: LinkPacer,
+    pub(super) poll_wait: Duration,
+    pub(super) stall_timeout: Duration,
+    pub(super) verifies: bool,
+}
+
+/// A fetch to make.
+pub(super) struct ChunkFetch {
+    pub(super) chunk: ContentDigest,
+    /// Known size; `None` for a manifest.
+    pub(super) size: Option<usize>,
+    pub(super) source: ChunkSource,
+    /// Address of the source, for a sidecar.
+    pub(super) address: Option<String>,
+}
+
+impl FetchContext {
+    /// Fetches and verifies.
+    pub(super) async fn run(&self, fetch: &ChunkFetch) -> Result<Bytes, FetchFailure> {
+        let content = match &fetch.source {
+            ChunkSource::Peer(_) => self.ask_peer(fetch).await?,
+            ChunkSource::Outer(outer) => self.ask_outer(*outer, fetch).await?,
+        };
+        let verified = ContentDigest::of(&content) == fetch.chunk;
+        if self.verifies && !verified { Err(FetchFailure::Corrupt) } else { Ok(content) }
+    }
+
+    async fn ask_peer(&self, fetch: &ChunkFetch) -> Result<Bytes, FetchFailure> {
+        let address = fetch.address.as_deref().ok_or(FetchFailure::Unreachable)?;
+        let reply = self.peers.fetch_chunk(address, &fetch.chunk, self.poll_wait);
+        let reply = timeout(self.poll_wait + self.stall_timeout, reply).await;
+        match reply.map_err(|_| FetchFailure::TimedOut)? {
+            Ok(PeerReply::Held(stream)) => self.collect(stream, fetch.size).await,
+            Ok(PeerReply::Pending) => Err(FetchFailure::Pending),
+            Ok(PeerReply::NotWanted) => Err(FetchFailure::NotWanted),
+            Err(error) => {
+                log::debug!("event=fetch_failed chunk={} error={error:?}", fetch.chunk);
+                Err(FetchFailure::Unreachable)
+            }
+        }
+    }
+
+    async fn collect(
+        &self,
+        mut stream: ChunkStream,
+        size: Option<usize>,
+    ) -> Result<Bytes, FetchFailure> {
+        let limit = size.unwrap_or(MANIFEST_LIMIT);
+        let mut content = BytesMut::with_capacity(size.unwrap_or_default());
+        loop {
+            let next = timeout(self.stall_timeout, stream.next()).await;
+            let Some(piece) = next.map_err(|_| FetchFailure::TimedOut)? else { break };
+            let piece = piece.map_err(|_| FetchFailure::Unreachable)?;
+            self.pacer.pace(piece.len()).await;
+            content.extend_from_slice(&piece);
+            if content.len() > limit {
+                return Err(FetchFailure::Corrupt);
+            }
+        }
+        Ok(content.freeze())
+    }
+
+    async fn ask_outer(
+        &self,
+        outer: OuterSource,
+        fetch: &ChunkFetch,
+    ) -> Result<Bytes, FetchFailure> {
+        let client = self.outer.get(&outer).ok_or(FetchFailure::NotWanted)?;
+        self.pacer.pace(fetch.size.unwrap_or_default()).await;
+        match client.fetch(&fetch.chunk).await {
+            Ok(content) => Ok(content),
+            Err(error) => {
+                log::debug!("event=fetch_failed chunk={} error={error:?}", fetch.chunk);
+                Err(match error {
+                    PlatformError::NotFound { .. } => FetchFailure::NotWanted,
+                    PlatformError::Refused { retry_after, .. } => {
+                        FetchFailure::Busy(retry_after.unwrap_or(BUSY_PAUSE))
+                    }
+                    PlatformError::Unreachable { .. } => FetchFailure::Unreachable,
+                    PlatformError::ReplyLost { .. } => FetchFailure::TimedOut,
+                })
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/celeryshed_side/src/weights/http.rs
@@ -0,0 +1,116 @@
+//! HTTP clients of other sidecars and of the engine.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use celeryshed_base::{ContentDigest, FenceNumber};
+use celeryshed_wire::{EngineCommand, EngineCommandKind, EngineCommandReply, EngineLoad};
+use futures::{StreamExt, TryStreamExt};
+use reqwest::{Client, Response, StatusCode};
+
+use super::engine::{EngineError, EngineLoader, EngineState, Result};
+use super::peers::{PeerClient, PeerError, PeerReply};
+
+/// Longest time for one call to the engine beside this process.
+const ENGINE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Asks other sidecars over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpPeerClient {
+    client: Client,
+}
+
+impl HttpPeerClient {
+    /// Uses the connections of `client`.
+    pub fn new(client: Client) -> Self {
+        Self { client }
+    }
+}
+
+#[async_trait]
+impl PeerClient for HttpPeerClient {
+    async fn fetch_chunk(
+        &self,
+        address: &str,
+        chunk: &ContentDigest,
+        wait: Duration,
+    ) -> std::result::Result<PeerReply, PeerError> {
+        let wait_ms = wait.as_millis();
+        let url = format!("http://{address}/side/v1/chunks/{chunk}?wait_ms={wait_ms}");
+        let address = address.to_owned();
+        let failed = move |error: reqwest::Error| PeerError::Unreachable {
+            address: address.clone(),
+            reason: error.to_string(),
+        };
+        let response = self.client.get(url).send().await.map_err(&failed)?;
+        match response.status() {
+            StatusCode::OK => Ok(PeerReply::Held(response.bytes_stream().map_err(failed).boxed())),
+            StatusCode::ACCEPTED => Ok(PeerReply::Pending),
+            StatusCode::NOT_FOUND => Ok(PeerReply::NotWanted),
+            status => Err(PeerError::UnexpectedStatus {
+                address: response.url().authority().to_owned(),
+                status: status.as_u16(),
+            }),
+        }
+    }
+}
+
+/// Commands an engine over its own HTTP interface.
+#[derive(Clone, Debug)]
+pub struct HttpEngineLoader {
+    client: Client,
+    address: String,
+}
+
+impl HttpEngineLoader {
+    /// The engine at `address` (IP address and port).
+    pub fn new(client: Client, address: String) -> Self {
+        Self { client, address }
+    }
+
+    fn failed(&self, error: &reqwest::Error) -> EngineError {
+        EngineError::Unreachable { address: self.address.clone(), reason: error.to_string() }
+    }
+
+    async fn send(&self, request: reqwest::RequestBuilder) -> Result<Response> {
+        let sent = request.timeout(ENGINE_TIMEOUT).send().await;
+        let response = sent.map_err(|error| self.failed(&error))?;
+        if response.status().is_success() {
+            return Ok(response);
+        }
+        let status = response.status().as_u16();
+        let reason = response.text().await.unwrap_or_default();
+        Err(EngineError::Refused { address: self.address.clone(), status, reason })
+    }
+}
+
+#[async_trait]
+impl EngineLoader for HttpEngineLoader {
+    async fn state(&self) -> Result<EngineState> {
+        let request = self.client.get(format!("http://{}/load", self.address));
+        let body = self.send(request).await?.json::<EngineLoad>().await;
+        let load = body.map_err(|error| self.failed(&error))?;
+        Ok(EngineState { live: load.live, boot_id: load.boot_id })
+    }
+
+    async fn put_chunk(&self, manifest: &ContentDigest, index: u32, content: Bytes) -> Result<()> {
+        let url = format!("http://{}/weights/{manifest}/{index}", self.address);
+        self.send(self.client.put(url).body(content)).await?;
+        Ok(())
+    }
+
+    async fn load(&self, fence: FenceNumber, manifest: &ContentDigest, chunks: u32) -> Result<()> {
+        let kind = EngineCommandKind::Load { manifest: *manifest, chunks };
+        let request = self.client.post(format!("http://{}/commands", self.address));
+        let reply = self.send(request.json(&EngineCommand { fence, kind })).await;
+        let response = reply.map_err(|error| match error {
+            EngineError::Refused { address, status: 409, .. } => {
+                EngineError::StaleFence { address, fence }
+            }
+            other => other,
+        })?;
+        let body = response.json::<EngineCommandReply>().await;
+        body.map(drop).map_err(|error| self.failed(&error))
+    }
+}
--- a/crates/celeryshed_side/src/weights/mod.rs
+++ b/crates/celeryshed_side/src/weights/mod.rs
@@ -1,1 +1,27 @@
-//! Placeholder until this module lands.
+//! Weights: fetches, verifies, holds and serves chunks, and has the engine load whole versions.
+//!
+//! [`spawn`] starts the tasks: one owns the chunks and the scheduler, one paces the traffic, one
+//! registers for the fence number, and one commands the engine. [`routes`] serves the chunks.
+
+mod engine;
+mod fences;
+mod fetch;
+mod http;
+mod manifest;
+mod options;
+mod pacer;
+mod peers;
+mod routes;
+mod task;
+
+#[cfg(test)]
+mod tests;
+
+pub use engine::{CompleteVersion, EngineError, EngineLoader, EngineState};
+pub use http::{HttpEngineLoader, HttpPeerClient};
+pub use manifest::{ManifestError, read_chunks};
+pub use options::WeightsOptions;
+pub use pacer::LinkPacer;
+pub use peers::{ChunkStream, PeerClient, PeerError, PeerReply};
+pub use routes::routes;
+pub use task::{WeightsHandle, WeightsInputs, spawn};
--- /dev/null
+++ b/crates/celeryshed_side/src/weights/task.rs
@@ -0,0 +1,363 @@
+//! The task that owns the chunks and the scheduler.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use celeryshed_base::{
+    ByteCount, ClockSource, ContentDigest, InstanceName, ProcessIncarnation, RegionName,
+    ServiceName,
+};
+use celeryshed_core::configuration::ConfigurationState;
+use celeryshed_core::membership::MemberView;
+use celeryshed_core::spread::{
+    ChunkSource, FetchFailure, FetchScheduler, OptionError, OuterSource, SpreadAction, SpreadEvent,
+    SpreadPlan, WantedVersion,
+};
+use celeryshed_platform::{BlobClient, LogClient};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::AbortHandle;
+use tokio::time::{sleep, timeout};
+
+use super::engine::{CompleteVersion, EngineLoader, EngineTask};
+use super::fetch::{ChunkFetch, FetchContext};
+use super::manifest::read_chunks;
+use super::options::WeightsOptions;
+use super::pacer::LinkPacer;
+use super::peers::PeerClient;
+
+/// Requests and results that wait for the task.
+const QUEUE_LENGTH: usize = 1024;
+
+/// Longest sleep when nothing is due.
+const IDLE_SLEEP: Duration = Duration::from_secs(60);
+
+/// What the tasks need from the rest of the sidecar.
+pub struct WeightsInputs {
+    /// This instance.
+    pub instance: InstanceName,
+    /// This incarnation.
+    pub incarnation: ProcessIncarnation,
+    /// Region of this instance.
+    pub region: RegionName,
+    /// Service of the endpoint.
+    pub service: ServiceName,
+    /// The configuration in force; `None` before one is known.
+    pub configuration: watch::Receiver<Option<Arc<ConfigurationState>>>,
+    /// The membership.
+    pub members: watch::Receiver<Arc<MemberView>>,
+    /// Client of other sidecars.
+    pub peers: Arc<dyn PeerClient>,
+    /// Clients of the outer sources.
+    pub outer: BTreeMap<OuterSource, Arc<dyn BlobClient>>,
+    /// Client of the log, for the fence number.
+    pub log: Arc<dyn LogClient>,
+    /// The engine.
+    pub engine: Arc<dyn EngineLoader>,
+    /// The clock.
+    pub clock: ClockSource,
+}
+
+/// Answer to a request for a chunk.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum ChunkAnswer {
+    Held(Bytes),
+    Pending,
+    NotWanted,
+}
+
+struct ChunkQuery {
+    chunk: ContentDigest,
+    reply: oneshot::Sender<ChunkAnswer>,
+}
+
+struct FetchResult {
+    fetch: ChunkFetch,
+    result: Result<Bytes, FetchFailure>,
+}
+
+/// Access to the running tasks.
+#[derive(Clone, Debug)]
+pub struct WeightsHandle {
+    queries: mpsc::Sender<ChunkQuery>,
+    pacer: LinkPacer,
+    live: watch::Receiver<Option<ContentDigest>>,
+}
+
+impl WeightsHandle {
+    /// Digest of the manifest of the version that the engine confirmed to serve.
+    pub fn live_version(&self) -> watch::Receiver<Option<ContentDigest>> {
+        self.live.clone()
+    }
+
+    /// Counts bytes of a live request, either way, so that distribution leaves room for them.
+    pub fn record_live(&self, bytes: ByteCount) {
+        self.pacer.record_live(bytes);
+    }
+
+    pub(super) fn pacer(&self) -> &LinkPacer {
+        &self.pacer
+    }
+
+    /// The chunk, once it is here, for at most `wait`.
+    pub(super) async fn chunk(&self, chunk: ContentDigest, wait: Duration) -> ChunkAnswer {
+        let (reply, answer) = oneshot::channel();
+        if self.queries.send(ChunkQuery { chunk, reply }).await.is_err() {
+            return ChunkAnswer::NotWanted;
+        }
+        match timeout(wait, answer).await {
+            Ok(answer) => answer.unwrap_or(ChunkAnswer::NotWanted),
+            Err(_) => ChunkAnswer::Pending,
+        }
+    }
+}
+
+/// Starts the tasks; they end when the handle and the inputs' senders are gone.
+pub fn spawn(inputs: WeightsInputs, options: WeightsOptions) -> Result<WeightsHandle, OptionError> {
+    options.check()?;
+    let pacer = LinkPacer::spawn(options.link, inputs.clock);
+    let (queries, query_inbox) = mpsc::channel(QUEUE_LENGTH);
+    let (results, result_inbox) = mpsc::channel(QUEUE_LENGTH);
+    let (live, live_version) = watch::channel(None);
+    let (target, target_version) = watch::channel(None);
+    let (fence, fence_number) = watch::channel(None);
+    let engine = EngineTask {
+        loader: inputs.engine.clone(),
+        poll: options.engine_poll,
+        fence: fence_number,
+        target: target_version,
+        live,
+    };
+    let registration = super::fences::register(
+        inputs.log.clone(),
+        inputs.instance.clone(),
+        inputs.incarnation,
+        fence,
+    );
+    let context = FetchContext {
+        peers: inputs.peers.clone(),
+        outer: inputs.outer.clone(),
+        pacer: pacer.clone(),
+        poll_wait: options.fetch.poll_wait,
+        stall_timeout: options.stall_timeout,
+        verifies: options.verifies(),
+    };
+    let task = WeightsTask {
+        scheduler: FetchScheduler::new(options.fetch.clone(), options.seed),
+        context: Arc::new(context),
+        contents: BTreeMap::new(),
+        waiters: BTreeMap::new(),
+        fetches: BTreeMap::new(),
+        wanted: Vec::new(),
+        results,
+        target,
+        inputs,
+        options,
+    };
+    tokio::spawn(registration);
+    tokio::spawn(engine.run());
+    tokio::spawn(task.run(query_inbox, result_inbox));
+    Ok(WeightsHandle { queries, pacer, live: live_version })
+}
+
+struct WeightsTask {
+    inputs: WeightsInputs,
+    options: WeightsOptions,
+    scheduler: FetchScheduler,
+    context: Arc<FetchContext>,
+    /// Verified chunks and manifests; as many as the scheduler counts as held.
+    contents: BTreeMap<ContentDigest, Bytes>,
+    waiters: BTreeMap<ContentDigest, Vec<oneshot::Sender<ChunkAnswer>>>,
+    fetches: BTreeMap<ContentDigest, AbortHandle>,
+    wanted: Vec<WantedVersion>,
+    results: mpsc::Sender<FetchResult>,
+    target: watch::Sender<Option<Arc<CompleteVersion>>>,
+}
+
+impl WeightsTask {
+    async fn run(
+        mut self,
+        mut queries: mpsc::Receiver<ChunkQuery>,
+        mut results: mpsc::Receiver<FetchResult>,
+    ) {
+        self.members_changed();
+        self.configuration_changed();
+        loop {
+            let now = self.inputs.clock.now();
+            let wake = self.scheduler.next_wake(now).map_or(IDLE_SLEEP, |wake| wake - now);
+            tokio::select! {
+                Some(result) = results.recv() => self.fetch_ended(result),
+                query = queries.recv() => match query {
+                    Some(query) => self.answer(query),
+                    None => break,
+                },
+                Ok(()) = self.inputs.configuration.changed() => self.configuration_changed(),
+                Ok(()) = self.inputs.members.changed() => self.members_changed(),
+                () = sleep(wake) => self.handle(SpreadEvent::TimePassed),
+            }
+        }
+        for fetch in self.fetches.values() {
+            fetch.abort();
+        }
+    }
+
+    fn configuration_changed(&mut self) {
+        let state = self.inputs.configuration.borrow_and_update().clone();
+        let Some(state) = state else { return };
+        let selected = selected_version(&state, &self.inputs.service);
+        let wanted: Vec<_> = selected.into_iter().collect();
+        if wanted != self.wanted {
+            self.wanted.clone_from(&wanted);
+            self.handle(SpreadEvent::VersionsWanted(wanted));
+        }
+        // Which sidecars need the same version depends on the services' selections.
+        self.members_changed();
+    }
+
+    fn members_changed(&mut self) {
+        let view = self.inputs.members.borrow_and_update().clone();
+        let plan = SpreadPlan::new(
+            &view,
+            &self.inputs.instance,
+            &self.inputs.region,
+            &self.sharing_services(),
+            &self.options.home_region,
+            self.options.weighing,
+        );
+        self.handle(SpreadEvent::PlanChanged(plan));
+    }
+
+    /// Services whose endpoints need the same version.
+    fn sharing_services(&self) -> BTreeSet<ServiceName> {
+        let mut services = BTreeSet::from([self.inputs.service.clone()]);
+        if let Some(state) = self.inputs.configuration.borrow().as_ref() {
+            let sharing = state.services.keys().filter(|service| {
+                let selected = selected_version(state, service);
+                selected.is_some_and(|version| self.wanted.contains(&version))
+            });
+            services.extend(sharing.cloned());
+        }
+        services
+    }
+
+    fn answer(&mut self, query: ChunkQuery) {
+        let ChunkQuery { chunk, reply } = query;
+        if let Some(content) = self.contents.get(&chunk) {
+            // An asker that has gone away needs no answer.
+            let _ = reply.send(ChunkAnswer::Held(content.clone()));
+        } else if self.scheduler.expects(&chunk) {
+            let waiters = self.waiters.entry(chunk).or_default();
+            waiters.retain(|waiter| !waiter.is_closed());
+            waiters.push(reply);
+        } else {
+            let _ = reply.send(ChunkAnswer::NotWanted);
+        }
+    }
+
+    fn fetch_ended(&mut self, ended: FetchResult) {
+        let FetchResult { fetch, result } = ended;
+        let ChunkFetch { chunk, source, .. } = fetch;
+        self.fetches.remove(&chunk);
+        match result {
+            Ok(content) => self.take_chunk(chunk, content, source),
+            Err(failure) => self.handle(SpreadEvent::FetchFailed { chunk, source, failure }),
+        }
+    }
+
+    fn take_chunk(&mut self, chunk: ContentDigest, content: Bytes, source: ChunkSource) {
+        self.contents.insert(chunk, content.clone());
+        let size = ByteCount(content.len() as u64);
+        self.handle(SpreadEvent::ChunkArrived { chunk, size, source });
+        if !self.scheduler.holds(&chunk) {
+            self.contents.remove(&chunk);
+            return;
+        }
+        for waiter in self.waiters.remove(&chunk).unwrap_or_default() {
+            let _ = waiter.send(ChunkAnswer::Held(content.clone()));
+        }
+        let wanted = self.wanted.iter().find(|version| version.manifest == chunk).copied();
+        if let Some(version) = wanted {
+            self.take_manifest(&version, &content);
+        }
+    }
+
+    fn take_manifest(&mut self, version: &WantedVersion, content: &[u8]) {
+        let manifest = version.manifest;
+        match read_chunks(content, version) {
+            Ok(chunks) => self.handle(SpreadEvent::ManifestRead { manifest, chunks }),
+            Err(error) => {
+                log::error!("event=manifest_rejected error={error:?}");
+                self.handle(SpreadEvent::ManifestRejected { manifest });
+            }
+        }
+    }
+
+    fn handle(&mut self, event: SpreadEvent) {
+        let now = self.inputs.clock.now();
+        for action in self.scheduler.handle(event, now) {
+            match action {
+                SpreadAction::Fetch { chunk, source } => self.start_fetch(chunk, source),
+                SpreadAction::Cancel { chunk } => {
+                    if let Some(fetch) = self.fetches.remove(&chunk) {
+                        fetch.abort();
+                    }
+                    self.waiters.remove(&chunk);
+                }
+                SpreadAction::Drop { chunk } => {
+                    self.contents.remove(&chunk);
+                }
+                SpreadAction::VersionComplete { manifest } => self.version_complete(manifest),
+                SpreadAction::VersionTooLarge { manifest, size } => {
+                    let memory = self.options.fetch.memory;
+                    log::error!(
+                        "event=version_too_large manifest={manifest} size={size} memory={memory}"
+                    );
+                }
+            }
+        }
+    }
+
+    fn start_fetch(&mut self, chunk: ContentDigest, source: ChunkSource) {
+        let address = match &source {
+            ChunkSource::Peer(instance) => {
+                let view = self.inputs.members.borrow();
+                view.sides.get(instance).map(|side| side.address.clone())
+            }
+            ChunkSource::Outer(_) => None,
+        };
+        let size = self.scheduler.size_of(&chunk).map(|size| size.0 as usize);
+        let fetch = ChunkFetch { chunk, size, source, address };
+        let (context, results) = (self.context.clone(), self.results.clone());
+        let running = tokio::spawn(async move {
+            let result = context.run(&fetch).await;
+            // Fails only when the task has ended.
+            let _ = results.send(FetchResult { fetch, result }).await;
+        });
+        self.fetches.insert(chunk, running.abort_handle());
+    }
+
+    /// Hands the selected version to the engine's task.
+    fn version_complete(&mut self, manifest: ContentDigest) {
+        log::info!("event=version_complete manifest={manifest}");
+        let selected = self.wanted.first().is_some_and(|version| version.manifest == manifest);
+        let Some(chunks) = self.scheduler.complete_chunks(&manifest) else { return };
+        if !selected {
+            return;
+        }
+        let contents = chunks.iter().map(|chunk| self.contents.get(&chunk.digest).cloned());
+        match contents.collect::<Option<Vec<_>>>() {
+            Some(chunks) => {
+                self.target.send_replace(Some(Arc::new(CompleteVersion { manifest, chunks })));
+            }
+            None => log::error!("event=version_incomplete manifest={manifest}"),
+        }
+    }
+}
+
+/// The version that `service` runs.
+fn selected_version(state: &ConfigurationState, service: &ServiceName) -> Option<WantedVersion> {
+    let name = state.services.get(service)?.version.as_ref()?;
+    let version = state.versions.get(name)?;
+    Some(WantedVersion { manifest: version.manifest, size: version.size })
+}
--- a/crates/celeryshed_wire/src/lib.rs
+++ b/crates/celeryshed_wire/src/lib.rs
@@ -11,6 +11,7 @@
 mod configuration;
 mod crashes;
 mod engines;
+mod fences;
 mod peers;
 mod platform;
 mod problem;
@@ -34,6 +35,7 @@
     CompletionChunk, EngineCommand, EngineCommandKind, EngineCommandReply, EngineEvent, EngineLoad,
     EngineRequest,
 };
+pub use fences::FenceRegistration;
 pub use peers::{BurnCount, BurnReply, ConfigurationReply, ProcessStatus, RevisionExchange};
 pub use platform::{
     AppendReply, AppendRequest, InstanceRole, InstanceState, ListReply, ListedInstance, LogEntry,
