--- a/crates/celeryshed_wire/src/lib.rs
+++ b/crates/celeryshed_wire/src/lib.rs
@@ -13,6 +13,7 @@
 mod crashes;
 mod engines;
 mod membership_convert;
+mod fences;
 mod peers;
 mod platform;
 mod problem;
@@ -36,6 +37,7 @@
     CompletionChunk, EngineCommand, EngineCommandKind, EngineCommandReply, EngineEvent, EngineLoad,
     EngineRequest,
 };
+pub use fences::FenceRegistration;
 pub use peers::{BurnCount, BurnReply, ConfigurationReply, ProcessStatus, RevisionExchange};
 pub use platform::{
     AppendReply, AppendRequest, InstanceRole, InstanceState, ListReply, ListedInstance, LogEntry,
