Add the publisher of configuration changes

Cause: an operator's command must report the verdict that takes effect, also when the reply to its append is lost.

--- a/crates/celeryshed_cli/src/lib.rs
+++ b/crates/celeryshed_cli/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder until the first module lands.
+//! The operators' command line.
+
+pub mod publish;
