--- a/crates/celeryshed_entry/src/lib.rs
+++ b/crates/celeryshed_entry/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod configuration;
 pub mod membership;
 pub mod peers;
+pub mod role;
--- /dev/null
+++ b/crates/celeryshed_entry/src/role/launch.rs
@@ -0,0 +1,235 @@
+//! Starts and drains an entry.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use celeryshed_base::{ClockSource, ProcessIncarnation};
+use celeryshed_observe::{EventLine, MetricsRegistry};
+use celeryshed_platform::{HttpList, HttpLog, HttpTimeouts, LogClient};
+use celeryshed_server::{
+    HealthProbe, ReadyState, RunningServer, ServerOptions, health_routes, launch_server,
+};
+use celeryshed_settings::EntrySettings;
+use celeryshed_wire::ProcessStatus;
+use rocket::serde::json::Json;
+use rocket::{State, get, routes};
+use tokio::sync::watch;
+
+use super::error::{Result, in_part};
+use crate::bookings::{
+    BookingEdges, BookingHandle, BookingOptions, BookingSettings, HttpEntryForward,
+    HttpSideDispatch, booking_routes, start_bookings,
+};
+use crate::completions::{
+    self, CompletionInputs, CompletionOptions, CompletionsHandle, DrainState, HttpSideClient,
+};
+use crate::configuration::{
+    ConfigurationClients, ConfigurationHandle, ConfigurationOptions, HttpPeers, ProcessIdentity,
+    configuration_routes, spawn_configuration,
+};
+use crate::membership::{
+    HttpSides, MembershipHandle, MembershipOptions, membership_routes, spawn_membership,
+};
+
+/// Longest call to another entry or a probe of a sidecar.
+const PEER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Idle connections are dropped well before their server would close them.
+const POOL_IDLE: Duration = Duration::from_secs(20);
+
+/// Longest time to connect to a sidecar or an entry.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A running entry.
+pub struct EntryRole {
+    server: RunningServer,
+    drain: watch::Sender<DrainState>,
+    completions: CompletionsHandle,
+}
+
+impl EntryRole {
+    /// Starts the tasks and the server.
+    pub async fn launch(settings: &EntrySettings) -> Result<Self> {
+        let clock = ClockSource::start();
+        let incarnation = ProcessIncarnation::random();
+        let identity = ProcessIdentity {
+            instance: settings.instance.name.clone(),
+            incarnation,
+            address: settings.instance.advertise.to_string(),
+        };
+        let log = HttpLog::try_new(&settings.platform.log_url, HttpTimeouts::for_calls());
+        let log: Arc<dyn LogClient> = Arc::new(log.map_err(in_part("client of the log"))?);
+        let (drain, drain_watch) = watch::channel(DrainState::Serving);
+        let membership = start_membership(settings, &identity, clock)?;
+        let configuration = start_configuration(settings, &identity, &log, &membership)?;
+        let bookings = start_booking_tasks(settings, log, clock, &membership)?;
+        let inputs = CompletionInputs {
+            options: completion_options(settings),
+            configuration: configuration.states(),
+            members: membership.views(),
+            drain: drain_watch.clone(),
+            sides: Arc::new(HttpSideClient::new(http_client()?)),
+            bookings: Arc::new(bookings.clone()),
+        };
+        let completions = completions::spawn(inputs).map_err(in_part("completions"))?;
+        let report = StatusReporter {
+            settings: settings.clone(),
+            incarnation,
+            configuration: configuration.clone(),
+            in_progress: completions.in_progress(),
+            drain: drain_watch,
+        };
+        let probe = report.clone();
+        let rocket = rocket::build()
+            .manage(HealthProbe::new(move || probe.ready()))
+            .manage(MetricsRegistry::install())
+            .manage(report)
+            .manage(identity)
+            .manage(configuration)
+            .manage(membership)
+            .manage(bookings)
+            .manage(completions.clone())
+            .mount("/", health_routes())
+            .mount("/", routes![process_status])
+            .mount("/", configuration_routes())
+            .mount("/", membership_routes())
+            .mount("/", booking_routes())
+            .mount("/", completions::routes());
+        let options = ServerOptions::new(settings.instance.listen);
+        let server = launch_server(options, rocket).await?;
+        EventLine::new("started")
+            .field("role", "entry")
+            .field("instance", &settings.instance.name)
+            .field("address", server.address())
+            .field("incarnation", incarnation)
+            .info();
+        Ok(Self { server, drain, completions })
+    }
+
+    /// The address that it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Takes no new work, finishes what runs, and ends.
+    pub async fn drain(self) {
+        self.drain.send_replace(DrainState::Draining);
+        self.completions.idle().await;
+        self.server.stop().await;
+    }
+}
+
+fn http_client() -> Result<reqwest::Client> {
+    let builder = reqwest::Client::builder().no_proxy().redirect(reqwest::redirect::Policy::none());
+    let builder = builder.connect_timeout(CONNECT_TIMEOUT).pool_idle_timeout(POOL_IDLE);
+    builder.build().map_err(in_part("client of sidecars and entries"))
+}
+
+fn start_membership(
+    settings: &EntrySettings,
+    identity: &ProcessIdentity,
+    clock: ClockSource,
+) -> Result<MembershipHandle> {
+    let list = HttpList::try_new(&settings.platform.list_url, HttpTimeouts::for_calls());
+    let list = Arc::new(list.map_err(in_part("client of the list"))?);
+    let sides = HttpSides::try_new(PEER_TIMEOUT).map_err(in_part("client of sidecars"))?;
+    let options = MembershipOptions::default();
+    spawn_membership(identity.clone(), options, clock, list, Arc::new(sides))
+        .map_err(in_part("membership"))
+}
+
+fn start_configuration(
+    settings: &EntrySettings,
+    identity: &ProcessIdentity,
+    log: &Arc<dyn LogClient>,
+    membership: &MembershipHandle,
+) -> Result<ConfigurationHandle> {
+    let peers = HttpPeers::try_new(PEER_TIMEOUT).map_err(in_part("client of entries"))?;
+    let clients = ConfigurationClients {
+        log: Arc::clone(log),
+        peers: Arc::new(peers),
+        members: membership.views(),
+        crashes: None,
+    };
+    let options = ConfigurationOptions {
+        poll_interval: settings.poll_interval,
+        log_retention: settings.log_retention,
+        ..ConfigurationOptions::default()
+    };
+    spawn_configuration(identity.clone(), options, clients).map_err(in_part("configuration"))
+}
+
+fn start_booking_tasks(
+    settings: &EntrySettings,
+    log: Arc<dyn LogClient>,
+    clock: ClockSource,
+    membership: &MembershipHandle,
+) -> Result<BookingHandle> {
+    let client = http_client()?;
+    let edges = BookingEdges {
+        log,
+        sides: Arc::new(HttpSideDispatch::new(client.clone())),
+        entries: Arc::new(HttpEntryForward::new(client)),
+        clock,
+        instance: settings.instance.name.clone(),
+        members: membership.views(),
+    };
+    let raw = BookingSettings {
+        claim_partitions: settings.claim_partitions,
+        window: settings.booking_window,
+        log_retention: settings.log_retention,
+        ..BookingSettings::default()
+    };
+    let options = BookingOptions::try_from(raw).map_err(in_part("bookings"))?;
+    Ok(start_bookings(edges, options))
+}
+
+fn completion_options(settings: &EntrySettings) -> CompletionOptions {
+    let instance = settings.instance.clone();
+    let mut options = CompletionOptions::new(instance.name, instance.zone, instance.region);
+    options.max_request = settings.max_request;
+    options
+}
+
+/// Answers `/status` and `/readyz`.
+#[derive(Clone)]
+struct StatusReporter {
+    settings: EntrySettings,
+    incarnation: ProcessIncarnation,
+    configuration: ConfigurationHandle,
+    in_progress: watch::Receiver<u32>,
+    drain: watch::Receiver<DrainState>,
+}
+
+impl StatusReporter {
+    fn draining(&self) -> bool {
+        *self.drain.borrow() == DrainState::Draining
+    }
+
+    fn ready(&self) -> ReadyState {
+        if self.draining() {
+            return ReadyState::Draining;
+        }
+        match self.configuration.revision() {
+            Some(_) => ReadyState::Ready,
+            None => ReadyState::Starting("no configuration is known yet".to_owned()),
+        }
+    }
+
+    fn status(&self) -> ProcessStatus {
+        ProcessStatus {
+            instance: self.settings.instance.name.clone(),
+            role: "entry".to_owned(),
+            incarnation: self.incarnation,
+            revision: self.configuration.revision(),
+            draining: self.draining(),
+            in_progress: *self.in_progress.borrow(),
+        }
+    }
+}
+
+#[get("/status")]
+fn process_status(reporter: &State<StatusReporter>) -> Json<ProcessStatus> {
+    Json(reporter.status())
+}
--- a/crates/celeryshed_side/src/lib.rs
+++ b/crates/celeryshed_side/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod configuration;
 pub mod reports;
 pub mod weights;
+pub mod role;
--- /dev/null
+++ b/crates/celeryshed_side/src/role/mod.rs
@@ -0,0 +1,9 @@
+//! The assembled sidecar: its tasks, its server and its drain.
+
+mod claim_gate;
+mod error;
+mod launch;
+mod status;
+
+pub use error::RoleError;
+pub use launch::SideRole;
