Serve bookings at entries and record claims at sidecars

One driver per request lives on after the reply until its claim is released. The sidecar's permit reports an unknown outcome when it is dropped; outcomes are appended with retries. SealReply gains Recorded, so a sidecar need not keep answers that stand in the log. Ruled out: keeping answers in the fold (64 KiB each for six hours); they are read on demand.

Measured: 9 tests over real entry and sidecar tasks in paused time pass (one failed first because the fake didn't cut the connection of a replaced sidecar; the fake was corrected).

--- a/crates/celeryshed_core/src/booking/mod.rs
+++ b/crates/celeryshed_core/src/booking/mod.rs
@@ -14,7 +14,7 @@
 
 pub use fold::{FoldOptions, LogPage, PartitionFold, StampedRecord};
 pub use key::{BookingIdentity, BookingKey, KeyError, KeyWindow};
-pub use partition::{partition_of, readers_of};
+pub use partition::partition_of;
 pub use procedure::{
     AppendResult, BookingRequest, ClaimAction, ClaimEvent, ClaimProcedure, DispatchResult,
     DispatchTicket, LogSight, ProcedureOptions, SealResult, SideTarget,
--- a/crates/celeryshed_core/src/booking/procedure/event.rs
+++ b/crates/celeryshed_core/src/booking/procedure/event.rs
@@ -20,6 +20,8 @@
         pub log_wait: Duration,
         /// Age of a claim in force from which its sidecar is asked to seal it.
         pub seal_after: Duration,
+        /// Longest time without a reply of the sidecar before the outcome is reported as unknown.
+        pub side_wait: Duration,
         /// Pause before an append or read that failed is repeated.
         pub retry_pause: Duration,
         /// Longest age of a read to the end that may prove "not run".
--- a/crates/celeryshed_core/src/booking/procedure/mod.rs
+++ b/crates/celeryshed_core/src/booking/procedure/mod.rs
@@ -29,6 +29,7 @@
             window: Duration::from_secs(6 * 3600),
             log_wait: Duration::from_secs(2),
             seal_after: Duration::from_secs(1),
+            side_wait: Duration::from_secs(10),
             retry_pause: Duration::from_millis(200),
             freshness: Duration::from_secs(1),
             max_claims: 4,
@@ -217,6 +218,8 @@
             return;
         };
         seal.asking = false;
+        let silent = matches!(result, SealResult::Unreachable);
+        seal.silent_since = silent.then(|| seal.silent_since.unwrap_or(now));
         seal.ask_at = now + self.options.seal_after;
         match result {
             SealResult::Ran(answer) => self.reply_answer(answer, replayed),
@@ -344,10 +347,15 @@
             claim_id: claim.claim_id,
             asking: false,
             ask_at: first_ask,
+            silent_since: None,
             word: SealWord::Open,
             append: AppendProgress::Due(now),
         });
+        let silent = seal.silent_since.map(|since| now - since);
         match seal.word {
+            SealWord::Open if silent.is_some_and(|silent| silent >= self.options.side_wait) => {
+                return self.refuse(RefusalReason::OutcomeUnknown, now);
+            }
             SealWord::Open if seal.asking => {}
             SealWord::Open if now < seal.ask_at => self.wake_by(seal.ask_at),
             SealWord::Open => {
--- a/crates/celeryshed_core/src/booking/procedure/state.rs
+++ b/crates/celeryshed_core/src/booking/procedure/state.rs
@@ -54,6 +54,7 @@
         pub(super) claim_id: ClaimId,
         pub(super) asking: bool,
         pub(super) ask_at: MonoTime,
+        pub(super) silent_since: Option<MonoTime>,
         pub(super) word: SealWord,
         pub(super) append: AppendProgress,
     }
--- /dev/null
+++ b/crates/celeryshed_entry/src/bookings/driver.rs
@@ -0,0 +1,201 @@
+//! Drives the claim procedure of one request.
+
+use std::sync::Arc;
+
+use celeryshed_base::{AttemptId, ClaimId, ContentDigest, MonoTime};
+use celeryshed_core::booking::{
+    BookingIdentity, BookingRequest, BookingResult, ClaimAction, ClaimEvent, ClaimProcedure,
+    DispatchResult, DispatchTicket, LogSight, SealResult, SideTarget,
+};
+use celeryshed_wire::{
+    AttemptRequest, AttemptWork, BookingForward, CallWork, ClaimTicket, PriorityClass, SealRequest,
+    ServiceAnswer,
+};
+use futures::future::BoxFuture;
+use futures::stream::{FuturesUnordered, StreamExt};
+use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot, watch};
+
+use super::options::BookingOptions;
+use super::partition::PartitionHandle;
+use super::sides::SideLease;
+use super::tasks::{BookingCommand, BookingEdges};
+
+type AnswerEvent = ClaimEvent<ServiceAnswer>;
+type AnswerAction = ClaimAction<ServiceAnswer>;
+
+/// One request and what it needs.
+pub(super) struct BookingJob {
+    pub(super) booking: BookingForward,
+    pub(super) identity: BookingIdentity,
+    pub(super) deadline: MonoTime,
+    pub(super) partition: PartitionHandle,
+    pub(super) edges: BookingEdges,
+    pub(super) options: BookingOptions,
+    pub(super) commands: mpsc::Sender<BookingCommand>,
+    pub(super) _permit: OwnedSemaphorePermit,
+}
+
+/// A finished step: its event, and the sidecar that it chose.
+struct StepResult {
+    event: AnswerEvent,
+    lease: Option<SideLease>,
+}
+
+struct BookingDriver {
+    job: Arc<BookingJob>,
+    procedure: ClaimProcedure<ServiceAnswer>,
+    steps: FuturesUnordered<BoxFuture<'static, StepResult>>,
+    lease: Option<SideLease>,
+    reply: Option<oneshot::Sender<BookingResult<ServiceAnswer>>>,
+}
+
+/// Starts the procedure of a request. It lives on after its reply until its claim is settled.
+pub(super) fn drive(job: BookingJob) -> oneshot::Receiver<BookingResult<ServiceAnswer>> {
+    let (reply, receiver) = oneshot::channel();
+    let request = BookingRequest { identity: job.identity, deadline: job.deadline };
+    let now = job.edges.clock.now();
+    let procedure = ClaimProcedure::new(request, job.options.procedure(), now);
+    let driver = BookingDriver {
+        job: Arc::new(job),
+        procedure,
+        steps: FuturesUnordered::new(),
+        lease: None,
+        reply: Some(reply),
+    };
+    tokio::spawn(driver.run());
+    receiver
+}
+
+impl BookingDriver {
+    async fn run(mut self) {
+        let mut sights = self.job.partition.watch(self.job.identity).await;
+        while !self.procedure.is_finished() {
+            let event = self.next_event(&mut sights).await;
+            let now = self.job.edges.clock.now();
+            for action in self.procedure.handle(event, now) {
+                self.perform(action);
+            }
+        }
+    }
+
+    async fn next_event(&mut self, sights: &mut watch::Receiver<Option<LogSight>>) -> AnswerEvent {
+        let clock = self.job.edges.clock;
+        let wake = self.procedure.next_wake().map(|wake| wake - clock.now());
+        tokio::select! {
+            Some(step) = self.steps.next() => {
+                self.lease = step.lease.or(self.lease.take());
+                step.event
+            }
+            Ok(()) = sights.changed() => match sights.borrow_and_update().clone() {
+                Some(sight) => ClaimEvent::LogRead(sight),
+                None => ClaimEvent::TimePassed,
+            },
+            () = tokio::time::sleep(wake.unwrap_or_default()), if wake.is_some() => {
+                ClaimEvent::TimePassed
+            }
+        }
+    }
+
+    fn perform(&mut self, action: AnswerAction) {
+        let job = self.job.clone();
+        let step: BoxFuture<'static, StepResult> = match action {
+            ClaimAction::ChooseSide { avoid } => Box::pin(async move {
+                let lease = job.choose_side(avoid).await;
+                let side = lease.as_ref().map(|lease| lease.target.clone());
+                let event = ClaimEvent::SideChosen { side, claim_id: ClaimId::random() };
+                StepResult { event, lease }
+            }),
+            ClaimAction::Append(record) => plain(async move {
+                let result = job.partition.append(record.clone()).await;
+                ClaimEvent::AppendEnded { record, result }
+            }),
+            ClaimAction::Dispatch { side, ticket } => {
+                let lease = self.lease.as_ref().filter(|lease| lease.target == side);
+                let address = lease.map(|lease| lease.address.clone());
+                plain(async move {
+                    let claim_id = ticket.claim_id;
+                    let result = job.dispatch(address, side, ticket).await;
+                    ClaimEvent::DispatchEnded { claim_id, result }
+                })
+            }
+            ClaimAction::AskSeal { claim_id, side } => plain(async move {
+                let result = job.ask_seal(claim_id, side).await;
+                ClaimEvent::SealEnded { claim_id, result }
+            }),
+            ClaimAction::ReadAnswer { offset } => {
+                plain(
+                    async move { ClaimEvent::AnswerRead(job.partition.read_answer(offset).await) },
+                )
+            }
+            ClaimAction::Reply(result) => return self.send_reply(result),
+            ClaimAction::Finish => return,
+        };
+        self.steps.push(step);
+    }
+
+    fn send_reply(&mut self, result: BookingResult<ServiceAnswer>) {
+        if let Some(reply) = self.reply.take() {
+            // The caller may have gone; the procedure ends in the same way.
+            let _ = reply.send(result);
+        }
+    }
+}
+
+/// A step that chooses no sidecar.
+fn plain(
+    event: impl Future<Output = AnswerEvent> + Send + 'static,
+) -> BoxFuture<'static, StepResult> {
+    Box::pin(async move { StepResult { event: event.await, lease: None } })
+}
+
+impl BookingJob {
+    async fn choose_side(&self, avoid: Vec<celeryshed_base::InstanceName>) -> Option<SideLease> {
+        let (reply, receiver) = oneshot::channel();
+        let service = self.booking.service.clone();
+        let command = BookingCommand::ChooseSide { service, avoid, reply };
+        self.commands.send(command).await.ok()?;
+        receiver.await.ok()?
+    }
+
+    async fn dispatch(
+        &self,
+        address: Option<String>,
+        side: SideTarget,
+        ticket: DispatchTicket,
+    ) -> DispatchResult<ServiceAnswer> {
+        let Some(address) = address else {
+            let detail = format!("address of sidecar {} is not known", side.instance);
+            return DispatchResult::NotRun { detail, claim_only: false };
+        };
+        let claim = ClaimTicket::of(ticket, &side, self.partition.partition);
+        let request = self.attempt(claim);
+        self.edges.sides.dispatch(&address, request).await
+    }
+
+    fn attempt(&self, claim: ClaimTicket) -> AttemptRequest {
+        let booking = &self.booking;
+        let left = self.deadline - self.edges.clock.now();
+        let call = CallWork { claim: Some(claim), ..booking.call.clone() };
+        let parts = [booking.service.as_str().as_bytes(), &booking.call.body];
+        AttemptRequest {
+            attempt_id: AttemptId::random(),
+            request_id: booking.request_id,
+            customer: booking.customer.clone(),
+            service: booking.service.clone(),
+            priority: PriorityClass::Booking,
+            deadline_ms: left.as_millis() as u64,
+            fingerprint: ContentDigest::of_parts(&parts),
+            suspect: false,
+            work: AttemptWork::Call(call),
+        }
+    }
+
+    async fn ask_seal(&self, claim_id: ClaimId, side: SideTarget) -> SealResult<ServiceAnswer> {
+        let view = self.edges.members.borrow().clone();
+        let Some(member) = view.sides.get(&side.instance) else {
+            return SealResult::Unreachable;
+        };
+        let request = SealRequest { claim_id, side_incarnation: side.incarnation };
+        self.edges.sides.seal(&member.address, request).await
+    }
+}
--- /dev/null
+++ b/crates/celeryshed_entry/src/bookings/sides.rs
@@ -0,0 +1,72 @@
+//! Choice among the sidecars of a service.
+
+use std::collections::BTreeMap;
+
+use celeryshed_base::{InstanceName, ServiceName};
+use celeryshed_core::booking::SideTarget;
+use celeryshed_core::membership::{MemberState, MemberView};
+use tokio::sync::mpsc;
+
+/// A chosen sidecar; counts as in progress until it is dropped.
+pub(super) struct SideLease {
+    pub(super) target: SideTarget,
+    pub(super) address: String,
+    done: mpsc::UnboundedSender<InstanceName>,
+}
+
+impl Drop for SideLease {
+    fn drop(&mut self) {
+        // Without a receiver the counts are gone, too.
+        let _ = self.done.send(self.target.instance.clone());
+    }
+}
+
+/// Bookings of this entry in progress at each sidecar.
+pub(super) struct SideCounts {
+    counts: BTreeMap<InstanceName, u32>,
+    limit: u32,
+    done: mpsc::UnboundedSender<InstanceName>,
+}
+
+impl SideCounts {
+    pub(super) fn new(limit: u32, done: mpsc::UnboundedSender<InstanceName>) -> Self {
+        Self { counts: BTreeMap::new(), limit, done }
+    }
+
+    /// The live sidecar of `service` with the fewest bookings of this entry in progress.
+    pub(super) fn choose(
+        &mut self,
+        view: &MemberView,
+        service: &ServiceName,
+        avoid: &[InstanceName],
+    ) -> Option<SideLease> {
+        let eligible = view.sides.iter().filter(|(instance, side)| {
+            side.service == *service
+                && side.state == MemberState::Live
+                && !avoid.contains(instance)
+                && self.in_progress(instance) < self.limit
+        });
+        let known = eligible.filter_map(|(instance, side)| {
+            let incarnation = side.incarnation?;
+            let target = SideTarget { instance: instance.clone(), incarnation };
+            Some((target, side.address.clone()))
+        });
+        let (target, address) =
+            known.min_by_key(|(target, _)| self.in_progress(&target.instance))?;
+        *self.counts.entry(target.instance.clone()).or_default() += 1;
+        Some(SideLease { target, address, done: self.done.clone() })
+    }
+
+    pub(super) fn note_done(&mut self, instance: &InstanceName) {
+        if let Some(count) = self.counts.get_mut(instance) {
+            *count -= 1;
+            if *count == 0 {
+                self.counts.remove(instance);
+            }
+        }
+    }
+
+    fn in_progress(&self, instance: &InstanceName) -> u32 {
+        self.counts.get(instance).copied().unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/celeryshed_entry/tests/bookings/cluster.rs
@@ -0,0 +1,299 @@
+//! Entries and sidecars of one process that share a fake log.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use celeryshed_base::{
+    AvailabilityZone, ClockSource, CustomerName, InstanceName, ProcessIncarnation, RegionName,
+    RequestId, ServiceName, UnixMillis,
+};
+use celeryshed_core::booking::{BookingIdentity, DispatchResult, SealResult, partition_of};
+use celeryshed_core::membership::{
+    EntryMember, MemberState, MemberView, SideMember, partition_readers,
+};
+use celeryshed_entry::bookings::{
+    BookingEdges, BookingHandle, BookingOptions, BookingSettings, EntryForward, ForwardFailure,
+    SideDispatch, start_bookings,
+};
+use celeryshed_platform::fakes::FakeLog;
+use celeryshed_side::claims::{BeginReply, ClaimHandle, ClaimOptions, RunEnd, start_claims};
+use celeryshed_wire::{
+    AttemptRequest, AttemptWork, BookingForward, BookingReply, CallWork, ProblemDetails,
+    SealRequest, ServiceAnswer,
+};
+use tokio::sync::watch;
+
+const START: UnixMillis = UnixMillis(1_800_000_000_000);
+
+#[derive(Clone)]
+struct TestSide {
+    incarnation: ProcessIncarnation,
+    claims: ClaimHandle,
+}
+
+/// The network as one process sees it.
+struct TestLink(Arc<TestNetwork>);
+
+struct TestNetwork {
+    log: FakeLog,
+    clock: ClockSource,
+    sides: Mutex<BTreeMap<String, TestSide>>,
+    entries: Mutex<BTreeMap<String, BookingHandle>>,
+    cut_entries: Mutex<bool>,
+    run_time: Mutex<Duration>,
+    answer_bytes: Mutex<usize>,
+    runs: Mutex<BTreeMap<String, u32>>,
+}
+
+impl TestNetwork {
+    fn side(&self, address: &str) -> Option<TestSide> {
+        self.sides.lock().unwrap().get(address).cloned()
+    }
+
+    /// Waits for a run; true when the sidecar is replaced before its end, which cuts connections.
+    async fn dies_during(
+        &self,
+        address: &str,
+        incarnation: ProcessIncarnation,
+        run_time: Duration,
+    ) -> bool {
+        let end = tokio::time::Instant::now() + run_time;
+        while tokio::time::Instant::now() < end {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            if self.side(address).is_none_or(|side| side.incarnation != incarnation) {
+                return true;
+            }
+        }
+        false
+    }
+
+    fn answer(&self, call: &CallWork) -> ServiceAnswer {
+        let order = String::from_utf8(call.body.to_vec()).unwrap();
+        let mut runs = self.runs.lock().unwrap();
+        let count = runs.entry(order.clone()).or_default();
+        *count += 1;
+        let mut body = format!("{order} run {count}").into_bytes();
+        let size = body.len().max(*self.answer_bytes.lock().unwrap());
+        body.resize(size, b' ');
+        ServiceAnswer { status: 200, content_type: None, body: body.into() }
+    }
+}
+
+#[async_trait]
+impl SideDispatch for TestLink {
+    async fn dispatch(
+        &self,
+        address: &str,
+        request: AttemptRequest,
+    ) -> DispatchResult<ServiceAnswer> {
+        let Some(side) = self.0.side(address) else {
+            return DispatchResult::NotRun { detail: "unreachable".into(), claim_only: false };
+        };
+        let AttemptWork::Call(call) = request.work else { panic!("a booking is a call") };
+        match side.claims.begin(call.claim.clone().unwrap()).await {
+            BeginReply::Run(permit) => {
+                let answer = self.0.answer(&call);
+                let run_time = *self.0.run_time.lock().unwrap();
+                if self.0.dies_during(address, side.incarnation, run_time).await {
+                    std::mem::forget(permit);
+                    return DispatchResult::Lost;
+                }
+                permit.finish(RunEnd::Answer(answer.clone()));
+                DispatchResult::Answer(answer)
+            }
+            BeginReply::Ran(answer) => DispatchResult::Answer(answer),
+            BeginReply::Unknown => DispatchResult::Lost,
+            BeginReply::Refused(refusal) => {
+                DispatchResult::NotRun { detail: refusal.to_string(), claim_only: true }
+            }
+        }
+    }
+
+    async fn seal(&self, address: &str, request: SealRequest) -> SealResult<ServiceAnswer> {
+        match self.0.side(address) {
+            Some(side) => side.claims.seal(request).await.into(),
+            None => SealResult::Unreachable,
+        }
+    }
+}
+
+#[async_trait]
+impl EntryForward for TestLink {
+    async fn forward(
+        &self,
+        address: &str,
+        booking: &BookingForward,
+    ) -> Result<BookingReply, ForwardFailure> {
+        if *self.0.cut_entries.lock().unwrap() {
+            let reason = "connection cut".to_owned();
+            return Err(ForwardFailure { address: address.into(), reason, maybe_received: true });
+        }
+        let handle = self.0.entries.lock().unwrap()[address].clone();
+        Ok(handle.serve(booking.clone()).await)
+    }
+}
+
+pub(crate) struct TestCluster {
+    pub(crate) log: FakeLog,
+    network: Arc<TestNetwork>,
+    view: MemberView,
+    members: watch::Sender<Arc<MemberView>>,
+}
+
+impl TestCluster {
+    pub(crate) async fn start(entries: usize, sides: usize) -> Self {
+        let clock = ClockSource::start_at(START);
+        let log = FakeLog::new(clock);
+        log.set_latency(Duration::from_millis(3));
+        let network = Arc::new(TestNetwork {
+            log: log.clone(),
+            clock,
+            sides: Mutex::default(),
+            entries: Mutex::default(),
+            cut_entries: Mutex::default(),
+            run_time: Mutex::new(Duration::from_millis(20)),
+            answer_bytes: Mutex::default(),
+            runs: Mutex::default(),
+        });
+        let mut view = MemberView::default();
+        for index in 0..entries {
+            view.entries.insert(instance("entry", index), entry_member(index));
+        }
+        let (members, receiver) = watch::channel(Arc::default());
+        let mut cluster = Self { log, network, view, members };
+        for index in 0..sides {
+            cluster.start_side(index);
+        }
+        cluster.hide_sides(false);
+        for index in 0..entries {
+            let edges = BookingEdges {
+                log: Arc::new(cluster.log.clone()),
+                sides: Arc::new(TestLink(cluster.network.clone())),
+                entries: Arc::new(TestLink(cluster.network.clone())),
+                clock,
+                instance: instance("entry", index),
+                members: receiver.clone(),
+            };
+            let options = BookingOptions::try_from(BookingSettings::default()).unwrap();
+            let handle = start_bookings(edges, options);
+            let address = entry_member(index).address;
+            cluster.network.entries.lock().unwrap().insert(address, handle);
+        }
+        cluster
+    }
+
+    fn start_side(&mut self, index: usize) {
+        let incarnation = self.replace_side(index);
+        let member = SideMember {
+            address: side_address(index),
+            incarnation: Some(incarnation),
+            zone: AvailabilityZone::try_from("zone").unwrap(),
+            region: RegionName::try_from("region").unwrap(),
+            service: ServiceName::try_from("orders").unwrap(),
+            state: MemberState::Live,
+        };
+        self.view.sides.insert(instance("side", index), member);
+    }
+
+    /// Starts another incarnation at the address; entries don't hear of it.
+    pub(crate) fn replace_side(&self, index: usize) -> ProcessIncarnation {
+        let incarnation = ProcessIncarnation::random();
+        let log = Arc::new(self.network.log.clone());
+        let claims = start_claims(log, self.network.clock, incarnation, ClaimOptions::default());
+        let side = TestSide { incarnation, claims };
+        self.network.sides.lock().unwrap().insert(side_address(index), side);
+        incarnation
+    }
+
+    pub(crate) fn hide_sides(&self, hidden: bool) {
+        let mut view = self.view.clone();
+        if hidden {
+            view.sides.clear();
+        }
+        self.members.send_replace(Arc::new(view));
+    }
+
+    pub(crate) fn cut_entries(&self, cut: bool) {
+        *self.network.cut_entries.lock().unwrap() = cut;
+    }
+
+    pub(crate) fn set_run_time(&self, run_time: Duration) {
+        *self.network.run_time.lock().unwrap() = run_time;
+    }
+
+    pub(crate) fn set_answer_bytes(&self, size: usize) {
+        *self.network.answer_bytes.lock().unwrap() = size;
+    }
+
+    pub(crate) fn booking(&self, order: &str) -> BookingForward {
+        let millis = u128::from(self.network.clock.unix_now().0);
+        let key = uuid::Uuid::from_u128((millis << 80) | (0x7 << 76) | (0x8 << 60) | 1);
+        BookingForward {
+            request_id: RequestId::random(),
+            customer: CustomerName::try_from("clinic").unwrap(),
+            service: ServiceName::try_from("orders").unwrap(),
+            key: key.to_string(),
+            deadline_ms: 30_000,
+            call: CallWork {
+                method: "POST".into(),
+                path: "kits".into(),
+                content_type: None,
+                body: order.as_bytes().to_vec().into(),
+                claim: None,
+            },
+        }
+    }
+
+    pub(crate) async fn book(&self, entry: usize, booking: &BookingForward) -> BookingReply {
+        let address = entry_member(entry).address;
+        let handle = self.network.entries.lock().unwrap()[&address].clone();
+        handle.book(booking.clone()).await
+    }
+
+    /// An entry that doesn't read the booking's partition.
+    pub(crate) fn outsider(&self, booking: &BookingForward) -> usize {
+        let identity = BookingIdentity::try_from(booking).unwrap();
+        let partition = partition_of(&identity.booking, 16.try_into().unwrap());
+        let readers = partition_readers(partition, &self.view);
+        (0..).find(|index| !readers.contains(&&instance("entry", *index))).unwrap()
+    }
+
+    pub(crate) fn runs(&self, order: &str) -> u32 {
+        self.network.runs.lock().unwrap().get(order).copied().unwrap_or_default()
+    }
+}
+
+fn instance(kind: &str, index: usize) -> InstanceName {
+    InstanceName::try_from(format!("{kind}-{index}")).unwrap()
+}
+
+fn side_address(index: usize) -> String {
+    format!("127.0.0.1:{}", 9_000 + index)
+}
+
+fn entry_member(index: usize) -> EntryMember {
+    EntryMember {
+        address: format!("127.0.0.1:{}", 8_000 + index),
+        zone: AvailabilityZone::try_from("zone").unwrap(),
+        region: RegionName::try_from("region").unwrap(),
+    }
+}
+
+/// The answer's text, and whether it was replayed.
+pub(crate) fn answer_of(reply: &BookingReply) -> (String, bool) {
+    match reply {
+        BookingReply::Answer { answer, replayed } => {
+            (String::from_utf8(answer.body.to_vec()).unwrap(), *replayed)
+        }
+        BookingReply::Problem(problem) => panic!("{problem:?}"),
+    }
+}
+
+pub(crate) fn problem_of(reply: &BookingReply) -> ProblemDetails {
+    match reply {
+        BookingReply::Problem(problem) => problem.clone(),
+        BookingReply::Answer { .. } => panic!("{reply:?}"),
+    }
+}
--- a/crates/celeryshed_side/src/claims/mod.rs
+++ b/crates/celeryshed_side/src/claims/mod.rs
@@ -1,1 +1,13 @@
-//! Placeholder until this module lands.
+//! Claims at a sidecar: runs each at most once, seals the others, records outcomes.
+//!
+//! The code that receives attempts calls [`ClaimHandle::begin`] before it calls the endpoint. A
+//! permitted run ends with [`RunPermit::finish`]; a permit that is dropped reports an unknown
+//! outcome. The run must go on when the entry's connection breaks.
+
+mod handle;
+mod route;
+mod task;
+
+pub use handle::{BeginReply, ClaimHandle, RunEnd, RunPermit};
+pub use route::claim_routes;
+pub use task::{ClaimOptions, start_claims};
--- a/crates/celeryshed_wire/src/bookings.rs
+++ b/crates/celeryshed_wire/src/bookings.rs
@@ -49,6 +49,8 @@
     pub enum SealReply {
         /// The claim ran, with this answer.
         Ran(ServiceAnswer),
+        /// The claim ran, and its outcome stands in the log.
+        Recorded,
         /// The claim is running.
         Running,
         /// The claim was never dispatched and will never run.
--- /dev/null
+++ b/crates/celeryshed_wire/src/claim_convert.rs
@@ -0,0 +1,155 @@
+//! Conversions between the claim log and the booking types of the core.
+
+use celeryshed_core::booking::{
+    BookingIdentity, BookingKey, ClaimDetails, ClaimTerms, DispatchTicket, FoldRecord, KeyError,
+    LogPage, OutcomeKind, RunVerdict, SealResult, SealVerdict, SideTarget, StampedRecord,
+};
+
+use crate::attempts::{ClaimTicket, NotRunVerdict, ServiceAnswer};
+use crate::bookings::{BookingForward, SealReply};
+use crate::claims::{ClaimOutcome, ClaimRecord};
+use crate::codec::decode;
+use crate::platform::{LogEntry, ReadReply};
+
+/// A record whose wire form needs the answer itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("an outcome with an answer can't be written without the answer")]
+pub struct AnswerMissing;
+
+impl From<&ClaimOutcome> for OutcomeKind {
+    fn from(outcome: &ClaimOutcome) -> Self {
+        match outcome {
+            ClaimOutcome::Answer(_) => Self::Answer,
+            ClaimOutcome::AnswerNotKept { status, size } => {
+                Self::AnswerNotKept { status: *status, size: *size }
+            }
+            ClaimOutcome::Unknown => Self::Unknown,
+        }
+    }
+}
+
+impl From<ClaimRecord> for FoldRecord {
+    fn from(record: ClaimRecord) -> Self {
+        match record {
+            ClaimRecord::Claim {
+                claim_id,
+                booking,
+                body_digest,
+                side_instance,
+                side_incarnation,
+            } => {
+                let terms = ClaimTerms { body_digest, side_instance, side_incarnation };
+                Self::Claim(ClaimDetails { claim_id, booking, terms })
+            }
+            ClaimRecord::Sealed { claim_id } => Self::Sealed(claim_id),
+            ClaimRecord::Released { claim_id } => Self::Released(claim_id),
+            ClaimRecord::Outcome { claim_id, outcome } => {
+                Self::Outcome(claim_id, OutcomeKind::from(&outcome))
+            }
+        }
+    }
+}
+
+impl TryFrom<FoldRecord> for ClaimRecord {
+    type Error = AnswerMissing;
+
+    fn try_from(record: FoldRecord) -> Result<Self, AnswerMissing> {
+        Ok(match record {
+            FoldRecord::Claim(ClaimDetails { claim_id, booking, terms }) => Self::Claim {
+                claim_id,
+                booking,
+                body_digest: terms.body_digest,
+                side_instance: terms.side_instance,
+                side_incarnation: terms.side_incarnation,
+            },
+            FoldRecord::Sealed(claim_id) => Self::Sealed { claim_id },
+            FoldRecord::Released(claim_id) => Self::Released { claim_id },
+            FoldRecord::Outcome(claim_id, OutcomeKind::AnswerNotKept { status, size }) => {
+                Self::Outcome { claim_id, outcome: ClaimOutcome::AnswerNotKept { status, size } }
+            }
+            FoldRecord::Outcome(claim_id, OutcomeKind::Unknown) => {
+                Self::Outcome { claim_id, outcome: ClaimOutcome::Unknown }
+            }
+            FoldRecord::Outcome(_, OutcomeKind::Answer) => return Err(AnswerMissing),
+        })
+    }
+}
+
+impl From<&LogEntry> for StampedRecord {
+    /// A payload that isn't a claim record is kept as a position without a record.
+    fn from(entry: &LogEntry) -> Self {
+        let record = decode::<ClaimRecord>(&entry.payload).ok();
+        let record = record.map(FoldRecord::from);
+        Self { offset: entry.offset, appended_at: entry.appended_at, record }
+    }
+}
+
+impl From<&ReadReply> for LogPage {
+    fn from(reply: &ReadReply) -> Self {
+        Self {
+            records: reply.entries.iter().map(StampedRecord::from).collect(),
+            oldest: reply.oldest_offset,
+            end: reply.end_offset,
+            log_now: reply.now,
+        }
+    }
+}
+
+impl From<RunVerdict> for NotRunVerdict {
+    fn from(verdict: RunVerdict) -> Self {
+        match verdict {
+            RunVerdict::NotRun => Self::NotRun,
+            RunVerdict::Ran => Self::Ran,
+            RunVerdict::Unknown => Self::Unknown,
+        }
+    }
+}
+
+impl From<SealReply> for SealResult<ServiceAnswer> {
+    fn from(reply: SealReply) -> Self {
+        match reply {
+            SealReply::Ran(answer) => Self::Ran(answer),
+            SealReply::Recorded => Self::Recorded,
+            SealReply::Running => Self::Running,
+            SealReply::Sealed => Self::Sealed,
+            SealReply::Unknown => Self::Lost,
+            SealReply::OtherIncarnation(_) => Self::OtherIncarnation,
+        }
+    }
+}
+
+impl From<SealVerdict<ServiceAnswer>> for SealReply {
+    fn from(verdict: SealVerdict<ServiceAnswer>) -> Self {
+        match verdict {
+            SealVerdict::Ran(answer) => Self::Ran(answer),
+            SealVerdict::Recorded => Self::Recorded,
+            SealVerdict::Running => Self::Running,
+            SealVerdict::Sealed => Self::Sealed,
+            SealVerdict::Unknown => Self::Unknown,
+            SealVerdict::OtherIncarnation(incarnation) => Self::OtherIncarnation(incarnation),
+        }
+    }
+}
+
+impl ClaimTicket {
+    /// The ticket for a dispatch to `side` of a claim in `partition`.
+    pub fn of(ticket: DispatchTicket, side: &SideTarget, partition: u32) -> Self {
+        Self {
+            claim_id: ticket.claim_id,
+            partition,
+            offset: ticket.offset,
+            appended_at: ticket.appended_at,
+            side_incarnation: side.incarnation,
+        }
+    }
+}
+
+impl TryFrom<&BookingForward> for BookingIdentity {
+    type Error = KeyError;
+
+    fn try_from(booking: &BookingForward) -> Result<Self, KeyError> {
+        let key = BookingKey::try_from(booking.key.as_str())?;
+        let call = &booking.call;
+        Ok(Self::of(&booking.customer, key, &booking.service, &call.method, &call.path, &call.body))
+    }
+}
--- a/crates/celeryshed_wire/src/lib.rs
+++ b/crates/celeryshed_wire/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod attempts;
 mod bookings;
+mod claim_convert;
 mod claims;
 mod codec;
 mod configuration;
@@ -25,6 +26,7 @@
     ServiceAnswer,
 };
 pub use bookings::{BookingForward, BookingReply, SealReply, SealRequest};
+pub use claim_convert::AnswerMissing;
 pub use claims::{ClaimOutcome, ClaimRecord};
 pub use codec::{CodecError, FrameDecoder, MSGPACK, decode, encode, encode_frame};
 pub use configuration::{
