Run bookings at sidecars through the claim register itself

Cause: attempts reached the claim register through a trait inside one process, and its adapter turned a lost outcome into "not run". Change: attempts hold the register's handle; a claim that runs or whose answer is lost is reported as unknown; redirects of a plain service are passed on, not followed. Keeping the trait was ruled out: it is no edge.

--- a/crates/celeryshed_cli/src/commands/burn.rs
+++ b/crates/celeryshed_cli/src/commands/burn.rs
@@ -65,7 +65,15 @@
             }
         }
     }
-    let names = ["customer", "window_s", "requests", "bad", "objective_percent", "burn_rate", "budget_left_percent"];
+    let names = [
+        "customer",
+        "window_s",
+        "requests",
+        "bad",
+        "objective_percent",
+        "burn_rate",
+        "budget_left_percent",
+    ];
     let mut rows = vec![names.map(str::to_owned).to_vec()];
     for ((customer, window), count) in counts {
         rows.push(burn_row(customer, window, count, objectives.get(customer).copied()));
@@ -81,9 +89,8 @@
     objective: Option<u32>,
 ) -> Vec<String> {
     let bad_share = if count.total == 0 { 0.0 } else { count.bad as f64 / count.total as f64 };
-    let rate = objective.map(|objective| {
-        bad_share / (1.0 - f64::from(objective) / FULL_BASIS_POINTS)
-    });
+    let rate =
+        objective.map(|objective| bad_share / (1.0 - f64::from(objective) / FULL_BASIS_POINTS));
     let show = |value: Option<f64>| value.map_or("-".to_owned(), |value| format!("{value:.2}"));
     vec![
         customer.to_string(),
--- a/crates/celeryshed_cli/src/commands/contract.rs
+++ b/crates/celeryshed_cli/src/commands/contract.rs
@@ -90,8 +90,15 @@
 }
 
 fn service_rows(state: &ConfigurationState) -> Vec<Vec<String>> {
-    let names =
-        ["service", "kind", "endpoints", "slots", "tokens_per_s", "reserved_tokens_per_s", "version"];
+    let names = [
+        "service",
+        "kind",
+        "endpoints",
+        "slots",
+        "tokens_per_s",
+        "reserved_tokens_per_s",
+        "version",
+    ];
     let mut rows = vec![header(&names)];
     let mut reserved: BTreeMap<_, u64> = BTreeMap::new();
     for contract in state.contracts.values() {
@@ -117,7 +124,8 @@
 }
 
 fn contract_rows(state: &ConfigurationState) -> Vec<Vec<String>> {
-    let names = ["customer", "service", "tokens_per_s", "requests", "scarcity", "objective_percent"];
+    let names =
+        ["customer", "service", "tokens_per_s", "requests", "scarcity", "objective_percent"];
     let mut rows = vec![header(&names)];
     for (customer, contract) in &state.contracts {
         let scarcity = match &contract.scarcity {
--- a/crates/celeryshed_cli/src/run.rs
+++ b/crates/celeryshed_cli/src/run.rs
@@ -63,7 +63,9 @@
             commands::contract::show(&log).await
         }
         OperatorCommand::Contract(ContractCommand::HashKey) => commands::contract::hash_key(),
-        OperatorCommand::Model(ModelCommand::Publish(args)) => commands::model::publish(&args).await,
+        OperatorCommand::Model(ModelCommand::Publish(args)) => {
+            commands::model::publish(&args).await
+        }
         OperatorCommand::Config(ConfigCommand::Show { processes }) => {
             commands::config::show(&processes).await
         }
--- a/crates/celeryshed_entry/src/bookings/http.rs
+++ b/crates/celeryshed_entry/src/bookings/http.rs
@@ -61,7 +61,9 @@
         AttemptEventKind::Answer(answer) => Some(DispatchResult::Answer(answer)),
         AttemptEventKind::Failed(failure) => Some(failure_result(failure)),
         AttemptEventKind::Finished { .. } => Some(DispatchResult::Lost),
-        AttemptEventKind::Started { .. } | AttemptEventKind::Token { .. } => None,
+        AttemptEventKind::Started { .. }
+        | AttemptEventKind::Token { .. }
+        | AttemptEventKind::Load(_) => None,
     }
 }
 
--- a/crates/celeryshed_entry/src/role/launch.rs
+++ b/crates/celeryshed_entry/src/role/launch.rs
@@ -69,7 +69,7 @@
             configuration: configuration.states(),
             members: membership.views(),
             drain: drain_watch.clone(),
-            sides: Arc::new(HttpSideClient::new(http_client()?)),
+            sides: Arc::new(HttpSideClient::default()),
             bookings: Arc::new(bookings.clone()),
         };
         let completions = completions::spawn(inputs).map_err(in_part("completions"))?;
--- a/crates/celeryshed_entry/tests/support/rig.rs
+++ b/crates/celeryshed_entry/tests/support/rig.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -10,9 +9,9 @@
 use celeryshed_core::configuration::*;
 use celeryshed_core::membership::{MemberState, MemberView, SideMember};
 use celeryshed_entry::completions::{self, BookingGate, CompletionInputs, CompletionOptions};
-use celeryshed_side::attempts::{
-    self, AttemptInputs, AttemptOptions, ClaimGate, ClaimPermission, ClaimRefusal, EndpointTarget,
-};
+use celeryshed_platform::fakes::FakeLog;
+use celeryshed_side::attempts::{self, AttemptInputs, AttemptOptions, EndpointTarget};
+use celeryshed_side::claims::{ClaimHandle, ClaimOptions, start_claims};
 use celeryshed_wire::*;
 use tokio::sync::watch;
 
@@ -46,30 +45,11 @@
     Served { address, ended }
 }
 
-/// A register that permits each claim once.
-#[derive(Default)]
-pub(crate) struct FakeGate {
-    begun: Mutex<BTreeMap<ClaimId, Option<ClaimOutcome>>>,
-}
-
-#[async_trait]
-impl ClaimGate for FakeGate {
-    async fn begin(&self, ticket: &ClaimTicket) -> Result<ClaimPermission, ClaimRefusal> {
-        let mut begun = self.begun.lock().unwrap();
-        match begun.get(&ticket.claim_id) {
-            Some(Some(ClaimOutcome::Answer(answer))) => Ok(ClaimPermission::Replay(answer.clone())),
-            Some(Some(_)) => Err(ClaimRefusal::OutcomeLost),
-            Some(None) => Err(ClaimRefusal::Running),
-            None => {
-                begun.insert(ticket.claim_id, None);
-                Ok(ClaimPermission::Run)
-            }
-        }
-    }
-
-    async fn finish(&self, claim_id: ClaimId, outcome: ClaimOutcome) {
-        self.begun.lock().unwrap().insert(claim_id, Some(outcome));
-    }
+/// A register whose outcomes go to a log in memory.
+fn claims() -> ClaimHandle {
+    let clock = ClockSource::start();
+    let log = Arc::new(FakeLog::new(clock));
+    start_claims(log, clock, ProcessIncarnation::random(), ClaimOptions::default())
 }
 
 /// Answers each booking with its key.
@@ -155,7 +135,7 @@
         configuration: watch::channel(Some(Arc::new(configuration()))).1,
         live_version,
         drain: drain_watch,
-        claims: Arc::new(FakeGate::default()),
+        claims: claims(),
     };
     let handle = attempts::spawn(inputs).unwrap();
     let (idle, mut draining) = (handle.clone(), drain.subscribe());
--- a/crates/celeryshed_side/src/attempts/mod.rs
+++ b/crates/celeryshed_side/src/attempts/mod.rs
@@ -5,7 +5,6 @@
 
 mod drain;
 mod engine;
-mod gate;
 mod options;
 mod plain;
 mod routes;
@@ -14,7 +13,6 @@
 mod sse;
 
 pub use drain::{DrainState, serve_until_drained, shutdown_settings};
-pub use gate::{ClaimGate, ClaimPermission, ClaimRefusal};
 pub use options::{AttemptOptions, AttemptOptionsError, EndpointTarget};
 pub use routes::routes;
 pub use runner::{AttemptInputs, AttemptsHandle, spawn};
--- a/crates/celeryshed_side/src/attempts/runner.rs
+++ b/crates/celeryshed_side/src/attempts/runner.rs
@@ -8,18 +8,19 @@
 use celeryshed_core::admission::{SlotClass, SlotDecision, SlotLoad, SlotRequest};
 use celeryshed_wire::{
     AttemptEvent, AttemptEventKind, AttemptFailure, AttemptRequest, AttemptWork, CallWork,
-    ClaimOutcome, CompletionWork, FailureCause, LoadReport, NotRunVerdict, PriorityClass,
-    ServiceAnswer, encode_frame,
+    CompletionWork, FailureCause, LoadReport, NotRunVerdict, PriorityClass, ServiceAnswer,
+    encode_frame,
 };
+use reqwest::redirect::Policy;
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 
 use super::drain::DrainState;
 use super::engine::EngineCall;
-use super::gate::{ClaimGate, ClaimPermission};
 use super::options::{AttemptOptions, AttemptOptionsError, EndpointTarget};
 use super::plain::PlainCall;
 use super::slots::{ConfigurationWatch, SlotPermit, SlotsHandle, spawn_slots};
+use crate::claims::{BeginReply, ClaimHandle, RunEnd};
 
 /// Frames that wait for a slow entry before the endpoint is slowed down.
 const FRAMES_AHEAD: usize = 64;
@@ -42,14 +43,14 @@
     /// Whether new work is taken.
     pub drain: watch::Receiver<DrainState>,
     /// The register of claims.
-    pub claims: Arc<dyn ClaimGate>,
+    pub claims: ClaimHandle,
 }
 
 struct Shared {
     options: AttemptOptions,
     live_version: watch::Receiver<Option<ContentDigest>>,
     drain: watch::Receiver<DrainState>,
-    claims: Arc<dyn ClaimGate>,
+    claims: ClaimHandle,
     slots: SlotsHandle,
     http: reqwest::Client,
 }
@@ -65,7 +66,8 @@
     let AttemptInputs { options, configuration, live_version, drain, claims } = inputs;
     options.check()?;
     let slots = spawn_slots(options.slots, configuration);
-    let client = reqwest::Client::builder().no_proxy();
+    // A redirect is the service's answer; following it could run a booking a second time.
+    let client = reqwest::Client::builder().no_proxy().redirect(Policy::none());
     let client = client.connect_timeout(CONNECT_TIMEOUT).pool_idle_timeout(POOL_IDLE);
     let http = client.build().expect("client without TLS needs nothing from the system");
     let shared = Shared { options, live_version, drain, claims, slots, http };
@@ -244,19 +246,23 @@
         let Some(ticket) = &work.claim else {
             return call.run(work).await;
         };
-        match self.claims.begin(ticket).await {
-            Ok(ClaimPermission::Replay(answer)) => return Ok(answer),
-            Ok(ClaimPermission::Run) => {}
-            Err(refusal) => {
+        let permit = match self.claims.begin(ticket.clone()).await {
+            BeginReply::Run(permit) => permit,
+            BeginReply::Ran(answer) => return Ok(answer),
+            BeginReply::Unknown => {
+                let detail = "the claim runs or ran here, and its answer is not known";
+                return Err(failure(NotRunVerdict::Unknown, FailureCause::ClaimRefused, detail));
+            }
+            BeginReply::Refused(refusal) => {
                 return Err(not_run(FailureCause::ClaimRefused, &refusal.to_string()));
             }
-        }
-        let result = call.run(work).await;
-        let outcome = match &result {
-            Ok(answer) => ClaimOutcome::Answer(answer.clone()),
-            Err(_) => ClaimOutcome::Unknown,
         };
-        self.claims.finish(ticket.claim_id, outcome).await;
+        let result = call.run(work).await;
+        permit.finish(match &result {
+            Ok(answer) => RunEnd::Answer(answer.clone()),
+            Err(failure) if failure.not_run == NotRunVerdict::NotRun => RunEnd::NotRun,
+            Err(_) => RunEnd::Unknown,
+        });
         result
     }
 
--- a/crates/celeryshed_side/src/lib.rs
+++ b/crates/celeryshed_side/src/lib.rs
@@ -4,5 +4,5 @@
 pub mod claims;
 pub mod configuration;
 pub mod reports;
-pub mod weights;
 pub mod role;
+pub mod weights;
--- a/crates/celeryshed_side/src/role/launch.rs
+++ b/crates/celeryshed_side/src/role/launch.rs
@@ -20,10 +20,11 @@
 use rocket::{State, get, routes};
 use tokio::sync::watch;
 
-use super::claim_gate::RegisterGate;
 use super::error::{Result, in_part};
 use super::status::StatusSources;
-use crate::attempts::{self, AttemptInputs, AttemptOptions, AttemptsHandle, DrainState, EndpointTarget};
+use crate::attempts::{
+    self, AttemptInputs, AttemptOptions, AttemptsHandle, DrainState, EndpointTarget,
+};
 use crate::claims::{ClaimHandle, ClaimOptions, claim_routes, start_claims};
 use crate::configuration::{
     ConfigurationClients, ConfigurationHandle, EndpointStatus, HttpEntries, ReportOptions,
@@ -246,7 +247,7 @@
         configuration: configuration.states(),
         live_version,
         drain,
-        claims: Arc::new(RegisterGate::new(claims.clone())),
+        claims: claims.clone(),
     };
     attempts::spawn(inputs).map_err(in_part("attempts"))
 }
--- a/crates/celeryshed_side/src/role/mod.rs
+++ b/crates/celeryshed_side/src/role/mod.rs
@@ -1,6 +1,5 @@
 //! The assembled sidecar: its tasks, its server and its drain.
 
-mod claim_gate;
 mod error;
 mod launch;
 mod status;
