--- a/crates/celeryshed_wire/src/engines.rs
+++ b/crates/celeryshed_wire/src/engines.rs
@@ -2,14 +2,46 @@
 //!
 //! - `POST /v1/completions`: [`EngineRequest`] in, server-sent events of [`CompletionChunk`] out,
 //!   ended by `data: [DONE]`; `POST /v1/completions/<attempt id>/cancel` stops one.
-//! - `POST /commands`: [`EngineCommand`] in, [`EngineCommandReply`] out; 409 for an old fence.
+//! - `POST /commands`: [`EngineCommand`] in, [`EngineCommandReply`] out; 409 for an old fence, 422
+//!   with an [`EngineCommandFailure`] when the command can't be run.
 //! - `GET /load`: [`EngineLoad`]; `GET /events?from=N`: list of [`EngineEvent`].
-//! - `PUT /weights/<manifest digest>/<chunk index>`: one chunk of a version to be loaded.
+//! - `PUT /weights/<manifest digest>/<chunk index>`: one chunk of a version to be loaded;
+//!   the manifest itself is put as chunk [`MANIFEST_CHUNK_INDEX`].
+//!
+//! Prefixes of prompts are named by [`prefix_hashes`].
 
 use celeryshed_base::{AdapterName, AttemptId, ContentDigest, FenceNumber, common_derives};
 
 use crate::attempts::PriorityClass;
 
+/// Chunk index under which the manifest of a version is put.
+pub const MANIFEST_CHUNK_INDEX: u32 = u32::MAX;
+
+/// Size of the blocks in bytes in which engines cache prompts.
+pub const PREFIX_BLOCK_BYTES: usize = 64;
+
+/// Hashes of the prefixes of `prompt`, one for each whole block, the shortest prefix first.
+///
+/// Each hash covers its block and the hash before, so that equal hashes mean equal prefixes.
+///
+/// ```
+/// use celeryshed_wire::prefix_hashes;
+/// let prompt = "a".repeat(130);
+/// let hashes = prefix_hashes(&prompt);
+/// assert_eq!(hashes.len(), 2);
+/// assert_eq!(prefix_hashes(&prompt[..64]), hashes[..1]);
+/// ```
+pub fn prefix_hashes(prompt: &str) -> Vec<u64> {
+    let mut previous = 0u64;
+    let blocks = prompt.as_bytes().chunks_exact(PREFIX_BLOCK_BYTES);
+    let hashes = blocks.map(|block| {
+        let digest = ContentDigest::of_parts(&[&previous.to_be_bytes(), block]);
+        previous = digest.leading_u64();
+        previous
+    });
+    hashes.collect()
+}
+
 common_derives! { wire:
     /// A completion request.
     pub struct EngineRequest {
@@ -78,6 +110,17 @@
         pub fence: FenceNumber,
     }
 
+    /// Why a command can't be run.
+    #[derive(Eq)]
+    pub struct EngineCommandFailure {
+        /// The reason.
+        pub reason: String,
+        /// Chunks of the version that were not put; the manifest counts as a chunk.
+        pub missing: Vec<u32>,
+        /// Chunks of the version whose content differs from the manifest.
+        pub corrupted: Vec<u32>,
+    }
+
     /// Load as the engine reports it, with a lag.
     pub struct EngineLoad {
         /// Version that is served now.
--- a/crates/celeryshed_wire/src/lib.rs
+++ b/crates/celeryshed_wire/src/lib.rs
@@ -33,8 +33,9 @@
 };
 pub use crashes::CrashNotice;
 pub use engines::{
-    CompletionChunk, EngineCommand, EngineCommandKind, EngineCommandReply, EngineEvent, EngineLoad,
-    EngineRequest,
+    CompletionChunk, EngineCommand, EngineCommandFailure, EngineCommandKind, EngineCommandReply,
+    EngineEvent, EngineLoad, EngineRequest, MANIFEST_CHUNK_INDEX, PREFIX_BLOCK_BYTES,
+    prefix_hashes,
 };
 pub use peers::{BurnCount, BurnReply, ConfigurationReply, ProcessStatus, RevisionExchange};
 pub use platform::{
