--- a/crates/celeryshed_standin/src/engine/queue.rs
+++ b/crates/celeryshed_standin/src/engine/queue.rs
@@ -1,8 +1,9 @@
 //! Waiting requests in order of priority.
 
-use celeryshed_base::AttemptId;
 use std::cmp::Reverse;
 
+use celeryshed_base::AttemptId;
+
 use super::stream::EngineStream;
 
 /// Waiting requests: higher priority first, then order of arrival.
--- a/crates/celeryshed_standin/src/platform/log.rs
+++ b/crates/celeryshed_standin/src/platform/log.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use celeryshed_base::{ClockSource, LogOffset};
-use celeryshed_wire::{AppendReply, AppendRequest};
+use celeryshed_wire::{AppendReply, AppendRequest, LogEntry};
 use rocket::serde::json::Json;
 use rocket::{State, get, post, routes};
 
@@ -84,6 +84,11 @@
         self.lock().set_faults(faults);
     }
 
+    /// The records of `stream` that are kept, past all faults; for checkers.
+    pub fn entries(&self, stream: &str) -> Vec<LogEntry> {
+        self.lock().entries(stream)
+    }
+
     /// What was counted so far.
     pub fn counts(&self) -> LogCounts {
         self.lock().counts.clone()
--- a/crates/celeryshed_standin/src/platform/log_state.rs
+++ b/crates/celeryshed_standin/src/platform/log_state.rs
@@ -1,10 +1,10 @@
 //! State of the log.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
 
 use celeryshed_base::{ClockSource, LogOffset, common_derives};
 use celeryshed_wire::{AppendRequest, LogEntry, ReadReply};
-use std::time::Duration;
 
 use super::options::LogOptions;
 use crate::limits::RateLimiter;
@@ -119,6 +119,12 @@
         first
     }
 
+    /// The records that no read has found expired yet.
+    pub(super) fn entries(&self, name: &str) -> Vec<LogEntry> {
+        let stream = self.streams.get(name);
+        stream.map(|stream| stream.entries.iter().cloned().collect()).unwrap_or_default()
+    }
+
     pub(super) fn read(&mut self, name: &str, from: LogOffset, limit: u32) -> ReadReply {
         let now = self.clock.unix_now();
         let retention = self.faults.retention_ms.map(Duration::from_millis);
