--- /dev/null
+++ b/crates/celeryshed_measure/src/demo/run.rs
@@ -0,0 +1,297 @@
+//! Runs the demo.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use celeryshed_base::{ByteCount, ContentDigest, ModelName, ServiceName, VersionName};
+use celeryshed_core::configuration::{ChangeKind, ModelVersion};
+use celeryshed_server::TerminationSignal;
+use celeryshed_wire::{WeightManifest, encode};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep};
+
+use super::bookings::{BookingTally, run_bookings};
+use super::caller::DemoCaller;
+use super::contracts::{api_key, contract_changes};
+use super::report::DemoReport;
+use super::streams::{StreamTally, run_streams};
+use crate::fleet::{
+    DeploymentPlan, EndpointControl, FleetError, Result, RunningFleet, start_error,
+};
+
+/// Size of the demo's model.
+const MODEL_BYTES: usize = 4 << 20;
+
+/// Size of its chunks.
+const CHUNK_BYTES: usize = 64 << 10;
+
+/// Longest wait for a model to be live on every engine.
+const SPREAD_LIMIT: Duration = Duration::from_secs(12);
+
+/// Longest wait for the configuration and the endpoints to be known everywhere.
+const START_LIMIT: Duration = Duration::from_secs(8);
+
+/// How long streams go on after the kill.
+const AFTER_KILL: Duration = Duration::from_secs(2);
+
+/// How the demo runs.
+#[derive(Clone, Copy, Debug)]
+pub struct DemoOptions {
+    /// Keeps the system running after the checks, until SIGTERM.
+    pub hold: bool,
+}
+
+/// Runs the demo; `progress` gets a line for each step.
+pub async fn run_demo(options: DemoOptions, progress: impl Fn(&str)) -> Result<DemoReport> {
+    let plan = DeploymentPlan::hinokage();
+    let started = Instant::now();
+    let step =
+        |text: &str| progress(&format!("{:5.1} s  {text}\n", started.elapsed().as_secs_f64()));
+    step("starting 3 entries, 15 engines, 4 plain services and the platform");
+    let mut fleet = RunningFleet::launch(&plan).await?;
+    step("publishing 10 contracts and the first model version");
+    for change in contract_changes() {
+        fleet.publish(change).await?;
+    }
+    let first = publish_version(&mut fleet, "spring-1").await?;
+    wait_live(&fleet, first).await?;
+    wait_served(&fleet).await?;
+    step("two customers stream while the second version spreads");
+    let entries: Vec<SocketAddr> = fleet.entries.iter().map(|entry| entry.address).collect();
+    let (stop, stop_watch) = watch::channel(false);
+    let callers = vec![caller("ordering-portal")?, caller("proof-checkers")?];
+    let streams = tokio::spawn(run_streams(callers, entries.clone(), stop_watch));
+    let spread_started = Instant::now();
+    let second = publish_version(&mut fleet, "spring-2").await?;
+    step("booking press runs, each key at every entry at once and once more");
+    let bookings = run_bookings(&caller("press-desk")?, &entries).await;
+    wait_live(&fleet, second).await?;
+    let spread_time = spread_started.elapsed();
+    step("killing an engine and its sidecar under load");
+    kill_busiest_engine(&mut fleet);
+    sleep(AFTER_KILL).await;
+    stop.send_replace(true);
+    let streams = streams.await.map_err(start_error("the streams"))?;
+    step("draining an entry while it streams");
+    let drained = drain_under_stream(&mut fleet).await?;
+    let mut report = DemoReport::default();
+    report_spread(&mut report, &fleet, second, spread_time);
+    report_streams(&mut report, &streams);
+    report_bookings(&mut report, &fleet, &bookings);
+    report_drain(&mut report, &drained);
+    if options.hold {
+        hold(&fleet, &progress).await?;
+    }
+    Ok(report)
+}
+
+fn caller(customer: &str) -> Result<DemoCaller> {
+    DemoCaller::new(customer).map_err(start_error("a caller"))
+}
+
+/// Puts a version at the origin, publishes and selects it.
+async fn publish_version(fleet: &mut RunningFleet, version: &str) -> Result<ContentDigest> {
+    let origin = fleet.platform.origin.control();
+    let model = ModelName::try_from("sowing").map_err(start_error("the model"))?;
+    let name = VersionName::try_from(version).map_err(start_error("the version"))?;
+    let weights = model_weights(version);
+    let chunks = weights.chunks(CHUNK_BYTES);
+    let chunks = chunks.map(|chunk| origin.insert(Bytes::copy_from_slice(chunk))).collect();
+    let manifest = WeightManifest {
+        model: model.clone(),
+        version: name.clone(),
+        chunk_bytes: CHUNK_BYTES as u32,
+        total_bytes: MODEL_BYTES as u64,
+        chunks,
+    };
+    let manifest = origin.insert(encode(&manifest).map_err(start_error("the manifest"))?);
+    let size = ByteCount(MODEL_BYTES as u64);
+    let published = ModelVersion { model, manifest, size };
+    fleet.publish(ChangeKind::PublishModel(name.clone(), published)).await?;
+    let service = ServiceName::try_from("copywriter").map_err(start_error("the service"))?;
+    fleet.publish(ChangeKind::SelectVersion(service, name)).await?;
+    Ok(manifest)
+}
+
+/// Weights that differ for each version and in each chunk.
+fn model_weights(version: &str) -> Vec<u8> {
+    let mut weights = Vec::with_capacity(MODEL_BYTES);
+    for block in 0u64.. {
+        if weights.len() >= MODEL_BYTES {
+            break;
+        }
+        let digest = ContentDigest::of_parts(&[version.as_bytes(), &block.to_be_bytes()]);
+        weights.extend_from_slice(digest.as_bytes());
+    }
+    weights.truncate(MODEL_BYTES);
+    weights
+}
+
+async fn wait_until(what: &str, limit: Duration, mut done: impl FnMut() -> bool) -> Result<()> {
+    let deadline = Instant::now() + limit;
+    while !done() {
+        if Instant::now() > deadline {
+            return Err(FleetError::Late { what: what.to_owned(), seconds: limit.as_secs() });
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    Ok(())
+}
+
+fn live_versions(fleet: &RunningFleet) -> Vec<Option<ContentDigest>> {
+    let running = fleet.endpoints.iter().filter(|endpoint| endpoint.is_running());
+    let engines = running.filter_map(|endpoint| match &endpoint.control {
+        EndpointControl::Engine(engine) => Some(engine.live()),
+        EndpointControl::Plain(_) => None,
+    });
+    engines.collect()
+}
+
+async fn wait_live(fleet: &RunningFleet, version: ContentDigest) -> Result<()> {
+    let all_live = || live_versions(fleet).iter().all(|live| *live == Some(version));
+    wait_until("a version live on every engine", SPREAD_LIMIT, all_live).await
+}
+
+/// Waits until each entry serves completions and bookings.
+async fn wait_served(fleet: &RunningFleet) -> Result<()> {
+    let caller = caller("ordering-portal")?;
+    let deadline = Instant::now() + START_LIMIT;
+    for entry in &fleet.entries {
+        loop {
+            let end = caller.stream(entry.address, "ready?", 1).await;
+            if matches!(end, super::caller::StreamEnd::Whole { .. }) {
+                break;
+            }
+            if Instant::now() > deadline {
+                let what = format!("an answer of {}, last was {end:?},", entry.name);
+                return Err(FleetError::Late { what, seconds: START_LIMIT.as_secs() });
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+    Ok(())
+}
+
+fn kill_busiest_engine(fleet: &mut RunningFleet) {
+    let running = |control: &EndpointControl| match control {
+        EndpointControl::Engine(engine) => engine.load().map_or(0, |load| load.running),
+        EndpointControl::Plain(_) => 0,
+    };
+    let engines = fleet
+        .endpoints
+        .iter_mut()
+        .filter(|endpoint| matches!(endpoint.control, EndpointControl::Engine(_)));
+    if let Some(busiest) = engines.max_by_key(|endpoint| running(&endpoint.control)) {
+        busiest.kill();
+    }
+}
+
+/// A long stream, and a request that comes while its entry drains.
+struct DrainTally {
+    stream: StreamTally,
+    refused: StreamTally,
+}
+
+async fn drain_under_stream(fleet: &mut RunningFleet) -> Result<DrainTally> {
+    const TOKENS: u32 = 150;
+    let (stream_caller, late_caller) = (caller("ordering-portal")?, caller("proof-checkers")?);
+    let Some(entry) = fleet.entries.last_mut() else {
+        return Err(start_error("the drain")("no entry"));
+    };
+    let address = entry.address;
+    let stream =
+        tokio::spawn(async move { stream_caller.stream(address, "a long text", TOKENS).await });
+    sleep(Duration::from_millis(500)).await;
+    let late = async {
+        sleep(Duration::from_millis(300)).await;
+        late_caller.stream(address, "too late", 1).await
+    };
+    let (drained, late) = tokio::join!(entry.drain(), late);
+    drained?;
+    let mut tally = DrainTally { stream: StreamTally::default(), refused: StreamTally::default() };
+    let end = stream.await.map_err(start_error("the long stream"))?;
+    tally.stream.add("a long text", TOKENS, end);
+    tally.refused.add("too late", 1, late);
+    Ok(tally)
+}
+
+fn report_spread(
+    report: &mut DemoReport,
+    fleet: &RunningFleet,
+    version: ContentDigest,
+    time: Duration,
+) {
+    let origin = fleet.platform.origin.control().counts();
+    let live = live_versions(fleet);
+    let count = live.iter().filter(|live| **live == Some(version)).count();
+    let copies = origin.bytes_served as f64 / (2 * MODEL_BYTES) as f64;
+    report
+        .fact("second version live on every engine after", format!("{:.2} s", time.as_secs_f64()));
+    report.fact("copies drawn from the origin per version", format!("{copies:.2}"));
+    let counts = format!("{count} of {} engines run the selected version", live.len());
+    report.check("the new version is live everywhere", counts, count == live.len());
+    let counts = format!("{copies:.2} copies, 4 allowed");
+    report.check("few copies leave the origin", counts, copies <= 4.0);
+}
+
+fn report_streams(report: &mut DemoReport, streams: &StreamTally) {
+    report.fact("completions served while spreading", streams.whole);
+    report.fact("versions that answered", streams.versions.len());
+    report.fact("completions refused as not run", streams.refused);
+    report.fact("completions ended by an explicit error", streams.errors);
+    for example in &streams.examples {
+        report.fact("example", example);
+    }
+    let counts =
+        format!("{} of {} are exactly one version's tokens", streams.whole, streams.total());
+    report.check("no mixed, partial or crossed answer", counts, streams.wrong == 0);
+    let counts = format!("{} without end marker or error", streams.broken);
+    report.check("no answer ends silently", counts, streams.broken == 0 && streams.whole > 0);
+    let lost = streams.errors + streams.refused;
+    let counts = format!("{lost} of {} lost to the kill", streams.total());
+    report.check("contracted callers get complete answers", counts, lost == 0);
+}
+
+fn report_bookings(report: &mut DemoReport, fleet: &RunningFleet, bookings: &BookingTally) {
+    let mut runs: Vec<u64> = Vec::new();
+    for endpoint in &fleet.endpoints {
+        if let EndpointControl::Plain(service) = &endpoint.control {
+            runs.extend(service.counts().by_key.values());
+        }
+    }
+    let executions: u64 = runs.iter().sum();
+    report.fact("press runs booked", bookings.keys);
+    report.fact("booking requests, resends included", bookings.requests);
+    report.fact("executions counted by the services", executions);
+    for example in bookings.examples.iter().take(3) {
+        report.fact("example", example);
+    }
+    let twice = runs.iter().filter(|count| **count > 1).count();
+    let exact = executions == bookings.keys && twice == 0;
+    let counts = format!("{executions} executions of {} keys, {twice} twice", bookings.keys);
+    report.check("each booking runs exactly once", counts, exact);
+    let counts = format!("{} of {} keys", bookings.agreed, bookings.keys);
+    report.check("resends get the recorded answer", counts, bookings.agreed == bookings.keys);
+}
+
+fn report_drain(report: &mut DemoReport, drained: &DrainTally) {
+    let counts = format!("{} of 1 long stream", drained.stream.whole);
+    report.check("a drain cuts off nothing", counts, drained.stream.whole == 1);
+    let counts = format!("{} of 1 refused with not_run true", drained.refused.refused);
+    report.check("a draining entry refuses truthfully", counts, drained.refused.refused == 1);
+}
+
+async fn hold(fleet: &RunningFleet, progress: &impl Fn(&str)) -> Result<()> {
+    let mut signal = TerminationSignal::install().map_err(start_error("signals"))?;
+    for entry in &fleet.entries {
+        progress(&format!("entry {} http://{}\n", entry.name, entry.address));
+    }
+    progress(&format!("log http://{}\n", fleet.platform.log.address()));
+    progress(&format!("origin http://{}\n", fleet.platform.origin.address()));
+    progress(&format!("API key of ordering-portal: {}\n", api_key("ordering-portal")));
+    progress(&format!("API key of press-desk: {}\n", api_key("press-desk")));
+    progress("running until SIGTERM or Ctrl-C\n");
+    signal.wait().await;
+    Ok(())
+}
--- a/crates/celeryshed_measure/src/lib.rs
+++ b/crates/celeryshed_measure/src/lib.rs
@@ -1,6 +1,7 @@
 //! Experiments and the demo.
 
 pub mod demo;
+pub mod fleet;
 pub mod scarcity;
 pub mod slopes;
 pub mod spread;
