--- a/crates/celeryshed_observe/src/logging.rs
+++ b/crates/celeryshed_observe/src/logging.rs
@@ -8,7 +8,7 @@
 /// Time, level and module, then the event's own fields.
 const LINE_PATTERN: &str = "ts={d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} level={l} module={M} {m}{n}";
 
-/// Libraries that log at info level for each request.
+/// Libraries that log each launch or request in their own format; only their errors are kept.
 const QUIET_LIBRARIES: [&str; 4] = ["rocket", "hyper", "reqwest", "_"];
 
 /// The logger could not be installed.
@@ -34,7 +34,7 @@
     let encoder = Box::new(PatternEncoder::new(LINE_PATTERN));
     let console = ConsoleAppender::builder().target(Target::Stderr).encoder(encoder).build();
     let appender = Appender::builder().build("stderr", Box::new(console));
-    let loggers = QUIET_LIBRARIES.map(|name| Logger::builder().build(name, LevelFilter::Warn));
+    let loggers = QUIET_LIBRARIES.map(|name| Logger::builder().build(name, LevelFilter::Error));
     let root = Root::builder().appender("stderr").build(level);
     let config = log4rs::Config::builder().appender(appender).loggers(loggers).build(root)?;
     log4rs::init_config(config)?;
--- a/crates/celeryshed_server/src/launch.rs
+++ b/crates/celeryshed_server/src/launch.rs
@@ -10,6 +10,8 @@
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 
+use crate::problems::problem_catchers;
+
 /// Seconds for which an idle connection is kept. Clients of the system drop idle connections
 /// earlier, so that a request never meets a connection that the server is closing.
 const KEEP_ALIVE_S: u32 = 75;
@@ -99,6 +101,7 @@
     let (sentinel, closed) = oneshot::channel();
     let rocket = rocket
         .configure(server_config(&options))
+        .register("/", problem_catchers())
         .attach(report_liftoff(ready_sender))
         .manage(ConnectionSentinel(sentinel));
     let ignited =
--- a/crates/celeryshed_server/src/lib.rs
+++ b/crates/celeryshed_server/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod health;
 mod launch;
+mod problems;
 mod signals;
 
 pub use health::{HealthProbe, ReadyState, health_routes};
--- a/crates/celeryshed_server/tests/launch.rs
+++ b/crates/celeryshed_server/tests/launch.rs
@@ -53,6 +53,20 @@
     running.stop().await;
 }
 
+/// Clients that only read JSON must find a cause and a truthful `not_run` on unknown paths too.
+#[tokio::test]
+async fn unknown_paths_are_problems() {
+    let running = launch_server(options("127.0.0.1:0"), server()).await.expect("launch");
+    let url = format!("http://{}/nothing%22here", running.address());
+    let reply = reqwest::get(url).await.expect("a reply");
+    assert_eq!(reply.status().as_u16(), 404);
+    assert_eq!(reply.headers()["content-type"], "application/problem+json");
+    let problem: rocket::serde::json::Value = reply.json().await.expect("JSON");
+    assert_eq!(problem["not_run"], true);
+    assert_eq!(problem["detail"], "GET /nothing%22here ended with status 404");
+    running.stop().await;
+}
+
 #[tokio::test]
 async fn an_occupied_port_is_a_clear_error() {
     let running = launch_server(options("127.0.0.1:0"), server()).await.expect("launch");
--- a/crates/celeryshed_side/src/weights/engine.rs
+++ b/crates/celeryshed_side/src/weights/engine.rs
@@ -6,6 +6,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use celeryshed_base::{ContentDigest, FenceNumber, common_derives};
+use celeryshed_wire::MANIFEST_CHUNK_INDEX;
 use tokio::sync::watch;
 use tokio::time::{MissedTickBehavior, interval};
 
@@ -61,6 +62,8 @@
     pub struct CompleteVersion {
         /// Digest of its manifest.
         pub manifest: ContentDigest,
+        /// The manifest itself.
+        pub manifest_content: Bytes,
         /// The chunks, in order.
         pub chunks: Vec<Bytes>,
     }
@@ -72,7 +75,7 @@
     /// The engine's state.
     async fn state(&self) -> Result<EngineState>;
 
-    /// Gives the engine one chunk of a version.
+    /// Gives the engine one chunk of a version, or its manifest as [`MANIFEST_CHUNK_INDEX`].
     async fn put_chunk(&self, manifest: &ContentDigest, index: u32, content: Bytes) -> Result<()>;
 
     /// Commands the engine to serve a version whose `chunks` chunks were put.
@@ -125,8 +128,10 @@
         if before.live == Some(target.manifest) {
             return Ok(());
         }
-        for (index, chunk) in target.chunks.iter().enumerate() {
-            self.loader.put_chunk(&target.manifest, index as u32, chunk.clone()).await?;
+        let manifest = (MANIFEST_CHUNK_INDEX, &target.manifest_content);
+        let chunks = (0u32..).zip(&target.chunks);
+        for (index, content) in std::iter::once(manifest).chain(chunks) {
+            self.loader.put_chunk(&target.manifest, index, content.clone()).await?;
             if self.target.has_changed().unwrap_or(true) {
                 return Ok(());
             }
--- a/crates/celeryshed_side/src/weights/task.rs
+++ b/crates/celeryshed_side/src/weights/task.rs
@@ -346,11 +346,13 @@
             return;
         }
         let contents = chunks.iter().map(|chunk| self.contents.get(&chunk.digest).cloned());
-        match contents.collect::<Option<Vec<_>>>() {
-            Some(chunks) => {
-                self.target.send_replace(Some(Arc::new(CompleteVersion { manifest, chunks })));
+        let chunks: Option<Vec<_>> = contents.collect();
+        match (self.contents.get(&manifest).cloned(), chunks) {
+            (Some(manifest_content), Some(chunks)) => {
+                let version = CompleteVersion { manifest, manifest_content, chunks };
+                self.target.send_replace(Some(Arc::new(version)));
             }
-            None => log::error!("event=version_incomplete manifest={manifest}"),
+            _ => log::error!("event=version_incomplete manifest={manifest}"),
         }
     }
 }
--- a/crates/celeryshed_side/src/weights/tests/cases.rs
+++ b/crates/celeryshed_side/src/weights/tests/cases.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use celeryshed_base::{ByteCount, ContentDigest};
 use celeryshed_core::configuration::ModelVersion;
+use celeryshed_wire::MANIFEST_CHUNK_INDEX;
 use tokio::time::sleep;
 
 use super::fakes::{CHUNK_BYTES, FakeFleet, SenderFault, contents, instance, member};
@@ -25,7 +26,10 @@
     let wrong = fleet.sides.iter().filter(|side| {
         let chunks = side.engine.chunks.lock().unwrap();
         let mut own = chunks.iter().filter(|((digest, _), _)| digest == manifest);
-        own.any(|((_, index), content)| expected[*index as usize] != *content)
+        own.any(|((_, index), content)| match *index {
+            MANIFEST_CHUNK_INDEX => ContentDigest::of(content) != *manifest,
+            index => expected[index as usize] != *content,
+        })
     });
     wrong.count()
 }
