--- a/crates/celeryshed_observe/src/logging.rs
+++ b/crates/celeryshed_observe/src/logging.rs
@@ -5,8 +5,8 @@
 use log4rs::config::{Appender, Logger, Root};
 use log4rs::encode::pattern::PatternEncoder;
 
-/// Time, level and module, then the event's own fields.
-const LINE_PATTERN: &str = "ts={d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} level={l} module={M} {m}{n}";
+/// Time and level, then the event's own fields.
+const LINE_PATTERN: &str = "ts={d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} level={l} {m}{n}";
 
 /// Libraries that log each launch or request in their own format; only their errors are kept.
 const QUIET_LIBRARIES: [&str; 4] = ["rocket", "hyper", "reqwest", "_"];
