--- a/crates/celeryshed_core/src/booking/fold.rs
+++ b/crates/celeryshed_core/src/booking/fold.rs
@@ -154,6 +154,9 @@
             Some(FoldRecord::Outcome(claim_id, outcome)) => {
                 self.settle_claim(*claim_id, *outcome, stamped);
             }
+            Some(FoldRecord::Fenced(booking)) => {
+                self.touch(*booking, stamped.appended_at).fence = Some(stamped.offset);
+            }
             None => {}
         }
     }
--- a/crates/celeryshed_core/src/booking/procedure/event.rs
+++ b/crates/celeryshed_core/src/booking/procedure/event.rs
@@ -53,6 +53,9 @@
         pub began: MonoTime,
         /// Time at the log.
         pub log_now: UnixMillis,
+        /// Offset that the partition had been read to when the request arrived. A record at this
+        /// offset or above may have been appended after the arrival.
+        pub arrival: LogOffset,
         /// Whether the fold holds every claim that the key can have.
         pub covered: bool,
         /// The claims.
--- a/crates/celeryshed_core/src/booking/procedure/mod.rs
+++ b/crates/celeryshed_core/src/booking/procedure/mod.rs
@@ -18,7 +18,9 @@
     LogSight, ProcedureOptions, SealResult, SideTarget,
 };
 
-use self::state::{AppendProgress, DispatchProgress, OwnClaim, SealProgress, SealWord};
+use self::state::{
+    AppendProgress, DispatchProgress, FenceProgress, OwnClaim, SealProgress, SealWord,
+};
 use super::key::KeyWindow;
 use super::record::{ClaimDetails, ClaimSight, ClaimState, ClaimTerms, FoldRecord};
 use super::verdict::RefusalReason;
@@ -74,6 +76,7 @@
     claims_made: u32,
     avoided: BTreeSet<InstanceName>,
     refusal: Option<RefusalReason>,
+    fence: Option<FenceProgress>,
     reading_answer: bool,
     read_answer_at: MonoTime,
     wake: MonoTime,
@@ -95,6 +98,7 @@
             claims_made: 0,
             avoided: BTreeSet::new(),
             refusal: None,
+            fence: None,
             reading_answer: false,
             read_answer_at: now,
             wake: request.deadline.min(now + options.log_wait),
@@ -151,6 +155,9 @@
         if let Some(seal) = &mut self.seal {
             seal.append.note_missing(sight.began);
         }
+        if let Some(fence) = &mut self.fence {
+            fence.append.note_missing(sight.began);
+        }
         self.sight = Some(sight);
     }
 
@@ -189,6 +196,11 @@
                     seal.append.end(result, now, retry_at);
                 }
             }
+            FoldRecord::Fenced(_) => {
+                if let Some(fence) = &mut self.fence {
+                    fence.append.end(result, now, retry_at);
+                }
+            }
             FoldRecord::Outcome(..) => {}
         }
     }
@@ -242,7 +254,7 @@
 
     fn serve(&mut self, now: MonoTime) {
         if now >= self.request.deadline {
-            return self.refuse(RefusalReason::DeadlinePassed, now);
+            return self.refuse(RefusalReason::DeadlinePassed);
         }
         let Some(sight) = self.sight.clone().filter(|sight| sight.began >= self.started) else {
             return self.await_log(self.started, now);
@@ -251,14 +263,17 @@
             return self.serve_outcome(claim, now);
         }
         if let Some(reason) = self.key_refusal(&sight, now) {
-            return self.refuse(reason, now);
+            return self.refuse_for_key(reason, &sight, now);
         }
         match sight.standing.in_force() {
             Some(claim) if self.is_own(claim.claim_id) => self.serve_own(claim, &sight, now),
             Some(claim) if claim.terms.body_digest != self.request.identity.body_digest => {
-                self.refuse(RefusalReason::BodyMismatch, now);
+                self.refuse(RefusalReason::BodyMismatch);
+            }
+            Some(claim) => {
+                self.renew_fence(&sight, now);
+                self.seek_seal(claim, self.first_ask(claim, &sight, now), now);
             }
-            Some(claim) => self.seek_seal(claim, self.first_ask(claim, &sight, now), now),
             None => self.serve_vacant(&sight, now),
         }
     }
@@ -267,7 +282,7 @@
     fn await_log(&mut self, since: MonoTime, now: MonoTime) {
         let limit = since + self.options.log_wait;
         if now >= limit {
-            return self.refuse(RefusalReason::LogUnreadable, now);
+            return self.refuse(RefusalReason::LogUnreadable);
         }
         self.wake_by(limit);
     }
@@ -305,6 +320,9 @@
     fn serve_own(&mut self, claim: &ClaimSight, sight: &LogSight, now: MonoTime) {
         let Some(own) = &mut self.own else { return };
         match own.dispatch {
+            DispatchProgress::Unsent if is_fenced(sight) => {
+                self.refuse(RefusalReason::Superseded);
+            }
             DispatchProgress::Unsent => {
                 own.dispatch = DispatchProgress::InFlight;
                 let side = own.side.clone();
@@ -354,7 +372,7 @@
         let silent = seal.silent_since.map(|since| now - since);
         match seal.word {
             SealWord::Open if silent.is_some_and(|silent| silent >= self.options.side_wait) => {
-                return self.refuse(RefusalReason::OutcomeUnknown, now);
+                return self.refuse(RefusalReason::OutcomeUnknown);
             }
             SealWord::Open if seal.asking => {}
             SealWord::Open if now < seal.ask_at => self.wake_by(seal.ask_at),
@@ -373,7 +391,7 @@
             SealWord::Lost(learned) => {
                 let reread = self.sight.as_ref().is_some_and(|sight| sight.began >= learned);
                 if reread {
-                    return self.refuse(RefusalReason::OutcomeUnknown, now);
+                    return self.refuse(RefusalReason::OutcomeUnknown);
                 }
                 self.await_log(learned, now);
             }
@@ -403,9 +421,45 @@
         if self.phase != ProcedurePhase::Serving {
             return;
         }
+        if self.fence.is_some() {
+            return self.serve_fence(sight, now);
+        }
+        if is_fenced(sight) {
+            return self.refuse(RefusalReason::Superseded);
+        }
         match &self.own {
             Some(_) => self.send_claim(now),
-            None => self.choose_side(now),
+            None => self.choose_side(sight, now),
+        }
+    }
+
+    /// A claim came into force after the fence: its request arrived later and needs a new fence.
+    fn renew_fence(&mut self, sight: &LogSight, now: MonoTime) {
+        let fence = self.fence.as_mut().filter(|fence| sight.standing.fence > fence.floor);
+        if let Some(fence) = fence {
+            let floor = sight.standing.fence;
+            *fence = FenceProgress { append: AppendProgress::Due(now), floor };
+        }
+    }
+
+    /// Refuses the booking as not run once the log shows a fence and, after it, no claim in force.
+    ///
+    /// The fence keeps requests that are already in progress elsewhere from running the booking
+    /// after the caller was told that it was not run.
+    fn serve_fence(&mut self, sight: &LogSight, now: MonoTime) {
+        let Some(fence) = &mut self.fence else { return };
+        if sight.standing.fence > fence.floor {
+            let reason = self.refusal.clone().unwrap_or(RefusalReason::NoEndpoint);
+            return self.refuse_absent(reason, sight, now);
+        }
+        match fence.append {
+            AppendProgress::Due(due) if now < due => self.wake_by(due),
+            AppendProgress::Due(_) => {
+                fence.append = AppendProgress::InFlight;
+                let record = FoldRecord::Fenced(self.request.identity.booking);
+                self.actions.push(ClaimAction::Append(record));
+            }
+            AppendProgress::InFlight | AppendProgress::Ended(_) => {}
         }
     }
 
@@ -428,7 +482,7 @@
         self.actions.push(ClaimAction::Append(FoldRecord::Claim(details)));
     }
 
-    fn choose_side(&mut self, now: MonoTime) {
+    fn choose_side(&mut self, sight: &LogSight, now: MonoTime) {
         let exhausted = self.claims_made >= self.options.max_claims;
         match self.choice {
             SideChoice::Asked => {}
@@ -438,8 +492,9 @@
                 self.actions.push(ClaimAction::ChooseSide { avoid });
             }
             SideChoice::Open | SideChoice::Unavailable => {
-                let reason = self.refusal.clone().unwrap_or(RefusalReason::NoEndpoint);
-                self.refuse(reason, now);
+                let floor = sight.standing.fence;
+                self.fence = Some(FenceProgress { append: AppendProgress::Due(now), floor });
+                self.serve_fence(sight, now);
             }
         }
     }
@@ -485,6 +540,11 @@
     }
 }
 
+/// Whether another request was told "not run" after this one arrived.
+fn is_fenced(sight: &LogSight) -> bool {
+    sight.standing.fence.is_some_and(|fence| fence >= sight.arrival)
+}
+
 /// The time at the log, rounded up by the duration of the read.
 fn log_time(sight: &LogSight, now: MonoTime) -> UnixMillis {
     UnixMillis(sight.log_now.0 + (now - sight.began).as_millis() as u64)
--- a/crates/celeryshed_core/src/booking/procedure/reply.rs
+++ b/crates/celeryshed_core/src/booking/procedure/reply.rs
@@ -3,7 +3,7 @@
 use celeryshed_base::MonoTime;
 
 use super::event::{ClaimAction, LogSight};
-use super::state::{DispatchProgress, SealWord};
+use super::state::DispatchProgress;
 use super::{ClaimProcedure, ProcedurePhase};
 use crate::booking::key::KeyWindow;
 use crate::booking::record::{ClaimSight, ClaimState, OutcomeKind};
@@ -14,7 +14,7 @@
     pub(super) fn serve_outcome(&mut self, claim: &ClaimSight, now: MonoTime) {
         let ClaimState::Settled { outcome, offset } = claim.state else { return };
         if claim.terms.body_digest != self.request.identity.body_digest {
-            return self.refuse(RefusalReason::BodyMismatch, now);
+            return self.refuse(RefusalReason::BodyMismatch);
         }
         let answer_coming = self.is_own(claim.claim_id)
             && self.own.as_ref().is_some_and(|own| own.dispatch == DispatchProgress::InFlight);
@@ -24,9 +24,9 @@
         match outcome {
             OutcomeKind::Answer => self.read_answer(offset, now),
             OutcomeKind::AnswerNotKept { status, size } => {
-                self.refuse(RefusalReason::AnswerNotKept { status, size }, now);
+                self.refuse(RefusalReason::AnswerNotKept { status, size });
             }
-            OutcomeKind::Unknown => self.refuse(RefusalReason::OutcomeUnknown, now),
+            OutcomeKind::Unknown => self.refuse(RefusalReason::OutcomeUnknown),
         }
     }
 
@@ -47,8 +47,9 @@
         self.reply(BookingResult::Answer { answer, replayed });
     }
 
-    pub(super) fn refuse(&mut self, reason: RefusalReason, now: MonoTime) {
-        let verdict = self.verdict(now);
+    /// Refuses without proof that the booking was not run.
+    pub(super) fn refuse(&mut self, reason: RefusalReason) {
+        let verdict = self.recorded_verdict();
         let reason = match reason {
             RefusalReason::DeadlinePassed if verdict == RunVerdict::Ran => {
                 RefusalReason::AnswerUnreadable
@@ -58,35 +59,44 @@
         self.reply(BookingResult::Refused { reason, verdict });
     }
 
-    fn reply(&mut self, result: BookingResult<A>) {
-        if self.phase != ProcedurePhase::Serving {
-            return;
+    /// Refuses for the key's age. No entry claims a key from the future, which proves "not run"
+    /// without a fence.
+    pub(super) fn refuse_for_key(
+        &mut self,
+        reason: RefusalReason,
+        sight: &LogSight,
+        now: MonoTime,
+    ) {
+        match reason {
+            RefusalReason::KeyInFuture => self.refuse_absent(reason, sight, now),
+            _ => self.refuse(reason),
         }
-        self.phase = ProcedurePhase::Closing;
-        self.actions.push(ClaimAction::Reply(result));
     }
 
-    /// Whether the booking was run, as far as the knowledge at `now` proves it.
-    fn verdict(&self, now: MonoTime) -> RunVerdict {
-        let Some(sight) = &self.sight else { return RunVerdict::Unknown };
-        if let Some(claim) = sight.standing.settled() {
-            return settled_verdict(claim.state);
+    /// Refuses as not run, if the last read to the end is recent enough to prove it.
+    pub(super) fn refuse_absent(&mut self, reason: RefusalReason, sight: &LogSight, now: MonoTime) {
+        let recent = now - sight.began <= self.options.freshness;
+        if !recent {
+            return self.await_log(sight.began, now);
         }
-        if self.proves_absence(sight, now) { RunVerdict::NotRun } else { RunVerdict::Unknown }
+        let whole = sight.covered && self.key_window(sight, now) != KeyWindow::Expired;
+        let absent = whole && !sight.standing.is_taken();
+        let verdict = if absent { RunVerdict::NotRun } else { RunVerdict::Unknown };
+        self.reply(BookingResult::Refused { reason, verdict });
     }
 
-    fn proves_absence(&self, sight: &LogSight, now: MonoTime) -> bool {
-        let recent = sight.began >= self.started && now - sight.began <= self.options.freshness;
-        let whole = sight.covered && self.key_window(sight, now) != KeyWindow::Expired;
-        recent && whole && sight.standing.in_force().is_none_or(|claim| self.never_runs(claim))
+    fn reply(&mut self, result: BookingResult<A>) {
+        if self.phase != ProcedurePhase::Serving {
+            return;
+        }
+        self.phase = ProcedurePhase::Closing;
+        self.actions.push(ClaimAction::Reply(result));
     }
 
-    /// Whether the claim in force was not run and, once this procedure has replied, never will be.
-    fn never_runs(&self, claim: &ClaimSight) -> bool {
-        let own = self.own.as_ref().filter(|own| own.claim_id == claim.claim_id);
-        let harmless = own.is_some_and(|own| own.is_harmless());
-        let seal = self.seal.filter(|seal| seal.claim_id == claim.claim_id);
-        harmless || seal.is_some_and(|seal| seal.word == SealWord::Sealed)
+    /// What a recorded outcome proves.
+    fn recorded_verdict(&self) -> RunVerdict {
+        let settled = self.sight.as_ref().and_then(|sight| sight.standing.settled());
+        settled.map_or(RunVerdict::Unknown, |claim| settled_verdict(claim.state))
     }
 }
 
--- a/crates/celeryshed_core/src/booking/procedure/state.rs
+++ b/crates/celeryshed_core/src/booking/procedure/state.rs
@@ -1,6 +1,6 @@
 //! State that a claim procedure keeps about its own claim and about the claim in force.
 
-use celeryshed_base::{ClaimId, MonoTime, common_derives};
+use celeryshed_base::{ClaimId, LogOffset, MonoTime, common_derives};
 
 use super::event::{AppendResult, SideTarget};
 
@@ -37,6 +37,14 @@
         pub(super) release: AppendProgress,
     }
 
+    /// Progress of the fence before a reply of "not run".
+    #[derive(Copy)]
+    pub(super) struct FenceProgress {
+        pub(super) append: AppendProgress,
+        /// The latest fence when the refusal began; a later one confirms it.
+        pub(super) floor: Option<LogOffset>,
+    }
+
     /// What the sidecar said about the claim in force.
     #[derive(Copy)]
     pub(super) enum SealWord {
--- a/crates/celeryshed_core/src/booking/record.rs
+++ b/crates/celeryshed_core/src/booking/record.rs
@@ -15,6 +15,9 @@
         Released(ClaimId),
         /// The claim was run.
         Outcome(ClaimId, OutcomeKind),
+        /// A caller is about to be told that the booking was not run: requests that arrived before
+        /// this record don't run it any more.
+        Fenced(ContentDigest),
     }
 
     /// A claim as its claimant writes it.
@@ -90,6 +93,8 @@
     /// All claims of a booking in offset order.
     #[derive(Default)]
     pub struct BookingStanding {
+        /// Offset of the latest fence.
+        pub fence: Option<LogOffset>,
         /// The claims.
         pub claims: Vec<ClaimSight>,
     }
--- a/crates/celeryshed_core/src/booking/verdict.rs
+++ b/crates/celeryshed_core/src/booking/verdict.rs
@@ -53,6 +53,8 @@
             /// Its reason.
             detail: String,
         },
+        /// Another request of the key was told "not run" after this one arrived.
+        Superseded,
         /// The deadline passed.
         DeadlinePassed,
         /// The booking may have run; its answer is lost.
--- a/crates/celeryshed_entry/src/bookings/partition.rs
+++ b/crates/celeryshed_entry/src/bookings/partition.rs
@@ -40,6 +40,7 @@
 
 struct BookingWatcher {
     identity: BookingIdentity,
+    arrival: LogOffset,
     sights: watch::Sender<Option<LogSight>>,
 }
 
@@ -157,7 +158,8 @@
     fn take(&mut self, command: PartitionCommand) {
         match command {
             PartitionCommand::Watch { identity, sights } => {
-                self.watchers.push(BookingWatcher { identity, sights });
+                let arrival = self.fold.next_offset();
+                self.watchers.push(BookingWatcher { identity, arrival, sights });
                 self.read_due = Instant::now();
             }
             PartitionCommand::Append { record, reply } => {
@@ -202,6 +204,7 @@
             let sight = LogSight {
                 began,
                 log_now: reply.now,
+                arrival: watcher.arrival,
                 covered: self.fold.covers(identity.key.issued_at()),
                 standing: self.fold.standing(&identity.booking),
             };
--- a/crates/celeryshed_entry/src/bookings/problem.rs
+++ b/crates/celeryshed_entry/src/bookings/problem.rs
@@ -105,6 +105,9 @@
         RefusalReason::EndpointRefused { .. } => {
             ProblemShape("endpoint-refused", "endpoints refused the booking", 503, true)
         }
+        RefusalReason::Superseded => {
+            ProblemShape("superseded", "another request of this key was refused", 409, true)
+        }
         RefusalReason::DeadlinePassed => {
             ProblemShape("deadline-passed", "deadline passed", 504, true)
         }
@@ -130,6 +133,7 @@
         RefusalReason::LogUnreadable => "resend with the same key; it runs at most once",
         RefusalReason::WindowIncomplete => "use a key created from now on, or ask an operator",
         RefusalReason::NoEndpoint => "resend with the same key; it runs at most once",
+        RefusalReason::Superseded => "resend with the same key; it runs at most once",
         RefusalReason::DeadlinePassed => "resend with the same key; it runs at most once",
         RefusalReason::OutcomeUnknown => "it won't be run again under this key",
         RefusalReason::AnswerUnreadable => "resend with the same key to get the recorded answer",
--- a/crates/celeryshed_wire/src/claim_convert.rs
+++ b/crates/celeryshed_wire/src/claim_convert.rs
@@ -46,6 +46,7 @@
             ClaimRecord::Outcome { claim_id, outcome } => {
                 Self::Outcome(claim_id, OutcomeKind::from(&outcome))
             }
+            ClaimRecord::Fenced { booking } => Self::Fenced(booking),
         }
     }
 }
@@ -70,6 +71,7 @@
             FoldRecord::Outcome(claim_id, OutcomeKind::Unknown) => {
                 Self::Outcome { claim_id, outcome: ClaimOutcome::Unknown }
             }
+            FoldRecord::Fenced(booking) => Self::Fenced { booking },
             FoldRecord::Outcome(_, OutcomeKind::Answer) => return Err(AnswerMissing),
         })
     }
--- a/crates/celeryshed_wire/src/claims.rs
+++ b/crates/celeryshed_wire/src/claims.rs
@@ -37,6 +37,12 @@
             /// With what result.
             outcome: ClaimOutcome,
         },
+        /// A caller is about to be told that the booking was not run: requests that arrived before
+        /// this record don't run it any more.
+        Fenced {
+            /// Digest of customer and idempotency key.
+            booking: ContentDigest,
+        },
     }
 
     /// Result of a claim that was dispatched.
