--- a/crates/celeryshed_wire/src/lib.rs
+++ b/crates/celeryshed_wire/src/lib.rs
@@ -13,6 +13,7 @@
 mod configuration_convert;
 mod crashes;
 mod engines;
+mod fences;
 mod membership_convert;
 mod peers;
 mod platform;
@@ -35,9 +36,11 @@
 };
 pub use crashes::CrashNotice;
 pub use engines::{
-    CompletionChunk, EngineCommand, EngineCommandKind, EngineCommandReply, EngineEvent, EngineLoad,
-    EngineRequest,
+    CompletionChunk, EngineCommand, EngineCommandFailure, EngineCommandKind, EngineCommandReply,
+    EngineEvent, EngineLoad, EngineRequest, MANIFEST_CHUNK_INDEX, PREFIX_BLOCK_BYTES,
+    prefix_hashes,
 };
+pub use fences::FenceRegistration;
 pub use peers::{BurnCount, BurnReply, ConfigurationReply, ProcessStatus, RevisionExchange};
 pub use platform::{
     AppendReply, AppendRequest, InstanceRole, InstanceState, ListReply, ListedInstance, LogEntry,
