--- a/crates/celeryshed_cli/src/args.rs
+++ b/crates/celeryshed_cli/src/args.rs
@@ -173,6 +173,9 @@
     /// Base URL of the platform's log.
     #[arg(long, value_name = "URL")]
     pub log_url: String,
+    /// Longest time for one change, in seconds.
+    #[arg(long, default_value_t = 30, value_parser = clap::value_parser!(u64).range(1..=3600))]
+    pub timeout_s: u64,
 }
 
 fn model_name(value: &str) -> Result<ModelName, NameError> {
--- a/crates/celeryshed_cli/src/commands/contract.rs
+++ b/crates/celeryshed_cli/src/commands/contract.rs
@@ -4,6 +4,7 @@
 use std::io::Read;
 use std::path::Path;
 use std::sync::Arc;
+use std::time::Duration;
 
 use celeryshed_base::ContentDigest;
 use celeryshed_core::configuration::{
@@ -22,7 +23,9 @@
 pub(crate) fn publisher(log: &LogArgs) -> Result<ConfigurationPublisher> {
     let client = HttpLog::try_new(&log.log_url, HttpTimeouts::for_calls());
     let client = client.wrap_err("--log-url is not accepted")?;
-    Ok(ConfigurationPublisher::new(Arc::new(client), PublishOptions::default()))
+    let deadline = Duration::from_secs(log.timeout_s);
+    let options = PublishOptions { deadline, ..PublishOptions::default() };
+    Ok(ConfigurationPublisher::new(Arc::new(client), options))
 }
 
 /// Publishes the changes of a file; the first refused one ends the command.
--- a/crates/celeryshed_settings/src/entry_settings.rs
+++ b/crates/celeryshed_settings/src/entry_settings.rs
@@ -9,6 +9,9 @@
 use crate::reader::SettingsReader;
 use crate::shared::{InstanceSettings, PlatformSettings};
 
+/// Keys may be this far in the future, so a claim can be that much older than its key.
+const KEY_FUTURE_ALLOWANCE: Duration = Duration::from_secs(60);
+
 common_derives! { value:
     /// Checked settings of an entry.
     pub struct EntrySettings {
@@ -62,9 +65,9 @@
         let max_request = serving.seconds("max_request_s", 1..=86_400, 600);
         let queue_limit = serving.integer("queue_limit", 0..=100_000, 256) as u32;
         drop(serving);
-        if booking_window >= log_retention {
+        if booking_window + KEY_FUTURE_ALLOWANCE > log_retention {
             let value = booking_window.as_secs().to_string();
-            let accepted = "less than log_retention_s of section [configuration]";
+            let accepted = "at least 60 below log_retention_s of section [configuration]";
             reader.fault("bookings", "window_s", Some(&value), accepted);
         }
         reader.finish()?;
--- a/crates/celeryshed_settings/tests/settings_faults.rs
+++ b/crates/celeryshed_settings/tests/settings_faults.rs
@@ -38,9 +38,9 @@
              0-9, '-', '_' and '.'",
         ),
         (
-            format!("{ENTRY}[bookings]\nwindow_s = 90000\n"),
-            "entry.ini: section [bookings], key window_s: \"90000\" is not accepted; accepted: \
-             less than log_retention_s of section [configuration]",
+            format!("{ENTRY}[bookings]\nwindow_s = 86341\n"),
+            "entry.ini: section [bookings], key window_s: \"86341\" is not accepted; accepted: \
+             at least 60 below log_retention_s of section [configuration]",
         ),
         (
             format!("{ENTRY}[bookings]\nwindow = 5\n"),
