--- a/crates/celeryshed_cli/src/publish.rs
+++ b/crates/celeryshed_operate/src/publish.rs
@@ -76,7 +76,7 @@
 ///
 /// ```
 /// use celeryshed_base::ClockSource;
-/// use celeryshed_cli::publish::{ConfigurationPublisher, PublishOptions};
+/// use celeryshed_operate::publish::{ConfigurationPublisher, PublishOptions};
 /// use celeryshed_platform::fakes::FakeLog;
 /// use std::sync::Arc;
 /// let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap();
--- a/crates/celeryshed_wire/src/lib.rs
+++ b/crates/celeryshed_wire/src/lib.rs
@@ -6,12 +6,14 @@
 
 mod attempts;
 mod bookings;
+mod claim_convert;
 mod claims;
 mod codec;
 mod configuration;
 mod configuration_convert;
 mod crashes;
 mod engines;
+mod fences;
 mod membership_convert;
 mod peers;
 mod platform;
@@ -25,6 +27,7 @@
     ServiceAnswer,
 };
 pub use bookings::{BookingForward, BookingReply, SealReply, SealRequest};
+pub use claim_convert::AnswerMissing;
 pub use claims::{ClaimOutcome, ClaimRecord};
 pub use codec::{CodecError, FrameDecoder, MSGPACK, decode, encode, encode_frame};
 pub use configuration::{
@@ -33,9 +36,11 @@
 };
 pub use crashes::CrashNotice;
 pub use engines::{
-    CompletionChunk, EngineCommand, EngineCommandKind, EngineCommandReply, EngineEvent, EngineLoad,
-    EngineRequest,
+    CompletionChunk, EngineCommand, EngineCommandFailure, EngineCommandKind, EngineCommandReply,
+    EngineEvent, EngineLoad, EngineRequest, MANIFEST_CHUNK_INDEX, PREFIX_BLOCK_BYTES,
+    prefix_hashes,
 };
+pub use fences::FenceRegistration;
 pub use peers::{BurnCount, BurnReply, ConfigurationReply, ProcessStatus, RevisionExchange};
 pub use platform::{
     AppendReply, AppendRequest, InstanceRole, InstanceState, ListReply, ListedInstance, LogEntry,
