Count requests by route and status, and follow revisions and load as gauges

Cause: /metrics was empty; nothing recorded a metric. Paths as labels were ruled out: callers make them up, so the route is the label.

--- a/crates/celeryshed_core/src/membership/tests.rs
+++ b/crates/celeryshed_core/src/membership/tests.rs
@@ -79,6 +79,9 @@
     Some((member.state, member.incarnation.map(|incarnation| incarnation.0.as_u128())))
 }
 
+/// Name, events with their times, time of the look, and the expected state and incarnation.
+type TrackerCase = (&'static str, Vec<(f64, Event)>, f64, Option<(MemberState, Option<u128>)>);
+
 /// Guards against work for sidecars that leave, fell silent or were replaced, and against a
 /// replacement that stays unused because of what was heard of its predecessor.
 #[test]
@@ -86,7 +89,7 @@
     use Event::{Heard, Listed, Refused, Reported, Unlisted};
     use MemberState::{Leaving, Live, Silent};
     use ReportedState as Says;
-    let cases: Vec<(&str, Vec<(f64, Event)>, f64, Option<(MemberState, Option<u128>)>)> = vec![
+    let cases: Vec<TrackerCase> = vec![
         ("listed, never heard of", vec![(0.0, Listed(false))], 1.0, Some((Silent, None))),
         (
             "heard of, not listed yet",
--- a/crates/celeryshed_entry/src/role/launch.rs
+++ b/crates/celeryshed_entry/src/role/launch.rs
@@ -5,10 +5,12 @@
 use std::time::Duration;
 
 use celeryshed_base::{ClockSource, ProcessIncarnation};
+use celeryshed_core::membership::{MemberState, MemberView};
 use celeryshed_observe::{EventLine, MetricsRegistry};
 use celeryshed_platform::{HttpList, HttpLog, HttpTimeouts, LogClient};
 use celeryshed_server::{
-    HealthProbe, ReadyState, RunningServer, ServerOptions, health_routes, launch_server,
+    HealthProbe, ReadyState, RunningServer, ServerOptions, follow_gauge, health_routes,
+    launch_server,
 };
 use celeryshed_settings::EntrySettings;
 use celeryshed_wire::ProcessStatus;
@@ -73,6 +75,7 @@
             bookings: Arc::new(bookings.clone()),
         };
         let completions = completions::spawn(inputs).map_err(in_part("completions"))?;
+        spawn_gauges(settings, &configuration, &membership, &completions);
         let report = StatusReporter {
             settings: settings.clone(),
             incarnation,
@@ -120,6 +123,33 @@
     }
 }
 
+/// Keeps the entry's gauges current.
+fn spawn_gauges(
+    settings: &EntrySettings,
+    configuration: &ConfigurationHandle,
+    membership: &MembershipHandle,
+    completions: &CompletionsHandle,
+) {
+    let instance = settings.instance.name.to_string();
+    let (states, views, progress) =
+        (configuration.states(), membership.views(), completions.in_progress());
+    tokio::spawn(async move {
+        let live = |view: &Arc<MemberView>| {
+            let states = view.sides.values().filter(|side| side.state == MemberState::Live);
+            states.count() as f64
+        };
+        tokio::join!(
+            follow_gauge("celeryshed_configuration_revision", &instance, states, |state| {
+                state.as_ref().map_or(-1.0, |state| state.revision.0 as f64)
+            }),
+            follow_gauge("celeryshed_live_endpoints", &instance, views, live),
+            follow_gauge("celeryshed_requests_in_progress", &instance, progress, |count| {
+                f64::from(*count)
+            }),
+        );
+    });
+}
+
 fn http_client() -> Result<reqwest::Client> {
     let builder = reqwest::Client::builder().no_proxy().redirect(reqwest::redirect::Policy::none());
     let builder = builder.connect_timeout(CONNECT_TIMEOUT).pool_idle_timeout(POOL_IDLE);
--- a/crates/celeryshed_server/src/launch.rs
+++ b/crates/celeryshed_server/src/launch.rs
@@ -11,6 +11,7 @@
 use tokio::task::JoinHandle;
 
 use crate::problems::problem_catchers;
+use crate::traffic::TrafficMeter;
 
 /// Seconds for which an idle connection is kept. Clients of the system drop idle connections
 /// earlier, so that a request never meets a connection that the server is closing.
@@ -103,6 +104,7 @@
         .configure(server_config(&options))
         .register("/", problem_catchers())
         .attach(report_liftoff(ready_sender))
+        .attach(TrafficMeter)
         .manage(ConnectionSentinel(sentinel));
     let ignited =
         rocket.ignite().await.map_err(|error| failure(error.pretty_print().to_owned()))?;
--- a/crates/celeryshed_server/src/lib.rs
+++ b/crates/celeryshed_server/src/lib.rs
@@ -1,11 +1,14 @@
 //! What every HTTP server of the system shares: launch, shutdown, health and metrics routes,
 //! signals.
 
+mod gauges;
 mod health;
 mod launch;
 mod problems;
 mod signals;
+mod traffic;
 
+pub use gauges::follow_gauge;
 pub use health::{HealthProbe, ReadyState, health_routes};
 pub use launch::{RunningServer, ServerError, ServerOptions, launch_server};
 pub use signals::TerminationSignal;
--- a/crates/celeryshed_server/tests/launch.rs
+++ b/crates/celeryshed_server/tests/launch.rs
@@ -67,6 +67,23 @@
     running.stop().await;
 }
 
+/// Label values must not grow with the paths that callers make up.
+#[tokio::test]
+async fn requests_are_counted_by_route_and_status() {
+    let running = launch_server(options("127.0.0.1:0"), server()).await.expect("launch");
+    let base = format!("http://{}", running.address());
+    for path in ["/healthz", "/made/up/path"] {
+        reqwest::get(format!("{base}{path}")).await.expect("a reply");
+    }
+    let text = reqwest::get(format!("{base}/metrics")).await.expect("a reply").text().await;
+    let text = text.expect("text");
+    let counted = "celeryshed_http_requests_total{route=\"/healthz\",status=\"200\"}";
+    assert!(text.contains(counted), "{text}");
+    assert!(text.contains("celeryshed_http_requests_total{route=\"none\",status=\"404\"}"));
+    assert!(!text.contains("made"));
+    running.stop().await;
+}
+
 #[tokio::test]
 async fn an_occupied_port_is_a_clear_error() {
     let running = launch_server(options("127.0.0.1:0"), server()).await.expect("launch");
--- a/crates/celeryshed_side/src/role/launch.rs
+++ b/crates/celeryshed_side/src/role/launch.rs
@@ -12,7 +12,8 @@
 use celeryshed_observe::{EventLine, MetricsRegistry};
 use celeryshed_platform::{BlobClient, HttpBlobs, HttpList, HttpLog, HttpTimeouts, LogClient};
 use celeryshed_server::{
-    HealthProbe, ReadyState, RunningServer, ServerOptions, health_routes, launch_server,
+    HealthProbe, ReadyState, RunningServer, ServerOptions, follow_gauge, health_routes,
+    launch_server,
 };
 use celeryshed_settings::{SideSettings, WeightSettings, WeightWeighing};
 use celeryshed_wire::ProcessStatus;
@@ -73,12 +74,14 @@
             drain_watch.clone(),
             &claims,
         )?;
+        let live_gauge = live_version.clone();
         let sources = StatusSources {
             kind: settings.endpoint.kind,
             live_version,
             load: attempts.load(),
             drain: drain_watch.clone(),
         };
+        spawn_gauges(settings, &configuration, &attempts, live_gauge);
         tokio::spawn(sources.follow(status));
         tokio::spawn(follow_list(configuration.listed_leaving(), drain.clone()));
         let report = StatusReporter {
@@ -129,6 +132,30 @@
     }
 }
 
+/// Keeps the sidecar's gauges current.
+fn spawn_gauges(
+    settings: &SideSettings,
+    configuration: &ConfigurationHandle,
+    attempts: &AttemptsHandle,
+    live_version: watch::Receiver<Option<ContentDigest>>,
+) {
+    let instance = settings.instance.name.to_string();
+    let (states, load) = (configuration.states(), attempts.load());
+    tokio::spawn(async move {
+        tokio::join!(
+            follow_gauge("celeryshed_configuration_revision", &instance, states, |state| {
+                state.as_ref().map_or(-1.0, |state| state.revision.0 as f64)
+            }),
+            follow_gauge("celeryshed_attempts_in_progress", &instance, load, |load| {
+                f64::from(load.running)
+            }),
+            follow_gauge("celeryshed_version_live", &instance, live_version, |version| {
+                f64::from(u8::from(version.is_some()))
+            }),
+        );
+    });
+}
+
 /// Drains when the platform lists this instance as leaving.
 async fn follow_list(mut leaving: watch::Receiver<bool>, drain: watch::Sender<DrainState>) {
     if leaving.wait_for(|leaving| *leaving).await.is_ok() {
