--- /dev/null
+++ b/crates/celeryshed_core/src/admission/limits.rs
@@ -0,0 +1,131 @@
+//! Capacity reserved per customer, one share of it at each entry.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use celeryshed_base::{CustomerName, MonoTime, common_derives};
+
+use super::slots::SlotClass;
+use crate::configuration::CustomerContract;
+
+/// Millionths of a token per token, so that slow rates accumulate without rounding loss.
+const MICRO: u128 = 1_000_000;
+
+common_derives! { value:
+    /// The class of an admitted request, and what it holds until it ends.
+    #[derive(Copy)]
+    pub struct AdmissionGrant {
+        /// The class.
+        pub class: SlotClass,
+        /// Tokens charged in advance.
+        pub charged_tokens: u64,
+    }
+}
+
+/// Use of one customer's share.
+#[derive(Clone, Copy, Debug)]
+struct ShareUse {
+    micro_tokens: u128,
+    refilled_at: MonoTime,
+    in_progress: u32,
+}
+
+/// The shares of all customers at one entry.
+///
+/// With `n` live entries in its view, an entry admits `1/n` of each customer's capacity as
+/// contracted. Work above it is not refused: it runs as best effort, where capacity is free.
+/// [`admitted_share_bounds`] states what differing views can do to the sum.
+///
+/// ```
+/// use celeryshed_core::admission::{CustomerLimits, SlotClass};
+/// use celeryshed_base::{CustomerName, MonoTime};
+/// let mut limits = CustomerLimits::default();
+/// let name = CustomerName::try_from("visitor").unwrap();
+/// let grant = limits.admit(&name, None, 100, 1, MonoTime::ZERO);
+/// assert_eq!(grant.class, SlotClass::BestEffort);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct CustomerLimits {
+    shares: BTreeMap<CustomerName, ShareUse>,
+}
+
+impl CustomerLimits {
+    /// Admits a request that may generate up to `tokens` tokens.
+    pub fn admit(
+        &mut self,
+        customer: &CustomerName,
+        contract: Option<&CustomerContract>,
+        tokens: u64,
+        entries: u32,
+        now: MonoTime,
+    ) -> AdmissionGrant {
+        let best_effort = AdmissionGrant { class: SlotClass::BestEffort, charged_tokens: 0 };
+        let Some(contract) = contract else {
+            return best_effort;
+        };
+        let limit = share_of_requests(contract, entries);
+        let share = self.refilled(customer, contract, entries, now);
+        let cost = u128::from(tokens) * MICRO;
+        if share.in_progress >= limit || share.micro_tokens < cost {
+            return best_effort;
+        }
+        share.micro_tokens -= cost;
+        share.in_progress += 1;
+        AdmissionGrant { class: SlotClass::Contracted, charged_tokens: tokens }
+    }
+
+    /// Ends a request and returns the tokens that it did not generate.
+    pub fn end(&mut self, customer: &CustomerName, grant: AdmissionGrant, used_tokens: u64) {
+        if grant.class == SlotClass::BestEffort {
+            return;
+        }
+        if let Some(share) = self.shares.get_mut(customer) {
+            share.in_progress = share.in_progress.saturating_sub(1);
+            let unused = grant.charged_tokens.saturating_sub(used_tokens);
+            // The next refill cuts a level above the burst down to it.
+            share.micro_tokens += u128::from(unused) * MICRO;
+        }
+    }
+
+    /// Drops customers without a contract.
+    pub fn retain(&mut self, is_contracted: impl Fn(&CustomerName) -> bool) {
+        self.shares.retain(|customer, _| is_contracted(customer));
+    }
+
+    fn refilled(
+        &mut self,
+        customer: &CustomerName,
+        contract: &CustomerContract,
+        entries: u32,
+        now: MonoTime,
+    ) -> &mut ShareUse {
+        let entries = u128::from(entries.max(1));
+        let full = u128::from(contract.burst.0) * MICRO / entries;
+        let fresh = ShareUse { micro_tokens: full, refilled_at: now, in_progress: 0 };
+        let share = self.shares.entry(customer.clone()).or_insert(fresh);
+        let passed: Duration = now - share.refilled_at;
+        let refill = u128::from(contract.token_rate.0) * passed.as_micros() / entries;
+        share.micro_tokens = (share.micro_tokens + refill).min(full);
+        share.refilled_at = now;
+        share
+    }
+}
+
+/// Requests in progress of one entry, rounded up so that a small contract isn't cut to nothing.
+fn share_of_requests(contract: &CustomerContract, entries: u32) -> u32 {
+    contract.requests_in_progress.div_ceil(entries.max(1))
+}
+
+/// Smallest and largest sum of the shares of `live` entries, as a multiple of the contract, when
+/// each counts between `live - missed` and `live + stale` entries.
+///
+/// ```
+/// use celeryshed_core::admission::admitted_share_bounds;
+/// assert_eq!(admitted_share_bounds(3, 0, 0), (1.0, 1.0));
+/// assert_eq!(admitted_share_bounds(3, 1, 1), (0.75, 1.5));
+/// ```
+pub fn admitted_share_bounds(live: u32, missed: u32, stale: u32) -> (f64, f64) {
+    let live_count = f64::from(live);
+    let least_seen = f64::from(live.saturating_sub(missed).max(1));
+    (live_count / f64::from(live + stale), live_count / least_seen)
+}
--- a/crates/celeryshed_core/src/quarantine/mod.rs
+++ b/crates/celeryshed_core/src/quarantine/mod.rs
@@ -1,1 +1,8 @@
-//! Placeholder until this module lands.
+//! Requests that crash endpoints.
+
+mod table;
+
+#[cfg(test)]
+mod tests;
+
+pub use table::{CrashObservation, FingerprintVerdict, QuarantineTable};
--- /dev/null
+++ b/crates/celeryshed_core/src/quarantine/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the quarantine.
--- /dev/null
+++ b/crates/celeryshed_core/src/routing/endpoint.rs
@@ -0,0 +1,189 @@
+//! What an entry knows about one endpoint.
+
+use std::collections::{BTreeSet, VecDeque};
+use std::time::Duration;
+
+use celeryshed_base::{
+    AdapterName, AvailabilityZone, ContentDigest, InstanceName, MonoTime, RegionName, ServiceName,
+    common_derives,
+};
+
+use super::ejection::EjectionState;
+use super::options::RoutingOptions;
+
+common_derives! { value:
+    /// Load of an endpoint.
+    #[derive(Copy, Default)]
+    pub struct EndpointLoad {
+        /// Requests that it runs at the same time.
+        pub slots: u32,
+        /// Requests that run.
+        pub running: u32,
+        /// Requests that wait in the engine.
+        pub waiting: u32,
+        /// Prompt tokens that wait to be processed.
+        pub queued_prompt_tokens: u64,
+    }
+
+    /// A report about an endpoint.
+    pub struct EndpointObservation {
+        /// Its instance.
+        pub instance: InstanceName,
+        /// The version that it serves.
+        pub version: Option<ContentDigest>,
+        /// Its load.
+        pub load: EndpointLoad,
+        /// A sample of the prefixes that it caches; `None` when the report has none.
+        pub prefixes: Vec<u64>,
+    }
+}
+
+/// A request that was sent to an endpoint and has not ended.
+#[derive(Clone, Copy, Debug)]
+struct SentRequest {
+    sent_at: MonoTime,
+    prompt_tokens: u64,
+}
+
+/// One endpoint.
+#[derive(Clone, Debug)]
+pub(super) struct EndpointRecord {
+    pub(super) instance: InstanceName,
+    pub(super) address: String,
+    pub(super) zone: AvailabilityZone,
+    pub(super) region: RegionName,
+    pub(super) service: ServiceName,
+    pub(super) live: bool,
+    pub(super) in_subset: bool,
+    pub(super) version: Option<ContentDigest>,
+    pub(super) adapters: BTreeSet<AdapterName>,
+    pub(super) ejection: EjectionState,
+    pub(super) latency_us: u64,
+    pub(super) fresh_since: MonoTime,
+    load: EndpointLoad,
+    sent_since_report: VecDeque<SentRequest>,
+    ended_since_report: u32,
+    in_flight: u32,
+    /// Set by a busy answer, until the next report or end of a request.
+    full: bool,
+}
+
+impl EndpointRecord {
+    pub(super) fn new(
+        instance: InstanceName,
+        service: ServiceName,
+        place: (AvailabilityZone, RegionName),
+        slots: u32,
+        now: MonoTime,
+    ) -> Self {
+        let (zone, region) = place;
+        Self {
+            instance,
+            address: String::new(),
+            zone,
+            region,
+            service,
+            live: false,
+            in_subset: true,
+            version: None,
+            adapters: BTreeSet::new(),
+            ejection: EjectionState::default(),
+            latency_us: 0,
+            fresh_since: now,
+            load: EndpointLoad { slots, ..EndpointLoad::default() },
+            sent_since_report: VecDeque::new(),
+            ended_since_report: 0,
+            in_flight: 0,
+            full: false,
+        }
+    }
+
+    /// Takes a report that is `lag` old; requests sent since then are not in it.
+    pub(super) fn report(&mut self, load: EndpointLoad, lag: Duration, now: MonoTime) {
+        self.load = load;
+        self.full = false;
+        self.ended_since_report = 0;
+        self.sent_since_report.retain(|sent| now - sent.sent_at < lag);
+    }
+
+    /// Whether it may serve `version`: a version not heard of yet is left to its sidecar.
+    pub(super) fn may_have(&self, version: Option<ContentDigest>) -> bool {
+        version.is_none() || self.version.is_none() || self.version == version
+    }
+
+    pub(super) fn sent(&mut self, prompt_tokens: u64, now: MonoTime) {
+        self.in_flight += 1;
+        self.sent_since_report.push_back(SentRequest { sent_at: now, prompt_tokens });
+    }
+
+    pub(super) fn ended(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.ended_since_report += 1;
+        self.full = false;
+    }
+
+    /// Its prompt has been processed: the first token came.
+    pub(super) fn prefilled(&mut self) {
+        if let Some(oldest) = self.sent_since_report.iter_mut().find(|sent| sent.prompt_tokens > 0)
+        {
+            oldest.prompt_tokens = 0;
+        }
+    }
+
+    pub(super) fn busy(&mut self) {
+        self.full = true;
+    }
+
+    /// Whether it refused a request since it was last heard of.
+    pub(super) fn refused_busy(&self) -> bool {
+        self.full
+    }
+
+    /// Requests there, as far as this entry can know; never fewer than its own.
+    pub(super) fn occupied(&self) -> u32 {
+        let reported = self.load.running + self.load.waiting + self.sent_since_report.len() as u32;
+        reported.saturating_sub(self.ended_since_report).max(self.in_flight)
+    }
+
+    /// Slots that may be used now: a fresh endpoint's share rises over the slow start.
+    pub(super) fn usable_slots(&self, options: &RoutingOptions, now: MonoTime) -> u32 {
+        let age = now - self.fresh_since;
+        if age >= options.slow_start {
+            return self.load.slots;
+        }
+        let share = age.as_micros() * u128::from(self.load.slots) / options.slow_start.as_micros();
+        (share as u32).clamp(1, self.load.slots.max(1))
+    }
+
+    /// Whether a further request would find no slot.
+    pub(super) fn is_full(&self, options: &RoutingOptions, now: MonoTime) -> bool {
+        self.full || self.occupied() >= self.usable_slots(options, now)
+    }
+
+    /// Expected time to the first token in microseconds.
+    pub(super) fn expected_us(
+        &self,
+        prompt_tokens: u64,
+        cached_tokens: u64,
+        options: &RoutingOptions,
+        now: MonoTime,
+    ) -> u64 {
+        let sent = self.sent_since_report.iter().map(|sent| sent.prompt_tokens);
+        let queued = self.load.queued_prompt_tokens + sent.sum::<u64>();
+        let remaining = prompt_tokens.saturating_sub(cached_tokens);
+        let rate = options.prefill_tokens_per_s.max(1);
+        let prefill_us = (queued + remaining) * 1_000_000 / rate;
+        let slots = u64::from(self.usable_slots(options, now).max(1));
+        let occupied = u64::from(self.occupied());
+        let slot_us = options.slot_time.as_micros() as u64;
+        // Waiting for a slot, and the slowdown of a fuller batch: both grow with the occupancy.
+        let ahead = (occupied + 1).saturating_sub(slots);
+        let wait_us = ahead * slot_us / slots;
+        let batch_us = occupied * BATCH_STEP_US * 16 / slots;
+        prefill_us + wait_us + batch_us + 2 * self.latency_us
+    }
+}
+
+/// Slowdown of the first token by one sixteenth of occupancy: spreads requests over endpoints
+/// whose queues are equal.
+const BATCH_STEP_US: u64 = 500;
--- a/crates/celeryshed_core/src/routing/mod.rs
+++ b/crates/celeryshed_core/src/routing/mod.rs
@@ -1,8 +1,19 @@
-//! Which endpoint gets a request.
+//! Which endpoint gets a request: the one with the lowest expected time to the first token.
+//!
+//! [`EndpointTable`] merges the membership, lagging load reports and what this entry sent since.
+//! Every decision follows from the table, the request and `now`; nothing is random.
 
+mod ejection;
+mod endpoint;
+mod options;
+mod prefixes;
 mod table;
 
 #[cfg(test)]
 mod tests;
 
-pub use table::{EndpointTable, RoutingChoice, RoutingNeed};
+pub use ejection::EjectionState;
+pub use endpoint::{EndpointLoad, EndpointObservation};
+pub use options::{RoutingOptions, RoutingPolicy};
+pub use prefixes::{PREFIX_BLOCK_BYTES, PromptPrefix, prompt_prefixes};
+pub use table::{EndpointTable, RoutingChoice, RoutingDecision, RoutingNeed};
--- a/crates/celeryshed_entry/src/completions/calls.rs
+++ b/crates/celeryshed_entry/src/completions/calls.rs
@@ -1,24 +1,21 @@
 //! Runs calls of plain services that have no idempotency key.
 
-use std::collections::BTreeSet;
-use std::time::Duration;
-
 use celeryshed_base::{AttemptId, ContentDigest, RequestId, ServiceName};
 use celeryshed_wire::{
-    AttemptEvent, AttemptEventKind, AttemptRequest, AttemptWork, CallWork, NotRunVerdict,
-    PriorityClass, ProblemDetails, ServiceAnswer,
+    AttemptEvent, AttemptEventKind, AttemptFailure, AttemptRequest, AttemptWork, CallWork,
+    FailureCause, NotRunVerdict, ProblemDetails, ServiceAnswer,
 };
 use futures::StreamExt;
 use tokio::time::{Instant, timeout_at};
 
 use super::customers::RequestCustomer;
-use super::dispatch::{JobDispatcher, worse};
-use super::problems::{ProblemKind, problem, with_retry_after};
+use super::decisions::{
+    AttemptOutcome, EntryRefusal, PlacedAttempt, RefusalReason, RequestProfile,
+};
+use super::dispatch::JobDispatcher;
+use super::refusals::{priority_of, refusal_problem, worse};
 use super::transport::{EventStream, TransportError};
 
-/// Pause suggested to callers when no endpoint took the call.
-const BUSY_PAUSE: Duration = Duration::from_secs(1);
-
 /// A call to run.
 #[derive(Clone, Debug)]
 pub(super) struct CallJob {
@@ -32,6 +29,7 @@
 /// A failed attempt of a call.
 struct CallFailure {
     not_run: NotRunVerdict,
+    cause: FailureCause,
     detail: String,
 }
 
@@ -45,23 +43,38 @@
         }
     }
 
-    fn request(&self, attempt_id: AttemptId) -> AttemptRequest {
-        let priority = match self.customer.contract {
-            Some(_) => PriorityClass::Contracted,
-            None => PriorityClass::BestEffort,
-        };
+    fn fingerprint(&self) -> ContentDigest {
+        let call = &self.call;
+        let texts = [self.service.as_str(), &call.method, &call.path];
+        let [service, method, path] = texts.map(str::as_bytes);
+        ContentDigest::of_parts(&[service, method, path, &call.body])
+    }
+
+    fn profile(&self) -> RequestProfile {
+        RequestProfile {
+            request_id: self.request_id,
+            customer: self.customer.name.clone(),
+            service: self.service.clone(),
+            adapter: None,
+            prompt_tokens: 0,
+            prefixes: Vec::new(),
+            max_tokens: 0,
+            fingerprint: self.fingerprint(),
+            time_left: self.deadline.saturating_duration_since(Instant::now()),
+        }
+    }
+
+    fn request(&self, attempt_id: AttemptId, placed: &PlacedAttempt) -> AttemptRequest {
         let left = self.deadline.saturating_duration_since(Instant::now());
-        let content =
-            [self.service.as_str().as_bytes(), self.call.path.as_bytes(), &self.call.body];
         AttemptRequest {
             attempt_id,
             request_id: self.request_id,
             customer: self.customer.name.clone(),
-            service: self.service.clone(),
-            priority,
+            service: placed.service.clone(),
+            priority: priority_of(placed.class),
             deadline_ms: left.as_millis() as u64,
-            fingerprint: ContentDigest::of_parts(&content),
-            suspect: false,
+            fingerprint: self.fingerprint(),
+            suspect: placed.suspect,
             work: AttemptWork::Call(self.call.clone()),
         }
     }
@@ -70,41 +83,59 @@
 impl JobDispatcher {
     /// Runs a call and returns its whole answer.
     pub(super) async fn call(&self, job: &CallJob) -> Result<ServiceAnswer, ProblemDetails> {
-        let mut excluded = BTreeSet::new();
         let mut not_run = NotRunVerdict::NotRun;
-        let mut detail = "no endpoint is live".to_owned();
-        for _ in 0..self.options.max_attempts {
-            let Some(lease) = self.board.pick(&job.service, &excluded).await else {
-                break;
-            };
-            let failed = match self.call_once(job, &lease.choice.address).await {
-                Ok(answer) => return Ok(answer),
-                Err(failed) => failed,
-            };
-            not_run = worse(not_run, failed.not_run);
-            detail = failed.detail;
-            if !job.may_repeat(failed.not_run) {
-                break;
+        let mut last = None;
+        let answered = self.call_attempts(job, &mut not_run, &mut last).await;
+        answered
+            .map_err(|refusal| refusal_problem(&refusal, job.request_id, not_run, last.as_deref()))
+    }
+
+    async fn call_attempts(
+        &self,
+        job: &CallJob,
+        not_run: &mut NotRunVerdict,
+        last: &mut Option<String>,
+    ) -> Result<ServiceAnswer, EntryRefusal> {
+        let mut ticket = self.board.arrive(job.profile()).await?;
+        loop {
+            let placed = timeout_at(job.deadline, ticket.place()).await;
+            let deadline_passed = EntryRefusal::new(RefusalReason::DeadlinePassed);
+            let placed = placed.unwrap_or(Err(deadline_passed))?;
+            match self.call_once(job, &placed).await {
+                Ok(answer) => {
+                    ticket.attempt_ended(AttemptOutcome::Complete).await?;
+                    ticket.completed(0);
+                    return Ok(answer);
+                }
+                Err(failed) => {
+                    *not_run = worse(*not_run, failed.not_run);
+                    *last = Some(failed.detail);
+                    let (cause, not_run) = (failed.cause, failed.not_run);
+                    let repeatable = job.may_repeat(not_run);
+                    let outcome = AttemptOutcome::Failed { cause, not_run, repeatable };
+                    ticket.attempt_ended(outcome).await?;
+                }
             }
-            excluded.insert(lease.choice.instance.clone());
         }
-        let kind = match not_run {
-            NotRunVerdict::NotRun => ProblemKind::Overloaded,
-            NotRunVerdict::Ran | NotRunVerdict::Unknown => ProblemKind::EndpointFailed,
-        };
-        Err(with_retry_after(problem(kind, job.request_id, not_run, &detail), BUSY_PAUSE))
     }
 
-    async fn call_once(&self, job: &CallJob, address: &str) -> Result<ServiceAnswer, CallFailure> {
+    async fn call_once(
+        &self,
+        job: &CallJob,
+        placed: &PlacedAttempt,
+    ) -> Result<ServiceAnswer, CallFailure> {
         let attempt_id = AttemptId::random();
-        let request = job.request(attempt_id);
+        let request = job.request(attempt_id, placed);
         let answered = timeout_at(job.deadline, async {
-            let events = self.sides.start(address, &request).await?;
+            let events = self.sides.start(&placed.choice.address, &request).await?;
             whole_answer(attempt_id, events).await
         });
         match answered.await {
             Ok(answer) => answer,
-            Err(_) => Err(unknown("the deadline passed")),
+            Err(_) => {
+                let cause = FailureCause::DeadlinePassed;
+                Err(CallFailure { cause, ..unknown("the deadline passed") })
+            }
         }
     }
 }
@@ -128,7 +159,8 @@
             }
             AttemptEventKind::Token { .. } => return Err(unknown("a plain service sent a token")),
             AttemptEventKind::Failed(failure) => {
-                return Err(CallFailure { not_run: failure.not_run, detail: failure.detail });
+                let AttemptFailure { not_run, cause, detail, .. } = failure;
+                return Err(CallFailure { not_run, cause, detail });
             }
         }
     }
@@ -136,15 +168,18 @@
 }
 
 fn unknown(detail: &str) -> CallFailure {
-    CallFailure { not_run: NotRunVerdict::Unknown, detail: detail.to_owned() }
+    let (not_run, cause) = (NotRunVerdict::Unknown, FailureCause::EndpointFailed);
+    CallFailure { not_run, cause, detail: detail.to_owned() }
 }
 
 impl From<TransportError> for CallFailure {
     fn from(error: TransportError) -> Self {
-        let not_run = match error {
-            TransportError::Unreachable { .. } => NotRunVerdict::NotRun,
-            TransportError::Broken { .. } => NotRunVerdict::Unknown,
+        let (not_run, cause) = match error {
+            TransportError::Unreachable { .. } => {
+                (NotRunVerdict::NotRun, FailureCause::EndpointUnreachable)
+            }
+            TransportError::Broken { .. } => (NotRunVerdict::Unknown, FailureCause::EndpointFailed),
         };
-        Self { not_run, detail: error.to_string() }
+        Self { not_run, cause, detail: error.to_string() }
     }
 }
--- /dev/null
+++ b/crates/celeryshed_entry/src/completions/decisions/entry.rs
@@ -0,0 +1,402 @@
+//! The state behind an entry's decisions.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use celeryshed_base::{ContentDigest, InstanceName, MonoTime, RequestId, ServiceName};
+use celeryshed_core::admission::{
+    CustomerLimits, QueueItem, QueueOptions, QueueRefusal, RetryBudgets, SlotClass, WaitQueue,
+};
+use celeryshed_core::burn::BurnTable;
+use celeryshed_core::configuration::{ConfigurationState, CustomerContract, ScarcityPolicy};
+use celeryshed_core::membership::MemberView;
+use celeryshed_core::quarantine::{CrashObservation, FingerprintVerdict, QuarantineTable};
+use celeryshed_core::routing::{
+    EndpointLoad, EndpointObservation, EndpointTable, RoutingChoice, RoutingDecision,
+    RoutingOptions,
+};
+use celeryshed_wire::{FailureCause, NotRunVerdict};
+
+use super::outcome::{AttemptOutcome, EntryRefusal, RefusalReason};
+use super::request::{PlacedAttempt, Placement, RequestProfile, RequestRecord};
+
+/// Longest wait of work without a contract.
+const UNCONTRACTED_WAIT: Duration = Duration::from_secs(5);
+
+/// Waiting requests that are tried when a slot becomes free; the first may need another version.
+const TURNS_TRIED: usize = 4;
+
+/// Smallest pause suggested with a refusal.
+const SHORTEST_PAUSE: Duration = Duration::from_secs(1);
+
+/// Failed attempts after which a request is given up.
+const MAX_FAILURES: u32 = 5;
+
+/// What an entry knows and decides.
+#[derive(Clone, Debug)]
+pub struct EntryDecisions {
+    table: EndpointTable,
+    limits: CustomerLimits,
+    budgets: RetryBudgets,
+    queues: BTreeMap<ServiceName, WaitQueue>,
+    queue_options: QueueOptions,
+    quarantine: QuarantineTable,
+    burn: BurnTable,
+    requests: BTreeMap<RequestId, RequestRecord>,
+    /// Requests that gave way in a queue and are refused at the next wake.
+    evicted: Vec<RequestId>,
+    configuration: Arc<ConfigurationState>,
+    entries: u32,
+}
+
+impl EntryDecisions {
+    /// An entry that knows nothing yet.
+    pub fn new(routing: RoutingOptions, queue_options: QueueOptions) -> Self {
+        Self {
+            table: EndpointTable::new(routing),
+            limits: CustomerLimits::default(),
+            budgets: RetryBudgets::default(),
+            queues: BTreeMap::new(),
+            queue_options,
+            quarantine: QuarantineTable::default(),
+            burn: BurnTable::default(),
+            requests: BTreeMap::new(),
+            evicted: Vec::new(),
+            configuration: Arc::default(),
+            entries: 1,
+        }
+    }
+
+    /// Takes over membership and configuration.
+    pub fn sync(
+        &mut self,
+        view: &MemberView,
+        configuration: Option<Arc<ConfigurationState>>,
+        now: MonoTime,
+    ) {
+        if let Some(state) = configuration {
+            self.limits.retain(|customer| state.contracts.contains_key(customer));
+            self.configuration = state;
+        }
+        self.entries = view.entries.len().max(1) as u32;
+        self.table.sync(view, Some(&self.configuration), now);
+    }
+
+    /// Takes a load report.
+    pub fn observe(&mut self, observation: EndpointObservation, now: MonoTime) {
+        self.table.observe(observation, now);
+    }
+
+    /// Takes the load that an endpoint named when it answered an attempt.
+    pub fn observe_load(&mut self, instance: &InstanceName, load: EndpointLoad, now: MonoTime) {
+        self.table.observe_load(instance, load, now);
+    }
+
+    /// Takes a notice of crashes.
+    pub fn observe_crash(&mut self, observation: &CrashObservation, now: MonoTime) {
+        self.quarantine.observe(observation, now);
+    }
+
+    /// Counts of the service-level objectives.
+    pub fn burn(&self) -> &BurnTable {
+        &self.burn
+    }
+
+    /// Number of requests that wait for a slot or for their refusal.
+    pub fn waiting(&self) -> usize {
+        self.queues.values().map(WaitQueue::len).sum::<usize>() + self.evicted.len()
+    }
+
+    /// Admits a request, which is then placed.
+    pub fn arrive(&mut self, profile: RequestProfile, now: MonoTime) -> Result<(), EntryRefusal> {
+        if self.quarantine.verdict(&profile.fingerprint, now) == FingerprintVerdict::Refused {
+            return Err(EntryRefusal::new(RefusalReason::Quarantined));
+        }
+        let contract = self.configuration.contracts.get(&profile.customer);
+        let tokens = u64::from(profile.max_tokens);
+        let grant = self.limits.admit(&profile.customer, contract, tokens, self.entries, now);
+        let budget = contract.map(|it| (it.retry_budget_percent, it.requests_in_progress));
+        self.budgets.request(&profile.customer, budget);
+        self.requests.insert(profile.request_id, RequestRecord::new(profile, grant, now));
+        Ok(())
+    }
+
+    /// Looks for an endpoint.
+    pub fn place(&mut self, request_id: RequestId, now: MonoTime) -> Placement {
+        match self.choose(request_id, now) {
+            Some(RoutingDecision::Endpoint(choice)) => self.dispatch(request_id, choice, now),
+            Some(RoutingDecision::Full) => self.scarce(request_id, now),
+            Some(RoutingDecision::NoEndpoint) => self.none_fits(request_id, now),
+            None => Placement::Refuse(EntryRefusal::new(RefusalReason::DeadlinePassed)),
+        }
+    }
+
+    /// Places waiting requests as slots became free, and refuses those whose deadline passed.
+    pub fn wake(&mut self, now: MonoTime) -> Vec<(RequestId, Placement)> {
+        let services: Vec<ServiceName> = self.queues.keys().cloned().collect();
+        let overloaded = EntryRefusal::after(RefusalReason::Overloaded, SHORTEST_PAUSE);
+        let evicted = self.evicted.drain(..);
+        let mut placed: Vec<(RequestId, Placement)> =
+            evicted.map(|id| (id, Placement::Refuse(overloaded.clone()))).collect();
+        for service in services {
+            self.wake_service(&service, now, &mut placed);
+        }
+        placed
+    }
+
+    /// Notes the first token of an attempt.
+    pub fn first_token(&mut self, request_id: RequestId, version: ContentDigest, now: MonoTime) {
+        let Some(record) = self.requests.get_mut(&request_id) else {
+            return;
+        };
+        record.first_token.get_or_insert(now);
+        record.version = Some(version);
+        if let Some(instance) = &record.running_at {
+            self.table.first_token(instance, version);
+        }
+    }
+
+    /// Notes the end of an attempt; `Ok` permits another one.
+    pub fn attempt_ended(
+        &mut self,
+        request_id: RequestId,
+        outcome: &AttemptOutcome,
+        now: MonoTime,
+    ) -> Result<(), EntryRefusal> {
+        let Some(record) = self.requests.get_mut(&request_id) else {
+            return Ok(());
+        };
+        let Some(instance) = record.running_at.take() else {
+            return Ok(());
+        };
+        let adapter = record.profile.adapter.as_ref();
+        match outcome {
+            AttemptOutcome::Complete => self.table.succeeded(&instance, adapter),
+            AttemptOutcome::Dropped => self.table.ended(&instance),
+            AttemptOutcome::Failed { cause, not_run, repeatable } => {
+                match cause {
+                    FailureCause::Busy => self.table.refused_busy(&instance),
+                    FailureCause::Leaving => self.table.leaving(&instance),
+                    FailureCause::EndpointFailed | FailureCause::EndpointUnreachable => {
+                        record.excluded.insert(instance.clone());
+                        record.failures += 1;
+                        self.table.failed(&instance, now);
+                    }
+                    FailureCause::NotLive => {
+                        record.excluded.insert(instance.clone());
+                        self.table.ended(&instance);
+                    }
+                    FailureCause::Quarantined => {
+                        record.suspects_at.insert(instance.clone());
+                        self.table.ended(&instance);
+                    }
+                    FailureCause::Displaced
+                    | FailureCause::Cancelled
+                    | FailureCause::ClaimRefused
+                    | FailureCause::DeadlinePassed => self.table.ended(&instance),
+                }
+                return self.may_continue(request_id, *cause, *not_run, *repeatable, now);
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends a request; `complete` tells whether the caller got a whole answer.
+    pub fn finish(&mut self, request_id: RequestId, complete: bool, tokens: u64, now: MonoTime) {
+        let Some(record) = self.requests.remove(&request_id) else {
+            return;
+        };
+        if let Some(queue) = self.queues.get_mut(&record.service) {
+            queue.remove(&request_id);
+        }
+        if let Some(instance) = &record.running_at {
+            self.table.ended(instance);
+        }
+        self.limits.end(&record.profile.customer, record.grant, tokens);
+        let contract = self.configuration.contracts.get(&record.profile.customer);
+        if let Some(contract) = contract.filter(|_| record.grant.class != SlotClass::BestEffort) {
+            let in_time = |first: MonoTime| first - record.arrived <= contract.first_token;
+            // A plain call has no tokens; its whole answer counts.
+            let good = complete && record.first_token.is_none_or(in_time);
+            self.burn.record(&record.profile.customer, good, now);
+        }
+    }
+
+    fn contract_of(&self, record: &RequestRecord) -> Option<&CustomerContract> {
+        self.configuration.contracts.get(&record.profile.customer)
+    }
+
+    fn choose(&mut self, request_id: RequestId, now: MonoTime) -> Option<RoutingDecision> {
+        let record = self.requests.get(&request_id)?;
+        let contract = self.contract_of(record);
+        let displaces =
+            contract.is_some_and(|it| it.displaces_uncontracted || !it.displaces.is_empty());
+        let may_displace = displaces && record.grant.class > SlotClass::BestEffort;
+        let need = record.need(may_displace);
+        Some(self.table.choose(&need, now))
+    }
+
+    fn dispatch(
+        &mut self,
+        request_id: RequestId,
+        choice: RoutingChoice,
+        now: MonoTime,
+    ) -> Placement {
+        let Some(record) = self.requests.get_mut(&request_id) else {
+            return Placement::Refuse(EntryRefusal::new(RefusalReason::DeadlinePassed));
+        };
+        self.table.sent(&choice.instance, &record.need(false), now);
+        record.running_at = Some(choice.instance.clone());
+        let verdict = self.quarantine.verdict(&record.profile.fingerprint, now);
+        Placement::Dispatch(PlacedAttempt {
+            choice,
+            service: record.service.clone(),
+            class: record.grant.class,
+            suspect: verdict == FingerprintVerdict::Suspect,
+        })
+    }
+
+    /// No endpoint has a free slot: the contract says what happens.
+    fn scarce(&mut self, request_id: RequestId, now: MonoTime) -> Placement {
+        let Some(record) = self.requests.get_mut(&request_id) else {
+            return Placement::Refuse(EntryRefusal::new(RefusalReason::DeadlinePassed));
+        };
+        if record.version.is_some() {
+            // A stream that began waits for its next endpoint as long as the request may take.
+            let deadline = record.deadline();
+            return self.enqueue(request_id, deadline, now);
+        }
+        let contract = self.configuration.contracts.get(&record.profile.customer);
+        let policy = contract.map_or(&ScarcityPolicy::Wait(UNCONTRACTED_WAIT), |it| &it.scarcity);
+        match policy {
+            ScarcityPolicy::Wait(longest) => {
+                let deadline = record.deadline().min(record.arrived + *longest);
+                self.enqueue(request_id, deadline, now)
+            }
+            ScarcityPolicy::SmallerModel(smaller) if record.service != *smaller => {
+                record.service = smaller.clone();
+                record.excluded.clear();
+                self.place(request_id, now)
+            }
+            ScarcityPolicy::SmallerModel(_) | ScarcityPolicy::Refuse => {
+                Placement::Refuse(EntryRefusal::after(RefusalReason::Overloaded, SHORTEST_PAUSE))
+            }
+        }
+    }
+
+    fn none_fits(&mut self, request_id: RequestId, now: MonoTime) -> Placement {
+        let Some(record) = self.requests.get_mut(&request_id) else {
+            return Placement::Refuse(EntryRefusal::new(RefusalReason::DeadlinePassed));
+        };
+        if !record.suspects_at.is_empty() {
+            record.suspects_at.clear();
+            let deadline = record.deadline().min(record.arrived + UNCONTRACTED_WAIT);
+            return self.enqueue(request_id, deadline, now);
+        }
+        let reason = match record.version {
+            Some(_) => RefusalReason::VersionGone,
+            None => RefusalReason::NoEndpoint,
+        };
+        Placement::Refuse(EntryRefusal::after(reason, SHORTEST_PAUSE))
+    }
+
+    fn enqueue(&mut self, request_id: RequestId, deadline: MonoTime, now: MonoTime) -> Placement {
+        let Some(record) = self.requests.get(&request_id) else {
+            return Placement::Refuse(EntryRefusal::new(RefusalReason::DeadlinePassed));
+        };
+        let item = QueueItem {
+            request_id,
+            customer: record.profile.customer.clone(),
+            class: record.grant.class,
+            deadline,
+        };
+        let options = self.queue_options;
+        let queue = self.queues.entry(record.service.clone());
+        let queue = queue.or_insert_with(|| WaitQueue::new(options));
+        match queue.push(item, now) {
+            Ok(removed) => {
+                self.evicted.extend(removed.map(|item| item.request_id));
+                Placement::Wait
+            }
+            Err(QueueRefusal::Full) => {
+                Placement::Refuse(EntryRefusal::after(RefusalReason::Overloaded, SHORTEST_PAUSE))
+            }
+            Err(QueueRefusal::TooLate { expected }) => {
+                let pause = expected.max(SHORTEST_PAUSE);
+                Placement::Refuse(EntryRefusal::after(RefusalReason::Overloaded, pause))
+            }
+        }
+    }
+
+    fn wake_service(
+        &mut self,
+        service: &ServiceName,
+        now: MonoTime,
+        placed: &mut Vec<(RequestId, Placement)>,
+    ) {
+        let queue = self.queues.entry(service.clone()).or_default();
+        for item in queue.expire(now) {
+            let refusal = EntryRefusal::after(RefusalReason::DeadlinePassed, SHORTEST_PAUSE);
+            placed.push((item.request_id, Placement::Refuse(refusal)));
+        }
+        loop {
+            let turns = self.queues.get(service).map(|queue| queue.next_turns(TURNS_TRIED));
+            let mut turns = turns.unwrap_or_default().into_iter();
+            let found = turns.find_map(|request_id| match self.choose(request_id, now) {
+                Some(RoutingDecision::Endpoint(choice)) => Some((request_id, choice)),
+                _ => None,
+            });
+            let Some((request_id, choice)) = found else {
+                return;
+            };
+            if let Some(queue) = self.queues.get_mut(service) {
+                queue.take(&request_id, now);
+            }
+            placed.push((request_id, self.dispatch(request_id, choice, now)));
+        }
+    }
+
+    fn may_continue(
+        &mut self,
+        request_id: RequestId,
+        cause: FailureCause,
+        not_run: NotRunVerdict,
+        repeatable: bool,
+        now: MonoTime,
+    ) -> Result<(), EntryRefusal> {
+        let refuse = |reason| Err(EntryRefusal::new(reason));
+        let Some(record) = self.requests.get(&request_id) else {
+            return refuse(RefusalReason::DeadlinePassed);
+        };
+        match cause {
+            FailureCause::Cancelled | FailureCause::ClaimRefused => {
+                return refuse(RefusalReason::NotRepeatable);
+            }
+            FailureCause::DeadlinePassed => return refuse(RefusalReason::DeadlinePassed),
+            _ => {}
+        }
+        let fingerprint = &record.profile.fingerprint;
+        if self.quarantine.verdict(fingerprint, now) == FingerprintVerdict::Refused {
+            return refuse(RefusalReason::Quarantined);
+        }
+        if not_run == NotRunVerdict::NotRun {
+            return if record.failures < MAX_FAILURES {
+                Ok(())
+            } else {
+                refuse(RefusalReason::TooManyFailures)
+            };
+        }
+        if !repeatable {
+            return refuse(RefusalReason::NotRepeatable);
+        }
+        if record.failures >= MAX_FAILURES {
+            return refuse(RefusalReason::TooManyFailures);
+        }
+        let resumes = record.version.is_some() || cause == FailureCause::Displaced;
+        if resumes || self.budgets.draw(&record.profile.customer) {
+            return Ok(());
+        }
+        Err(EntryRefusal::after(RefusalReason::RetryBudget, SHORTEST_PAUSE))
+    }
+}
--- a/crates/celeryshed_entry/src/completions/dispatch.rs
+++ b/crates/celeryshed_entry/src/completions/dispatch.rs
@@ -1,29 +1,27 @@
 //! Runs completions: one attempt after another until the answer is complete.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use celeryshed_base::{
-    AdapterName, AttemptId, ContentDigest, InstanceName, RequestId, ServiceName,
-};
+use celeryshed_base::{AdapterName, AttemptId, ContentDigest, RequestId, ServiceName};
+use celeryshed_core::routing::prompt_prefixes;
 use celeryshed_wire::{
-    AttemptRequest, AttemptWork, CompletionWork, FailureCause, NotRunVerdict, PriorityClass,
+    AttemptEventKind, AttemptRequest, AttemptWork, CompletionWork, FailureCause, NotRunVerdict,
     ProblemDetails,
 };
 use futures::StreamExt;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout, timeout_at};
 
-use super::board::{BoardHandle, EndpointLease};
+use super::board::{BoardHandle, RequestTicket};
 use super::customers::RequestCustomer;
+use super::decisions::{AttemptOutcome, EntryRefusal, PlacedAttempt, RequestProfile};
+use super::openai::prompt_tokens;
 use super::options::CompletionOptions;
-use super::problems::{ProblemKind, problem, with_retry_after};
+use super::problems::{ProblemKind, problem};
 use super::progress::{AnswerProgress, EventCheck, EventVerdict};
+use super::refusals::{priority_of, refusal_problem, worse};
 use super::transport::{EventStream, SideClient, TransportError};
 
-/// Pause suggested to callers when all endpoints are busy.
-const OVERLOAD_PAUSE: std::time::Duration = std::time::Duration::from_secs(1);
-
 /// A completion to run.
 #[derive(Clone, Debug)]
 pub(super) struct CompletionJob {
@@ -68,8 +66,8 @@
     job: &'a CompletionJob,
     output: &'a mpsc::Sender<OutputEvent>,
     progress: AnswerProgress,
-    excluded: BTreeSet<InstanceName>,
     not_run: NotRunVerdict,
+    last_failure: Option<String>,
     headed: bool,
 }
 
@@ -80,7 +78,7 @@
         let ended = timeout_at(job.deadline, self.attempts(&mut run)).await;
         let failed = match ended {
             Ok(Ok(())) => return,
-            Ok(Err(problem)) => problem,
+            Ok(Err(refusal)) => run.problem(&refusal),
             Err(_) => {
                 // The running attempt is dropped, so that its outcome is not known.
                 let verdict = worse(run.not_run, NotRunVerdict::Unknown);
@@ -90,40 +88,46 @@
         let _ = output.send(OutputEvent::Problem(failed)).await;
     }
 
-    async fn attempts(&self, run: &mut JobRun<'_>) -> Result<(), ProblemDetails> {
-        let mut last = "no endpoint is live".to_owned();
-        for _ in 0..self.options.max_attempts {
-            let Some(lease) = self.board.pick(&run.job.service, &run.excluded).await else {
-                break;
+    async fn attempts(&self, run: &mut JobRun<'_>) -> Result<(), EntryRefusal> {
+        let mut ticket = self.board.arrive(run.job.profile()).await?;
+        loop {
+            let placed = tokio::select! {
+                placed = ticket.place() => placed?,
+                () = run.output.closed() => return Ok(()),
             };
-            match self.attempt(run, &lease).await {
-                AttemptEnd::Complete | AttemptEnd::CallerGone => return Ok(()),
+            match self.attempt(run, &ticket, &placed).await {
+                AttemptEnd::Complete => {
+                    ticket.attempt_ended(AttemptOutcome::Complete).await?;
+                    ticket.completed(run.progress.tokens.len() as u64);
+                    return Ok(());
+                }
+                AttemptEnd::CallerGone => {
+                    return ticket.attempt_ended(AttemptOutcome::Dropped).await;
+                }
                 AttemptEnd::Failed { not_run, cause, detail } => {
-                    run.not_run = worse(run.not_run, not_run);
-                    run.excluded.insert(lease.choice.instance.clone());
-                    log::info!(
-                        event = "attempt_failed",
-                        request_id:% = run.job.request_id,
-                        instance:% = lease.choice.instance,
-                        cause:? = cause,
-                        detail:% = detail;
-                        ""
-                    );
-                    last = detail;
+                    run.failed(&placed, not_run, cause, detail);
+                    // A completion may be repeated: a second run changes nothing.
+                    let repeatable = true;
+                    let outcome = AttemptOutcome::Failed { cause, not_run, repeatable };
+                    ticket.attempt_ended(outcome).await?;
                 }
             }
         }
-        Err(run.exhausted(&last))
     }
 
-    async fn attempt(&self, run: &mut JobRun<'_>, lease: &EndpointLease) -> AttemptEnd {
+    async fn attempt(
+        &self,
+        run: &mut JobRun<'_>,
+        ticket: &RequestTicket,
+        placed: &PlacedAttempt,
+    ) -> AttemptEnd {
         let attempt_id = AttemptId::random();
-        let request = run.request(attempt_id);
-        let address = &lease.choice.address;
+        let request = run.request(attempt_id, placed);
+        let address = &placed.choice.address;
         let mut guard = CancelGuard::new(&self.sides, address, attempt_id);
         let started = timeout(self.options.first_event, self.sides.start(address, &request)).await;
         let end = match started {
-            Ok(Ok(events)) => self.follow(run, attempt_id, events).await,
+            Ok(Ok(events)) => self.follow(run, ticket, placed, attempt_id, events).await,
             Ok(Err(error)) => transport_end(&error),
             Err(_) => broken_end("no answer in time"),
         };
@@ -134,11 +138,14 @@
     async fn follow(
         &self,
         run: &mut JobRun<'_>,
+        ticket: &RequestTicket,
+        placed: &PlacedAttempt,
         attempt_id: AttemptId,
         mut events: EventStream,
     ) -> AttemptEnd {
         let mut check = EventCheck::new(attempt_id);
         let mut limit = self.options.first_event;
+        let mut delivered = false;
         loop {
             let event = tokio::select! {
                 event = timeout(limit, events.next()) => event,
@@ -150,10 +157,17 @@
                 Ok(None) => return broken_end("the answer ended before its last event"),
                 Err(_) => return broken_end("no event in time"),
             };
+            if let AttemptEventKind::Load(load) = event.kind {
+                self.board.load(&placed.choice.instance, load);
+                continue;
+            }
             match check.accept(event, &mut run.progress) {
                 EventVerdict::Drop => {}
                 EventVerdict::Deliver(text) => {
                     limit = self.options.event_gap;
+                    if !std::mem::replace(&mut delivered, true) {
+                        run.progress.version.inspect(|version| ticket.first_token(*version));
+                    }
                     if !run.deliver(text).await {
                         return AttemptEnd::CallerGone;
                     }
@@ -199,34 +213,46 @@
     }
 }
 
+impl CompletionJob {
+    fn profile(&self) -> RequestProfile {
+        RequestProfile {
+            request_id: self.request_id,
+            customer: self.customer.name.clone(),
+            service: self.service.clone(),
+            adapter: self.adapter.clone(),
+            prompt_tokens: prompt_tokens(&self.prompt),
+            prefixes: prompt_prefixes(&self.prompt),
+            max_tokens: self.max_tokens,
+            fingerprint: self.fingerprint,
+            time_left: self.deadline.saturating_duration_since(Instant::now()),
+        }
+    }
+}
+
 impl<'a> JobRun<'a> {
     fn new(job: &'a CompletionJob, output: &'a mpsc::Sender<OutputEvent>) -> Self {
         Self {
             job,
             output,
             progress: AnswerProgress::default(),
-            excluded: BTreeSet::new(),
             not_run: NotRunVerdict::NotRun,
+            last_failure: None,
             headed: false,
         }
     }
 
-    fn request(&self, attempt_id: AttemptId) -> AttemptRequest {
+    fn request(&self, attempt_id: AttemptId, placed: &PlacedAttempt) -> AttemptRequest {
         let job = self.job;
-        let priority = match job.customer.contract {
-            Some(_) => PriorityClass::Contracted,
-            None => PriorityClass::BestEffort,
-        };
         let left = job.deadline.saturating_duration_since(Instant::now());
         AttemptRequest {
             attempt_id,
             request_id: job.request_id,
             customer: job.customer.name.clone(),
-            service: job.service.clone(),
-            priority,
+            service: placed.service.clone(),
+            priority: priority_of(placed.class),
             deadline_ms: left.as_millis() as u64,
             fingerprint: job.fingerprint,
-            suspect: false,
+            suspect: placed.suspect,
             work: AttemptWork::Completion(CompletionWork {
                 prompt: job.prompt.clone(),
                 max_tokens: job.max_tokens,
@@ -237,6 +263,26 @@
         }
     }
 
+    fn failed(
+        &mut self,
+        placed: &PlacedAttempt,
+        not_run: NotRunVerdict,
+        cause: FailureCause,
+        detail: String,
+    ) {
+        self.not_run = worse(self.not_run, not_run);
+        log::info!(
+            event = "attempt_failed",
+            request_id:% = self.job.request_id,
+            instance:% = placed.choice.instance,
+            cause:? = cause,
+            tokens = self.progress.tokens.len(),
+            detail:% = detail;
+            ""
+        );
+        self.last_failure = Some(detail);
+    }
+
     async fn deliver(&mut self, text: String) -> bool {
         self.head().await && self.output.send(OutputEvent::Token(text)).await.is_ok()
     }
@@ -258,26 +304,9 @@
         self.output.send(OutputEvent::Head(version)).await.is_ok()
     }
 
-    fn exhausted(&self, detail: &str) -> ProblemDetails {
-        let request_id = self.job.request_id;
-        if self.headed {
-            let detail = format!("no endpoint resumed the answer; last: {detail}");
-            return problem(ProblemKind::VersionGone, request_id, NotRunVerdict::Ran, &detail);
-        }
-        let kind = match self.not_run {
-            NotRunVerdict::NotRun => ProblemKind::Overloaded,
-            NotRunVerdict::Ran | NotRunVerdict::Unknown => ProblemKind::EndpointFailed,
-        };
-        with_retry_after(problem(kind, request_id, self.not_run, detail), OVERLOAD_PAUSE)
-    }
-}
-
-/// The verdict over several attempts: it ran if one ran, and is unknown if one is unknown.
-pub(super) fn worse(first: NotRunVerdict, second: NotRunVerdict) -> NotRunVerdict {
-    match (first, second) {
-        (NotRunVerdict::Ran, _) | (_, NotRunVerdict::Ran) => NotRunVerdict::Ran,
-        (NotRunVerdict::Unknown, _) | (_, NotRunVerdict::Unknown) => NotRunVerdict::Unknown,
-        (NotRunVerdict::NotRun, NotRunVerdict::NotRun) => NotRunVerdict::NotRun,
+    fn problem(&self, refusal: &EntryRefusal) -> ProblemDetails {
+        let not_run = if self.headed { NotRunVerdict::Ran } else { self.not_run };
+        refusal_problem(refusal, self.job.request_id, not_run, self.last_failure.as_deref())
     }
 }
 
--- a/crates/celeryshed_entry/src/completions/handle.rs
+++ b/crates/celeryshed_entry/src/completions/handle.rs
@@ -3,14 +3,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use celeryshed_base::RequestId;
+use celeryshed_base::{ClockSource, RequestId, UnixMillis};
 use celeryshed_core::configuration::ConfigurationState;
 use celeryshed_core::membership::MemberView;
-use celeryshed_wire::{BookingForward, BookingReply, NotRunVerdict, ProblemDetails, ServiceAnswer};
+use celeryshed_platform::LogClient;
+use celeryshed_wire::{
+    BookingForward, BookingReply, BurnReply, CrashNotice, EndpointReport, NotRunVerdict,
+    ProblemDetails, ServiceAnswer,
+};
 use tokio::sync::{mpsc, watch};
 
-use super::board::spawn_board;
+use super::board::{BoardInputs, spawn_board};
 use super::calls::CallJob;
+use super::crashes;
 use super::dispatch::{CompletionJob, JobDispatcher, OutputEvent};
 use super::drain::DrainState;
 use super::gate::BookingGate;
@@ -38,6 +43,8 @@
     pub sides: Arc<dyn SideClient>,
     /// The task that runs bookings.
     pub bookings: Arc<dyn BookingGate>,
+    /// The log, for crash notices of the time before this entry started.
+    pub log: Arc<dyn LogClient>,
 }
 
 struct Shared {
@@ -46,6 +53,7 @@
     drain: watch::Receiver<DrainState>,
     bookings: Arc<dyn BookingGate>,
     in_progress: Arc<watch::Sender<u32>>,
+    counting_since: UnixMillis,
 }
 
 /// Handle of the callers' routes.
@@ -68,11 +76,20 @@
 
 /// Starts the tasks; a tokio runtime must run.
 pub fn spawn(inputs: CompletionInputs) -> Result<CompletionsHandle, CompletionOptionsError> {
-    let CompletionInputs { options, configuration, members, drain, sides, bookings } = inputs;
+    let CompletionInputs { options, configuration, members, drain, sides, bookings, log } = inputs;
     options.check()?;
-    let dispatcher = JobDispatcher { options, board: spawn_board(members), sides };
+    let board = spawn_board(BoardInputs {
+        routing: options.routing.clone(),
+        queues: options.queues,
+        members,
+        configuration: configuration.clone(),
+    });
+    let clock = ClockSource::start();
+    let counting_since = clock.unix_now();
+    crashes::spawn_reader(log, board.clone());
+    let dispatcher = JobDispatcher { options, board, sides };
     let in_progress = Arc::new(watch::Sender::new(0));
-    let shared = Shared { dispatcher, configuration, drain, bookings, in_progress };
+    let shared = Shared { dispatcher, configuration, drain, bookings, in_progress, counting_since };
     Ok(CompletionsHandle { shared: Arc::new(shared) })
 }
 
@@ -87,6 +104,35 @@
         let _ = self.in_progress().wait_for(|count| *count == 0).await;
     }
 
+    /// Takes a sidecar's report.
+    pub fn report(&self, report: EndpointReport) {
+        self.shared.dispatcher.board.report(report);
+    }
+
+    /// Takes a crash notice; returns when it is in force.
+    pub async fn crash(&self, notice: CrashNotice) {
+        self.shared.dispatcher.board.crash(notice).await;
+    }
+
+    /// Crash notices that are in force, for processes that start.
+    pub async fn recent_crashes(&self) -> Vec<CrashNotice> {
+        self.shared.dispatcher.board.recent_crashes().await
+    }
+
+    /// Counts of the service-level objectives.
+    pub async fn burn(&self) -> BurnReply {
+        let state = self.shared.configuration.borrow().clone().unwrap_or_default();
+        let contracts = state.contracts.iter();
+        let objectives =
+            contracts.map(|(customer, terms)| (customer.clone(), terms.objective_basis_points));
+        BurnReply {
+            instance: self.options().instance.clone(),
+            counting_since: self.shared.counting_since,
+            counts: self.shared.dispatcher.board.burn().await,
+            objectives: objectives.collect(),
+        }
+    }
+
     pub(super) fn options(&self) -> &CompletionOptions {
         &self.shared.dispatcher.options
     }
--- a/crates/celeryshed_entry/src/completions/mod.rs
+++ b/crates/celeryshed_entry/src/completions/mod.rs
@@ -5,7 +5,9 @@
 
 mod board;
 mod calls;
+mod crashes;
 mod customers;
+pub mod decisions;
 mod dispatch;
 mod drain;
 mod gate;
@@ -14,6 +16,7 @@
 mod options;
 mod problems;
 mod progress;
+mod refusals;
 mod routes;
 mod services;
 mod streams;
--- a/crates/celeryshed_entry/src/completions/options.rs
+++ b/crates/celeryshed_entry/src/completions/options.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use celeryshed_base::{AvailabilityZone, InstanceName, RegionName};
+use celeryshed_core::admission::QueueOptions;
+use celeryshed_core::routing::RoutingOptions;
 
 /// Largest age of a request.
 const MAX_REQUEST: Duration = Duration::from_secs(600);
@@ -14,9 +16,6 @@
 /// sidecar's own limit for its engine, whose report says more about the cause.
 const EVENT_GAP: Duration = Duration::from_secs(12);
 
-/// Attempts of one request, the first included.
-const MAX_ATTEMPTS: u32 = 6;
-
 /// Options of the callers' routes.
 #[derive(Clone, Debug)]
 pub struct CompletionOptions {
@@ -32,8 +31,10 @@
     pub first_event: Duration,
     /// Longest pause between two events of an attempt.
     pub event_gap: Duration,
-    /// Attempts of one request, the first included.
-    pub max_attempts: u32,
+    /// Options of the routing.
+    pub routing: RoutingOptions,
+    /// Options of the queues.
+    pub queues: QueueOptions,
 }
 
 /// Options that can't work.
@@ -45,22 +46,23 @@
         /// The option.
         option: &'static str,
     },
-    /// No attempt.
-    #[error("max_attempts is 0: accepted are 1 and more")]
-    NoAttempts,
+    /// No endpoint is considered.
+    #[error("subset_size is 0: accepted are 1 and more")]
+    EmptySubset,
 }
 
 impl CompletionOptions {
     /// Options with the default limits.
     pub fn new(instance: InstanceName, zone: AvailabilityZone, region: RegionName) -> Self {
         Self {
+            routing: RoutingOptions::new(instance.clone(), zone.clone(), region.clone()),
+            queues: QueueOptions::default(),
             instance,
             zone,
             region,
             max_request: MAX_REQUEST,
             first_event: FIRST_EVENT,
             event_gap: EVENT_GAP,
-            max_attempts: MAX_ATTEMPTS,
         }
     }
 
@@ -74,8 +76,8 @@
         if let Some((option, _)) = durations.iter().find(|(_, duration)| duration.is_zero()) {
             return Err(CompletionOptionsError::ZeroDuration { option });
         }
-        if self.max_attempts == 0 {
-            return Err(CompletionOptionsError::NoAttempts);
+        if self.routing.subset_size == 0 {
+            return Err(CompletionOptionsError::EmptySubset);
         }
         Ok(())
     }
--- a/crates/celeryshed_entry/src/completions/problems.rs
+++ b/crates/celeryshed_entry/src/completions/problems.rs
@@ -25,6 +25,10 @@
     Starting,
     /// No endpoint can take the request.
     Overloaded,
+    /// No endpoint of the service is left.
+    NoEndpoint,
+    /// The request crashes endpoints.
+    Quarantined,
     /// The endpoint failed.
     EndpointFailed,
     /// No endpoint has the version that began the answer.
@@ -39,7 +43,8 @@
             Self::Malformed => 400,
             Self::UnknownKey => 401,
             Self::UnknownService => 404,
-            Self::Draining | Self::Starting | Self::Overloaded => 503,
+            Self::Quarantined => 422,
+            Self::Draining | Self::Starting | Self::Overloaded | Self::NoEndpoint => 503,
             Self::EndpointFailed | Self::VersionGone => 502,
             Self::DeadlinePassed => 504,
         }
@@ -53,6 +58,8 @@
             Self::Draining => ("draining", "This entry takes no new work"),
             Self::Starting => ("starting", "This entry is starting"),
             Self::Overloaded => ("overloaded", "No endpoint can take the request now"),
+            Self::NoEndpoint => ("no-endpoint", "No endpoint of the service is left"),
+            Self::Quarantined => ("quarantined", "The request crashes endpoints"),
             Self::EndpointFailed => ("endpoint-failed", "The endpoint failed"),
             Self::VersionGone => ("version-gone", "The version that began the answer is gone"),
             Self::DeadlinePassed => ("deadline-passed", "The deadline passed"),
--- a/crates/celeryshed_entry/src/completions/routes.rs
+++ b/crates/celeryshed_entry/src/completions/routes.rs
@@ -4,8 +4,9 @@
 
 use celeryshed_base::{ContentDigest, RequestId, ServiceName};
 use celeryshed_core::configuration::{ConfigurationState, EndpointKind};
-use celeryshed_wire::{NotRunVerdict, ProblemDetails};
+use celeryshed_wire::{NotRunVerdict, ProblemDetails, decode, encode};
 use rocket::data::{Data, ToByteUnit};
+use rocket::http::Status;
 use rocket::request::{FromRequest, Outcome, Request};
 use rocket::serde::json::Json;
 use rocket::{Route, State, get, post};
@@ -29,7 +30,7 @@
 
 /// Routes to mount at `/`; the server manages a [`CompletionsHandle`].
 pub fn routes() -> Vec<Route> {
-    let mut routes = rocket::routes![complete, complete_chat, list_models];
+    let mut routes = rocket::routes![complete, complete_chat, list_models, read_burn, take_crash];
     routes.extend(service_routes());
     routes
 }
@@ -148,6 +149,20 @@
     Ok(Json(json!({"object": "list", "data": models})))
 }
 
+#[get("/entry/v1/burn")]
+async fn read_burn(handle: &State<CompletionsHandle>) -> Result<Vec<u8>, Status> {
+    let body = encode(&handle.burn().await).map_err(|_| Status::InternalServerError)?;
+    Ok(body.to_vec())
+}
+
+#[post("/entry/v1/crashes", data = "<data>")]
+async fn take_crash(handle: &State<CompletionsHandle>, data: Data<'_>) -> Result<Status, Status> {
+    let body = data.open(MAX_BODY_MIB.mebibytes()).into_bytes().await;
+    let body = body.map_err(|_| Status::BadRequest)?;
+    handle.crash(decode(&body).map_err(|_| Status::BadRequest)?).await;
+    Ok(Status::NoContent)
+}
+
 async fn answer(
     handle: &CompletionsHandle,
     headers: &CallerHeaders,
--- a/crates/celeryshed_entry/tests/requests.rs
+++ b/crates/celeryshed_entry/tests/requests.rs
@@ -119,6 +119,36 @@
     assert_eq!(service.request_count(), 1);
 }
 
+/// Guards the bound of two crashes in the fleet: the first crash makes the request a suspect before
+/// its failure is passed on, the second one convicts it, and its resend is refused everywhere.
+#[tokio::test]
+async fn two_crashes_convict_a_request() {
+    let crash = vec![Step::Restart];
+    let (mut engines, mut sides) = (Vec::new(), Vec::new());
+    for _ in 0..4 {
+        let engine = ScriptedServer::start(vec![crash.clone()]).await;
+        sides.push(start_side(EndpointKind::Engine, &engine.address, Some(version(1))).await);
+        engines.push(engine);
+    }
+    let entry = start_entry(&sides.iter().collect::<Vec<_>>(), |_| {}).await;
+    // Each sidecar reads its engine's boot id.
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    let client = reqwest::Client::new();
+    for resend in 0..12 {
+        let request = client.post(entry.url("/v1/completions")).bearer_auth(KEY).json(&ask(true));
+        let response = request.send().await.unwrap();
+        let crashes: usize = engines.iter().map(ScriptedServer::request_count).sum();
+        assert!(crashes <= 2, "{crashes} crashes after {resend} resends");
+        if resend == 11 {
+            assert_eq!(response.status(), 422);
+            assert_eq!(crashes, 2);
+            let problem: Value = response.json().await.unwrap();
+            assert_eq!(problem["not_run"], true);
+        }
+    }
+    assert_eq!(entry.handle.recent_crashes().await.len(), 2);
+}
+
 /// Guards the authentication: an unknown key is refused, not served as uncontracted.
 #[tokio::test]
 async fn refuses_an_unknown_key() {
--- a/crates/celeryshed_entry/tests/support/rig.rs
+++ b/crates/celeryshed_entry/tests/support/rig.rs
@@ -8,8 +8,9 @@
 use async_trait::async_trait;
 use celeryshed_base::*;
 use celeryshed_core::configuration::*;
-use celeryshed_core::membership::{MemberState, MemberView, SideMember};
+use celeryshed_core::membership::{EntryMember, MemberState, MemberView, SideMember};
 use celeryshed_entry::completions::{self, BookingGate, CompletionInputs, CompletionOptions};
+use celeryshed_platform::fakes::FakeLog;
 use celeryshed_side::attempts::{
     self, AttemptInputs, AttemptOptions, ClaimGate, ClaimPermission, ClaimRefusal, EndpointTarget,
 };
@@ -133,6 +134,8 @@
     pub(crate) served: Served,
     pub(crate) drain: watch::Sender<attempts::DrainState>,
     pub(crate) service: ServiceName,
+    /// Entries that the sidecar tells of crashes.
+    pub(crate) entries: watch::Sender<Arc<MemberView>>,
 }
 
 /// Starts a sidecar beside the endpoint at `address`.
@@ -150,12 +153,15 @@
     let instance = InstanceName::try_from("side").unwrap();
     let (drain, drain_watch) = watch::channel(attempts::DrainState::Serving);
     let live_version = watch::channel(live).1;
+    let (entries, members) = watch::channel(Arc::new(MemberView::default()));
     let inputs = AttemptInputs {
         options: AttemptOptions::new(instance, service.clone(), target, 4),
         configuration: watch::channel(Some(Arc::new(configuration()))).1,
         live_version,
         drain: drain_watch,
         claims: Arc::new(FakeGate::default()),
+        members: members.clone(),
+        log: Arc::new(FakeLog::new(ClockSource::start())),
     };
     let handle = attempts::spawn(inputs).unwrap();
     let (idle, mut draining) = (handle.clone(), drain.subscribe());
@@ -164,7 +170,7 @@
         idle.idle().await;
     };
     let served = serve(handle.clone(), attempts::routes(), drained).await;
-    RigSide { handle, served, drain, service }
+    RigSide { handle, served, drain, service, entries }
 }
 
 /// A running entry.
@@ -180,15 +186,16 @@
     }
 }
 
-/// The view of an entry; instances are named by position, so that the first is preferred.
+/// The view of an entry; the first endpoint is in its zone, the others in another region, so
+/// that the first is preferred.
 pub(crate) fn view_of(sides: &[&RigSide]) -> MemberView {
     let mut view = MemberView::default();
     for (position, side) in sides.iter().enumerate() {
         let member = SideMember {
             address: side.served.address.clone(),
             incarnation: None,
-            zone: AvailabilityZone::try_from("a").unwrap(),
-            region: RegionName::try_from("r").unwrap(),
+            zone: AvailabilityZone::try_from(format!("zone-{position}")).unwrap(),
+            region: RegionName::try_from(format!("region-{}", position.min(1))).unwrap(),
             service: side.service.clone(),
             state: MemberState::Live,
         };
@@ -197,6 +204,16 @@
     view
 }
 
+fn entries_view(address: &str) -> MemberView {
+    let member = EntryMember {
+        address: address.to_owned(),
+        zone: AvailabilityZone::try_from("zone-0").unwrap(),
+        region: RegionName::try_from("region-0").unwrap(),
+    };
+    let instance = InstanceName::try_from("entry").unwrap();
+    MemberView { entries: BTreeMap::from([(instance, member)]), ..MemberView::default() }
+}
+
 /// Starts an entry that sees `sides`.
 pub(crate) async fn start_entry(
     sides: &[&RigSide],
@@ -206,8 +223,8 @@
     let members = watch::channel(Arc::new(view_of(sides))).1;
     let mut options = CompletionOptions::new(
         InstanceName::try_from("entry").unwrap(),
-        AvailabilityZone::try_from("a").unwrap(),
-        RegionName::try_from("r").unwrap(),
+        AvailabilityZone::try_from("zone-0").unwrap(),
+        RegionName::try_from("region-0").unwrap(),
     );
     change(&mut options);
     let inputs = CompletionInputs {
@@ -217,6 +234,7 @@
         drain: drain_watch,
         sides: Arc::new(completions::HttpSideClient::default()),
         bookings: Arc::new(FakeBookings),
+        log: Arc::new(FakeLog::new(ClockSource::start())),
     };
     let handle = completions::spawn(inputs).unwrap();
     let (idle, mut draining) = (handle.clone(), drain.subscribe());
@@ -225,5 +243,8 @@
         idle.idle().await;
     };
     let served = serve(handle.clone(), completions::routes(), drained).await;
+    for side in sides {
+        side.entries.send_replace(Arc::new(entries_view(&served.address)));
+    }
     RigEntry { handle, served, drain }
 }
--- a/crates/celeryshed_entry/tests/support/scripted.rs
+++ b/crates/celeryshed_entry/tests/support/scripted.rs
@@ -1,10 +1,12 @@
 //! An HTTP server whose answers are scripted byte by byte.
 
 use std::collections::VecDeque;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use celeryshed_base::ContentDigest;
+use celeryshed_wire::EngineLoad;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -15,6 +17,8 @@
     Send(String),
     /// Waits.
     Wait(Duration),
+    /// The endpoint restarts: its load names another boot id from now on.
+    Restart,
 }
 
 /// One answer; the connection is closed after its last step.
@@ -26,6 +30,7 @@
 pub(crate) struct ScriptedServer {
     pub(crate) address: String,
     pub(crate) requests: Arc<Mutex<Vec<String>>>,
+    boot_id: Arc<AtomicU64>,
 }
 
 impl ScriptedServer {
@@ -33,11 +38,13 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap().to_string();
         let requests = Arc::new(Mutex::new(Vec::new()));
-        let server = Self { address, requests: Arc::clone(&requests) };
+        let boot_id = Arc::new(AtomicU64::new(1));
+        let server = Self { address, requests, boot_id };
+        let serving = server.clone();
         let scripts = Arc::new(Mutex::new(VecDeque::from(scripts)));
         tokio::spawn(async move {
             while let Ok((socket, _)) = listener.accept().await {
-                tokio::spawn(serve(socket, Arc::clone(&scripts), Arc::clone(&requests)));
+                tokio::spawn(serving.clone().serve(socket, Arc::clone(&scripts)));
             }
         });
         server
@@ -48,35 +55,56 @@
     }
 }
 
-async fn serve(
-    mut socket: TcpStream,
-    scripts: Arc<Mutex<VecDeque<Script>>>,
-    requests: Arc<Mutex<Vec<String>>>,
-) {
-    let Some(request) = read_request(&mut socket).await else { return };
-    if request.contains("/cancel ") {
-        let _ = socket.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").await;
-        return;
-    }
-    requests.lock().unwrap().push(request);
-    let script = {
-        let mut scripts = scripts.lock().unwrap();
-        let next = scripts.pop_front().unwrap_or_default();
-        if scripts.is_empty() {
-            scripts.push_back(next.clone());
+impl ScriptedServer {
+    async fn serve(self, mut socket: TcpStream, scripts: Arc<Mutex<VecDeque<Script>>>) {
+        let Some(request) = read_request(&mut socket).await else { return };
+        if request.contains("/cancel ") {
+            let _ = socket.write_all(b"HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n").await;
+            return;
         }
-        next
-    };
-    for step in script {
-        match step {
-            Step::Send(text) => {
-                if socket.write_all(text.as_bytes()).await.is_err() {
-                    return;
+        if request.starts_with("GET /load ") {
+            let _ = socket.write_all(self.load().as_bytes()).await;
+            return;
+        }
+        self.requests.lock().unwrap().push(request);
+        let script = {
+            let mut scripts = scripts.lock().unwrap();
+            let next = scripts.pop_front().unwrap_or_default();
+            if scripts.is_empty() {
+                scripts.push_back(next.clone());
+            }
+            next
+        };
+        for step in script {
+            match step {
+                Step::Send(text) => {
+                    if socket.write_all(text.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+                Step::Wait(pause) => tokio::time::sleep(pause).await,
+                Step::Restart => {
+                    self.boot_id.fetch_add(1, Ordering::SeqCst);
                 }
             }
-            Step::Wait(pause) => tokio::time::sleep(pause).await,
         }
     }
+
+    fn load(&self) -> String {
+        let load = EngineLoad {
+            live: None,
+            boot_id: self.boot_id.load(Ordering::SeqCst),
+            running: 0,
+            waiting: 0,
+            slots: 4,
+            queued_prompt_tokens: 0,
+            tokens_per_s: 0,
+            adapters: Vec::new(),
+        };
+        let body = serde_json::to_string(&load).unwrap();
+        let Step::Send(answer) = plain_answer(200, &body).remove(0) else { unreachable!() };
+        answer
+    }
 }
 
 async fn read_request(socket: &mut TcpStream) -> Option<String> {
--- a/crates/celeryshed_side/src/attempts/mod.rs
+++ b/crates/celeryshed_side/src/attempts/mod.rs
@@ -3,6 +3,7 @@
 //! A slot task owns the endpoint's slots; a runner per attempt talks to the endpoint and sends
 //! events; the routes turn events into frames.
 
+mod crashes;
 mod drain;
 mod engine;
 mod gate;
--- a/crates/celeryshed_side/src/attempts/runner.rs
+++ b/crates/celeryshed_side/src/attempts/runner.rs
@@ -6,14 +6,17 @@
 use bytes::Bytes;
 use celeryshed_base::{AttemptId, ContentDigest};
 use celeryshed_core::admission::{SlotClass, SlotDecision, SlotLoad, SlotRequest};
+use celeryshed_core::membership::MemberView;
+use celeryshed_platform::LogClient;
 use celeryshed_wire::{
     AttemptEvent, AttemptEventKind, AttemptFailure, AttemptRequest, AttemptWork, CallWork,
-    ClaimOutcome, CompletionWork, FailureCause, LoadReport, NotRunVerdict, PriorityClass,
-    ServiceAnswer, encode_frame,
+    ClaimOutcome, CompletionWork, EngineLoad, FailureCause, LoadReport, NotRunVerdict,
+    PriorityClass, ServiceAnswer, encode_frame,
 };
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 
+use super::crashes::{CrashInputs, CrashWatch, spawn_crash_watch};
 use super::drain::DrainState;
 use super::engine::EngineCall;
 use super::gate::{ClaimGate, ClaimPermission};
@@ -43,6 +46,10 @@
     pub drain: watch::Receiver<DrainState>,
     /// The register of claims.
     pub claims: Arc<dyn ClaimGate>,
+    /// Membership, for telling all entries of crashes.
+    pub members: watch::Receiver<Arc<MemberView>>,
+    /// The log, for entries that start later.
+    pub log: Arc<dyn LogClient>,
 }
 
 struct Shared {
@@ -51,6 +58,7 @@
     drain: watch::Receiver<DrainState>,
     claims: Arc<dyn ClaimGate>,
     slots: SlotsHandle,
+    crashes: CrashWatch,
     http: reqwest::Client,
 }
 
@@ -62,17 +70,30 @@
 
 /// Starts the attempts; a tokio runtime must run.
 pub fn spawn(inputs: AttemptInputs) -> Result<AttemptsHandle, AttemptOptionsError> {
-    let AttemptInputs { options, configuration, live_version, drain, claims } = inputs;
+    let AttemptInputs { options, configuration, live_version, drain, claims, members, log } =
+        inputs;
     options.check()?;
     let slots = spawn_slots(options.slots, configuration);
     let client = reqwest::Client::builder().no_proxy();
     let client = client.connect_timeout(CONNECT_TIMEOUT).pool_idle_timeout(POOL_IDLE);
     let http = client.build().expect("client without TLS needs nothing from the system");
-    let shared = Shared { options, live_version, drain, claims, slots, http };
+    let crashes = spawn_crash_watch(CrashInputs {
+        instance: options.instance.clone(),
+        target: options.target.clone(),
+        http: http.clone(),
+        members,
+        log,
+    });
+    let shared = Shared { options, live_version, drain, claims, slots, crashes, http };
     Ok(AttemptsHandle { shared: Arc::new(shared) })
 }
 
 impl AttemptsHandle {
+    /// The load as reports give it.
+    pub fn load_report(&self) -> LoadReport {
+        self.shared.load_report()
+    }
+
     /// Starts an attempt and returns its frames.
     pub fn start(&self, request: AttemptRequest) -> mpsc::Receiver<Bytes> {
         let (frames, receiver) = mpsc::channel(FRAMES_AHEAD);
@@ -92,6 +113,11 @@
         self.shared.slots.load()
     }
 
+    /// The engine's load as it was read last; `None` while it is down and for plain services.
+    pub fn engine_load(&self) -> watch::Receiver<Option<EngineLoad>> {
+        self.shared.crashes.engine_load()
+    }
+
     /// Waits until no attempt runs; used after the drain began.
     pub async fn idle(&self) {
         let mut load = self.load();
@@ -155,10 +181,18 @@
         let permit = self.slots.request(slot_request(request)).await.map_err(slot_failure)?;
         // The drain may have begun while the slot was awaited.
         self.check_drain()?;
-        match &request.work {
+        let (attempt_id, fingerprint) = (request.attempt_id, request.fingerprint);
+        let mark = self.crashes.begin(attempt_id, fingerprint, request.suspect);
+        let result = match &request.work {
             AttemptWork::Completion(work) => self.complete(request, work, permit, sink).await,
             AttemptWork::Call(work) => self.call(request, work, permit, sink).await,
+        };
+        match &result {
+            Ok(_) => mark.complete(),
+            Err(failure) if failure.cause == FailureCause::EndpointFailed => mark.failed().await,
+            Err(_) => {}
         }
+        result
     }
 
     fn check_drain(&self) -> Result<(), AttemptFailure> {
@@ -262,7 +296,14 @@
 
     fn load_report(&self) -> LoadReport {
         let load = *self.slots.load().borrow();
-        LoadReport { slots: load.slots, running: load.running, ..LoadReport::default() }
+        let engine = self.crashes.engine_load().borrow().clone();
+        LoadReport {
+            slots: load.slots,
+            running: load.running,
+            waiting: engine.as_ref().map_or(0, |it| it.waiting),
+            queued_prompt_tokens: engine.as_ref().map_or(0, |it| it.queued_prompt_tokens),
+            tokens_per_s: engine.as_ref().map_or(0, |it| it.tokens_per_s),
+        }
     }
 }
 
