--- a/crates/celeryshed_core/benches/routing.rs
+++ b/crates/celeryshed_core/benches/routing.rs
@@ -71,6 +71,7 @@
         prefixes: prompt_prefixes(&hashes, 16),
         seed: prompt,
         may_displace: true,
+        headroom: false,
         excluded: BTreeSet::from([instance(3)]),
     }
 }
--- a/crates/celeryshed_core/src/admission/mod.rs
+++ b/crates/celeryshed_core/src/admission/mod.rs
@@ -11,4 +11,4 @@
 pub use limits::{AdmissionGrant, CustomerLimits, admitted_share_bounds};
 pub use queue::{QueueItem, QueueOptions, QueueRefusal, WaitQueue};
 pub use retries::RetryBudgets;
-pub use slots::{SlotClass, SlotDecision, SlotLoad, SlotRequest, SlotTable};
+pub use slots::{SlotClass, SlotDecision, SlotLoad, SlotRequest, SlotTable, headroom_of};
--- a/crates/celeryshed_core/src/admission/queue.rs
+++ b/crates/celeryshed_core/src/admission/queue.rs
@@ -21,6 +21,8 @@
         pub class: SlotClass,
         /// When it stops waiting.
         pub deadline: MonoTime,
+        /// Whether its caller has received a part of the answer.
+        pub resumes: bool,
     }
 
     /// Why a request can't wait.
@@ -57,8 +59,9 @@
 
 /// Requests that wait for a slot of one service.
 ///
-/// Higher classes go first; within a class the customers take turns, each in the order of arrival,
-/// so that a customer with many requests doesn't hold up the others.
+/// Higher classes go first; within a class answers that began go first, then the customers take
+/// turns, each in the order of arrival, so that a customer with many requests doesn't hold up the
+/// others. When the queue is full, the customer with the most waiting requests gives one up.
 #[derive(Clone, Debug, Default)]
 pub struct WaitQueue {
     options: QueueOptions,
@@ -94,16 +97,13 @@
         item: QueueItem,
         now: MonoTime,
     ) -> Result<Option<QueueItem>, QueueRefusal> {
-        let expected = self.expected_wait(item.class);
+        let expected = self.expected_wait(&item);
         if now + expected > item.deadline {
             return Err(QueueRefusal::TooLate { expected });
         }
         let mut removed = None;
         if self.items.len() >= self.options.length {
-            let last =
-                self.items.values().max_by_key(|it| (std::cmp::Reverse(it.item.class), it.arrival));
-            let last = last.filter(|last| last.item.class < item.class);
-            let last = last.ok_or(QueueRefusal::Full)?.item.request_id;
+            let last = self.gives_way_to(&item).ok_or(QueueRefusal::Full)?;
             removed = self.remove(&last);
         }
         self.arrivals += 1;
@@ -114,14 +114,20 @@
 
     /// The requests whose turns come next, in order.
     pub fn next_turns(&self, most: usize) -> Vec<RequestId> {
-        let turn_of = |it: &WaitingItem| self.turns.get(&it.item.customer).copied().unwrap_or(0);
-        let mut order: Vec<_> = self
-            .items
-            .iter()
-            .map(|(id, it)| (std::cmp::Reverse(it.item.class), turn_of(it), it.arrival, *id))
-            .collect();
+        let mut rounds: BTreeMap<(SlotClass, &CustomerName), u64> = BTreeMap::new();
+        let mut by_arrival: Vec<&WaitingItem> = self.items.values().collect();
+        by_arrival.sort_unstable_by_key(|waiting| waiting.arrival);
+        let order = by_arrival.into_iter().map(|waiting| {
+            let item = &waiting.item;
+            let round = rounds.entry((item.class, &item.customer)).or_default();
+            *round += 1;
+            let last_turn = self.turns.get(&item.customer).copied().unwrap_or(0);
+            let class = std::cmp::Reverse(item.class);
+            (class, !item.resumes, *round, last_turn, waiting.arrival, item.request_id)
+        });
+        let mut order: Vec<_> = order.collect();
         order.sort_unstable();
-        order.into_iter().take(most).map(|(_, _, _, request_id)| request_id).collect()
+        order.into_iter().take(most).map(|key| key.5).collect()
     }
 
     /// Takes out a request that got its slot.
@@ -151,10 +157,39 @@
         late.iter().filter_map(|request_id| self.remove(request_id)).collect()
     }
 
-    /// Expected wait of a request of this class.
-    pub fn expected_wait(&self, class: SlotClass) -> Duration {
-        let ahead = self.items.values().filter(|waiting| waiting.item.class >= class).count();
-        self.pace.unwrap_or_default().saturating_mul(ahead as u32)
+    /// Expected wait of a request: those of higher classes go first, and of each other customer of
+    /// its class as many as the customer itself has waiting, and one more.
+    pub fn expected_wait(&self, item: &QueueItem) -> Duration {
+        let mut waiting: BTreeMap<&CustomerName, u32> = BTreeMap::new();
+        let mut ahead = 0;
+        for other in self.items.values().map(|waiting| &waiting.item) {
+            if other.class > item.class || other.resumes && other.class == item.class {
+                ahead += 1;
+            } else if other.class == item.class && !item.resumes {
+                *waiting.entry(&other.customer).or_default() += 1;
+            }
+        }
+        let own = waiting.remove(&item.customer).unwrap_or(0);
+        ahead += own + waiting.values().map(|count| (*count).min(own + 1)).sum::<u32>();
+        self.pace.unwrap_or_default().saturating_mul(ahead)
+    }
+
+    /// The request that is given up for `item`: of the lowest class, the last one of the customer
+    /// with the most waiting requests, when `item` has a higher class or its customer fewer.
+    fn gives_way_to(&self, item: &QueueItem) -> Option<RequestId> {
+        let lowest = self.items.values().map(|waiting| waiting.item.class).min()?;
+        let mut counts: BTreeMap<&CustomerName, usize> = BTreeMap::new();
+        let candidates = self.items.values().filter(|waiting| waiting.item.class == lowest);
+        for waiting in candidates.clone() {
+            *counts.entry(&waiting.item.customer).or_default() += 1;
+        }
+        let (most, count) = counts.iter().max_by_key(|(_, count)| **count)?;
+        let own = counts.get(&item.customer).copied().unwrap_or(0);
+        if item.class < lowest || item.class == lowest && own + 1 >= *count {
+            return None;
+        }
+        let of_most = candidates.filter(|it| it.item.customer == **most && !it.item.resumes);
+        of_most.max_by_key(|waiting| waiting.arrival).map(|waiting| waiting.item.request_id)
     }
 
     fn measure_pace(&mut self, now: MonoTime) {
--- a/crates/celeryshed_core/src/admission/slots.rs
+++ b/crates/celeryshed_core/src/admission/slots.rs
@@ -66,6 +66,12 @@
     }
 }
 
+/// Slots that best-effort work leaves free while there are contracts, so that contracted work
+/// seldom has to displace it: one in 16. A displaced prompt of 1,600 tokens costs an engine 0.16 s.
+pub fn headroom_of(slots: u32) -> u32 {
+    slots / 16
+}
+
 /// The slots of an endpoint and the attempts that hold them.
 ///
 /// ```
@@ -118,7 +124,10 @@
         if let Some(refusal) = self.refusal_before_capacity(&request) {
             return refusal;
         }
-        if (self.running.len() as u64) < u64::from(self.slots) {
+        let keeps_headroom = request.class == SlotClass::BestEffort
+            && configuration.is_some_and(|state| !state.contracts.is_empty());
+        let kept = if keeps_headroom { headroom_of(self.slots) } else { 0 };
+        if (self.running.len() as u64) < u64::from(self.slots - kept) {
             self.start(request);
             return SlotDecision::Granted;
         }
--- a/crates/celeryshed_core/src/routing/endpoint.rs
+++ b/crates/celeryshed_core/src/routing/endpoint.rs
@@ -10,6 +10,7 @@
 
 use super::ejection::EjectionState;
 use super::options::RoutingOptions;
+use crate::admission::headroom_of;
 
 common_derives! { value:
     /// Load of an endpoint.
@@ -59,7 +60,10 @@
     pub(super) adapters: BTreeSet<AdapterName>,
     pub(super) ejection: EjectionState,
     pub(super) latency_us: u64,
-    pub(super) fresh_since: MonoTime,
+    /// When it appeared; `None` when it was there before this entry.
+    /// Spreads equal choices; the same at all entries.
+    pub(super) name_hash: u64,
+    pub(super) fresh_since: Option<MonoTime>,
     load: EndpointLoad,
     /// Requests sent since the last report, by their number.
     sent_since_report: BTreeMap<u64, SentRequest>,
@@ -77,9 +81,10 @@
         service: ServiceName,
         place: (AvailabilityZone, RegionName),
         slots: u32,
-        now: MonoTime,
+        fresh_since: Option<MonoTime>,
     ) -> Self {
         let (zone, region) = place;
+        let name_hash = ContentDigest::of(instance.as_str().as_bytes()).leading_u64();
         Self {
             instance,
             address: String::new(),
@@ -92,7 +97,8 @@
             adapters: BTreeSet::new(),
             ejection: EjectionState::default(),
             latency_us: 0,
-            fresh_since: now,
+            name_hash,
+            fresh_since,
             load: EndpointLoad { slots, ..EndpointLoad::default() },
             sent_since_report: BTreeMap::new(),
             sent_prompt_tokens: 0,
@@ -157,7 +163,7 @@
 
     /// Slots that may be used now: a fresh endpoint's share rises over the slow start.
     pub(super) fn usable_slots(&self, options: &RoutingOptions, now: MonoTime) -> u32 {
-        let age = now - self.fresh_since;
+        let age = self.fresh_since.map_or(options.slow_start, |since| now - since);
         if age >= options.slow_start {
             return self.load.slots;
         }
@@ -166,8 +172,10 @@
     }
 
     /// Whether a further request would find no slot.
-    pub(super) fn is_full(&self, options: &RoutingOptions, now: MonoTime) -> bool {
-        self.full || self.occupied() >= self.usable_slots(options, now)
+    pub(super) fn is_full(&self, headroom: bool, options: &RoutingOptions, now: MonoTime) -> bool {
+        let slots = self.usable_slots(options, now);
+        let kept = if headroom { headroom_of(slots) } else { 0 };
+        self.full || self.occupied() >= slots - kept
     }
 
     /// Expected time to the first token in microseconds.
--- a/crates/celeryshed_core/src/routing/prefixes.rs
+++ b/crates/celeryshed_core/src/routing/prefixes.rs
@@ -7,7 +7,7 @@
 
 /// Lengths of the prefixes that are looked up, in blocks. With one prefix per block, a prompt of
 /// 16 blocks that every endpoint holds took 10 µs of a decision over 600 endpoints.
-const PREFIX_LENGTHS: [usize; 14] = [1, 2, 4, 8, 12, 16, 24, 32, 48, 64, 96, 128, 192, 256];
+const PREFIX_LENGTHS: [usize; 11] = [4, 8, 16, 24, 32, 48, 64, 96, 128, 192, 256];
 
 /// Blocks of a prompt whose hashes are needed at most.
 pub const MAX_PREFIX_BLOCKS: usize = PREFIX_LENGTHS[PREFIX_LENGTHS.len() - 1];
@@ -28,9 +28,9 @@
 ///
 /// ```
 /// use celeryshed_core::routing::prompt_prefixes;
-/// let prefixes = prompt_prefixes(&[11, 12, 13], 16);
-/// assert_eq!(prefixes.len(), 2);
-/// assert_eq!((prefixes[1].hash, prefixes[1].tokens), (12, 32));
+/// let prefixes = prompt_prefixes(&[11, 12, 13, 14, 15], 16);
+/// assert_eq!(prefixes.len(), 1);
+/// assert_eq!((prefixes[0].hash, prefixes[0].tokens), (14, 64));
 /// ```
 pub fn prompt_prefixes(hashes: &[u64], block_tokens: u64) -> Vec<PromptPrefix> {
     let blocks = PREFIX_LENGTHS.iter().take_while(|blocks| **blocks <= hashes.len());
--- a/crates/celeryshed_core/src/routing/table.rs
+++ b/crates/celeryshed_core/src/routing/table.rs
@@ -21,6 +21,14 @@
 /// Age of the load in the answer to an attempt: the latency of a link.
 const ANSWER_LAG: Duration = Duration::from_millis(5);
 
+/// Scores count as equal as well when they differ by less than this part of the best: all of these
+/// endpoints must process most of the prompt.
+const EQUAL_PART: u64 = 16;
+
+/// Cost of a displacement: the displaced request's prompt is processed again elsewhere, and the
+/// work there may turn out not to be displaceable.
+const DISPLACEMENT_US: u64 = 30_000;
+
 /// At most one in this many endpoints of a service is ejected at once.
 const EJECTED_PART: usize = 3;
 
@@ -41,6 +49,8 @@
     pub seed: u64,
     /// Whether an endpoint without a free slot will do, because work there can be displaced.
     pub may_displace: bool,
+    /// Whether the request leaves the headroom of an endpoint to contracted work.
+    pub headroom: bool,
     /// Endpoints that failed or refused the request before.
     pub excluded: BTreeSet<InstanceName>,
 }
@@ -114,6 +124,8 @@
         configuration: Option<&ConfigurationState>,
         now: MonoTime,
     ) {
+        // An entry that starts finds endpoints that have long been running.
+        let fresh_since = (!self.endpoints.is_empty()).then_some(now);
         let mut live = vec![false; self.endpoints.len()];
         for (instance, side) in &view.sides {
             let definition = configuration.and_then(|state| state.services.get(&side.service));
@@ -126,7 +138,7 @@
                     service,
                     place,
                     slots,
-                    now,
+                    fresh_since,
                 ));
                 live.push(false);
                 self.indexes.insert(instance.clone(), self.endpoints.len() - 1);
@@ -137,8 +149,8 @@
             let endpoint = &mut self.endpoints[index];
             endpoint.address.clone_from(&side.address);
             endpoint.latency_us = latency_us;
-            if live[index] && !endpoint.live && now > MonoTime::ZERO {
-                endpoint.fresh_since = now;
+            if live[index] && !endpoint.live && fresh_since.is_some() {
+                endpoint.fresh_since = fresh_since;
             }
         }
         for (endpoint, live) in self.endpoints.iter_mut().zip(live) {
@@ -167,13 +179,9 @@
         if candidates.is_empty() {
             return RoutingDecision::NoEndpoint;
         }
-        let free = candidates.iter().any(|candidate| !candidate.full);
-        if !free && !need.may_displace {
-            return RoutingDecision::Full;
-        }
-        let usable = candidates.iter().filter(|candidate| match free {
-            true => !candidate.full,
-            false => !self.endpoints[candidate.index].refused_busy(),
+        let usable = candidates.iter().filter(|candidate| {
+            let displaces = || !self.endpoints[candidate.index].refused_busy();
+            !candidate.full || need.may_displace && displaces()
         });
         let usable: Vec<&Candidate> = usable.collect();
         let Some(chosen) = self.pick(&usable, need) else {
@@ -270,7 +278,7 @@
         let may_eject = self.may_eject_one_more(index, now);
         let endpoint = &mut self.endpoints[index];
         endpoint.adapters.clear();
-        if endpoint.ejection.fail(&self.options) && may_eject {
+        if endpoint.ejection.fail(&self.options, now) && may_eject {
             endpoint.ejection.eject(&self.options, now);
         }
     }
@@ -333,14 +341,23 @@
                 && !endpoint.ejection.is_ejected(now)
                 && endpoint.may_have(need.version)
         });
-        let (mut subset, mut others) = (Vec::with_capacity(indexes.len()), Vec::new());
+        let (mut others, mut distrusted) = (Vec::new(), Vec::new());
+        let mut subset = Vec::with_capacity(indexes.len());
         for index in fitting {
             let endpoint = &self.endpoints[index];
-            let full = endpoint.is_full(&self.options, now);
-            let score = self.score(endpoint, need, cached[index], now);
-            let target = if endpoint.in_subset { &mut subset } else { &mut others };
+            let full = endpoint.is_full(need.headroom, &self.options, now);
+            let displaces_us = if full { DISPLACEMENT_US } else { 0 };
+            let score = self.score(endpoint, need, cached[index], now) + displaces_us;
+            let target = match endpoint.ejection.is_distrusted(now) {
+                true => &mut distrusted,
+                false if endpoint.in_subset => &mut subset,
+                false => &mut others,
+            };
             target.push(Candidate { index, full, score });
         }
+        if subset.is_empty() && others.is_empty() {
+            return distrusted;
+        }
         if subset.iter().all(|candidate| candidate.full) {
             subset.append(&mut others);
         }
@@ -363,15 +380,27 @@
         expected + adapter_us
     }
 
+    /// Equal choices are spread by the beginning of the prompt, alike at all entries, so that a
+    /// shared prefix is cached at few engines; requests without a prefix are spread by their ids.
+    fn spreading_key(&self, need: &RoutingNeed) -> u64 {
+        match (self.options.policy, need.prefixes.first()) {
+            (RoutingPolicy::Expected, Some(prefix)) => prefix.hash,
+            _ => need.seed,
+        }
+    }
+
     fn pick<'a>(&mut self, usable: &[&'a Candidate], need: &RoutingNeed) -> Option<&'a Candidate> {
         match self.options.policy {
             RoutingPolicy::Expected | RoutingPolicy::LeastLoad => {
                 let best = usable.iter().map(|candidate| candidate.score).min()?;
-                let equal = usable.iter().filter(|it| it.score <= best + EQUAL_US);
-                equal.copied().max_by_key(|it| mix(need.seed, it.index as u64))
+                let limit = best + EQUAL_US + best / EQUAL_PART;
+                let equal = usable.iter().filter(|it| it.score <= limit);
+                let key = self.spreading_key(need);
+                equal.copied().max_by_key(|it| mix(key, self.endpoints[it.index].name_hash))
             }
             RoutingPolicy::Random => {
-                usable.iter().copied().max_by_key(|it| mix(need.seed, it.index as u64))
+                let hash = |it: &&Candidate| mix(need.seed, self.endpoints[it.index].name_hash);
+                usable.iter().copied().max_by_key(hash)
             }
             RoutingPolicy::RoundRobin => {
                 self.turn += 1;
--- a/crates/celeryshed_entry/src/completions/decisions/entry.rs
+++ b/crates/celeryshed_entry/src/completions/decisions/entry.rs
@@ -233,7 +233,9 @@
         let displaces =
             contract.is_some_and(|it| it.displaces_uncontracted || !it.displaces.is_empty());
         let may_displace = displaces && record.grant.class > SlotClass::BestEffort;
-        let need = record.need(may_displace);
+        let headroom =
+            record.grant.class == SlotClass::BestEffort && !self.configuration.contracts.is_empty();
+        let need = record.need(may_displace, headroom);
         Some(self.table.choose(&need, now))
     }
 
@@ -246,7 +248,7 @@
         let Some(record) = self.requests.get_mut(&request_id) else {
             return Placement::Refuse(EntryRefusal::new(RefusalReason::DeadlinePassed));
         };
-        let mark = self.table.sent(&choice.instance, &record.need(false), now);
+        let mark = self.table.sent(&choice.instance, &record.need(false, false), now);
         record.running_at = Some(mark);
         let verdict = self.quarantine.verdict(&record.profile.fingerprint, now);
         Placement::Dispatch(PlacedAttempt {
@@ -310,6 +312,7 @@
             customer: record.profile.customer.clone(),
             class: record.grant.class,
             deadline,
+            resumes: record.version.is_some(),
         };
         let options = self.queue_options;
         let queue = self.queues.entry(record.service.clone());
--- a/crates/celeryshed_entry/src/completions/decisions/request.rs
+++ b/crates/celeryshed_entry/src/completions/decisions/request.rs
@@ -97,7 +97,7 @@
         self.arrived + self.profile.time_left
     }
 
-    pub(super) fn need(&self, may_displace: bool) -> RoutingNeed {
+    pub(super) fn need(&self, may_displace: bool, headroom: bool) -> RoutingNeed {
         RoutingNeed {
             service: self.service.clone(),
             version: self.version,
@@ -106,6 +106,7 @@
             prefixes: self.profile.prefixes.clone(),
             seed: self.profile.request_id.0.as_u128() as u64,
             may_displace,
+            headroom,
             excluded: self.excluded.union(&self.suspects_at).cloned().collect(),
         }
     }
--- a/crates/celeryshed_entry/src/completions/options.rs
+++ b/crates/celeryshed_entry/src/completions/options.rs
@@ -9,12 +9,12 @@
 /// Largest age of a request.
 const MAX_REQUEST: Duration = Duration::from_secs(600);
 
-/// Longest wait for the first event of an attempt: a queue and a long prompt at the engine.
-const FIRST_EVENT: Duration = Duration::from_secs(30);
+/// Longest wait for the first token of an attempt: a long prompt behind others at the engine.
+const FIRST_EVENT: Duration = Duration::from_secs(10);
 
 /// Longest pause between two events of an attempt before it is resumed elsewhere; above the
 /// sidecar's own limit for its engine, whose report says more about the cause.
-const EVENT_GAP: Duration = Duration::from_secs(12);
+const EVENT_GAP: Duration = Duration::from_secs(5);
 
 /// Options of the callers' routes.
 #[derive(Clone, Debug)]
--- a/crates/celeryshed_measure/src/scarcity/mod.rs
+++ b/crates/celeryshed_measure/src/scarcity/mod.rs
@@ -1,1 +1,20 @@
-//! Placeholder until this module lands.
+//! Experiment `scarcity`: the product's own decisions over stand-ins of engines when instances are
+//! scarce.
+//!
+//! Entries run [`celeryshed_entry::completions::decisions::EntryDecisions`] and sidecars run
+//! [`celeryshed_core::admission::SlotTable`]; engines, links and callers are models in the
+//! runtime's paused clock, so that a run depends only on its options.
+
+mod engine;
+mod events;
+mod options;
+mod report;
+mod traffic;
+mod world;
+
+#[cfg(test)]
+mod tests;
+
+pub use options::{ScarcityOptions, ScarcityScenario};
+pub use report::{CustomerResult, ScarcityReport};
+pub use world::run_scarcity;
--- /dev/null
+++ b/crates/celeryshed_measure/src/scarcity/report.rs
@@ -0,0 +1,144 @@
+//! Results of a run.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use celeryshed_base::CustomerName;
+use hdrhistogram::Histogram;
+
+/// Largest recorded time to the first token in microseconds.
+const LONGEST_US: u64 = 600_000_000;
+
+/// Result of one customer.
+#[derive(Clone, Debug)]
+pub struct CustomerResult {
+    /// The customer.
+    pub customer: CustomerName,
+    /// Whether it has a contract.
+    pub contracted: bool,
+    /// Calls of its callers; a resent call counts once.
+    pub calls: u64,
+    /// Calls that got a whole answer.
+    pub answered: u64,
+    /// Tokens of whole answers, a second.
+    pub tokens_per_s: f64,
+    /// Tokens that callers asked for, a second, up to the reserved rate; of these, the share that
+    /// was served.
+    pub reserved_served: f64,
+    /// Refusals by kind.
+    pub refusals: BTreeMap<String, u64>,
+    /// Attempts that were displaced.
+    pub displaced: u64,
+    /// Prompt tokens that were processed again because of displacements.
+    pub wasted_tokens: u64,
+    pub(super) first_tokens: Histogram<u64>,
+}
+
+impl CustomerResult {
+    pub(super) fn new(customer: CustomerName, contracted: bool) -> Self {
+        Self {
+            customer,
+            contracted,
+            calls: 0,
+            answered: 0,
+            tokens_per_s: 0.0,
+            reserved_served: 0.0,
+            refusals: BTreeMap::new(),
+            displaced: 0,
+            wasted_tokens: 0,
+            first_tokens: empty_histogram(),
+        }
+    }
+
+    /// Share of calls with a whole answer.
+    pub fn goodput(&self) -> f64 {
+        if self.calls == 0 { 1.0 } else { self.answered as f64 / self.calls as f64 }
+    }
+
+    /// Time to the first token at a percentile, in milliseconds.
+    pub fn first_token_ms(&self, percentile: f64) -> f64 {
+        self.first_tokens.value_at_percentile(percentile) as f64 / 1000.0
+    }
+}
+
+pub(super) fn empty_histogram() -> Histogram<u64> {
+    Histogram::new_with_max(LONGEST_US, 3).expect("constant bounds are valid")
+}
+
+/// Result of a run.
+#[derive(Clone, Debug)]
+pub struct ScarcityReport {
+    /// Per customer.
+    pub customers: Vec<CustomerResult>,
+    /// Attempts sent per request that entries took; continued streams don't count.
+    pub amplification: f64,
+    /// Tokens a second of whole answers, over all customers.
+    pub tokens_per_s: f64,
+    /// The same at the load with the highest result, when several were run.
+    pub best_tokens_per_s: Option<f64>,
+    pub(super) first_tokens: Histogram<u64>,
+}
+
+impl ScarcityReport {
+    /// Lowest goodput of a contracted customer.
+    pub fn lowest_contracted_goodput(&self) -> f64 {
+        let contracted = self.customers.iter().filter(|result| result.contracted);
+        contracted.map(CustomerResult::goodput).fold(1.0, f64::min)
+    }
+
+    /// Goodput over all contracted customers.
+    pub fn contracted_goodput(&self) -> f64 {
+        let contracted = self.customers.iter().filter(|result| result.contracted);
+        let (answered, calls) = contracted
+            .fold((0, 0), |(answered, calls), it| (answered + it.answered, calls + it.calls));
+        answered as f64 / calls.max(1) as f64
+    }
+
+    /// Time to the first token of contracted customers at a percentile, in milliseconds.
+    pub fn contracted_first_token_ms(&self, percentile: f64) -> f64 {
+        self.first_tokens.value_at_percentile(percentile) as f64 / 1000.0
+    }
+}
+
+impl fmt::Display for ScarcityReport {
+    /// One line of key=value pairs per customer, then the summary.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for result in &self.customers {
+            let refusals = result.refusals.iter().map(|(kind, count)| format!("{kind}:{count}"));
+            let refusals: Vec<String> = refusals.collect();
+            writeln!(
+                f,
+                "customer={} contracted={} calls={} goodput={:.4} tokens_per_s={:.0} reserved_served={:.4} ttft_p50_ms={:.0} ttft_p95_ms={:.0} refusals={} displaced={} wasted_tokens={}",
+                result.customer,
+                result.contracted,
+                result.calls,
+                result.goodput(),
+                result.tokens_per_s,
+                result.reserved_served,
+                result.first_token_ms(50.0),
+                result.first_token_ms(95.0),
+                if refusals.is_empty() { "none".to_owned() } else { refusals.join(",") },
+                result.displaced,
+                result.wasted_tokens,
+            )?;
+        }
+        write!(
+            f,
+            "summary contracted_goodput={:.4} lowest_contracted_goodput={:.4} contracted_ttft_p50_ms={:.0} contracted_ttft_p95_ms={:.0} amplification={:.3} tokens_per_s={:.0}",
+            self.contracted_goodput(),
+            self.lowest_contracted_goodput(),
+            self.contracted_first_token_ms(50.0),
+            self.contracted_first_token_ms(95.0),
+            self.amplification,
+            self.tokens_per_s,
+        )?;
+        match self.best_tokens_per_s {
+            Some(best) => write!(
+                f,
+                " best_tokens_per_s={best:.0} share_of_best={:.3}",
+                self.tokens_per_s / best
+            ),
+            None => Ok(()),
+        }
+    }
+}
--- a/crates/celeryshed_side/src/attempts/engine.rs
+++ b/crates/celeryshed_side/src/attempts/engine.rs
@@ -25,6 +25,7 @@
     pub(super) priority: PriorityClass,
     pub(super) version: Option<ContentDigest>,
     pub(super) token_gap: Duration,
+    pub(super) first_token: Duration,
 }
 
 impl EngineCall<'_> {
@@ -39,7 +40,8 @@
         let mut body = response.bytes_stream();
         let mut decoder = EventDecoder::default();
         loop {
-            let Ok(part) = timeout(self.token_gap, body.next()).await else {
+            let limit = if progress.started { self.token_gap } else { self.first_token };
+            let Ok(part) = timeout(limit, body.next()).await else {
                 return Err(progress.broken("no token in time"));
             };
             match part {
--- a/crates/celeryshed_side/src/attempts/options.rs
+++ b/crates/celeryshed_side/src/attempts/options.rs
@@ -7,8 +7,16 @@
 /// Largest accepted age of a request.
 const MAX_REQUEST: Duration = Duration::from_secs(600);
 
-/// Longest pause between two tokens of an engine before it counts as failed.
-const TOKEN_GAP: Duration = Duration::from_secs(10);
+/// Longest pause between two tokens of an engine before it counts as failed; about 150 times the
+/// inter-token latency at the 95th percentile.
+const TOKEN_GAP: Duration = Duration::from_secs(4);
+
+/// Longest wait for the first token: a long prompt behind others.
+const FIRST_TOKEN: Duration = Duration::from_secs(9);
+
+/// Longest time for which an entry may take no frame before the attempt is stopped; without it an
+/// entry whose machine is gone would hold its slots until the largest age of its requests.
+const READER_STALL: Duration = Duration::from_secs(30);
 
 /// What runs beside this sidecar.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -43,6 +51,10 @@
     pub max_request: Duration,
     /// Longest pause between two tokens of an engine before it counts as failed.
     pub token_gap: Duration,
+    /// Longest wait for the first token.
+    pub first_token: Duration,
+    /// Longest time for which an entry may take no frame.
+    pub reader_stall: Duration,
 }
 
 /// Options that can't work.
@@ -73,8 +85,16 @@
         target: EndpointTarget,
         slots: u32,
     ) -> Self {
-        let (max_request, token_gap) = (MAX_REQUEST, TOKEN_GAP);
-        Self { instance, service, target, slots, max_request, token_gap }
+        Self {
+            instance,
+            service,
+            target,
+            slots,
+            max_request: MAX_REQUEST,
+            token_gap: TOKEN_GAP,
+            first_token: FIRST_TOKEN,
+            reader_stall: READER_STALL,
+        }
     }
 
     /// Checks the options.
@@ -87,7 +107,9 @@
             return Err(AttemptOptionsError::NotHttp { url });
         }
         check_positive("max_request", self.max_request)?;
-        check_positive("token_gap", self.token_gap)
+        check_positive("token_gap", self.token_gap)?;
+        check_positive("first_token", self.first_token)?;
+        check_positive("reader_stall", self.reader_stall)
     }
 }
 
--- a/crates/celeryshed_side/src/attempts/runner.rs
+++ b/crates/celeryshed_side/src/attempts/runner.rs
@@ -97,7 +97,8 @@
     /// Starts an attempt and returns its frames.
     pub fn start(&self, request: AttemptRequest) -> mpsc::Receiver<Bytes> {
         let (frames, receiver) = mpsc::channel(FRAMES_AHEAD);
-        let sink = EventSink { attempt_id: request.attempt_id, frames };
+        let stall = self.shared.options.reader_stall;
+        let sink = EventSink { attempt_id: request.attempt_id, frames, stall };
         let shared = Arc::clone(&self.shared);
         tokio::spawn(async move { shared.attempt(request, sink).await });
         receiver
@@ -130,6 +131,7 @@
 pub(super) struct EventSink {
     attempt_id: AttemptId,
     frames: mpsc::Sender<Bytes>,
+    stall: Duration,
 }
 
 impl EventSink {
@@ -139,8 +141,8 @@
         let frame = encode_frame(&event).map_err(|error| {
             failure(NotRunVerdict::Unknown, FailureCause::EndpointFailed, &error.to_string())
         })?;
-        self.frames.send(frame).await.map_err(|_| {
-            failure(NotRunVerdict::Ran, FailureCause::Cancelled, "the entry closed the connection")
+        self.frames.send_timeout(frame, self.stall).await.map_err(|_| {
+            failure(NotRunVerdict::Ran, FailureCause::Cancelled, "the entry takes no frames")
         })
     }
 
@@ -221,6 +223,7 @@
             priority: request.priority,
             version: Some(self.version_for(work)?),
             token_gap: self.options.token_gap,
+            first_token: self.options.first_token,
         };
         let limit = Duration::from_millis(request.deadline_ms).min(self.options.max_request);
         let stopped = tokio::select! {
