--- a/crates/celeryshed_entry/src/role/launch.rs
+++ b/crates/celeryshed_entry/src/role/launch.rs
@@ -19,6 +19,7 @@
 use tokio::sync::watch;
 
 use super::error::{Result, in_part};
+use super::feeds::{crash_exchange, feed_reports};
 use crate::bookings::{
     BookingEdges, BookingHandle, BookingOptions, BookingSettings, HttpEntryForward,
     HttpSideDispatch, booking_routes, start_bookings,
@@ -27,8 +28,8 @@
     self, CompletionInputs, CompletionOptions, CompletionsHandle, DrainState, HttpSideClient,
 };
 use crate::configuration::{
-    ConfigurationClients, ConfigurationHandle, ConfigurationOptions, HttpPeers, ProcessIdentity,
-    configuration_routes, spawn_configuration,
+    ConfigurationClients, ConfigurationHandle, ConfigurationOptions, CrashExchange, HttpPeers,
+    ProcessIdentity, configuration_routes, spawn_configuration,
 };
 use crate::membership::{
     HttpSides, MembershipHandle, MembershipOptions, membership_routes, spawn_membership,
@@ -64,8 +65,9 @@
         let log: Arc<dyn LogClient> = Arc::new(log.map_err(in_part("client of the log"))?);
         let (drain, drain_watch) = watch::channel(DrainState::Serving);
         let membership = start_membership(settings, &identity, clock)?;
-        let configuration = start_configuration(settings, &identity, &log, &membership)?;
-        let bookings = start_booking_tasks(settings, log, clock, &membership)?;
+        let (crashes, crash_feed) = crash_exchange();
+        let configuration = start_configuration(settings, &identity, &log, &membership, crashes)?;
+        let bookings = start_booking_tasks(settings, Arc::clone(&log), clock, &membership)?;
         let inputs = CompletionInputs {
             options: completion_options(settings),
             configuration: configuration.states(),
@@ -73,8 +75,11 @@
             drain: drain_watch.clone(),
             sides: Arc::new(HttpSideClient::default()),
             bookings: Arc::new(bookings.clone()),
+            log,
         };
         let completions = completions::spawn(inputs).map_err(in_part("completions"))?;
+        tokio::spawn(feed_reports(membership.subscribe_reports(), completions.clone()));
+        tokio::spawn(crash_feed.run(completions.clone()));
         spawn_gauges(settings, &configuration, &membership, &completions);
         let report = StatusReporter {
             settings: settings.clone(),
@@ -174,13 +179,14 @@
     identity: &ProcessIdentity,
     log: &Arc<dyn LogClient>,
     membership: &MembershipHandle,
+    crashes: CrashExchange,
 ) -> Result<ConfigurationHandle> {
     let peers = HttpPeers::try_new(PEER_TIMEOUT).map_err(in_part("client of entries"))?;
     let clients = ConfigurationClients {
         log: Arc::clone(log),
         peers: Arc::new(peers),
         members: membership.views(),
-        crashes: None,
+        crashes: Some(crashes),
     };
     let options = ConfigurationOptions {
         poll_interval: settings.poll_interval,
--- a/crates/celeryshed_entry/tests/support/rig.rs
+++ b/crates/celeryshed_entry/tests/support/rig.rs
@@ -7,9 +7,10 @@
 use async_trait::async_trait;
 use celeryshed_base::*;
 use celeryshed_core::configuration::*;
-use celeryshed_core::membership::{MemberState, MemberView, SideMember};
+use celeryshed_core::membership::{EntryMember, MemberState, MemberView, SideMember};
 use celeryshed_entry::completions::{self, BookingGate, CompletionInputs, CompletionOptions};
 use celeryshed_platform::fakes::FakeLog;
+use celeryshed_server::{ServerOptions, launch_server};
 use celeryshed_side::attempts::{self, AttemptInputs, AttemptOptions, EndpointTarget};
 use celeryshed_side::claims::{ClaimHandle, ClaimOptions, start_claims};
 use celeryshed_wire::*;
@@ -27,21 +28,14 @@
     routes: Vec<rocket::Route>,
     drained: impl Future<Output = ()> + Send + 'static,
 ) -> Served {
-    let port = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port();
-    let config = rocket::Config {
-        port,
-        shutdown: completions::shutdown_settings(Duration::from_secs(600)),
-        log_level: rocket::config::LogLevel::Off,
-        ..rocket::Config::release_default()
-    };
-    let rocket = rocket::custom(config).manage(state).mount("/", routes);
+    let listen = "127.0.0.1:0".parse().unwrap();
+    let rocket = rocket::build().manage(state).mount("/", routes);
+    let server = launch_server(ServerOptions::new(listen), rocket).await.unwrap();
+    let address = server.address().to_string();
     let ended = tokio::spawn(async move {
-        completions::serve_until_drained(rocket, drained).await.unwrap();
+        drained.await;
+        server.stop().await;
     });
-    let address = format!("127.0.0.1:{port}");
-    while tokio::net::TcpStream::connect(&address).await.is_err() {
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
     Served { address, ended }
 }
 
@@ -113,6 +107,8 @@
     pub(crate) served: Served,
     pub(crate) drain: watch::Sender<attempts::DrainState>,
     pub(crate) service: ServiceName,
+    /// Entries that the sidecar tells of crashes.
+    pub(crate) entries: watch::Sender<Arc<MemberView>>,
 }
 
 /// Starts a sidecar beside the endpoint at `address`.
@@ -130,12 +126,15 @@
     let instance = InstanceName::try_from("side").unwrap();
     let (drain, drain_watch) = watch::channel(attempts::DrainState::Serving);
     let live_version = watch::channel(live).1;
+    let (entries, members) = watch::channel(Arc::new(MemberView::default()));
     let inputs = AttemptInputs {
         options: AttemptOptions::new(instance, service.clone(), target, 4),
         configuration: watch::channel(Some(Arc::new(configuration()))).1,
         live_version,
         drain: drain_watch,
         claims: claims(),
+        members: members.clone(),
+        log: Arc::new(FakeLog::new(ClockSource::start())),
     };
     let handle = attempts::spawn(inputs).unwrap();
     let (idle, mut draining) = (handle.clone(), drain.subscribe());
@@ -144,7 +143,7 @@
         idle.idle().await;
     };
     let served = serve(handle.clone(), attempts::routes(), drained).await;
-    RigSide { handle, served, drain, service }
+    RigSide { handle, served, drain, service, entries }
 }
 
 /// A running entry.
@@ -160,15 +159,16 @@
     }
 }
 
-/// The view of an entry; instances are named by position, so that the first is preferred.
+/// The view of an entry; the first endpoint is in its zone, the others in another region, so
+/// that the first is preferred.
 pub(crate) fn view_of(sides: &[&RigSide]) -> MemberView {
     let mut view = MemberView::default();
     for (position, side) in sides.iter().enumerate() {
         let member = SideMember {
             address: side.served.address.clone(),
             incarnation: None,
-            zone: AvailabilityZone::try_from("a").unwrap(),
-            region: RegionName::try_from("r").unwrap(),
+            zone: AvailabilityZone::try_from(format!("zone-{position}")).unwrap(),
+            region: RegionName::try_from(format!("region-{}", position.min(1))).unwrap(),
             service: side.service.clone(),
             state: MemberState::Live,
         };
@@ -177,6 +177,16 @@
     view
 }
 
+fn entries_view(address: &str) -> MemberView {
+    let member = EntryMember {
+        address: address.to_owned(),
+        zone: AvailabilityZone::try_from("zone-0").unwrap(),
+        region: RegionName::try_from("region-0").unwrap(),
+    };
+    let instance = InstanceName::try_from("entry").unwrap();
+    MemberView { entries: BTreeMap::from([(instance, member)]), ..MemberView::default() }
+}
+
 /// Starts an entry that sees `sides`.
 pub(crate) async fn start_entry(
     sides: &[&RigSide],
@@ -186,8 +196,8 @@
     let members = watch::channel(Arc::new(view_of(sides))).1;
     let mut options = CompletionOptions::new(
         InstanceName::try_from("entry").unwrap(),
-        AvailabilityZone::try_from("a").unwrap(),
-        RegionName::try_from("r").unwrap(),
+        AvailabilityZone::try_from("zone-0").unwrap(),
+        RegionName::try_from("region-0").unwrap(),
     );
     change(&mut options);
     let inputs = CompletionInputs {
@@ -197,6 +207,7 @@
         drain: drain_watch,
         sides: Arc::new(completions::HttpSideClient::default()),
         bookings: Arc::new(FakeBookings),
+        log: Arc::new(FakeLog::new(ClockSource::start())),
     };
     let handle = completions::spawn(inputs).unwrap();
     let (idle, mut draining) = (handle.clone(), drain.subscribe());
@@ -205,5 +216,8 @@
         idle.idle().await;
     };
     let served = serve(handle.clone(), completions::routes(), drained).await;
+    for side in sides {
+        side.entries.send_replace(Arc::new(entries_view(&served.address)));
+    }
     RigEntry { handle, served, drain }
 }
--- a/crates/celeryshed_side/src/role/launch.rs
+++ b/crates/celeryshed_side/src/role/launch.rs
@@ -62,7 +62,7 @@
         let (status, status_watch) = watch::channel(EndpointStatus::default());
         let configuration = start_configuration(settings, clock, incarnation, status_watch)?;
         let claims = start_claims(log.clone(), clock, incarnation, claim_options(settings));
-        let weights = start_weights(settings, clock, incarnation, log, &configuration)?;
+        let weights = start_weights(settings, clock, incarnation, log.clone(), &configuration)?;
         let live_version = match &weights {
             Some(weights) => weights.live_version(),
             None => watch::channel(None).1,
@@ -73,6 +73,7 @@
             live_version.clone(),
             drain_watch.clone(),
             &claims,
+            log,
         )?;
         let live_gauge = live_version.clone();
         let sources = StatusSources {
@@ -258,6 +259,7 @@
     live_version: watch::Receiver<Option<ContentDigest>>,
     drain: watch::Receiver<DrainState>,
     claims: &ClaimHandle,
+    log: Arc<dyn LogClient>,
 ) -> Result<AttemptsHandle> {
     let endpoint = &settings.endpoint;
     let url = format!("http://{}", endpoint.address);
@@ -275,6 +277,8 @@
         live_version,
         drain,
         claims: claims.clone(),
+        members: configuration.views(),
+        log,
     };
     attempts::spawn(inputs).map_err(in_part("attempts"))
 }
