Say "unknown" of bookings refused before their key is looked up

Cause: a draining or starting entry answered not_run true to a resend whose key had run at another entry: the claim is made of the key, not the request. Change: with an idempotency key, refusals before the lookup say unknown. The key also reaches the plain service, which may have its own check. The demo kills the engine with most unfinished requests by count; the reported load lags. Looking the key up while draining was ruled out: a draining entry must not start work that outlives it.

--- a/crates/celeryshed_entry/src/completions/services.rs
+++ b/crates/celeryshed_entry/src/completions/services.rs
@@ -2,7 +2,9 @@
 
 use celeryshed_base::ServiceName;
 use celeryshed_core::configuration::EndpointKind;
-use celeryshed_wire::{BookingForward, BookingReply, CallWork, ProblemDetails, ServiceAnswer};
+use celeryshed_wire::{
+    BookingForward, BookingReply, CallWork, NotRunVerdict, ProblemDetails, ServiceAnswer,
+};
 use rocket::data::Data;
 use rocket::http::{ContentType, Method, Status};
 use rocket::request::Request;
@@ -14,7 +16,7 @@
 use tokio::time::Instant;
 
 use super::calls::CallJob;
-use super::handle::CompletionsHandle;
+use super::handle::{CompletionsHandle, ProgressGuard};
 use super::problems::{ProblemKind, ProblemReply};
 use super::routes::{CallerHeaders, read_body};
 
@@ -40,7 +42,14 @@
 impl Handler for ServiceHandler {
     async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
         let headers = CallerHeaders::of(request);
-        let responded = match pass_through(request, &headers, data).await {
+        let key = request.headers().get_one(KEY_HEADER);
+        let result = match (read_call(request, &headers, data).await, key) {
+            (Ok((handle, job, _guard)), None) => handle.call(job).await,
+            (Ok((handle, job, _guard)), Some(key)) => book(handle, job, key).await,
+            (Err(refusal), None) => Err(refusal),
+            (Err(refusal), Some(_)) => Err(before_lookup(refusal)),
+        };
+        let responded = match result {
             Ok(answer) => ServiceReply(answer).respond_to(request),
             Err(problem) => ProblemReply(problem).respond_to(request),
         };
@@ -51,14 +60,15 @@
     }
 }
 
-async fn pass_through(
-    request: &Request<'_>,
+/// Reads and checks a call; the guard counts it as in progress.
+async fn read_call<'r>(
+    request: &'r Request<'_>,
     headers: &CallerHeaders,
     data: Data<'_>,
-) -> Result<ServiceAnswer, ProblemDetails> {
+) -> Result<(&'r CompletionsHandle, CallJob, ProgressGuard), ProblemDetails> {
     let handle = request.rocket().state::<CompletionsHandle>();
     let handle = handle.expect("the server manages a CompletionsHandle");
-    let (_guard, state) = handle.enter(headers.request_id)?;
+    let (guard, state) = handle.enter(headers.request_id)?;
     let customer = headers.customer(&state)?;
     let (service, path) = service_and_path(request, headers)?;
     headers.check_service(&state, &service, EndpointKind::Plain)?;
@@ -68,23 +78,43 @@
         path,
         content_type: request.content_type().map(ToString::to_string),
         body: ByteBuf::from(body),
+        idempotency_key: request.headers().get_one(KEY_HEADER).map(str::to_owned),
         claim: None,
     };
     let deadline = headers.deadline(handle.options())?;
     let request_id = headers.request_id;
-    let Some(key) = request.headers().get_one(KEY_HEADER) else {
-        return handle.call(CallJob { request_id, customer, service, call, deadline }).await;
+    Ok((handle, CallJob { request_id, customer, service, call, deadline }, guard))
+}
+
+async fn book(
+    handle: &CompletionsHandle,
+    job: CallJob,
+    key: &str,
+) -> Result<ServiceAnswer, ProblemDetails> {
+    let left = job.deadline.saturating_duration_since(Instant::now());
+    let booking = BookingForward {
+        request_id: job.request_id,
+        customer: job.customer.name,
+        service: job.service,
+        key: key.to_owned(),
+        deadline_ms: left.as_millis() as u64,
+        call: job.call,
     };
-    let left = deadline.saturating_duration_since(Instant::now());
-    let (key, deadline_ms) = (key.to_owned(), left.as_millis() as u64);
-    let customer = customer.name;
-    let booking = BookingForward { request_id, customer, service, key, deadline_ms, call };
     match handle.book(booking).await {
         BookingReply::Answer { answer, replayed: _ } => Ok(answer),
         BookingReply::Problem(problem) => Err(problem),
     }
 }
 
+/// A booking that is refused before its key was looked up may have run under an earlier request.
+fn before_lookup(refusal: ProblemDetails) -> ProblemDetails {
+    let not_run = match refusal.not_run {
+        NotRunVerdict::NotRun | NotRunVerdict::Unknown => NotRunVerdict::Unknown,
+        NotRunVerdict::Ran => NotRunVerdict::Ran,
+    };
+    ProblemDetails { not_run, ..refusal }
+}
+
 /// Splits the path as the caller wrote it, with its query, so that its escapes stay unchanged.
 fn service_and_path(
     request: &Request<'_>,
--- a/crates/celeryshed_entry/tests/bookings/cluster.rs
+++ b/crates/celeryshed_entry/tests/bookings/cluster.rs
@@ -241,6 +241,7 @@
                 path: "kits".into(),
                 content_type: None,
                 body: order.as_bytes().to_vec().into(),
+                idempotency_key: None,
                 claim: None,
             },
         }
--- a/crates/celeryshed_entry/tests/requests.rs
+++ b/crates/celeryshed_entry/tests/requests.rs
@@ -90,6 +90,11 @@
     assert_eq!(refused.headers()["content-type"], "application/problem+json");
     let problem: Value = refused.json().await.unwrap();
     assert_eq!(problem["not_run"], true);
+    // An entry that refuses before it has looked a key up can't know whether it ran earlier.
+    let booking = reqwest::Client::new().post(entry.url("/services/order-desk/press-runs"));
+    let booking = booking.header("Idempotency-Key", "0196b0a0-0000-7000-8000-000000000001");
+    let problem: Value = booking.send().await.unwrap().json().await.unwrap();
+    assert_eq!(problem["not_run"], "unknown");
     let text = response.text().await.unwrap();
     assert!(text.ends_with("data: [DONE]\n\n"), "{text}");
     tokio::time::timeout(Duration::from_secs(5), entry.handle.idle()).await.unwrap();
--- a/crates/celeryshed_measure/src/demo/run.rs
+++ b/crates/celeryshed_measure/src/demo/run.rs
@@ -78,6 +78,7 @@
     let mut report = DemoReport::default();
     report_spread(&mut report, &fleet, second, spread_time);
     report_streams(&mut report, &streams);
+    report.fact("streams resumed at another engine", resumed_streams(&fleet));
     report_bookings(&mut report, &fleet, &bookings);
     report_drain(&mut report, &drained);
     if options.hold {
@@ -174,8 +175,13 @@
 }
 
 fn kill_busiest_engine(fleet: &mut RunningFleet) {
+    // The reported load lags; the counts don't.
     let running = |control: &EndpointControl| match control {
-        EndpointControl::Engine(engine) => engine.load().map_or(0, |load| load.running),
+        EndpointControl::Engine(engine) => {
+            let counts = engine.counts();
+            let ended = counts.finished + counts.cancelled + counts.abandoned + counts.cut;
+            counts.started.saturating_sub(ended)
+        }
         EndpointControl::Plain(_) => 0,
     };
     let engines = fleet
@@ -187,6 +193,14 @@
     }
 }
 
+fn resumed_streams(fleet: &RunningFleet) -> u64 {
+    let engines = fleet.endpoints.iter().filter_map(|endpoint| match &endpoint.control {
+        EndpointControl::Engine(engine) => Some(engine.counts().resumed),
+        EndpointControl::Plain(_) => None,
+    });
+    engines.sum()
+}
+
 /// A long stream, and a request that comes while its entry drains.
 struct DrainTally {
     stream: StreamTally,
--- a/crates/celeryshed_side/src/attempts/plain.rs
+++ b/crates/celeryshed_side/src/attempts/plain.rs
@@ -11,6 +11,9 @@
 use super::engine::send_failure;
 use super::runner::failure;
 
+/// Header with which services recognise a repeated booking.
+const KEY_HEADER: &str = "Idempotency-Key";
+
 /// One call of a plain service.
 #[derive(Debug)]
 pub(super) struct PlainCall<'a> {
@@ -41,6 +44,9 @@
         if let Some(content_type) = &work.content_type {
             request = request.header(CONTENT_TYPE, content_type);
         }
+        if let Some(key) = &work.idempotency_key {
+            request = request.header(KEY_HEADER, key);
+        }
         let response = request.send().await.map_err(send_failure)?;
         read_answer(response).await
     }
--- a/crates/celeryshed_wire/src/attempts.rs
+++ b/crates/celeryshed_wire/src/attempts.rs
@@ -63,6 +63,9 @@
         pub content_type: Option<String>,
         /// The body.
         pub body: ByteBuf,
+        /// The caller's idempotency key, which the service gets too.
+        #[serde(default)]
+        pub idempotency_key: Option<String>,
         /// Set for a booking: the claim that permits the run.
         pub claim: Option<ClaimTicket>,
     }
