Replay recorded booking traces; fence keys from the future, too

Keys from the future were refused as not run without a fence, although a slower request of the same key could run later.

Change: keys from the future take the fence, too.

--- a/crates/celeryshed_core/src/booking/procedure/mod.rs
+++ b/crates/celeryshed_core/src/booking/procedure/mod.rs
@@ -70,6 +70,7 @@
     started: MonoTime,
     phase: ProcedurePhase,
     sight: Option<LogSight>,
+    missing_since: Option<MonoTime>,
     own: Option<OwnClaim>,
     seal: Option<SealProgress>,
     choice: SideChoice,
@@ -92,6 +93,7 @@
             started: now,
             phase: ProcedurePhase::Serving,
             sight: None,
+            missing_since: Some(now),
             own: None,
             seal: None,
             choice: SideChoice::Open,
@@ -159,6 +161,7 @@
             fence.append.note_missing(sight.began);
         }
         self.sight = Some(sight);
+        self.missing_since = None;
     }
 
     fn note_choice(&mut self, side: Option<SideTarget>, claim_id: ClaimId, now: MonoTime) {
@@ -257,13 +260,17 @@
             return self.refuse(RefusalReason::DeadlinePassed);
         }
         let Some(sight) = self.sight.clone().filter(|sight| sight.began >= self.started) else {
-            return self.await_log(self.started, now);
+            return self.await_log(now);
         };
         if let Some(claim) = sight.standing.settled() {
             return self.serve_outcome(claim, now);
         }
-        if let Some(reason) = self.key_refusal(&sight, now) {
-            return self.refuse_for_key(reason, &sight, now);
+        match self.key_refusal(&sight, now) {
+            Some(RefusalReason::KeyInFuture) => {
+                self.begin_fence(RefusalReason::KeyInFuture, &sight, now);
+            }
+            Some(reason) => return self.refuse(reason),
+            None => {}
         }
         match sight.standing.in_force() {
             Some(claim) if self.is_own(claim.claim_id) => self.serve_own(claim, &sight, now),
@@ -278,8 +285,12 @@
         }
     }
 
-    /// Waits for a read of the log that began at or after `since`, up to the limit.
-    fn await_log(&mut self, since: MonoTime, now: MonoTime) {
+    /// Waits for another read of the log, up to the limit.
+    ///
+    /// The wait begins when a read is first missed, so that a process that was paused still reads
+    /// the log before it gives up.
+    fn await_log(&mut self, now: MonoTime) {
+        let since = *self.missing_since.get_or_insert(now);
         let limit = since + self.options.log_wait;
         if now >= limit {
             return self.refuse(RefusalReason::LogUnreadable);
@@ -336,7 +347,7 @@
             DispatchProgress::InFlight => {}
             DispatchProgress::NotRun => {
                 self.send_release(now);
-                self.await_log(sight.began, now);
+                self.await_log(now);
             }
             DispatchProgress::Lost => self.seek_seal(claim, now, now),
         }
@@ -386,14 +397,14 @@
             }
             SealWord::Sealed => {
                 self.record_seal(&mut seal, now);
-                self.await_log(self.last_read(), now);
+                self.await_log(now);
             }
             SealWord::Lost(learned) => {
                 let reread = self.sight.as_ref().is_some_and(|sight| sight.began >= learned);
                 if reread {
                     return self.refuse(RefusalReason::OutcomeUnknown);
                 }
-                self.await_log(learned, now);
+                self.await_log(now);
             }
         }
         self.seal = Some(seal);
@@ -417,7 +428,7 @@
         if own_ended {
             self.own = None;
         }
-        self.await_log(sight.began, now);
+        self.await_log(now);
         if self.phase != ProcedurePhase::Serving {
             return;
         }
@@ -433,6 +444,14 @@
         }
     }
 
+    fn begin_fence(&mut self, reason: RefusalReason, sight: &LogSight, now: MonoTime) {
+        if self.fence.is_none() {
+            self.refusal = Some(reason);
+            let floor = sight.standing.fence;
+            self.fence = Some(FenceProgress { append: AppendProgress::Due(now), floor });
+        }
+    }
+
     /// A claim came into force after the fence: its request arrived later and needs a new fence.
     fn renew_fence(&mut self, sight: &LogSight, now: MonoTime) {
         let fence = self.fence.as_mut().filter(|fence| sight.standing.fence > fence.floor);
@@ -492,8 +511,8 @@
                 self.actions.push(ClaimAction::ChooseSide { avoid });
             }
             SideChoice::Open | SideChoice::Unavailable => {
-                let floor = sight.standing.fence;
-                self.fence = Some(FenceProgress { append: AppendProgress::Due(now), floor });
+                let reason = self.refusal.clone().unwrap_or(RefusalReason::NoEndpoint);
+                self.begin_fence(reason, sight, now);
                 self.serve_fence(sight, now);
             }
         }
@@ -527,10 +546,6 @@
         }
     }
 
-    fn last_read(&self) -> MonoTime {
-        self.sight.as_ref().map_or(self.started, |sight| sight.began)
-    }
-
     fn is_own(&self, claim_id: ClaimId) -> bool {
         self.own.as_ref().is_some_and(|own| own.claim_id == claim_id)
     }
--- a/crates/celeryshed_core/src/booking/procedure/reply.rs
+++ b/crates/celeryshed_core/src/booking/procedure/reply.rs
@@ -59,25 +59,11 @@
         self.reply(BookingResult::Refused { reason, verdict });
     }
 
-    /// Refuses for the key's age. No entry claims a key from the future, which proves "not run"
-    /// without a fence.
-    pub(super) fn refuse_for_key(
-        &mut self,
-        reason: RefusalReason,
-        sight: &LogSight,
-        now: MonoTime,
-    ) {
-        match reason {
-            RefusalReason::KeyInFuture => self.refuse_absent(reason, sight, now),
-            _ => self.refuse(reason),
-        }
-    }
-
     /// Refuses as not run, if the last read to the end is recent enough to prove it.
     pub(super) fn refuse_absent(&mut self, reason: RefusalReason, sight: &LogSight, now: MonoTime) {
         let recent = now - sight.began <= self.options.freshness;
         if !recent {
-            return self.await_log(sight.began, now);
+            return self.await_log(now);
         }
         let whole = sight.covered && self.key_window(sight, now) != KeyWindow::Expired;
         let absent = whole && !sight.standing.is_taken();
--- /dev/null
+++ b/crates/celeryshed_core/tests/booking_traces/text.rs
@@ -0,0 +1,207 @@
+//! The text form of events and actions.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use celeryshed_base::{
+    ClaimId, ContentDigest, InstanceName, LogOffset, MonoTime, ProcessIncarnation, UnixMillis,
+};
+use celeryshed_core::booking::{
+    AppendResult, BookingIdentity, BookingResult, BookingStanding, ClaimAction, ClaimEvent,
+    ClaimSight, ClaimState, ClaimTerms, DispatchResult, FoldRecord, LogSight, OutcomeKind,
+    SealResult, SideTarget,
+};
+
+/// Log time 0 of the traces in milliseconds since 1970.
+const LOG_START: u64 = 10_000_000;
+
+pub(crate) fn millis(value: u64) -> MonoTime {
+    MonoTime(Duration::from_millis(value))
+}
+
+/// Reads the events of one trace and writes its actions.
+pub(crate) struct TraceReader {
+    identity: BookingIdentity,
+    appends: BTreeMap<String, FoldRecord>,
+}
+
+impl TraceReader {
+    pub(crate) fn new(identity: BookingIdentity) -> Self {
+        Self { identity, appends: BTreeMap::new() }
+    }
+
+    pub(crate) fn event(&self, line: &str) -> (MonoTime, ClaimEvent<u32>) {
+        let words: Vec<_> = line.split(' ').collect();
+        let event = match words[1] {
+            "read" => ClaimEvent::LogRead(self.sight(&words[2..])),
+            "side" => {
+                let side = (words[2] != "-").then(|| side(words[2]));
+                ClaimEvent::SideChosen { side, claim_id: claim_id(words[3]) }
+            }
+            "appended" => {
+                let known = self.appends.get(words[2]);
+                let record = known.unwrap_or_else(|| panic!("no such append: {line}")).clone();
+                ClaimEvent::AppendEnded { record, result: append_result(words[3]) }
+            }
+            "dispatched" => {
+                let result = dispatch_result(words[3]);
+                ClaimEvent::DispatchEnded { claim_id: claim_id(words[2]), result }
+            }
+            "seal" => {
+                let result = seal_result(words[3]);
+                ClaimEvent::SealEnded { claim_id: claim_id(words[2]), result }
+            }
+            "answer" => ClaimEvent::AnswerRead(words[2].parse().ok()),
+            "time" => ClaimEvent::TimePassed,
+            other => panic!("unknown event {other:?} in {line:?}"),
+        };
+        (millis(number(words[0])), event)
+    }
+
+    /// `began=0 log=0 arrival=0 fence=- claims=ID:OFFSET:APPENDED:BODY:SIDE:STATE,...`
+    fn sight(&self, words: &[&str]) -> LogSight {
+        let field = |name: &str| {
+            let value = words.iter().find_map(|word| word.strip_prefix(&format!("{name}=")));
+            value.unwrap_or("-")
+        };
+        let claims = field("claims").split(',').filter(|claim| *claim != "-");
+        let standing = BookingStanding {
+            fence: field("fence").parse().ok().map(LogOffset),
+            claims: claims.map(|claim| self.claim(claim)).collect(),
+        };
+        LogSight {
+            began: millis(number(field("began"))),
+            log_now: UnixMillis(LOG_START.saturating_add_signed(field("log").parse().unwrap())),
+            arrival: LogOffset(number(field("arrival"))),
+            covered: field("covered") != "no",
+            standing,
+        }
+    }
+
+    fn claim(&self, text: &str) -> ClaimSight {
+        let parts: Vec<_> = text.split(':').collect();
+        let own_body = parts[3] == "same";
+        let other_body = ContentDigest::of(b"another body");
+        let target = side(parts[4]);
+        ClaimSight {
+            claim_id: claim_id(parts[0]),
+            offset: LogOffset(number(parts[1])),
+            appended_at: UnixMillis(LOG_START + number(parts[2])),
+            terms: ClaimTerms {
+                body_digest: if own_body { self.identity.body_digest } else { other_body },
+                side_instance: target.instance,
+                side_incarnation: target.incarnation,
+            },
+            state: claim_state(parts[5]),
+        }
+    }
+
+    pub(crate) fn action(&mut self, action: &ClaimAction<u32>) -> String {
+        let text = match action {
+            ClaimAction::ChooseSide { avoid } => {
+                let avoided: Vec<_> = avoid.iter().map(InstanceName::as_str).collect();
+                format!("choose avoid={}", avoided.join(","))
+            }
+            ClaimAction::Append(record) => {
+                let name = record_name(record);
+                self.appends.insert(name.clone(), record.clone());
+                format!("append {name}")
+            }
+            ClaimAction::Dispatch { side, ticket } => {
+                let claim = ticket.claim_id.0.as_u128();
+                format!("dispatch {claim} {} offset={}", side_name(side), ticket.offset)
+            }
+            ClaimAction::AskSeal { claim_id, side } => {
+                format!("ask_seal {} {}", claim_id.0.as_u128(), side_name(side))
+            }
+            ClaimAction::ReadAnswer { offset } => format!("read_answer offset={offset}"),
+            ClaimAction::Reply(BookingResult::Answer { answer, replayed }) => {
+                format!("reply answer={answer} replayed={replayed}")
+            }
+            ClaimAction::Reply(BookingResult::Refused { reason, verdict }) => {
+                let reason = format!("{reason:?}");
+                let reason = reason.split([' ', '{']).next().unwrap_or_default();
+                format!("reply {reason} {verdict:?}")
+            }
+            ClaimAction::Finish => "finish".to_owned(),
+        };
+        format!("> {text}\n")
+    }
+}
+
+fn number(text: &str) -> u64 {
+    text.parse().unwrap_or_else(|_| panic!("{text:?} is not a number"))
+}
+
+fn claim_id(text: &str) -> ClaimId {
+    ClaimId::from_u128(number(text).into())
+}
+
+/// `INSTANCE/INCARNATION`
+fn side(text: &str) -> SideTarget {
+    let (instance, incarnation) = text.split_once('/').unwrap();
+    SideTarget {
+        instance: InstanceName::try_from(instance).unwrap(),
+        incarnation: ProcessIncarnation::from_u128(number(incarnation).into()),
+    }
+}
+
+fn side_name(side: &SideTarget) -> String {
+    format!("{}/{}", side.instance, side.incarnation.0.as_u128())
+}
+
+fn record_name(record: &FoldRecord) -> String {
+    match record {
+        FoldRecord::Claim(details) => format!("claim:{}", details.claim_id.0.as_u128()),
+        FoldRecord::Sealed(claim_id) => format!("sealed:{}", claim_id.0.as_u128()),
+        FoldRecord::Released(claim_id) => format!("released:{}", claim_id.0.as_u128()),
+        FoldRecord::Outcome(claim_id, _) => format!("outcome:{}", claim_id.0.as_u128()),
+        FoldRecord::Fenced(_) => "fenced".to_owned(),
+    }
+}
+
+fn claim_state(text: &str) -> ClaimState {
+    let (kind, offset) = text.split_once('@').unwrap_or((text, "0"));
+    let settled = |outcome| ClaimState::Settled { outcome, offset: LogOffset(number(offset)) };
+    match kind {
+        "force" => ClaimState::InForce,
+        "void" => ClaimState::Void,
+        "sealed" => ClaimState::Sealed,
+        "released" => ClaimState::Released,
+        "answer" => settled(OutcomeKind::Answer),
+        "large" => settled(OutcomeKind::AnswerNotKept { status: 200, size: 100_000 }),
+        "unknown" => settled(OutcomeKind::Unknown),
+        other => panic!("unknown state {other:?}"),
+    }
+}
+
+fn append_result(text: &str) -> AppendResult {
+    match text {
+        "done" => AppendResult::Done,
+        "refused" => AppendResult::Refused,
+        "unknown" => AppendResult::Unknown,
+        other => panic!("unknown append result {other:?}"),
+    }
+}
+
+fn dispatch_result(text: &str) -> DispatchResult<u32> {
+    let not_run = |claim_only| DispatchResult::NotRun { detail: text.to_owned(), claim_only };
+    match text {
+        "refused" => not_run(true),
+        "busy" => not_run(false),
+        "lost" => DispatchResult::Lost,
+        answer => DispatchResult::Answer(number(answer) as u32),
+    }
+}
+
+fn seal_result(text: &str) -> SealResult<u32> {
+    match text {
+        "recorded" => SealResult::Recorded,
+        "running" => SealResult::Running,
+        "sealed" => SealResult::Sealed,
+        "lost" => SealResult::Lost,
+        "other" => SealResult::OtherIncarnation,
+        "silent" => SealResult::Unreachable,
+        answer => SealResult::Ran(number(answer) as u32),
+    }
+}
