--- a/crates/celeryshed_entry/tests/bookings/cluster.rs
+++ b/crates/celeryshed_entry/tests/bookings/cluster.rs
@@ -1,6 +1,7 @@
 //! Entries and sidecars of one process that share a fake log.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -55,6 +56,7 @@
     forward_fault: Mutex<ForwardFault>,
     run_time: Mutex<Duration>,
     answer_bytes: Mutex<usize>,
+    next_key: AtomicU64,
     runs: Mutex<BTreeMap<String, u32>>,
 }
 
@@ -175,6 +177,7 @@
             forward_fault: Mutex::default(),
             run_time: Mutex::new(Duration::from_millis(20)),
             answer_bytes: Mutex::default(),
+            next_key: AtomicU64::default(),
             runs: Mutex::default(),
         });
         let mut view = MemberView::default();
@@ -250,7 +253,9 @@
 
     pub(crate) fn booking(&self, order: &str) -> BookingForward {
         let millis = u128::from(self.network.clock.unix_now().0);
-        let key = uuid::Uuid::from_u128((millis << 80) | (0x7 << 76) | (0x8 << 60) | 1);
+        let serial = self.network.next_key.fetch_add(1, Ordering::Relaxed);
+        let bits = (millis << 80) | (0x7 << 76) | (0x8 << 60) | u128::from(serial);
+        let key = uuid::Uuid::from_u128(bits);
         BookingForward {
             request_id: RequestId::random(),
             customer: CustomerName::try_from("clinic").unwrap(),
@@ -286,6 +291,13 @@
     }
 }
 
+/// A single entry without sidecars.
+pub(crate) async fn start_entry() -> BookingHandle {
+    let cluster = TestCluster::start(1, 0).await;
+    let entries = cluster.network.entries.lock().unwrap();
+    entries.values().next().unwrap().clone()
+}
+
 fn instance(kind: &str, index: usize) -> InstanceName {
     InstanceName::try_from(format!("{kind}-{index}")).unwrap()
 }
--- a/crates/celeryshed_entry/tests/bookings/main.rs
+++ b/crates/celeryshed_entry/tests/bookings/main.rs
@@ -1,6 +1,7 @@
 //! Bookings through real entry and sidecar tasks in paused time, over the fake log.
 
 mod cluster;
+mod http;
 
 use std::time::Duration;
 
@@ -159,3 +160,17 @@
     assert_eq!(problem.not_run, NotRunVerdict::Ran);
     assert_eq!(cluster.runs("order 10"), 1);
 }
+
+/// Guards against one append for each claim, which the log's rate doesn't allow.
+#[tokio::test(start_paused = true)]
+async fn claims_are_appended_in_groups() {
+    let cluster = TestCluster::start(1, 8).await;
+    let bookings: Vec<_> = (0..200).map(|_| cluster.booking("order 12")).collect();
+    let replies = bookings.iter().map(|booking| cluster.book(0, booking));
+    let replies = futures::future::join_all(replies).await;
+    assert!(replies.iter().all(|reply| matches!(reply, BookingReply::Answer { .. })));
+    assert_eq!(cluster.runs("order 12"), 200);
+    // 200 claims and 200 outcomes in 16 partitions.
+    let counts = cluster.log.counts();
+    assert!(counts.appends <= 100, "{counts:?}");
+}
