Keep claims without a recorded outcome in the register

Cause: the register forgot a claim one window after its run. A key may be 60 s younger than its claim, so an entry could still ask about the claim then, and was told that it never ran (P4) when the log had no outcome.

Change: ids are kept for 15 minutes beyond the window, and a claim whose outcome doesn't stand in the log is never forgotten.

--- a/crates/celeryshed_core/src/booking/register.rs
+++ b/crates/celeryshed_core/src/booking/register.rs
@@ -5,11 +5,15 @@
 
 use celeryshed_base::{ClaimId, MonoTime, ProcessIncarnation, UnixMillis, common_derives};
 
+/// Time that a claim id is kept beyond the window. A claim can be 60 s older than its key, and a
+/// request that began within the window may ask about it until its deadline (600 s).
+const KEEP_MARGIN: Duration = Duration::from_secs(900);
+
 common_derives! { value:
     /// Options of a register.
     #[derive(Copy)]
     pub struct RegisterOptions {
-        /// Longest age of a key; claim ids are kept this long after their last change.
+        /// Longest age of a key; claim ids are kept somewhat longer after their last change.
         pub window: Duration,
         /// Most claim ids kept; further claims are refused.
         pub max_claims: usize,
@@ -237,17 +241,18 @@
         self.by_change.insert((now, claim_id));
     }
 
-    /// Forgets claims that didn't change for a window; a running claim is never forgotten.
+    /// Forgets claims whose keys have expired. A claim without a recorded outcome is never
+    /// forgotten, because a claim that isn't known is taken for one that didn't run.
     fn remove_expired(&mut self, now: MonoTime) {
         while let Some(&(changed, claim_id)) = self.by_change.first() {
-            if now - changed <= self.options.window {
+            if now - changed <= self.options.window + KEEP_MARGIN {
                 break;
             }
             self.by_change.pop_first();
-            let status = self.claims.get(&claim_id).map(|stored| &stored.status);
-            match status {
-                Some(ClaimStatus::Running) => self.store(claim_id, ClaimStatus::Running, now),
-                _ => drop(self.claims.remove(&claim_id)),
+            let Some(stored) = self.claims.remove(&claim_id) else { continue };
+            match stored.status {
+                ClaimStatus::Recorded | ClaimStatus::Sealed => {}
+                open => self.store(claim_id, open, now),
             }
         }
     }
