--- a/crates/celeryshed_entry/tests/bookings/http.rs
+++ b/crates/celeryshed_entry/tests/bookings/http.rs
@@ -20,6 +20,7 @@
         path: "kits".into(),
         content_type: None,
         body: vec![1].into(),
+        idempotency_key: None,
         claim: None,
     };
     AttemptRequest {
