--- a/crates/celeryshed_measure/src/scarcity/tests.rs
+++ b/crates/celeryshed_measure/src/scarcity/tests.rs
@@ -3,6 +3,7 @@
 use super::*;
 
 #[test]
+#[allow(clippy::print_stderr, reason = "a run by hand prints")]
 #[ignore = "prints every scenario; run by hand"]
 fn print_all() {
     for scenario in ScarcityScenario::ALL {
