--- a/crates/celeryshed_entry/src/bookings/handle.rs
+++ b/crates/celeryshed_entry/src/bookings/handle.rs
@@ -15,7 +15,7 @@
 use super::driver::{BookingJob, drive};
 use super::edges::ForwardFailure;
 use super::options::BookingOptions;
-use super::problem::{busy_problem, key_problem, lost_problem, reply_of};
+use super::problem::{busy_problem, key_problem, lost_problem, note_reply, reply_of};
 use super::tasks::{BookingCommand, BookingEdges};
 
 /// Time without a reply after which a booking is also handed to the next candidate. A paused
@@ -156,10 +156,12 @@
             commands: self.commands.clone(),
             _permit: permit,
         };
-        match drive(job).await {
+        let reply = match drive(job).await {
             Ok(result) => reply_of(request_id, result),
             Err(_) => BookingReply::Problem(lost_problem(request_id)),
-        }
+        };
+        note_reply(request_id, &reply);
+        reply
     }
 
     /// Notes a failed forward; returns whether the booking may still be served there.
--- a/crates/celeryshed_entry/src/bookings/problem.rs
+++ b/crates/celeryshed_entry/src/bookings/problem.rs
@@ -2,6 +2,7 @@
 
 use celeryshed_base::RequestId;
 use celeryshed_core::booking::{BookingResult, KeyError, RefusalReason};
+use celeryshed_observe::EventLine;
 use celeryshed_wire::{BookingReply, NotRunVerdict, ProblemDetails, ServiceAnswer};
 
 /// Suggested pause where the cause is expected to pass soon, in milliseconds.
@@ -23,6 +24,26 @@
     }
 }
 
+/// Logs and counts the reply to a request that this entry served.
+pub(super) fn note_reply(request_id: RequestId, reply: &BookingReply) {
+    let line = EventLine::new("booking_served").field("request_id", request_id);
+    match reply {
+        BookingReply::Answer { answer, replayed } => {
+            metrics::counter!("bookings_total", "result" => "answered").increment(1);
+            line.field("status", answer.status).field("replayed", replayed).info();
+        }
+        BookingReply::Problem(problem) => {
+            let not_run = match problem.not_run {
+                NotRunVerdict::NotRun => "not_run",
+                NotRunVerdict::Ran => "ran",
+                NotRunVerdict::Unknown => "unknown",
+            };
+            metrics::counter!("bookings_total", "result" => not_run).increment(1);
+            line.field("problem", &problem.kind).field("verdict", not_run).info();
+        }
+    }
+}
+
 /// The problem for a refused booking.
 ///
 /// ```
--- a/crates/celeryshed_entry/tests/bookings/main.rs
+++ b/crates/celeryshed_entry/tests/bookings/main.rs
@@ -1,7 +1,10 @@
 //! Bookings through real entry and sidecar tasks in paused time, over the fake log.
 
+#![expect(clippy::print_stdout, reason = "prints the seed of a failed schedule")]
+
 mod cluster;
 mod http;
+mod random;
 
 use std::time::Duration;
 
