--- a/crates/celeryshed_core/src/spread/items.rs
+++ b/crates/celeryshed_core/src/spread/items.rs
@@ -33,6 +33,8 @@
     /// Not asked for before.
     pub(super) not_before: MonoTime,
     pub(super) in_flight: Option<ChunkSource>,
+    /// A sender that says it holds the item.
+    pub(super) offered: Option<ChunkSource>,
     pub(super) position: usize,
     pub(super) depth: u32,
     /// Long polls that ended without the chunk.
@@ -54,6 +56,7 @@
             wanted_at: now,
             not_before: now,
             in_flight: None,
+            offered: None,
             position: 0,
             depth: 0,
             polls: 0,
@@ -69,11 +72,13 @@
         self.in_flight.is_none() && self.not_before <= now
     }
 
-    /// Order of fetching: urgent versions, then short distances from the source; each poll
+    /// Order of fetching: urgent versions, offered items, then short distances from the source; each poll
     /// without success puts the item behind one more level, so that waiting items don't hold
     /// all slots.
-    pub(super) fn order(&self, digest: &ContentDigest) -> (usize, u32, u64) {
-        (self.rank, self.depth + self.polls, digest.leading_u64() ^ self.position as u64)
+    pub(super) fn order(&self, digest: &ContentDigest) -> (usize, bool, u32, u64) {
+        let polled = self.offered.is_none();
+        let level = if polled { self.depth + self.polls } else { self.depth };
+        (self.rank, polled, level, digest.leading_u64() ^ self.position as u64)
     }
 
     /// Avoids `source` for this item, longer each time.
--- a/crates/celeryshed_core/src/spread/options.rs
+++ b/crates/celeryshed_core/src/spread/options.rs
@@ -22,9 +22,11 @@
     /// Which measure the distribution prefers.
     #[derive(Copy)]
     pub enum SpreadWeighing {
-        /// Time until the version is live everywhere; up to four copies from the outer sources.
+        /// Time until the version is live everywhere: a sidecar whose ancestors fail asks outside
+        /// of the tree early.
         Time,
-        /// Bytes fetched from the outer sources; one copy.
+        /// Bytes fetched from the outer sources: it waits until another one is likely to have
+        /// done so.
         OriginBytes,
     }
 
@@ -37,6 +39,9 @@
         pub outer_bytes_per_s: Option<ByteCount>,
         /// Fetches and long polls in progress at once.
         pub parallel_fetches: usize,
+        /// Fetches among them that no sender has offered. They hold a connection open until the
+        /// sender has the chunk, so that few of them find many chunks late; offers find them.
+        pub parallel_polls: usize,
         /// How long a sender without the chunk holds a request open.
         pub poll_wait: Duration,
         /// How long a live sender may be without a chunk before the next ancestor is asked.
@@ -60,6 +65,7 @@
             outer: vec![OuterSource::Store, OuterSource::Origin],
             outer_bytes_per_s: None,
             parallel_fetches: 32,
+            parallel_polls: 16,
             poll_wait: Duration::from_secs(1),
             patience: Duration::from_secs(5),
             stuck_limit: Duration::from_secs(60),
@@ -87,6 +93,10 @@
         if !(1..=1024).contains(&self.parallel_fetches) {
             return reject("parallel_fetches", self.parallel_fetches.to_string(), "1 to 1024");
         }
+        if !(1..=self.parallel_fetches).contains(&self.parallel_polls) {
+            let accepted = "1 to parallel_fetches";
+            return reject("parallel_polls", self.parallel_polls.to_string(), accepted);
+        }
         if self.poll_wait > Duration::from_secs(30) {
             return reject("poll_wait", format!("{:?}", self.poll_wait), "at most 30 s");
         }
--- a/crates/celeryshed_core/src/spread/plan.rs
+++ b/crates/celeryshed_core/src/spread/plan.rs
@@ -14,10 +14,6 @@
 /// First positions of a region that are asked when all ancestors fail.
 const TOP_POSITIONS: usize = 3;
 
-/// Regions whose first sidecar may fetch from an outer source with [`SpreadWeighing::Time`]. The
-/// origin's link carries about four copies of a model in the time that a spread may take.
-const OUTER_COPIES: usize = 4;
-
 common_derives! { index:
     /// A source outside of the sidecars.
     pub enum OuterSource {
@@ -46,10 +42,8 @@
         pub depth: u32,
         /// Sidecars of the same region to ask: parent, further ancestors, first positions.
         pub near: Vec<InstanceName>,
-        /// Sidecars of other regions to ask after those.
+        /// Sidecars of other regions to ask after those; empty in the home region.
         pub far: Vec<InstanceName>,
-        /// Whether the outer source comes before `far`.
-        pub outer_first: bool,
     }
 
     struct PlanMember {
@@ -166,25 +160,33 @@
             let order = ordered(chunk, &region.members);
             order.into_iter().take(TOP_POSITIONS).map(|member| member.instance.clone())
         });
-        ChunkRoute {
-            position,
-            depth: self.depth(position),
-            near,
-            far: far.collect(),
-            outer_first: self.has_outer_first(),
-        }
+        ChunkRoute { position, depth: self.depth(position), near, far: far.collect() }
     }
 
-    fn has_outer_first(&self) -> bool {
-        match self.weighing {
-            SpreadWeighing::Time => self.own_region < OUTER_COPIES,
-            SpreadWeighing::OriginBytes => self.own_region == 0,
-        }
+    /// Sidecars whose parent in the tree of `chunk` is this one.
+    pub fn children(&self, chunk: &ContentDigest) -> Vec<InstanceName> {
+        let order = ordered(chunk, &self.regions[self.own_region].members);
+        let own = order.iter().position(|member| member.instance == self.own);
+        let position = own.unwrap_or_default();
+        let first = position * TREE_FANOUT + 1;
+        let near = order.iter().skip(first).take(TREE_FANOUT).copied();
+        let later = &self.regions[self.own_region + 1..];
+        let is_head = position == 0 && self.own_region == 0;
+        let heads = later
+            .iter()
+            .filter(|_| is_head)
+            .filter_map(|region| region.members.iter().min_by_key(|member| rank(chunk, member)));
+        heads.chain(near).map(|member| member.instance.clone()).collect()
+    }
+
+    /// Which measure the plan prefers.
+    pub fn weighing(&self) -> SpreadWeighing {
+        self.weighing
     }
 
     fn depth(&self, position: usize) -> u32 {
         let in_region = (position + 1).ilog2();
-        if self.has_outer_first() { in_region } else { in_region + 1 }
+        if self.own_region == 0 { in_region } else { in_region + 1 }
     }
 }
 
--- a/crates/celeryshed_core/src/spread/scheduler.rs
+++ b/crates/celeryshed_core/src/spread/scheduler.rs
@@ -9,7 +9,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::items::MissingItem;
-use super::options::FetchOptions;
+use super::options::{FetchOptions, SpreadWeighing};
 use super::penalties::SenderPenalties;
 use super::plan::{ChunkRoute, ChunkSource, SpreadPlan};
 use super::versions::{ChunkRef, VersionTable, WantedVersion};
@@ -21,6 +21,10 @@
 /// Levels after which the stuck limit no longer grows.
 const STUCK_LEVELS: u32 = 8;
 
+/// How many times shorter the waits before asking outside of the tree are with
+/// [`SpreadWeighing::Time`].
+const TIME_HASTE: u32 = 4;
+
 /// Positions after which the random delay before asking outside no longer grows.
 const SPACING_POSITIONS: usize = 30;
 
@@ -74,6 +78,13 @@
         /// Its sender.
         source: ChunkSource,
     },
+    /// A sidecar says that it holds a chunk; a hint that saves a poll.
+    ChunkOffered {
+        /// The chunk.
+        chunk: ContentDigest,
+        /// The sidecar.
+        source: ChunkSource,
+    },
     /// A fetch ended without the chunk.
     FetchFailed {
         /// The chunk.
@@ -97,6 +108,13 @@
             /// From where.
             source: ChunkSource,
         },
+        /// Tell a sidecar below in the tree that a chunk is held.
+        Offer {
+            /// Its digest.
+            chunk: ContentDigest,
+            /// The sidecar.
+            instance: InstanceName,
+        },
         /// Stop fetching a chunk.
         Cancel {
             /// Its digest.
@@ -137,6 +155,8 @@
     held_bytes: u64,
     missing: BTreeMap<ContentDigest, MissingItem>,
     in_flight: usize,
+    /// Those in flight that no sender has offered.
+    polling: usize,
     penalties: SenderPenalties,
     random: StdRng,
 }
@@ -152,6 +172,7 @@
             held_bytes: 0,
             missing: BTreeMap::new(),
             in_flight: 0,
+            polling: 0,
             penalties: SenderPenalties::default(),
             random: StdRng::seed_from_u64(seed),
         }
@@ -177,9 +198,10 @@
             SpreadEvent::PlanChanged(plan) => self.change_plan(plan),
             SpreadEvent::ChunkArrived { chunk, size, source } => {
                 self.penalties.record_success(&source);
-                self.take_chunk(chunk, size);
+                self.take_chunk(chunk, size, &mut actions);
                 self.announce_complete(&mut actions);
             }
+            SpreadEvent::ChunkOffered { chunk, source } => self.take_offer(&chunk, source, now),
             SpreadEvent::FetchFailed { chunk, source, failure } => {
                 self.record_failure(&chunk, &source, failure, now);
             }
@@ -218,12 +240,11 @@
     }
 
     /// When to send [`SpreadEvent::TimePassed`] at the latest; `None` while nothing waits.
-    pub fn next_wake(&mut self, now: MonoTime) -> Option<MonoTime> {
-        if self.plan.is_none() || self.in_flight >= self.options.parallel_fetches {
-            return None;
-        }
+    ///
+    /// Items that could be fetched already wait for a slot, which another event frees.
+    pub fn next_wake(&self, now: MonoTime) -> Option<MonoTime> {
         let waiting = self.missing.values().filter(|item| item.in_flight.is_none());
-        waiting.map(|item| item.not_before.max(now)).min()
+        waiting.map(|item| item.not_before).filter(|time| *time > now).min()
     }
 
     fn want(&mut self, wanted: &[WantedVersion], now: MonoTime, actions: &mut Vec<SpreadAction>) {
@@ -282,15 +303,31 @@
         self.plan = Some(plan);
     }
 
-    fn take_chunk(&mut self, chunk: ContentDigest, size: ByteCount) {
+    fn take_chunk(
+        &mut self,
+        chunk: ContentDigest,
+        size: ByteCount,
+        actions: &mut Vec<SpreadAction>,
+    ) {
         // A chunk that arrives after it was cancelled isn't counted as held.
         if self.missing.remove(&chunk).is_some() {
             self.held.insert(chunk, size.0);
             self.held_bytes += size.0;
+            let children = self.plan.as_ref().map(|plan| plan.children(&chunk));
+            let offers = children.into_iter().flatten();
+            actions.extend(offers.map(|instance| SpreadAction::Offer { chunk, instance }));
         }
         self.count_in_flight();
     }
 
+    fn take_offer(&mut self, chunk: &ContentDigest, source: ChunkSource, now: MonoTime) {
+        let Some(item) = self.missing.get_mut(chunk) else { return };
+        if self.penalties.avoided_until(&source, now).is_none() {
+            item.offered = Some(source);
+            item.not_before = now;
+        }
+    }
+
     fn announce_complete(&mut self, actions: &mut Vec<SpreadAction>) {
         let completed = self.versions.complete(&self.held);
         let announce = |manifest| SpreadAction::VersionComplete { manifest };
@@ -317,6 +354,9 @@
         }
         item.in_flight = None;
         item.not_before = now;
+        if item.offered.as_ref() == Some(source) && failure != FetchFailure::Pending {
+            item.offered = None;
+        }
         match failure {
             FetchFailure::NotWanted => item.avoid(source, now),
             FetchFailure::Pending => item.record_pending(source, self.options.patience, now),
@@ -364,11 +404,16 @@
         while self.in_flight < self.options.parallel_fetches
             && let Some(Reverse((_, chunk))) = ready.pop()
         {
+            let offered = self.missing.get(&chunk).and_then(|item| item.offered.clone());
+            if offered.is_none() && self.polling >= self.options.parallel_polls {
+                break;
+            }
             let route = plan.route(&chunk);
-            let choice = self.choose(&chunk, &route, now);
+            let choice = self.choose(&chunk, &route, plan.weighing(), now);
             let Some(item) = self.missing.get_mut(&chunk) else { continue };
             match choice {
                 SourceChoice::Use(source) => {
+                    self.polling += usize::from(item.offered.is_none());
                     item.in_flight = Some(source.clone());
                     self.in_flight += 1;
                     actions.push(SpreadAction::Fetch { chunk, source });
@@ -380,7 +425,13 @@
         self.plan = Some(plan);
     }
 
-    fn choose(&mut self, chunk: &ContentDigest, route: &ChunkRoute, now: MonoTime) -> SourceChoice {
+    fn choose(
+        &mut self,
+        chunk: &ContentDigest,
+        route: &ChunkRoute,
+        weighing: SpreadWeighing,
+        now: MonoTime,
+    ) -> SourceChoice {
         let Some(item) = self.missing.get_mut(chunk) else {
             return SourceChoice::WaitUntil(now + self.options.settle);
         };
@@ -389,17 +440,27 @@
         };
         let outer: Vec<_> = self.options.outer.iter().copied().map(ChunkSource::Outer).collect();
         let far = peers(&route.far);
-        let (inside, outside) = match (route.near.is_empty(), route.outer_first) {
-            (false, true) => (peers(&route.near), [outer, far].concat()),
-            (false, false) => (peers(&route.near), [far, outer].concat()),
-            (true, true) => (Vec::new(), [outer, far].concat()),
-            (true, false) => (far, outer),
+        let (inside, outside) = if route.near.is_empty() {
+            (far, outer)
+        } else {
+            (peers(&route.near), [far, outer].concat())
         };
-        let stuck = is_stuck(item, &self.options, now);
+        // With `Time` the waits before asking outside of the tree are shorter.
+        let haste = match weighing {
+            SpreadWeighing::Time => TIME_HASTE,
+            SpreadWeighing::OriginBytes => 1,
+        };
+        let stuck = is_stuck(item, &self.options, now, haste);
         let free = |item: &MissingItem, source: &ChunkSource| {
             let penalty = self.penalties.avoided_until(source, now);
             penalty.max(item.avoided_until(source, now))
         };
+        if let Some(source) = item.offered.clone() {
+            if free(item, &source).is_none() {
+                return SourceChoice::Use(source);
+            }
+            item.offered = None;
+        }
         if !stuck && let Some(source) = inside.iter().find(|source| free(item, source).is_none()) {
             return SourceChoice::Use(source.clone());
         }
@@ -412,8 +473,8 @@
             return SourceChoice::WaitUntil(inside_at.unwrap_or(now));
         }
         if !inside.is_empty() && !stuck {
-            let delay = outside_delay(&self.options, item, &mut self.random);
-            let earliest = item.wanted_at + self.options.settle;
+            let delay = outside_delay(&self.options, item, &mut self.random) / haste;
+            let earliest = item.wanted_at + self.options.settle / haste;
             let outside_at = *item.outside_at.get_or_insert(earliest.max(now) + delay);
             if outside_at > now {
                 return SourceChoice::WaitUntil(
@@ -433,7 +494,9 @@
     }
 
     fn count_in_flight(&mut self) {
-        self.in_flight = self.missing.values().filter(|item| item.in_flight.is_some()).count();
+        let in_flight = || self.missing.values().filter(|item| item.in_flight.is_some());
+        self.in_flight = in_flight().count();
+        self.polling = in_flight().filter(|item| item.offered.is_none()).count();
     }
 }
 
@@ -454,9 +517,9 @@
 
 /// Whether live senders have been without the chunk for so long that one below them tries the
 /// outside. The first of a tree doesn't wait: it asks outside anyway.
-fn is_stuck(item: &MissingItem, options: &FetchOptions, now: MonoTime) -> bool {
+fn is_stuck(item: &MissingItem, options: &FetchOptions, now: MonoTime, haste: u32) -> bool {
     let level = item.depth.min(STUCK_LEVELS).saturating_sub(1);
-    let limit = options.stuck_limit * STUCK_FACTOR.pow(level);
+    let limit = options.stuck_limit * STUCK_FACTOR.pow(level) / haste;
     item.pending_since.is_some_and(|since| now - since >= limit)
 }
 
--- a/crates/celeryshed_side/src/weights/fetch.rs
+++ b/crates/celeryshed_side/src/weights/fetch.rs
@@ -9,6 +9,7 @@
 use celeryshed_core::spread::{ChunkSource, FetchFailure, OuterSource};
 use celeryshed_platform::{BlobClient, PlatformError};
 use futures::StreamExt;
+use tokio::sync::Semaphore;
 use tokio::time::timeout;
 
 use super::pacer::LinkPacer;
@@ -27,6 +28,10 @@
     pub(super) pacer: LinkPacer,
     pub(super) poll_wait: Duration,
     pub(super) stall_timeout: Duration,
+    /// Permits of transfers from other sidecars.
+    pub(super) downloads: Semaphore,
+    /// Permits of transfers from outer sources.
+    pub(super) outer_downloads: Semaphore,
     pub(super) verifies: bool,
 }
 
@@ -71,6 +76,8 @@
         mut stream: ChunkStream,
         size: Option<usize>,
     ) -> Result<Bytes, FetchFailure> {
+        // The semaphore is never closed. The body waits in the sender until it is read.
+        let _permit = self.downloads.acquire().await.map_err(|_| FetchFailure::TimedOut)?;
         let limit = size.unwrap_or(MANIFEST_LIMIT);
         let mut content = BytesMut::with_capacity(size.unwrap_or_default());
         loop {
@@ -92,6 +99,8 @@
         fetch: &ChunkFetch,
     ) -> Result<Bytes, FetchFailure> {
         let client = self.outer.get(&outer).ok_or(FetchFailure::NotWanted)?;
+        let permit = self.outer_downloads.acquire().await;
+        let _permit = permit.map_err(|_| FetchFailure::TimedOut)?;
         self.pacer.pace(fetch.size.unwrap_or_default()).await;
         match client.fetch(&fetch.chunk).await {
             Ok(content) => Ok(content),
--- a/crates/celeryshed_side/src/weights/http.rs
+++ b/crates/celeryshed_side/src/weights/http.rs
@@ -4,7 +4,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use celeryshed_base::{ContentDigest, FenceNumber};
+use celeryshed_base::{ContentDigest, FenceNumber, InstanceName};
 use celeryshed_wire::{EngineCommand, EngineCommandKind, EngineCommandReply, EngineLoad};
 use futures::{StreamExt, TryStreamExt};
 use reqwest::{Client, Response, StatusCode};
@@ -15,6 +15,9 @@
 /// Longest time for one call to the engine beside this process.
 const ENGINE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Longest time for an offer.
+const OFFER_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Asks other sidecars over HTTP.
 #[derive(Clone, Debug)]
 pub struct HttpPeerClient {
@@ -38,24 +41,46 @@
     ) -> std::result::Result<PeerReply, PeerError> {
         let wait_ms = wait.as_millis();
         let url = format!("http://{address}/side/v1/chunks/{chunk}?wait_ms={wait_ms}");
+        let sent = self.client.get(url).send().await;
+        let response = sent.map_err(|error| Self::failed(address, &error))?;
         let address = address.to_owned();
-        let failed = move |error: reqwest::Error| PeerError::Unreachable {
-            address: address.clone(),
-            reason: error.to_string(),
-        };
-        let response = self.client.get(url).send().await.map_err(&failed)?;
         match response.status() {
-            StatusCode::OK => Ok(PeerReply::Held(response.bytes_stream().map_err(failed).boxed())),
+            StatusCode::OK => {
+                let body = response.bytes_stream();
+                let body = body.map_err(move |error| Self::failed(&address, &error));
+                Ok(PeerReply::Held(body.boxed()))
+            }
             StatusCode::ACCEPTED => Ok(PeerReply::Pending),
             StatusCode::NOT_FOUND => Ok(PeerReply::NotWanted),
-            status => Err(PeerError::UnexpectedStatus {
-                address: response.url().authority().to_owned(),
-                status: status.as_u16(),
-            }),
+            status => Err(PeerError::UnexpectedStatus { address, status: status.as_u16() }),
+        }
+    }
+
+    async fn offer_chunk(
+        &self,
+        address: &str,
+        chunk: &ContentDigest,
+        own: &InstanceName,
+    ) -> std::result::Result<(), PeerError> {
+        let url = format!("http://{address}/side/v1/chunks/{chunk}/offers?from={own}");
+        let sent = self.client.post(url).timeout(OFFER_TIMEOUT).send().await;
+        let response = sent.map_err(|error| Self::failed(address, &error))?;
+        match response.status() {
+            status if status.is_success() => Ok(()),
+            status => {
+                let address = address.to_owned();
+                Err(PeerError::UnexpectedStatus { address, status: status.as_u16() })
+            }
         }
     }
 }
 
+impl HttpPeerClient {
+    fn failed(address: &str, error: &reqwest::Error) -> PeerError {
+        PeerError::Unreachable { address: address.to_owned(), reason: error.to_string() }
+    }
+}
+
 /// Commands an engine over its own HTTP interface.
 #[derive(Clone, Debug)]
 pub struct HttpEngineLoader {
--- a/crates/celeryshed_side/src/weights/peers.rs
+++ b/crates/celeryshed_side/src/weights/peers.rs
@@ -4,7 +4,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use celeryshed_base::ContentDigest;
+use celeryshed_base::{ContentDigest, InstanceName};
 use futures::stream::BoxStream;
 
 /// A failed call to another sidecar.
@@ -51,4 +51,12 @@
         chunk: &ContentDigest,
         wait: Duration,
     ) -> Result<PeerReply, PeerError>;
+
+    /// Tells the sidecar at `address` that sidecar `own` holds a chunk.
+    async fn offer_chunk(
+        &self,
+        address: &str,
+        chunk: &ContentDigest,
+        own: &InstanceName,
+    ) -> Result<(), PeerError>;
 }
--- a/crates/celeryshed_side/src/weights/task.rs
+++ b/crates/celeryshed_side/src/weights/task.rs
@@ -16,7 +16,7 @@
     SpreadPlan, WantedVersion,
 };
 use celeryshed_platform::{BlobClient, LogClient};
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch};
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
 
@@ -59,6 +59,18 @@
     pub clock: ClockSource,
 }
 
+/// Time that one slice takes on the link. Short, so that a live request doesn't queue behind
+/// distribution traffic for long.
+const SLICE_TIME: Duration = Duration::from_millis(2);
+
+/// Bounds of slices; smaller ones cost processor time, larger ones don't save any more.
+const SLICE_BOUNDS: (usize, usize) = (2 * 1024, 64 * 1024);
+
+fn slice_bytes(link: ByteCount) -> usize {
+    let bytes = link.0 as f64 * SLICE_TIME.as_secs_f64();
+    (bytes as usize).clamp(SLICE_BOUNDS.0, SLICE_BOUNDS.1)
+}
+
 /// Answer to a request for a chunk.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum ChunkAnswer {
@@ -67,9 +79,9 @@
     NotWanted,
 }
 
-struct ChunkQuery {
-    chunk: ContentDigest,
-    reply: oneshot::Sender<ChunkAnswer>,
+enum PeerMessage {
+    Query { chunk: ContentDigest, reply: oneshot::Sender<ChunkAnswer> },
+    Offer { chunk: ContentDigest, from: InstanceName },
 }
 
 struct FetchResult {
@@ -80,8 +92,10 @@
 /// Access to the running tasks.
 #[derive(Clone, Debug)]
 pub struct WeightsHandle {
-    queries: mpsc::Sender<ChunkQuery>,
+    messages: mpsc::Sender<PeerMessage>,
     pacer: LinkPacer,
+    uploads: Arc<Semaphore>,
+    slice_bytes: usize,
     live: watch::Receiver<Option<ContentDigest>>,
 }
 
@@ -100,10 +114,27 @@
         &self.pacer
     }
 
+    /// Bytes to send between two waits for the link.
+    pub(super) fn slice_bytes(&self) -> usize {
+        self.slice_bytes
+    }
+
+    /// A permit for one transfer to another sidecar; `None` when all are taken for `wait`.
+    pub(super) async fn upload_permit(&self, wait: Duration) -> Option<OwnedSemaphorePermit> {
+        let permit = timeout(wait, self.uploads.clone().acquire_owned()).await;
+        permit.ok()?.ok()
+    }
+
+    /// Sidecar `from` says that it holds a chunk.
+    pub(super) async fn offer(&self, chunk: ContentDigest, from: InstanceName) {
+        // Fails only when the task has ended.
+        let _ = self.messages.send(PeerMessage::Offer { chunk, from }).await;
+    }
+
     /// The chunk, once it is here, for at most `wait`.
     pub(super) async fn chunk(&self, chunk: ContentDigest, wait: Duration) -> ChunkAnswer {
         let (reply, answer) = oneshot::channel();
-        if self.queries.send(ChunkQuery { chunk, reply }).await.is_err() {
+        if self.messages.send(PeerMessage::Query { chunk, reply }).await.is_err() {
             return ChunkAnswer::NotWanted;
         }
         match timeout(wait, answer).await {
@@ -117,7 +148,9 @@
 pub fn spawn(inputs: WeightsInputs, options: WeightsOptions) -> Result<WeightsHandle, OptionError> {
     options.check()?;
     let pacer = LinkPacer::spawn(options.link, inputs.clock);
-    let (queries, query_inbox) = mpsc::channel(QUEUE_LENGTH);
+    let uploads = Arc::new(Semaphore::new(options.uploads));
+    let slice_bytes = slice_bytes(options.link);
+    let (messages, message_inbox) = mpsc::channel(QUEUE_LENGTH);
     let (results, result_inbox) = mpsc::channel(QUEUE_LENGTH);
     let (live, live_version) = watch::channel(None);
     let (target, target_version) = watch::channel(None);
@@ -141,6 +174,8 @@
         pacer: pacer.clone(),
         poll_wait: options.fetch.poll_wait,
         stall_timeout: options.stall_timeout,
+        downloads: Semaphore::new(options.downloads),
+        outer_downloads: Semaphore::new(options.outer_downloads),
         verifies: options.verifies(),
     };
     let task = WeightsTask {
@@ -157,8 +192,8 @@
     };
     tokio::spawn(registration);
     tokio::spawn(engine.run());
-    tokio::spawn(task.run(query_inbox, result_inbox));
-    Ok(WeightsHandle { queries, pacer, live: live_version })
+    tokio::spawn(task.run(message_inbox, result_inbox));
+    Ok(WeightsHandle { messages, pacer, uploads, slice_bytes, live: live_version })
 }
 
 struct WeightsTask {
@@ -178,7 +213,7 @@
 impl WeightsTask {
     async fn run(
         mut self,
-        mut queries: mpsc::Receiver<ChunkQuery>,
+        mut messages: mpsc::Receiver<PeerMessage>,
         mut results: mpsc::Receiver<FetchResult>,
     ) {
         self.members_changed();
@@ -188,8 +223,12 @@
             let wake = self.scheduler.next_wake(now).map_or(IDLE_SLEEP, |wake| wake - now);
             tokio::select! {
                 Some(result) = results.recv() => self.fetch_ended(result),
-                query = queries.recv() => match query {
-                    Some(query) => self.answer(query),
+                message = messages.recv() => match message {
+                    Some(PeerMessage::Query { chunk, reply }) => self.answer(chunk, reply),
+                    Some(PeerMessage::Offer { chunk, from }) => {
+                        let source = ChunkSource::Peer(from);
+                        self.handle(SpreadEvent::ChunkOffered { chunk, source });
+                    }
                     None => break,
                 },
                 Ok(()) = self.inputs.configuration.changed() => self.configuration_changed(),
@@ -241,8 +280,7 @@
         services
     }
 
-    fn answer(&mut self, query: ChunkQuery) {
-        let ChunkQuery { chunk, reply } = query;
+    fn answer(&mut self, chunk: ContentDigest, reply: oneshot::Sender<ChunkAnswer>) {
         if let Some(content) = self.contents.get(&chunk) {
             // An asker that has gone away needs no answer.
             let _ = reply.send(ChunkAnswer::Held(content.clone()));
@@ -298,6 +336,7 @@
         for action in self.scheduler.handle(event, now) {
             match action {
                 SpreadAction::Fetch { chunk, source } => self.start_fetch(chunk, source),
+                SpreadAction::Offer { chunk, instance } => self.send_offer(chunk, &instance),
                 SpreadAction::Cancel { chunk } => {
                     if let Some(fetch) = self.fetches.remove(&chunk) {
                         fetch.abort();
@@ -318,12 +357,25 @@
         }
     }
 
+    fn address_of(&self, instance: &InstanceName) -> Option<String> {
+        let view = self.inputs.members.borrow();
+        view.sides.get(instance).map(|side| side.address.clone())
+    }
+
+    /// An offer that is lost costs a poll, so that it isn't repeated.
+    fn send_offer(&self, chunk: ContentDigest, instance: &InstanceName) {
+        let Some(address) = self.address_of(instance) else { return };
+        let (peers, own) = (self.inputs.peers.clone(), self.inputs.instance.clone());
+        tokio::spawn(async move {
+            if let Err(error) = peers.offer_chunk(&address, &chunk, &own).await {
+                log::debug!("event=offer_failed chunk={chunk} error={error:?}");
+            }
+        });
+    }
+
     fn start_fetch(&mut self, chunk: ContentDigest, source: ChunkSource) {
         let address = match &source {
-            ChunkSource::Peer(instance) => {
-                let view = self.inputs.members.borrow();
-                view.sides.get(instance).map(|side| side.address.clone())
-            }
+            ChunkSource::Peer(instance) => self.address_of(instance),
             ChunkSource::Outer(_) => None,
         };
         let size = self.scheduler.size_of(&chunk).map(|size| size.0 as usize);
--- a/crates/celeryshed_side/src/weights/tests/fakes.rs
+++ b/crates/celeryshed_side/src/weights/tests/fakes.rs
@@ -153,6 +153,20 @@
         };
         Ok(PeerReply::Held(futures::stream::iter([Ok(body)]).boxed()))
     }
+
+    async fn offer_chunk(
+        &self,
+        address: &str,
+        chunk: &ContentDigest,
+        own: &InstanceName,
+    ) -> Result<(), PeerError> {
+        sleep(Duration::from_millis(2)).await;
+        let side = self.network.sides.lock().unwrap().get(address).cloned();
+        if let Some(side) = side {
+            side.offer(*chunk, own.clone()).await;
+        }
+        Ok(())
+    }
 }
 
 /// A log that is down for a while.
