--- a/crates/celeryshed_core/benches/routing.rs
+++ b/crates/celeryshed_core/benches/routing.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use celeryshed_base::{AvailabilityZone, InstanceName, MonoTime, RegionName, ServiceName};
+use celeryshed_core::admission::SlotClass;
 use celeryshed_core::membership::{MemberState, MemberView, SideMember};
 use celeryshed_core::routing::{
     EndpointLoad, EndpointObservation, EndpointTable, RoutingDecision, RoutingNeed, RoutingOptions,
@@ -70,6 +71,7 @@
         prompt_tokens: 1000,
         prefixes: prompt_prefixes(&hashes, 16),
         seed: prompt,
+        class: SlotClass::Contracted,
         may_displace: true,
         headroom: false,
         excluded: BTreeSet::from([instance(3)]),
--- a/crates/celeryshed_core/src/admission/limits.rs
+++ b/crates/celeryshed_core/src/admission/limits.rs
@@ -9,7 +9,7 @@
 use crate::configuration::CustomerContract;
 
 /// Millionths of a token per token, so that slow rates accumulate without rounding loss.
-const MICRO: u128 = 1_000_000;
+const MICRO: i128 = 1_000_000;
 
 common_derives! { value:
     /// The class of an admitted request, and what it holds until it ends.
@@ -25,7 +25,8 @@
 /// Use of one customer's share.
 #[derive(Clone, Copy, Debug)]
 struct ShareUse {
-    micro_tokens: u128,
+    /// Negative after a request that was larger than the rest.
+    micro_tokens: i128,
     refilled_at: MonoTime,
     in_progress: u32,
 }
@@ -34,7 +35,14 @@
 ///
 /// With `n` live entries in its view, an entry admits `1/n` of each customer's capacity as
 /// contracted. Work above it is not refused: it runs as best effort, where capacity is free.
-/// [`admitted_share_bounds`] states what differing views can do to the sum.
+///
+/// - Tokens: `1/n` of the rate and of the burst. A request is admitted while tokens are left, also
+///   when it needs more than these, so that small shares admit anything at all; over any time an
+///   entry admits at most its share and one request. [`admitted_share_bounds`] states what
+///   differing views can do to the sum.
+/// - Requests in progress: `R/n + sqrt(R/n)`, rounded up, because random arrivals at one entry vary
+///   by about the square root of their number; the sum is at most `R + sqrt(R n) + n`. The tokens
+///   still bound the rate, so that the excess can't last.
 ///
 /// ```
 /// use celeryshed_core::admission::{CustomerLimits, SlotClass};
@@ -65,11 +73,10 @@
         };
         let limit = share_of_requests(contract, entries);
         let share = self.refilled(customer, contract, entries, now);
-        let cost = u128::from(tokens) * MICRO;
-        if share.in_progress >= limit || share.micro_tokens < cost {
+        if share.in_progress >= limit || share.micro_tokens <= 0 {
             return best_effort;
         }
-        share.micro_tokens -= cost;
+        share.micro_tokens -= i128::from(tokens) * MICRO;
         share.in_progress += 1;
         AdmissionGrant { class: SlotClass::Contracted, charged_tokens: tokens }
     }
@@ -83,7 +90,7 @@
             share.in_progress = share.in_progress.saturating_sub(1);
             let unused = grant.charged_tokens.saturating_sub(used_tokens);
             // The next refill cuts a level above the burst down to it.
-            share.micro_tokens += u128::from(unused) * MICRO;
+            share.micro_tokens += i128::from(unused) * MICRO;
         }
     }
 
@@ -99,21 +106,26 @@
         entries: u32,
         now: MonoTime,
     ) -> &mut ShareUse {
-        let entries = u128::from(entries.max(1));
-        let full = u128::from(contract.burst.0) * MICRO / entries;
+        let entries = i128::from(entries.max(1));
+        let full = i128::from(contract.burst.0) * MICRO / entries;
         let fresh = ShareUse { micro_tokens: full, refilled_at: now, in_progress: 0 };
         let share = self.shares.entry(customer.clone()).or_insert(fresh);
         let passed: Duration = now - share.refilled_at;
-        let refill = u128::from(contract.token_rate.0) * passed.as_micros() / entries;
+        let refill = i128::from(contract.token_rate.0) * passed.as_micros() as i128 / entries;
         share.micro_tokens = (share.micro_tokens + refill).min(full);
         share.refilled_at = now;
         share
     }
 }
 
-/// Requests in progress of one entry, rounded up so that a small contract isn't cut to nothing.
+/// Requests in progress that one entry admits.
 fn share_of_requests(contract: &CustomerContract, entries: u32) -> u32 {
-    contract.requests_in_progress.div_ceil(entries.max(1))
+    let reserved = contract.requests_in_progress;
+    if entries <= 1 {
+        return reserved;
+    }
+    let share = f64::from(reserved) / f64::from(entries);
+    ((share + share.sqrt()).ceil() as u32).min(reserved)
 }
 
 /// Smallest and largest sum of the shares of `live` entries, as a multiple of the contract, when
--- a/crates/celeryshed_core/src/routing/endpoint.rs
+++ b/crates/celeryshed_core/src/routing/endpoint.rs
@@ -10,7 +10,8 @@
 
 use super::ejection::EjectionState;
 use super::options::RoutingOptions;
-use crate::admission::headroom_of;
+use super::table::RoutingNeed;
+use crate::admission::{SlotClass, headroom_of};
 
 common_derives! { value:
     /// Load of an endpoint.
@@ -44,6 +45,23 @@
 struct SentRequest {
     sent_at: MonoTime,
     prompt_tokens: u64,
+    class: SlotClass,
+}
+
+/// Prompt tokens sent and not processed yet, by class.
+#[derive(Clone, Copy, Debug, Default)]
+struct QueuedTokens {
+    best_effort: u64,
+    contracted: u64,
+}
+
+impl QueuedTokens {
+    fn of(&mut self, class: SlotClass) -> &mut u64 {
+        match class {
+            SlotClass::BestEffort => &mut self.best_effort,
+            SlotClass::Contracted | SlotClass::Booking => &mut self.contracted,
+        }
+    }
 }
 
 /// One endpoint.
@@ -68,11 +86,11 @@
     /// Requests sent since the last report, by their number.
     sent_since_report: BTreeMap<u64, SentRequest>,
     /// Sum of their prompt tokens that are not processed yet.
-    sent_prompt_tokens: u64,
+    sent_prompt_tokens: QueuedTokens,
     ended_since_report: u32,
     in_flight: u32,
-    /// Set by a busy answer, until the next report or end of a request.
-    full: bool,
+    /// Highest class that got a busy answer since the last report or end of a request.
+    busy_for: Option<SlotClass>,
 }
 
 impl EndpointRecord {
@@ -101,21 +119,23 @@
             fresh_since,
             load: EndpointLoad { slots, ..EndpointLoad::default() },
             sent_since_report: BTreeMap::new(),
-            sent_prompt_tokens: 0,
+            sent_prompt_tokens: QueuedTokens::default(),
             ended_since_report: 0,
             in_flight: 0,
-            full: false,
+            busy_for: None,
         }
     }
 
     /// Takes a report that is `lag` old; requests sent since then are not in it.
     pub(super) fn report(&mut self, load: EndpointLoad, lag: Duration, now: MonoTime) {
         self.load = load;
-        self.full = false;
+        self.busy_for = None;
         self.ended_since_report = 0;
         self.sent_since_report.retain(|_, sent| now - sent.sent_at < lag);
-        let unprocessed = self.sent_since_report.values().map(|sent| sent.prompt_tokens);
-        self.sent_prompt_tokens = unprocessed.sum();
+        self.sent_prompt_tokens = QueuedTokens::default();
+        for sent in self.sent_since_report.values() {
+            *self.sent_prompt_tokens.of(sent.class) += sent.prompt_tokens;
+        }
     }
 
     /// Whether it may serve `version`: a version not heard of yet is left to its sidecar.
@@ -123,18 +143,25 @@
         version.is_none() || self.version.is_none() || self.version == version
     }
 
-    pub(super) fn sent(&mut self, number: u64, prompt_tokens: u64, now: MonoTime) {
+    pub(super) fn sent(
+        &mut self,
+        number: u64,
+        prompt_tokens: u64,
+        class: SlotClass,
+        now: MonoTime,
+    ) {
         self.in_flight += 1;
-        self.sent_prompt_tokens += prompt_tokens;
-        self.sent_since_report.insert(number, SentRequest { sent_at: now, prompt_tokens });
+        *self.sent_prompt_tokens.of(class) += prompt_tokens;
+        let sent = SentRequest { sent_at: now, prompt_tokens, class };
+        self.sent_since_report.insert(number, sent);
     }
 
     /// A request ended: it is in the last report, or was sent since.
     pub(super) fn ended(&mut self, number: u64) {
         self.in_flight = self.in_flight.saturating_sub(1);
-        self.full = false;
+        self.busy_for = None;
         match self.sent_since_report.remove(&number) {
-            Some(sent) => self.sent_prompt_tokens -= sent.prompt_tokens,
+            Some(sent) => *self.sent_prompt_tokens.of(sent.class) -= sent.prompt_tokens,
             None => self.ended_since_report += 1,
         }
     }
@@ -142,17 +169,18 @@
     /// The prompt of a request has been processed: its first token came.
     pub(super) fn prefilled(&mut self, number: u64) {
         if let Some(sent) = self.sent_since_report.get_mut(&number) {
-            self.sent_prompt_tokens -= std::mem::take(&mut sent.prompt_tokens);
+            let tokens = std::mem::take(&mut sent.prompt_tokens);
+            *self.sent_prompt_tokens.of(sent.class) -= tokens;
         }
     }
 
-    pub(super) fn busy(&mut self) {
-        self.full = true;
+    pub(super) fn busy(&mut self, class: SlotClass) {
+        self.busy_for = self.busy_for.max(Some(class));
     }
 
-    /// Whether it refused a request since it was last heard of.
-    pub(super) fn refused_busy(&self) -> bool {
-        self.full
+    /// Whether it refused a request of this or a higher class since it was last heard of.
+    pub(super) fn refused_busy(&self, class: SlotClass) -> bool {
+        self.busy_for.is_some_and(|refused| refused >= class)
     }
 
     /// Requests there, as far as this entry can know; never fewer than its own.
@@ -172,33 +200,51 @@
     }
 
     /// Whether a further request would find no slot.
-    pub(super) fn is_full(&self, headroom: bool, options: &RoutingOptions, now: MonoTime) -> bool {
+    pub(super) fn is_full(
+        &self,
+        need: &RoutingNeed,
+        options: &RoutingOptions,
+        now: MonoTime,
+    ) -> bool {
         let slots = self.usable_slots(options, now);
-        let kept = if headroom { headroom_of(slots) } else { 0 };
-        self.full || self.occupied() >= slots - kept
+        let kept = if need.headroom { headroom_of(slots) } else { 0 };
+        self.refused_busy(need.class) || self.occupied() >= slots - kept
     }
 
     /// Expected time to the first token in microseconds.
     pub(super) fn expected_us(
         &self,
-        prompt_tokens: u64,
+        need: &RoutingNeed,
         cached_tokens: u64,
         options: &RoutingOptions,
         now: MonoTime,
     ) -> u64 {
-        let queued = self.load.queued_prompt_tokens + self.sent_prompt_tokens;
-        let remaining = prompt_tokens.saturating_sub(cached_tokens);
+        // Engines process prompts of higher classes first.
+        let sent = &self.sent_prompt_tokens;
+        let queued = match need.class {
+            SlotClass::BestEffort => {
+                self.load.queued_prompt_tokens + sent.best_effort + sent.contracted
+            }
+            SlotClass::Contracted | SlotClass::Booking => {
+                self.load.queued_prompt_tokens / CONTRACTED_PART + sent.contracted
+            }
+        };
+        let remaining = need.prompt_tokens.saturating_sub(cached_tokens);
         let prefill_us = (queued + remaining) * options.prefill_token_ns() / 1000;
         let slots = u64::from(self.usable_slots(options, now).max(1));
         let occupied = u64::from(self.occupied());
         let slot_us = options.slot_time.as_micros() as u64;
-        // Waiting for a slot, and the slowdown of a fuller batch: both grow with the occupancy.
-        let ahead = (occupied + 1).saturating_sub(slots);
+        // A request that displaces others doesn't wait for a slot.
+        let ahead = if need.may_displace { 0 } else { (occupied + 1).saturating_sub(slots) };
         let occupied_us = (ahead * slot_us + occupied * BATCH_STEP_US * 16) / slots;
         prefill_us + occupied_us + 2 * self.latency_us
     }
 }
 
+/// Part of a reported queue of prompt tokens that counts as contracted work: reports don't tell the
+/// classes, and long queues are mostly best effort, since contracts stay below the capacity.
+const CONTRACTED_PART: u64 = 8;
+
 /// Slowdown of the first token by one sixteenth of occupancy: spreads requests over endpoints
 /// whose queues are equal.
 const BATCH_STEP_US: u64 = 500;
--- a/crates/celeryshed_core/src/routing/mod.rs
+++ b/crates/celeryshed_core/src/routing/mod.rs
@@ -14,6 +14,6 @@
 
 pub use ejection::EjectionState;
 pub use endpoint::{EndpointLoad, EndpointObservation};
-pub use options::{RoutingOptions, RoutingPolicy};
+pub use options::{PolicyError, RoutingOptions, RoutingPolicy};
 pub use prefixes::{MAX_PREFIX_BLOCKS, PromptPrefix, prompt_prefixes};
 pub use table::{DispatchMark, EndpointTable, RoutingChoice, RoutingDecision, RoutingNeed};
--- a/crates/celeryshed_core/src/routing/options.rs
+++ b/crates/celeryshed_core/src/routing/options.rs
@@ -18,6 +18,33 @@
     LeastLoad,
 }
 
+/// A text that names no policy.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("policy {value:?} is not known: accepted are product, random, round_robin and least_load")]
+pub struct PolicyError {
+    /// The rejected text.
+    pub value: String,
+}
+
+impl TryFrom<&str> for RoutingPolicy {
+    type Error = PolicyError;
+
+    /// ```
+    /// use celeryshed_core::routing::RoutingPolicy;
+    /// assert_eq!(RoutingPolicy::try_from("product"), Ok(RoutingPolicy::Expected));
+    /// assert!(RoutingPolicy::try_from("best").is_err());
+    /// ```
+    fn try_from(value: &str) -> Result<Self, PolicyError> {
+        match value {
+            "product" => Ok(Self::Expected),
+            "random" => Ok(Self::Random),
+            "round_robin" => Ok(Self::RoundRobin),
+            "least_load" => Ok(Self::LeastLoad),
+            _ => Err(PolicyError { value: value.to_owned() }),
+        }
+    }
+}
+
 /// Options of the routing.
 #[derive(Clone, Debug)]
 pub struct RoutingOptions {
--- a/crates/celeryshed_core/src/routing/table.rs
+++ b/crates/celeryshed_core/src/routing/table.rs
@@ -8,6 +8,7 @@
 use super::endpoint::{EndpointLoad, EndpointObservation, EndpointRecord};
 use super::options::{RoutingOptions, RoutingPolicy};
 use super::prefixes::{PrefixHints, PromptPrefix};
+use crate::admission::SlotClass;
 use crate::configuration::ConfigurationState;
 use crate::membership::{MemberState, MemberView};
 
@@ -47,6 +48,8 @@
     pub prefixes: Vec<PromptPrefix>,
     /// Number that spreads equal choices, taken from the request's id.
     pub seed: u64,
+    /// Class of the request.
+    pub class: SlotClass,
     /// Whether an endpoint without a free slot will do, because work there can be displaced.
     pub may_displace: bool,
     /// Whether the request leaves the headroom of an endpoint to contracted work.
@@ -180,7 +183,7 @@
             return RoutingDecision::NoEndpoint;
         }
         let usable = candidates.iter().filter(|candidate| {
-            let displaces = || !self.endpoints[candidate.index].refused_busy();
+            let displaces = || !self.endpoints[candidate.index].refused_busy(need.class);
             !candidate.full || need.may_displace && displaces()
         });
         let usable: Vec<&Candidate> = usable.collect();
@@ -210,7 +213,7 @@
         };
         let cached = self.hints.cached_at(&need.prefixes, index as u32);
         let prompt_tokens = need.prompt_tokens.saturating_sub(cached);
-        self.endpoints[index].sent(mark.number, prompt_tokens, now);
+        self.endpoints[index].sent(mark.number, prompt_tokens, need.class, now);
         for prefix in &need.prefixes {
             self.hints.note(prefix.hash, index as u32, now);
         }
@@ -249,10 +252,10 @@
     }
 
     /// Notes that the endpoint refused a request for want of a slot.
-    pub fn refused_busy(&mut self, mark: &DispatchMark) {
+    pub fn refused_busy(&mut self, mark: &DispatchMark, class: SlotClass) {
         if let Some(endpoint) = self.endpoint_mut(&mark.instance) {
             endpoint.ended(mark.number);
-            endpoint.busy();
+            endpoint.busy(class);
         }
     }
 
@@ -345,7 +348,7 @@
         let mut subset = Vec::with_capacity(indexes.len());
         for index in fitting {
             let endpoint = &self.endpoints[index];
-            let full = endpoint.is_full(need.headroom, &self.options, now);
+            let full = endpoint.is_full(need, &self.options, now);
             let displaces_us = if full { DISPLACEMENT_US } else { 0 };
             let score = self.score(endpoint, need, cached[index], now) + displaces_us;
             let target = match endpoint.ejection.is_distrusted(now) {
@@ -374,7 +377,7 @@
         if self.options.policy == RoutingPolicy::LeastLoad {
             return u64::from(endpoint.occupied()) * EQUAL_US * 2;
         }
-        let expected = endpoint.expected_us(need.prompt_tokens, cached_tokens, &self.options, now);
+        let expected = endpoint.expected_us(need, cached_tokens, &self.options, now);
         let cold = need.adapter.as_ref().is_some_and(|name| !endpoint.adapters.contains(name));
         let adapter_us = if cold { self.options.adapter_load.as_micros() as u64 } else { 0 };
         expected + adapter_us
--- a/crates/celeryshed_entry/src/completions/decisions/entry.rs
+++ b/crates/celeryshed_entry/src/completions/decisions/entry.rs
@@ -176,7 +176,7 @@
             AttemptOutcome::Dropped => self.table.ended(&mark),
             AttemptOutcome::Failed { cause, not_run, repeatable } => {
                 match cause {
-                    FailureCause::Busy => self.table.refused_busy(&mark),
+                    FailureCause::Busy => self.table.refused_busy(&mark, record.grant.class),
                     FailureCause::Leaving => self.table.leaving(&mark),
                     FailureCause::EndpointFailed | FailureCause::EndpointUnreachable => {
                         record.excluded.insert(mark.instance.clone());
--- a/crates/celeryshed_entry/src/completions/decisions/request.rs
+++ b/crates/celeryshed_entry/src/completions/decisions/request.rs
@@ -105,6 +105,7 @@
             prompt_tokens: self.profile.prompt_tokens,
             prefixes: self.profile.prefixes.clone(),
             seed: self.profile.request_id.0.as_u128() as u64,
+            class: self.grant.class,
             may_displace,
             headroom,
             excluded: self.excluded.union(&self.suspects_at).cloned().collect(),
--- a/crates/celeryshed_measure/src/scarcity/mod.rs
+++ b/crates/celeryshed_measure/src/scarcity/mod.rs
@@ -15,6 +15,6 @@
 #[cfg(test)]
 mod tests;
 
-pub use options::{ScarcityOptions, ScarcityScenario};
+pub use options::{ScarcityOptions, ScarcityScenario, ScenarioError};
 pub use report::{CustomerResult, ScarcityReport};
 pub use world::run_scarcity;
