--- a/crates/celeryshed_core/src/membership/tests.rs
+++ b/crates/celeryshed_core/src/membership/tests.rs
@@ -85,9 +85,6 @@
     Some((member.state, member.incarnation.map(|incarnation| incarnation.0.as_u128())))
 }
 
-/// Name, events with their times, time of the look, and the expected state and incarnation.
-type TrackerCase = (&'static str, Vec<(f64, Event)>, f64, Option<(MemberState, Option<u128>)>);
-
 /// Guards against work for sidecars that leave, fell silent or were replaced, and against a
 /// replacement that stays unused because of what was heard of its predecessor.
 #[test]
