--- a/crates/celeryshed_cli/src/args.rs
+++ b/crates/celeryshed_cli/src/args/mod.rs
@@ -1,11 +1,15 @@
 //! Arguments of `celeryshed`.
 
+mod measure;
+
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use celeryshed_base::{ModelName, NameError, ServiceName, VersionName};
 use clap::{Args, Parser, Subcommand, ValueEnum};
 
+pub(crate) use measure::{MeasureCommand, ScarcityArgs, SpreadArgs};
+
 /// Arguments of `celeryshed`.
 #[derive(Clone, Debug, Parser)]
 #[command(name = "celeryshed", version, about = "Operates and tries out celeryshed.")]
@@ -35,6 +39,9 @@
     /// Prints reports.
     #[command(subcommand)]
     Report(ReportCommand),
+    /// Runs experiments.
+    #[command(subcommand)]
+    Measure(MeasureCommand),
     /// Runs stand-ins of the platform and of endpoints until SIGTERM.
     Standin(StandinArgs),
     /// Runs the whole system on loopback and checks its promises.
--- a/crates/celeryshed_cli/src/run.rs
+++ b/crates/celeryshed_cli/src/run.rs
@@ -7,7 +7,8 @@
 use eyre::{Result, WrapErr};
 
 use crate::args::{
-    ConfigCommand, ContractCommand, ModelCommand, OperatorArgs, OperatorCommand, ReportCommand,
+    ConfigCommand, ContractCommand, MeasureCommand, ModelCommand, OperatorArgs, OperatorCommand,
+    ReportCommand,
 };
 use crate::commands;
 
@@ -73,6 +74,12 @@
         OperatorCommand::Report(ReportCommand::Burn { entries, format }) => {
             commands::burn::report(&entries, format).await
         }
+        OperatorCommand::Measure(MeasureCommand::Spread(args)) => {
+            commands::measure::spread(&args).await
+        }
+        OperatorCommand::Measure(MeasureCommand::Scarcity(args)) => {
+            commands::measure::scarcity(&args).await
+        }
         OperatorCommand::Standin(args) => commands::standin::run(&args).await,
         OperatorCommand::Demo(args) => commands::demo::run(&args).await,
     }
