--- a/crates/celeryshed_core/src/booking/fold.rs
+++ b/crates/celeryshed_core/src/booking/fold.rs
@@ -97,11 +97,32 @@
     }
 
     /// Number of bookings kept.
+    ///
+    /// ```
+    /// use celeryshed_core::booking::{FoldOptions, PartitionFold};
+    /// use std::time::Duration;
+    /// let hour = Duration::from_secs(3600);
+    /// let fold = PartitionFold::new(FoldOptions { window: 6 * hour, retention: 12 * hour });
+    /// assert_eq!(fold.booking_count(), 0);
+    /// ```
     pub fn booking_count(&self) -> usize {
         self.bookings.len()
     }
 
     /// Whether every claim that a key created at `issued_at` can have is folded in.
+    ///
+    /// ```
+    /// use celeryshed_base::{LogOffset, UnixMillis};
+    /// use celeryshed_core::booking::{FoldOptions, LogPage, PartitionFold};
+    /// use std::time::Duration;
+    /// let hour = Duration::from_secs(3600);
+    /// let mut fold = PartitionFold::new(FoldOptions { window: 6 * hour, retention: 12 * hour });
+    /// let log_now = UnixMillis(24 * 3_600_000);
+    /// let removed = LogOffset(5);
+    /// fold.apply(&LogPage { records: vec![], oldest: removed, end: removed, log_now });
+    /// assert!(fold.covers(log_now));
+    /// assert!(!fold.covers(UnixMillis(0)), "the log has removed records of that time");
+    /// ```
     pub fn covers(&self, issued_at: UnixMillis) -> bool {
         let earliest_claim = issued_at.0.saturating_sub(FUTURE_ALLOWANCE.as_millis() as u64);
         self.complete_from.0 <= earliest_claim
@@ -113,6 +134,26 @@
     }
 
     /// Folds in a reply; returns whether it reached the end of the stream.
+    ///
+    /// ```
+    /// use celeryshed_base::{ContentDigest, LogOffset, UnixMillis};
+    /// use celeryshed_core::booking::{
+    ///     FoldOptions, FoldRecord, LogPage, PartitionFold, StampedRecord,
+    /// };
+    /// use std::time::Duration;
+    /// let hour = Duration::from_secs(3600);
+    /// let mut fold = PartitionFold::new(FoldOptions { window: 6 * hour, retention: 12 * hour });
+    /// let booking = ContentDigest::of(b"booking");
+    /// let record = StampedRecord {
+    ///     offset: LogOffset(0),
+    ///     appended_at: UnixMillis(1_000),
+    ///     record: Some(FoldRecord::Fenced(booking)),
+    /// };
+    /// let (oldest, end) = (LogOffset(0), LogOffset(1));
+    /// let page = LogPage { records: vec![record], oldest, end, log_now: UnixMillis(1_000) };
+    /// assert!(fold.apply(&page));
+    /// assert_eq!(fold.standing(&booking).fence, Some(LogOffset(0)));
+    /// ```
     pub fn apply(&mut self, page: &LogPage) -> bool {
         self.note_missing(page);
         for record in &page.records {
--- a/crates/celeryshed_core/src/booking/procedure/mod.rs
+++ b/crates/celeryshed_core/src/booking/procedure/mod.rs
@@ -63,6 +63,31 @@
 }
 
 /// State machine of one request at one entry.
+///
+/// ```
+/// use celeryshed_base::{CustomerName, LogOffset, MonoTime, ServiceName, UnixMillis};
+/// use celeryshed_core::booking::{
+///     BookingIdentity, BookingKey, BookingRequest, BookingStanding, ClaimAction, ClaimEvent,
+///     ClaimProcedure, LogSight,
+/// };
+/// use std::time::Duration;
+/// let key = BookingKey::try_from("01890a5d-ac96-774b-bcce-b302099a8057").unwrap();
+/// let customer = CustomerName::try_from("clinic").unwrap();
+/// let service = ServiceName::try_from("orders").unwrap();
+/// let identity = BookingIdentity::of(&customer, key, &service, "POST", "kits", b"1");
+/// let now = MonoTime::ZERO;
+/// let request = BookingRequest { identity, deadline: now + Duration::from_secs(10) };
+/// let mut procedure = ClaimProcedure::<String>::new(request, Default::default(), now);
+/// let sight = LogSight {
+///     began: now,
+///     log_now: key.issued_at(),
+///     arrival: LogOffset(0),
+///     covered: true,
+///     standing: BookingStanding::default(),
+/// };
+/// let actions = procedure.handle(ClaimEvent::LogRead(sight), now);
+/// assert_eq!(actions, [ClaimAction::ChooseSide { avoid: vec![] }]);
+/// ```
 #[derive(Clone, Debug)]
 pub struct ClaimProcedure<A> {
     options: ProcedureOptions,
--- a/crates/celeryshed_core/src/booking/register.rs
+++ b/crates/celeryshed_core/src/booking/register.rs
@@ -148,6 +148,18 @@
     /// A sealed id is kept for a whole window and a claim is refused after half a window, so a
     /// dispatch that arrives after its seal was forgotten is refused for its age. The other half
     /// window allows for the difference between this process's clock and the log's.
+    ///
+    /// ```
+    /// use celeryshed_base::{ClaimId, MonoTime, ProcessIncarnation, UnixMillis};
+    /// use celeryshed_core::booking::{BeginVerdict, ClaimRegister};
+    /// let incarnation = ProcessIncarnation::from_u128(1);
+    /// let mut register = ClaimRegister::<String>::new(incarnation, Default::default());
+    /// let (claim_id, unix, now) = (ClaimId::from_u128(7), UnixMillis(5), MonoTime::ZERO);
+    /// let first = register.begin(claim_id, incarnation, unix, now, unix);
+    /// assert_eq!(first, BeginVerdict::Run);
+    /// let second = register.begin(claim_id, incarnation, unix, now, unix);
+    /// assert_eq!(second, BeginVerdict::Running);
+    /// ```
     pub fn begin(
         &mut self,
         claim_id: ClaimId,
@@ -180,6 +192,19 @@
     }
 
     /// Takes in the end of the run of a claim; a claim that isn't running is left as it is.
+    ///
+    /// ```
+    /// use celeryshed_base::{ClaimId, MonoTime, ProcessIncarnation, UnixMillis};
+    /// use celeryshed_core::booking::{ClaimRegister, RunOutcome, SealVerdict};
+    /// let incarnation = ProcessIncarnation::from_u128(1);
+    /// let mut register = ClaimRegister::new(incarnation, Default::default());
+    /// let (claim_id, unix, now) = (ClaimId::from_u128(7), UnixMillis(5), MonoTime::ZERO);
+    /// register.begin(claim_id, incarnation, unix, now, unix);
+    /// register.finish(claim_id, RunOutcome::Answer("done"), now);
+    /// assert_eq!(register.seal(claim_id, incarnation, now), SealVerdict::Ran("done"));
+    /// register.note_recorded(claim_id, now);
+    /// assert_eq!(register.seal(claim_id, incarnation, now), SealVerdict::Recorded);
+    /// ```
     pub fn finish(&mut self, claim_id: ClaimId, outcome: RunOutcome<A>, now: MonoTime) {
         let running = self.claims.get(&claim_id).map(|stored| &stored.status);
         if !matches!(running, Some(ClaimStatus::Running)) {
--- a/crates/celeryshed_side/src/claims/task.rs
+++ b/crates/celeryshed_side/src/claims/task.rs
@@ -49,6 +49,32 @@
 }
 
 /// Starts the task of this incarnation; it lives as long as a handle or a permit.
+///
+/// ```
+/// use celeryshed_base::{ClaimId, ClockSource, LogOffset, ProcessIncarnation};
+/// use celeryshed_platform::fakes::FakeLog;
+/// use celeryshed_side::claims::{BeginReply, ClaimOptions, RunEnd, start_claims};
+/// use celeryshed_wire::ClaimTicket;
+/// use std::sync::Arc;
+/// let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap();
+/// runtime.block_on(async {
+///     let clock = ClockSource::start();
+///     let log = FakeLog::new(clock);
+///     let incarnation = ProcessIncarnation::random();
+///     let claims = start_claims(Arc::new(log.clone()), clock, incarnation, ClaimOptions::default());
+///     let ticket = ClaimTicket {
+///         claim_id: ClaimId::random(),
+///         partition: 0,
+///         offset: LogOffset(0),
+///         appended_at: clock.unix_now(),
+///         side_incarnation: incarnation,
+///     };
+///     let BeginReply::Run(permit) = claims.begin(ticket).await else { panic!() };
+///     permit.finish(RunEnd::Unknown);
+///     claims.settled().await;
+///     assert_eq!(log.entries("claims-0").len(), 1);
+/// });
+/// ```
 pub fn start_claims(
     log: Arc<dyn LogClient>,
     clock: ClockSource,
