Prove bookings through separate processes under failures

Change: tests start celeryshedd as separate processes on loopback with the stand-ins in the test process. Executions are counted by body, because the key is not passed to the service.

--- /dev/null
+++ b/crates/celeryshed_daemon/tests/support/daemon.rs
@@ -0,0 +1,112 @@
+//! One process of `celeryshedd`.
+
+use std::fs::File;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use rustix::process::{Pid, Signal, kill_process};
+use tokio::time::{Instant, sleep};
+
+/// Lines of a log that are printed when a test fails.
+const PRINTED_LINES: usize = 60;
+
+/// Signals that the tests send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DaemonSignal {
+    /// SIGTERM.
+    Terminate,
+    /// SIGSTOP.
+    Pause,
+    /// SIGCONT.
+    Continue,
+}
+
+/// A running daemon; it is killed when dropped, also by a panic.
+pub struct Daemon {
+    /// Its name in failures.
+    pub name: String,
+    child: Child,
+    log: PathBuf,
+}
+
+impl Daemon {
+    /// Starts `celeryshedd ROLE --settings FILE`; its output goes to a file in `directory`.
+    pub fn start(directory: &Path, role: &str, name: &str, settings: &str) -> Self {
+        let file = directory.join(format!("{name}.ini"));
+        std::fs::write(&file, settings).expect("the settings file can be written");
+        let log = (0..)
+            .map(|number| directory.join(format!("{name}.{number}.log")))
+            .find(|path| !path.exists())
+            .expect("numbers don't end");
+        let output = File::create(&log).expect("the log file can be created");
+        let error_output = output.try_clone().expect("the log file can be shared");
+        let child = Command::new(env!("CARGO_BIN_EXE_celeryshedd"))
+            .arg(role)
+            .arg("--settings")
+            .arg(&file)
+            .stdin(Stdio::null())
+            .stdout(output)
+            .stderr(error_output)
+            .spawn()
+            .expect("the daemon can be started");
+        Self { name: name.to_owned(), child, log }
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: DaemonSignal) {
+        let signal = match signal {
+            DaemonSignal::Terminate => Signal::TERM,
+            DaemonSignal::Pause => Signal::STOP,
+            DaemonSignal::Continue => Signal::CONT,
+        };
+        kill_process(Pid::from_child(&self.child), signal).expect("the daemon takes a signal");
+    }
+
+    /// Ends it by SIGKILL.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Its exit code, if it has ended by itself.
+    pub fn exit_code(&mut self) -> Option<i32> {
+        let status = self.child.try_wait().expect("the daemon's state can be read");
+        status.map(|status| status.code().unwrap_or(-1))
+    }
+
+    /// Waits for its end.
+    pub async fn wait_exit(&mut self, limit: Duration) -> i32 {
+        let deadline = Instant::now() + limit;
+        loop {
+            if let Some(code) = self.exit_code() {
+                return code;
+            }
+            assert!(Instant::now() < deadline, "{} still runs after {limit:?}", self.name);
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// What it has written so far.
+    pub fn output(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.kill();
+        if std::thread::panicking() {
+            print_log(&self.name, &self.output());
+        }
+    }
+}
+
+#[allow(clippy::print_stderr, reason = "the log explains the failure")]
+fn print_log(name: &str, log: &str) {
+    let lines: Vec<&str> = log.lines().collect();
+    eprintln!("--- log of {name}, last {PRINTED_LINES} of {} lines", lines.len());
+    for line in &lines[lines.len().saturating_sub(PRINTED_LINES)..] {
+        eprintln!("{line}");
+    }
+}
--- /dev/null
+++ b/crates/celeryshed_daemon/tests/support/deployment.rs
@@ -0,0 +1,560 @@
+//! A deployment of separate processes and the stand-ins around them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use celeryshed_base::{
+    AvailabilityZone, ByteCount, ContentDigest, CustomerName, InstanceName, ModelName, RegionName,
+    ServiceName, TokenCount, TokenRate, VersionName,
+};
+use celeryshed_core::configuration::{
+    ChangeKind, ChangeOutcome, CustomerContract, EndpointKind, ModelVersion, ScarcityPolicy,
+    ServiceDefinition,
+};
+use celeryshed_operate::publish::{ConfigurationPublisher, PublishOptions};
+use celeryshed_platform::{HttpLog, HttpTimeouts};
+use celeryshed_standin::engine::{EngineControl, EngineOptions, RawEngineOptions, RunningEngine};
+use celeryshed_standin::platform::{
+    BlobOptions, ListOptions, LogOptions, RawBlobOptions, RawListOptions, RunningBlobs,
+    RunningList, RunningLog,
+};
+use celeryshed_standin::service::{
+    RawServiceOptions, RunningService, ServiceControl, ServiceOptions,
+};
+use celeryshed_wire::{InstanceRole, InstanceState, ListedInstance, WeightManifest, encode};
+use tempfile::TempDir;
+
+use super::caller::{BookEnd, Caller, booking_body};
+use super::daemon::Daemon;
+use super::relay::Relay;
+use super::settings::{free_address, role_settings};
+use super::{eventually, until};
+
+/// Size of a model in the tests.
+const MODEL_BYTES: usize = 512 << 10;
+
+/// Size of a chunk: many chunks, so that a fault in mid-spread meets some of them.
+const CHUNK_BYTES: usize = 16 << 10;
+
+/// What a process is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// An entry.
+    Entry,
+    /// A sidecar of an engine.
+    Engine,
+    /// A sidecar of a plain service.
+    Desk,
+}
+
+/// What a deployment consists of.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Number of entries.
+    pub entries: usize,
+    /// Number of engines.
+    pub engines: usize,
+    /// Number of plain services.
+    pub desks: usize,
+    /// Pause between polls of the log and between reports; the defaults are 2 s.
+    pub pause: Duration,
+    /// How far the instance list lags.
+    pub list_lag: Duration,
+    /// Time that a booking takes.
+    pub desk_latency: Duration,
+    /// Tokens a second of one stream.
+    pub stream_tokens_per_s: u32,
+    /// Whether links to sidecars, endpoints and the log go through relays.
+    pub relays: bool,
+    /// Further `(section, key, value)` lines of every entry.
+    pub entry_lines: Vec<(&'static str, &'static str, String)>,
+    /// Further lines of every sidecar.
+    pub side_lines: Vec<(&'static str, &'static str, String)>,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            entries: 2,
+            engines: 0,
+            desks: 0,
+            pause: Duration::from_millis(300),
+            list_lag: Duration::ZERO,
+            desk_latency: Duration::from_millis(20),
+            stream_tokens_per_s: 100,
+            relays: false,
+            entry_lines: Vec::new(),
+            side_lines: Vec::new(),
+        }
+    }
+}
+
+/// One process with its endpoint and links.
+pub struct Member {
+    /// Its name.
+    pub name: String,
+    /// What it is.
+    pub kind: Kind,
+    /// Address that other processes use.
+    pub address: SocketAddr,
+    /// Address that it listens on; the same without a relay.
+    pub listen: SocketAddr,
+    /// The process.
+    pub daemon: Daemon,
+    /// Relay in front of it.
+    pub link: Option<Relay>,
+    /// Relay between it and the log.
+    pub log_link: Option<Relay>,
+    /// Relay between it and its endpoint.
+    pub endpoint_link: Option<Relay>,
+    /// Its engine.
+    pub engine: Option<EngineControl>,
+    /// Its plain service.
+    pub desk: Option<ServiceControl>,
+    settings: String,
+}
+
+/// A running deployment.
+pub struct Deployment {
+    /// Processes in the order entries, engines, desks.
+    pub members: Vec<Member>,
+    /// The log.
+    pub log: RunningLog,
+    /// The instance list.
+    pub list: RunningList,
+    /// The weight store.
+    pub store: RunningBlobs,
+    /// The origin.
+    pub origin: RunningBlobs,
+    /// A caller with a contract for completions.
+    pub caller: Caller,
+    /// A caller with a contract for bookings.
+    pub booker: Caller,
+    directory: TempDir,
+    plan: Plan,
+    engines: Vec<RunningEngine>,
+    desks: Vec<RunningService>,
+    listed: Vec<ListedInstance>,
+}
+
+impl Deployment {
+    /// Starts everything, publishes services and contracts, and waits until each entry serves.
+    pub async fn start(plan: Plan) -> Self {
+        let deployment = Self::start_processes(plan).await;
+        deployment.publish_basics().await;
+        if deployment.plan.engines > 0 {
+            let version = deployment.publish_version("one").await;
+            deployment.wait_live(version).await;
+        }
+        deployment.wait_served().await;
+        deployment
+    }
+
+    /// Starts stand-ins and processes only.
+    pub async fn start_processes(plan: Plan) -> Self {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let log = RunningLog::launch(LogOptions::default(), any).await.expect("log");
+        let raw = RawListOptions { lag_ms: 0, ..RawListOptions::default() };
+        let options = ListOptions::try_from(raw).expect("list options");
+        let list = RunningList::launch(options, any).await.expect("list");
+        let origin = blobs(RawBlobOptions::origin()).await;
+        let store = blobs(RawBlobOptions::store(Some(origin.address().to_string()))).await;
+        let mut deployment = Self {
+            members: Vec::new(),
+            log,
+            list,
+            store,
+            origin,
+            caller: Caller::new("key-portal"),
+            booker: Caller::new("key-press"),
+            directory: TempDir::new().expect("a temporary directory"),
+            engines: Vec::new(),
+            desks: Vec::new(),
+            listed: Vec::new(),
+            plan,
+        };
+        for number in 0..deployment.plan.entries {
+            deployment.add(Kind::Entry, number).await;
+        }
+        for number in 0..deployment.plan.engines {
+            deployment.add(Kind::Engine, number).await;
+        }
+        for number in 0..deployment.plan.desks {
+            deployment.add(Kind::Desk, number).await;
+        }
+        let lag_ms = Some(deployment.plan.list_lag.as_millis() as u64);
+        let faults = celeryshed_standin::platform::ListFaults { lag_ms, ..Default::default() };
+        deployment.list.control().set_faults(faults);
+        deployment
+    }
+
+    /// Starts one more process and lists it.
+    pub async fn add(&mut self, kind: Kind, number: usize) -> usize {
+        let prefix = match kind {
+            Kind::Entry => "entry",
+            Kind::Engine => "engine",
+            Kind::Desk => "desk",
+        };
+        let name = format!("{prefix}-{number}");
+        let listen = free_address();
+        let link = match (kind, self.plan.relays) {
+            (Kind::Engine | Kind::Desk, true) => Some(Relay::start(listen).await),
+            _ => None,
+        };
+        let address = link.as_ref().map_or(listen, |link| link.address);
+        let log_link = match self.plan.relays {
+            true => Some(Relay::start(self.log.address()).await),
+            false => None,
+        };
+        let (engine, desk, endpoint) = self.start_endpoint(kind, &name).await;
+        let endpoint_link = match (endpoint, self.plan.relays) {
+            (Some(endpoint), true) => Some(Relay::start(endpoint).await),
+            _ => None,
+        };
+        let endpoint = endpoint_link.as_ref().map(|link| link.address).or(endpoint);
+        let log = log_link.as_ref().map_or(self.log.address(), |link| link.address);
+        let settings = self.settings(kind, &name, (listen, address), log, endpoint);
+        self.list_instance(kind, &name, address);
+        let daemon = self.start_daemon(kind, &name, &settings);
+        self.members.push(Member {
+            name,
+            kind,
+            address,
+            listen,
+            daemon,
+            link,
+            log_link,
+            endpoint_link,
+            engine,
+            desk,
+            settings,
+        });
+        self.members.len() - 1
+    }
+
+    /// Starts the process of a member again, at the same address, after its end.
+    pub fn restart(&mut self, index: usize) {
+        let member = &self.members[index];
+        let daemon = self.start_daemon(member.kind, &member.name, &member.settings);
+        self.members[index].daemon = daemon;
+    }
+
+    fn start_daemon(&self, kind: Kind, name: &str, settings: &str) -> Daemon {
+        let role = if kind == Kind::Entry { "entry" } else { "side" };
+        Daemon::start(self.directory.path(), role, name, settings)
+    }
+
+    async fn start_endpoint(
+        &mut self,
+        kind: Kind,
+        name: &str,
+    ) -> (Option<EngineControl>, Option<ServiceControl>, Option<SocketAddr>) {
+        let address = free_address();
+        match kind {
+            Kind::Entry => (None, None, None),
+            Kind::Engine => {
+                let raw = RawEngineOptions {
+                    slots: 8,
+                    tokens_per_s: 8 * self.plan.stream_tokens_per_s,
+                    stream_tokens_per_s: self.plan.stream_tokens_per_s,
+                    load_ms: 100,
+                    restart_ms: 500,
+                    ..RawEngineOptions::default()
+                };
+                let options = EngineOptions::try_from(raw).expect("engine options");
+                let engine = RunningEngine::launch(options, address).await.expect("engine");
+                let control = engine.control();
+                self.engines.push(engine);
+                (Some(control), None, Some(address))
+            }
+            Kind::Desk => {
+                let latency_ms = self.plan.desk_latency.as_millis() as u64;
+                let name = name.to_owned();
+                let raw = RawServiceOptions { name, latency_ms, ..RawServiceOptions::default() };
+                let options = ServiceOptions::try_from(raw).expect("service options");
+                let desk = RunningService::launch(options, address).await.expect("service");
+                let control = desk.control();
+                self.desks.push(desk);
+                (None, Some(control), Some(address))
+            }
+        }
+    }
+
+    fn settings(
+        &self,
+        kind: Kind,
+        name: &str,
+        (listen, advertise): (SocketAddr, SocketAddr),
+        log: SocketAddr,
+        endpoint: Option<SocketAddr>,
+    ) -> String {
+        let pause = self.plan.pause.as_millis().to_string();
+        let mut lines = vec![
+            ("instance", "name", name.to_owned()),
+            ("instance", "zone", "puget-a".to_owned()),
+            ("instance", "region", "puget".to_owned()),
+            ("instance", "listen", listen.to_string()),
+            ("instance", "advertise", advertise.to_string()),
+            ("platform", "log_url", format!("http://{log}")),
+            ("platform", "list_url", format!("http://{}", self.list.address())),
+            ("bookings", "window_s", "1800".to_owned()),
+        ];
+        let Some(endpoint) = endpoint else {
+            lines.push(("configuration", "poll_ms", pause));
+            lines.push(("configuration", "log_retention_s", "3600".to_owned()));
+            lines.extend(self.plan.entry_lines.iter().cloned());
+            return role_settings(&lines);
+        };
+        let (service, kind) = match kind {
+            Kind::Engine => ("copywriter", "engine"),
+            Kind::Entry | Kind::Desk => ("order-desk", "plain"),
+        };
+        lines.extend([
+            ("platform", "store_url", format!("http://{}", self.store.address())),
+            ("platform", "origin_url", format!("http://{}", self.origin.address())),
+            ("endpoint", "service", service.to_owned()),
+            ("endpoint", "kind", kind.to_owned()),
+            ("endpoint", "address", endpoint.to_string()),
+            ("endpoint", "slots", "8".to_owned()),
+            ("endpoint", "checks_fence", "yes".to_owned()),
+            ("serving", "report_ms", pause),
+            ("weights", "store_region", "puget".to_owned()),
+        ]);
+        lines.extend(self.plan.side_lines.iter().cloned());
+        role_settings(&lines)
+    }
+
+    fn list_instance(&mut self, kind: Kind, name: &str, address: SocketAddr) {
+        let service = match kind {
+            Kind::Entry => None,
+            Kind::Engine => Some(checked::<ServiceName>("copywriter")),
+            Kind::Desk => Some(checked::<ServiceName>("order-desk")),
+        };
+        self.listed.push(ListedInstance {
+            instance: checked::<InstanceName>(name),
+            role: if kind == Kind::Entry { InstanceRole::Entry } else { InstanceRole::Side },
+            address: address.to_string(),
+            zone: checked::<AvailabilityZone>("puget-a"),
+            region: checked::<RegionName>("puget"),
+            service,
+            state: InstanceState::Live,
+        });
+        self.list.control().set_instances(self.listed.clone());
+    }
+
+    /// Lists a member as leaving.
+    pub fn list_leaving(&mut self, index: usize) {
+        let name = &self.members[index].name;
+        for listed in &mut self.listed {
+            if listed.instance.as_str() == name {
+                listed.state = InstanceState::Leaving;
+            }
+        }
+        self.list.control().set_instances(self.listed.clone());
+    }
+
+    /// Indices of the members of one kind.
+    pub fn of(&self, kind: Kind) -> Vec<usize> {
+        (0..self.members.len()).filter(|index| self.members[*index].kind == kind).collect()
+    }
+
+    /// Address of entry `number`.
+    pub fn entry(&self, number: usize) -> SocketAddr {
+        self.members[number].address
+    }
+
+    /// A publisher of configuration changes that talks to the log directly.
+    pub fn publisher(&self) -> ConfigurationPublisher {
+        let url = format!("http://{}", self.log.address());
+        let log = HttpLog::try_new(&url, HttpTimeouts::for_calls()).expect("client of the log");
+        let pause = Duration::from_millis(50);
+        let options = PublishOptions { pause, ..PublishOptions::default() };
+        ConfigurationPublisher::new(Arc::new(log), options)
+    }
+
+    /// Publishes a change that must be accepted; returns its revision.
+    pub async fn publish(&self, change: ChangeKind) -> u64 {
+        let verdict = self.publisher().publish(change).await.expect("a verdict");
+        match verdict.outcome {
+            ChangeOutcome::Accepted(revision) => revision.0,
+            ChangeOutcome::Refused(reason) => panic!("the change was refused: {reason}"),
+        }
+    }
+
+    /// Publishes the services and two contracts.
+    pub async fn publish_basics(&self) {
+        let (engines, desks) = (self.plan.engines as u32, self.plan.desks as u32);
+        let mut changes = Vec::new();
+        if engines > 0 {
+            changes.push(definition("copywriter", EndpointKind::Engine, engines));
+            changes.push(contract("portal", "copywriter", 10));
+        }
+        if desks > 0 {
+            changes.push(definition("order-desk", EndpointKind::Plain, desks));
+            changes.push(contract("press", "order-desk", 0));
+        }
+        for change in changes {
+            self.publish(change).await;
+        }
+    }
+
+    /// Puts a version at the origin, publishes it and selects it.
+    pub async fn publish_version(&self, version: &str) -> ContentDigest {
+        let origin = self.origin.control();
+        let model = checked::<ModelName>("sowing");
+        let name = checked::<VersionName>(version);
+        let weights = model_weights(version);
+        let chunks = weights.chunks(CHUNK_BYTES);
+        let chunks = chunks.map(|chunk| origin.insert(Bytes::copy_from_slice(chunk))).collect();
+        let manifest = WeightManifest {
+            model: model.clone(),
+            version: name.clone(),
+            chunk_bytes: CHUNK_BYTES as u32,
+            total_bytes: MODEL_BYTES as u64,
+            chunks,
+        };
+        let manifest = origin.insert(encode(&manifest).expect("a manifest has a wire form"));
+        let size = ByteCount(MODEL_BYTES as u64);
+        let published = ModelVersion { model, manifest, size };
+        self.publish(ChangeKind::PublishModel(name.clone(), published)).await;
+        let service = checked::<ServiceName>("copywriter");
+        self.publish(ChangeKind::SelectVersion(service, name)).await;
+        manifest
+    }
+
+    /// Waits until `version` is live at every engine.
+    pub async fn wait_live(&self, version: ContentDigest) {
+        let engines = || self.members.iter().filter_map(|member| member.engine.as_ref());
+        until("the version is live at every engine", || {
+            engines().all(|engine| engine.live() == Some(version))
+        })
+        .await;
+    }
+
+    /// Waits until each entry serves, with every endpoint.
+    pub async fn wait_served(&self) {
+        for entry in self.of(Kind::Entry) {
+            if self.plan.engines > 0 {
+                self.wait_streams(self.entry(entry)).await;
+            }
+            if self.plan.desks > 0 {
+                self.wait_books(self.entry(entry)).await;
+            }
+        }
+    }
+
+    /// Streams through `entry` until it has used every running engine.
+    pub async fn wait_streams(&self, entry: SocketAddr) {
+        let counts = || -> Vec<u64> {
+            let engines = self.members.iter().filter_map(|member| member.engine.as_ref());
+            engines.map(|engine| engine.counts().requests).collect()
+        };
+        let before = counts();
+        eventually("each engine is used", || async {
+            let burst = (0..2 * self.plan.engines).map(|number| {
+                let prompt = format!("warm-up {number}");
+                async move { self.caller.complete(entry, &prompt, 2).await }
+            });
+            futures::future::join_all(burst).await;
+            counts().iter().zip(&before).all(|(now, before)| now > before).then_some(())
+        })
+        .await;
+    }
+
+    /// Books through `entry` until that works.
+    pub async fn wait_books(&self, entry: SocketAddr) {
+        eventually("a booking works", || async {
+            let end = self.booker.book(entry, &new_key(), "warm-up").await;
+            matches!(end, BookEnd::Answer(_)).then_some(())
+        })
+        .await;
+    }
+
+    /// How often `order` was executed under `key`, over all plain services.
+    pub fn executions(&self, key: &str, order: &str) -> u64 {
+        let digest = ContentDigest::of(booking_body(key, order).as_bytes()).to_string();
+        let desks = self.members.iter().filter_map(|member| member.desk.as_ref());
+        desks.filter_map(|desk| desk.counts().by_key.get(&digest).copied()).sum()
+    }
+
+    /// Records of all claim streams.
+    pub fn claim_records(&self) -> u64 {
+        let counts = self.log.control().counts();
+        let claims = counts.end_offsets.iter().filter(|(stream, _)| stream.starts_with("claims-"));
+        claims.map(|(_, end)| end.0).sum()
+    }
+
+    /// Calls that run now, over all plain services.
+    pub fn running_calls(&self) -> u32 {
+        let desks = self.members.iter().filter_map(|member| member.desk.as_ref());
+        desks.map(|desk| desk.counts().running).sum()
+    }
+
+    /// The member whose endpoint runs something now.
+    pub fn busy_member(&self) -> Option<usize> {
+        self.members.iter().position(|member| {
+            let engine = member.engine.as_ref().and_then(EngineControl::load);
+            let desk = member.desk.as_ref().map_or(0, |desk| desk.counts().running);
+            engine.map_or(0, |load| load.running) + desk > 0
+        })
+    }
+}
+
+/// A fresh idempotency key.
+pub fn new_key() -> String {
+    uuid::Uuid::now_v7().to_string()
+}
+
+async fn blobs(raw: RawBlobOptions) -> RunningBlobs {
+    let raw = RawBlobOptions { bytes_per_s: 1 << 30, requests_per_s: 10_000, ..raw };
+    let options = BlobOptions::try_from(raw).expect("options of store or origin");
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    RunningBlobs::launch(options, any).await.expect("store or origin")
+}
+
+/// A contract whose API key is `key-` and the customer's name.
+pub fn contract(customer: &str, service: &str, tokens: u64) -> ChangeKind {
+    let contract = CustomerContract {
+        api_key_hash: ContentDigest::of(format!("key-{customer}").as_bytes()),
+        service: checked::<ServiceName>(service),
+        token_rate: TokenRate(tokens),
+        requests_in_progress: 1,
+        burst: TokenCount(0),
+        displaces: Default::default(),
+        displaces_uncontracted: true,
+        scarcity: ScarcityPolicy::Wait(Duration::from_secs(10)),
+        retry_budget_percent: 10,
+        first_token: Duration::from_millis(420),
+        objective_basis_points: 9_900,
+    };
+    ChangeKind::PutContract(checked::<CustomerName>(customer), contract)
+}
+
+fn definition(service: &str, kind: EndpointKind, endpoints: u32) -> ChangeKind {
+    let tokens = if kind == EndpointKind::Engine { 800 } else { 0 };
+    let definition = ServiceDefinition {
+        kind,
+        endpoints,
+        slots_per_endpoint: 8,
+        tokens_per_endpoint: TokenRate(tokens),
+        version: None,
+    };
+    ChangeKind::PutService(checked::<ServiceName>(service), definition)
+}
+
+/// Weights that differ for each version and in each chunk.
+fn model_weights(version: &str) -> Vec<u8> {
+    let blocks = (0u64..).flat_map(|block| {
+        *ContentDigest::of_parts(&[version.as_bytes(), &block.to_be_bytes()]).as_bytes()
+    });
+    blocks.take(MODEL_BYTES).collect()
+}
+
+fn checked<T>(name: &str) -> T
+where
+    T: for<'a> TryFrom<&'a str, Error = celeryshed_base::NameError>,
+{
+    T::try_from(name).expect("a fixed valid name")
+}
