Record the answer of a booking that outlasts its caller's deadline

Cause: the sidecar ended a booking's call at the deadline of the caller and recorded its outcome as unknown, although the service ran it to the end. Each resend was then told for the whole window that the answer is lost.

Change: a call with a claim runs until max_request; calls without a claim keep the deadline. Ruled out: recording the late answer over the unknown outcome, since readers keep the first outcome.

--- a/crates/celeryshed_side/src/attempts/runner.rs
+++ b/crates/celeryshed_side/src/attempts/runner.rs
@@ -240,7 +240,11 @@
         request: &AttemptRequest,
         work: &CallWork,
     ) -> Result<ServiceAnswer, AttemptFailure> {
-        let deadline = Duration::from_millis(request.deadline_ms).min(self.options.max_request);
+        // The caller's deadline doesn't end a booking: its answer is recorded for a resend.
+        let deadline = match work.claim {
+            Some(_) => self.options.max_request,
+            None => Duration::from_millis(request.deadline_ms).min(self.options.max_request),
+        };
         let base_url = self.options.target.base_url();
         let call = PlainCall { http: &self.http, base_url, deadline };
         let Some(ticket) = &work.claim else {
