--- a/crates/celeryshed_measure/src/spread/fleet.rs
+++ b/crates/celeryshed_measure/src/spread/fleet.rs
@@ -81,7 +81,7 @@
             };
             let origin = ShapedOrigin {
                 blobs: self.blobs.clone(),
-                path: self.network.from_origin(index),
+                path: self.network.origin_path(index),
                 own: index,
                 faults: self.faults.clone(),
             };
