Count a service's executions by body, too

Cause: the process tests counted by body digest; with the key passed on, the stand-in counted by key and they found no execution. Change: the stand-in counts both. Counting by key alone was ruled out: it can't tell one key with two bodies.

--- a/crates/celeryshed_daemon/tests/support/deployment.rs
+++ b/crates/celeryshed_daemon/tests/support/deployment.rs
@@ -474,9 +474,9 @@
 
     /// How often `order` was executed under `key`, over all plain services.
     pub fn executions(&self, key: &str, order: &str) -> u64 {
-        let digest = ContentDigest::of(booking_body(key, order).as_bytes()).to_string();
+        let digest = ContentDigest::of(booking_body(key, order).as_bytes());
         let desks = self.members.iter().filter_map(|member| member.desk.as_ref());
-        desks.filter_map(|desk| desk.counts().by_key.get(&digest).copied()).sum()
+        desks.filter_map(|desk| desk.counts().by_body.get(&digest).copied()).sum()
     }
 
     /// Records of all claim streams.
--- a/crates/celeryshed_standin/src/service/calls.rs
+++ b/crates/celeryshed_standin/src/service/calls.rs
@@ -141,7 +141,7 @@
             self.lock().crash();
         }
         self.wait_uncut(boot, latency).await;
-        let end = self.lock().finish(boot, &echo.key);
+        let end = self.lock().finish(boot, &echo.key, echo.body_digest);
         match end {
             CallEnd::Answered { execution } => {
                 echo.execution = execution;
--- a/crates/celeryshed_standin/src/service/state.rs
+++ b/crates/celeryshed_standin/src/service/state.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use celeryshed_base::{ClockSource, MonoTime, common_derives};
+use celeryshed_base::{ClockSource, ContentDigest, MonoTime, common_derives};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -36,6 +36,8 @@
         pub executions: u64,
         /// Executions by idempotency key or body digest.
         pub by_key: BTreeMap<String, u64>,
+        /// Executions by body, so that one key with two bodies shows.
+        pub by_body: BTreeMap<ContentDigest, u64>,
         /// Calls running now.
         pub running: u32,
         /// Most calls running at once.
@@ -128,12 +130,13 @@
         boot != self.boot
     }
 
-    pub(super) fn finish(&mut self, boot: u64, key: &str) -> CallEnd {
+    pub(super) fn finish(&mut self, boot: u64, key: &str, body: ContentDigest) -> CallEnd {
         if self.is_cut(boot) {
             return CallEnd::Crashed;
         }
         self.counts.running -= 1;
         self.counts.executions += 1;
+        *self.counts.by_body.entry(body).or_default() += 1;
         let executions = self.counts.by_key.entry(key.to_owned()).or_default();
         *executions += 1;
         let execution = *executions;
