--- a/crates/celeryshed_cli/src/publish.rs
+++ b/crates/celeryshed_cli/src/publish.rs
@@ -191,12 +191,15 @@
             let read = self.log.read(STREAM, self.fold.next_offset(), READ_LIMIT);
             let reply = timeout_at(deadline, read).await.unwrap_or_else(|_| Err(too_late()));
             let reply = reply.map_err(PublishError::Unreadable)?;
+            let before = self.fold.next_offset();
             let report = self.fold.read(&FoldBatch::from(&reply));
             if let Some(awaited) = awaited.as_deref_mut() {
                 awaited.look_at(report.verdicts);
             }
             match report.progress {
-                FoldProgress::Behind => {}
+                FoldProgress::Behind if self.fold.next_offset() != before => {}
+                // A reply that brings nothing is not asked for again at once.
+                FoldProgress::Behind => sleep(self.options.pause).await,
                 FoldProgress::CaughtUp => return Ok(()),
                 FoldProgress::RecordsMissing => return Err(PublishError::RecordsMissing),
                 FoldProgress::LogShortened => return Err(PublishError::LogShortened),
--- a/crates/celeryshed_core/src/configuration/change.rs
+++ b/crates/celeryshed_core/src/configuration/change.rs
@@ -41,6 +41,9 @@
         Change(ChangeRecord),
         /// The state as of its `folded_to`.
         Snapshot(ConfigurationState),
+        /// The state to go on from when records were lost to every process; in force when its
+        /// `folded_to` is the offset of the record itself.
+        Restart(ConfigurationState),
         /// A record that has no checked form; it is refused.
         Malformed {
             /// Id of the record, when that much could be read.
--- a/crates/celeryshed_core/src/configuration/fold.rs
+++ b/crates/celeryshed_core/src/configuration/fold.rs
@@ -51,6 +51,12 @@
     }
 }
 
+/// Factor between offsets and the revisions that restarts give.
+///
+/// Below offset `n` at most `n` changes can be accepted, so a restart at a later offset always has
+/// a higher revision than any process can have reached, whatever it has read.
+const RESTART_STRIDE: u64 = 1 << 20;
+
 /// Folds configuration records in offset order.
 ///
 /// Whatever order reads, trims, snapshots and adopted states come in, the state is always the one
@@ -110,6 +116,15 @@
         self.newest_snapshot
     }
 
+    /// The state for a restart record, to be appended at `end`.
+    ///
+    /// Given only by a fold that knows a state, misses records and found neither a usable snapshot
+    /// nor a restart up to `end`. When another record takes that offset, the restart is void.
+    pub fn restart_state(&self, end: LogOffset) -> Option<ConfigurationState> {
+        let stuck = self.missing && self.known && self.scanned_to == end;
+        stuck.then(|| ConfigurationState { folded_to: end, ..self.state.clone() })
+    }
+
     /// Folds one read of the log in.
     pub fn read(&mut self, batch: &FoldBatch) -> FoldReport {
         if batch.end < self.state.folded_to {
@@ -122,13 +137,9 @@
         let mut verdicts = Vec::new();
         for entry in &batch.records {
             self.mark_snapshot(entry);
-            let rewound = if self.missing {
-                self.scan(entry, batch.oldest)
-            } else {
+            if !self.missing {
                 verdicts.extend(self.fold_next(entry));
-                false
-            };
-            if rewound {
+            } else if self.scan(entry, batch.oldest) {
                 break;
             }
         }
@@ -181,12 +192,27 @@
             return false;
         }
         self.scanned_to = entry.offset.next();
-        let LogRecord::Snapshot(state) = &entry.record else { return false };
-        let usable = self.is_usable(state, entry.offset, oldest);
-        if usable {
-            self.replace(state);
+        match &entry.record {
+            LogRecord::Snapshot(state) if self.is_usable(state, entry.offset, oldest) => {
+                self.replace(state);
+                true
+            }
+            LogRecord::Restart(state) => {
+                self.restart(state, entry.offset);
+                false
+            }
+            _ => false,
         }
-        usable
+    }
+
+    /// Goes on from a restart's state, unless another record took the offset that it was for.
+    fn restart(&mut self, state: &ConfigurationState, at: LogOffset) {
+        if state.folded_to != at {
+            return;
+        }
+        self.replace(state);
+        self.state.folded_to = at.next();
+        self.state.revision = ConfigRevision(at.next().0 * RESTART_STRIDE);
     }
 
     /// A snapshot is usable when it has every record from its `folded_to` on behind it in the log
@@ -211,6 +237,10 @@
             LogRecord::Malformed { record_id, reason } => {
                 (*record_id, ChangeOutcome::Refused(RefusalReason::Malformed(reason.clone())))
             }
+            LogRecord::Restart(state) => {
+                self.restart(state, entry.offset);
+                return None;
+            }
             LogRecord::Snapshot(_snapshot) => {
                 // The fold holds every record before the snapshot, so it can only repeat them.
                 #[cfg(test)]
--- a/crates/celeryshed_core/src/configuration/schedule.rs
+++ b/crates/celeryshed_core/src/configuration/schedule.rs
@@ -41,12 +41,14 @@
     log_now: UnixMillis,
     appended_at: Option<UnixMillis>,
     lacking_since: Option<UnixMillis>,
+    missing_since: Option<UnixMillis>,
 }
 
 impl SnapshotSchedule {
     /// A schedule for a log that keeps records for `retention`.
     pub fn new(retention: Duration) -> Self {
-        Self { retention, log_now: UnixMillis(0), appended_at: None, lacking_since: None }
+        let log_now = UnixMillis(0);
+        Self { retention, log_now, appended_at: None, lacking_since: None, missing_since: None }
     }
 
     /// Takes note of the newest snapshot, the oldest record and the time at the log.
@@ -57,6 +59,7 @@
         log_now: UnixMillis,
     ) {
         self.log_now = log_now;
+        self.missing_since = None;
         let usable = newest.filter(|mark| mark.folded_to >= oldest);
         self.appended_at = usable.map(|mark| mark.appended_at);
         self.lacking_since = match self.appended_at {
@@ -75,6 +78,22 @@
         }
     }
 
+    /// Takes note that this entry misses records at this time of the log.
+    pub fn observe_missing(&mut self, log_now: UnixMillis) {
+        self.log_now = log_now;
+        self.missing_since = self.missing_since.or(Some(log_now));
+    }
+
+    /// Whether the entry with this rank among `entries` appends a restart now.
+    ///
+    /// An entry that still follows the log appends a snapshot within an eighth of the retention
+    /// period, the time of all turns, so a quarter without one shows that no entry follows it.
+    pub fn restart_is_due(&self, rank: usize, entries: usize) -> bool {
+        let turn = self.turn(entries) * u32::try_from(rank).unwrap_or(u32::MAX);
+        let since = self.missing_since;
+        since.is_some_and(|since| self.log_now.since(since) >= self.retention / 4 + turn)
+    }
+
     /// All turns together take at most an eighth of the retention period.
     fn turn(&self, entries: usize) -> Duration {
         let entries = u32::try_from(entries.max(1)).unwrap_or(u32::MAX);
--- a/crates/celeryshed_entry/src/configuration/task.rs
+++ b/crates/celeryshed_entry/src/configuration/task.rs
@@ -7,7 +7,7 @@
 use celeryshed_base::{InstanceName, LogOffset};
 use celeryshed_core::configuration::{
     ChangeOutcome, ChangeVerdict, ConfigurationFold, ConfigurationState, FoldBatch, FoldProgress,
-    SnapshotSchedule,
+    SnapshotMark, SnapshotSchedule,
 };
 use celeryshed_core::membership::{MemberView, rendezvous_rank};
 use celeryshed_observe::EventLine;
@@ -72,6 +72,7 @@
         appending: false,
         exchanges: 0,
         log_failed: false,
+        shortened_reads: 0,
     };
     tokio::spawn(task.run(ahead));
     Ok(ConfigurationHandle { states, peers_ahead, crashes })
@@ -96,6 +97,7 @@
     appending: bool,
     exchanges: usize,
     log_failed: bool,
+    shortened_reads: u32,
 }
 
 impl ConfigurationTask {
@@ -171,23 +173,29 @@
             }
         };
         self.log_failed = false;
+        let before = self.fold.next_offset();
         let report = self.fold.read(&FoldBatch::from(&reply));
         report.verdicts.iter().for_each(log_verdict);
         self.publish();
+        let shortened = report.progress == FoldProgress::LogShortened;
+        self.shortened_reads = if shortened { self.shortened_reads + 1 } else { 0 };
         match report.progress {
-            FoldProgress::Behind => self.start_read(),
+            // A reply that brings nothing must not be asked for again before the next poll.
+            FoldProgress::Behind if self.fold.next_offset() != before => self.start_read(),
+            FoldProgress::Behind => {}
             FoldProgress::CaughtUp => self.consider_snapshot(&reply),
-            FoldProgress::RecordsMissing => {
-                EventLine::new("configuration_records_missing")
-                    .field("oldest_offset", reply.oldest_offset)
-                    .warn();
-            }
-            FoldProgress::LogShortened => {
-                EventLine::new("configuration_log_shortened")
-                    .field("end_offset", reply.end_offset)
-                    .field("next_offset", self.fold.next_offset())
-                    .error();
-            }
+            FoldProgress::RecordsMissing => self.consider_restart(&reply),
+            FoldProgress::LogShortened => self.note_shortened(&reply),
+        }
+    }
+
+    /// One such reply is normal when a peer's newer state arrived during the read.
+    fn note_shortened(&self, reply: &ReadReply) {
+        if self.shortened_reads == 2 {
+            EventLine::new("configuration_log_shortened")
+                .field("end_offset", reply.end_offset)
+                .field("next_offset", self.fold.next_offset())
+                .error();
         }
     }
 
@@ -280,20 +288,47 @@
         let Some(state) = self.fold.state().filter(|state| state.folded_to > LogOffset(0)) else {
             return;
         };
-        let key = newest.map_or(0, |mark| mark.offset.0).to_be_bytes();
-        let view = self.clients.members.borrow().clone();
-        let rank = rendezvous_rank(&key, &self.identity.instance, view.entries.keys());
-        if self.appending || !self.schedule.is_due(rank, view.entries.len()) {
-            return;
+        let (rank, entries) = self.turn(newest);
+        if self.schedule.is_due(rank, entries) {
+            let snapshot = ConfigurationSnapshot::from(state);
+            self.start_append(&ConfigurationEntry::Snapshot(snapshot));
         }
-        let entry = ConfigurationEntry::Snapshot(ConfigurationSnapshot::from(state));
-        match encode(&entry) {
-            Ok(record) => self.start_append(record),
-            Err(error) => EventLine::new("snapshot_not_encoded").field("error", error).error(),
+    }
+
+    fn consider_restart(&mut self, reply: &ReadReply) {
+        self.schedule.observe_missing(reply.now);
+        let (rank, entries) = self.turn(self.fold.newest_snapshot());
+        let Some(state) = self.fold.restart_state(reply.end_offset) else { return };
+        if self.schedule.restart_is_due(rank, entries) {
+            EventLine::new("configuration_restart")
+                .field("revision", state.revision)
+                .field("oldest_offset", reply.oldest_offset)
+                .error();
+            let snapshot = ConfigurationSnapshot::from(&state);
+            self.start_append(&ConfigurationEntry::Restart(snapshot));
         }
     }
 
-    fn start_append(&mut self, record: bytes::Bytes) {
+    /// The own rank among the entries, and how many there are; the order changes with each
+    /// snapshot.
+    fn turn(&self, newest: Option<SnapshotMark>) -> (usize, usize) {
+        let key = newest.map_or(0, |mark| mark.offset.0).to_be_bytes();
+        let view = self.clients.members.borrow();
+        let rank = rendezvous_rank(&key, &self.identity.instance, view.entries.keys());
+        (rank, view.entries.len())
+    }
+
+    fn start_append(&mut self, entry: &ConfigurationEntry) {
+        if self.appending {
+            return;
+        }
+        let record = match encode(entry) {
+            Ok(record) => record,
+            Err(error) => {
+                EventLine::new("snapshot_not_encoded").field("error", error).error();
+                return;
+            }
+        };
         self.appending = true;
         let log = Arc::clone(&self.clients.log);
         let limit = self.options.call_timeout;
--- a/crates/celeryshed_wire/src/configuration_convert.rs
+++ b/crates/celeryshed_wire/src/configuration_convert.rs
@@ -249,16 +249,22 @@
                     Err(error) => Self::Malformed { record_id, reason: error.to_string() },
                 }
             }
-            ConfigurationEntry::Snapshot(snapshot) => {
-                match ConfigurationState::try_from(snapshot) {
-                    Ok(state) => Self::Snapshot(state),
-                    Err(error) => Self::Malformed { record_id: None, reason: error.to_string() },
-                }
-            }
+            ConfigurationEntry::Snapshot(snapshot) => state_record(snapshot, Self::Snapshot),
+            ConfigurationEntry::Restart(snapshot) => state_record(snapshot, Self::Restart),
         }
     }
 }
 
+fn state_record(
+    snapshot: ConfigurationSnapshot,
+    record: fn(ConfigurationState) -> LogRecord,
+) -> LogRecord {
+    match ConfigurationState::try_from(snapshot) {
+        Ok(state) => record(state),
+        Err(error) => LogRecord::Malformed { record_id: None, reason: error.to_string() },
+    }
+}
+
 impl From<&LogEntry> for PositionedRecord {
     /// Bytes that are no configuration record become a malformed one, so that all readers agree.
     fn from(entry: &LogEntry) -> Self {
