--- a/crates/celeryshed_cli/src/lib.rs
+++ b/crates/celeryshed_cli/src/lib.rs
@@ -1,3 +1,10 @@
-//! The operators' command line.
+//! The operators' and developers' command line.
+//!
+//! [`OperatorArgs`] holds the arguments, `commands` one module per command; [`run`] ties them.
 
-pub mod publish;
+mod args;
+mod commands;
+mod run;
+
+pub use args::OperatorArgs;
+pub use run::{ExitStatus, run};
