--- a/crates/celeryshed_core/src/membership/tests.rs
+++ b/crates/celeryshed_core/src/membership/tests.rs
@@ -1,1 +1,243 @@
-//! Placeholder, replaced below.
+//! Tests of the tracker and of the rendezvous helpers.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use celeryshed_base::{
+    AvailabilityZone, InstanceName, MonoTime, ProcessIncarnation, RegionName, ServiceName,
+};
+
+use super::*;
+
+const OLD: u128 = 1;
+const NEW: u128 = 2;
+
+fn name(prefix: &str, number: usize) -> InstanceName {
+    InstanceName::try_from(format!("{prefix}-{number}")).unwrap()
+}
+
+fn at(seconds: f64) -> MonoTime {
+    MonoTime(Duration::from_secs_f64(seconds))
+}
+
+fn listed(role: ListedRole, instance: InstanceName, leaving: bool) -> ListedMember {
+    ListedMember {
+        instance,
+        role,
+        address: "127.0.0.1:1".to_owned(),
+        zone: AvailabilityZone::try_from("z").unwrap(),
+        region: RegionName::try_from("r").unwrap(),
+        service: Some(ServiceName::try_from("drafter").unwrap()),
+        leaving,
+    }
+}
+
+fn report(incarnation: u128, state: ReportedState) -> SideReport {
+    SideReport {
+        instance: name("side", 0),
+        incarnation: ProcessIncarnation::from_u128(incarnation),
+        address: "127.0.0.1:1".to_owned(),
+        zone: AvailabilityZone::try_from("z").unwrap(),
+        region: RegionName::try_from("r").unwrap(),
+        service: ServiceName::try_from("drafter").unwrap(),
+        state,
+    }
+}
+
+enum Event {
+    /// The sidecar is listed, leaving or not.
+    Listed(bool),
+    /// It is no longer listed.
+    Unlisted,
+    /// It reports.
+    Reported(u128, ReportedState),
+    /// It answers an attempt.
+    Heard(u128),
+    /// It refuses an attempt because it leaves.
+    Refused(u128),
+}
+
+fn state_after(events: &[(f64, Event)], now: f64) -> Option<(MemberState, Option<u128>)> {
+    let mut tracker = MembershipTracker::new(TrackerOptions::default());
+    let side = name("side", 0);
+    for (time, event) in events {
+        let id = |incarnation: &u128| ProcessIncarnation::from_u128(*incarnation);
+        match event {
+            Event::Listed(leaving) => {
+                tracker.list(&[listed(ListedRole::Side, side.clone(), *leaving)], at(*time));
+            }
+            Event::Unlisted => tracker.list(&[], at(*time)),
+            Event::Reported(incarnation, state) => {
+                tracker.report(report(*incarnation, *state), at(*time));
+            }
+            Event::Heard(incarnation) => tracker.heard(&side, id(incarnation), at(*time)),
+            Event::Refused(incarnation) => tracker.leaving(&side, id(incarnation)),
+        }
+    }
+    let view = tracker.view(at(now));
+    let member = view.sides.get(&side)?;
+    Some((member.state, member.incarnation.map(|incarnation| incarnation.0.as_u128())))
+}
+
+/// Guards against work for sidecars that leave, fell silent or were replaced, and against a
+/// replacement that stays unused because of what was heard of its predecessor.
+#[test]
+fn tracker_cases() {
+    use Event::{Heard, Listed, Refused, Reported, Unlisted};
+    use MemberState::{Leaving, Live, Silent};
+    use ReportedState as Says;
+    let cases: Vec<(&str, Vec<(f64, Event)>, f64, Option<(MemberState, Option<u128>)>)> = vec![
+        ("listed, never heard of", vec![(0.0, Listed(false))], 1.0, Some((Silent, None))),
+        (
+            "heard of, not listed yet",
+            vec![(0.0, Reported(OLD, Says::Serving))],
+            4.9,
+            Some((Live, Some(OLD))),
+        ),
+        (
+            "silent for 5 s",
+            vec![(0.0, Reported(OLD, Says::Serving))],
+            5.0,
+            Some((Silent, Some(OLD))),
+        ),
+        (
+            "an answered attempt breaks the silence",
+            vec![(0.0, Reported(OLD, Says::Serving)), (4.0, Heard(OLD))],
+            8.9,
+            Some((Live, Some(OLD))),
+        ),
+        (
+            "an answer of the predecessor doesn't",
+            vec![(0.0, Reported(NEW, Says::Serving)), (4.0, Heard(OLD))],
+            8.9,
+            Some((Silent, Some(NEW))),
+        ),
+        (
+            "not started yet",
+            vec![(0.0, Reported(OLD, Says::Starting))],
+            1.0,
+            Some((Silent, Some(OLD))),
+        ),
+        (
+            "a late report doesn't revive a leaving one",
+            vec![(0.0, Reported(OLD, Says::Leaving)), (0.1, Reported(OLD, Says::Serving))],
+            1.0,
+            Some((Leaving, Some(OLD))),
+        ),
+        (
+            "the lagging list doesn't either",
+            vec![(0.0, Reported(OLD, Says::Leaving)), (0.1, Listed(false))],
+            1.0,
+            Some((Leaving, Some(OLD))),
+        ),
+        (
+            "a refused attempt counts as a notice",
+            vec![(0.0, Reported(OLD, Says::Serving)), (0.1, Refused(OLD))],
+            1.0,
+            Some((Leaving, Some(OLD))),
+        ),
+        (
+            "its replacement takes work",
+            vec![(0.0, Reported(OLD, Says::Leaving)), (1.0, Reported(NEW, Says::Serving))],
+            2.0,
+            Some((Live, Some(NEW))),
+        ),
+        (
+            "and is not undone by a late notice of the predecessor",
+            vec![
+                (0.0, Reported(OLD, Says::Serving)),
+                (1.0, Reported(NEW, Says::Serving)),
+                (1.1, Reported(OLD, Says::Leaving)),
+                (1.2, Refused(OLD)),
+            ],
+            2.0,
+            Some((Live, Some(NEW))),
+        ),
+        (
+            "the list marks it as leaving",
+            vec![(0.0, Reported(OLD, Says::Serving)), (0.1, Listed(true))],
+            1.0,
+            Some((Leaving, Some(OLD))),
+        ),
+        (
+            "remembered while the list lags",
+            vec![(0.0, Reported(OLD, Says::Leaving)), (119.0, Unlisted)],
+            119.0,
+            Some((Leaving, Some(OLD))),
+        ),
+        (
+            "forgotten later",
+            vec![(0.0, Reported(OLD, Says::Leaving)), (121.0, Unlisted)],
+            121.0,
+            None,
+        ),
+    ];
+    for (case, events, now, expected) in cases {
+        assert_eq!(state_after(&events, now), expected, "{case}");
+    }
+}
+
+fn view(entries: usize, sides: usize) -> MemberView {
+    let mut tracker = MembershipTracker::new(TrackerOptions::default());
+    let entries = (0..entries).map(|n| listed(ListedRole::Entry, name("entry", n), false));
+    let sides = (0..sides).map(|n| listed(ListedRole::Side, name("side", n), false));
+    tracker.list(&entries.chain(sides).collect::<Vec<_>>(), at(0.0));
+    tracker.view(at(0.0))
+}
+
+/// Guards against an entry that stays chosen although it can't be reached.
+#[test]
+fn unreachable_entry_is_left_out_for_a_while() {
+    let mut tracker = MembershipTracker::new(TrackerOptions::default());
+    tracker.list(&[listed(ListedRole::Entry, name("entry", 0), false)], at(0.0));
+    tracker.unreachable(&name("entry", 0), at(1.0));
+    assert!(tracker.view(at(10.9)).entries.is_empty());
+    assert_eq!(tracker.view(at(11.0)).entries.len(), 1);
+}
+
+/// Guards against partitions that move although their readers are still there.
+#[test]
+fn lost_entry_moves_only_its_partitions() {
+    let (before, mut after) = (view(20, 0), view(20, 0));
+    let lost = name("entry", 7);
+    after.entries.remove(&lost);
+    for partition in 0..64 {
+        let readers = partition_readers(partition, &before);
+        assert_eq!(readers.len(), 2);
+        let kept: Vec<_> = readers.iter().filter(|reader| ***reader != lost).collect();
+        assert!(kept.iter().all(|reader| partition_readers(partition, &after).contains(reader)));
+        assert_eq!(
+            rendezvous_rank(b"key", &lost, before.entries.keys()),
+            rank_by_list(&before, &lost)
+        );
+    }
+}
+
+fn rank_by_list(view: &MemberView, instance: &InstanceName) -> usize {
+    let ranked = by_rendezvous(b"key", view.entries.keys());
+    ranked.iter().position(|other| *other == instance).unwrap()
+}
+
+/// Guards against entries that nobody reports to, and against report traffic at one entry that
+/// grows with the fleet.
+#[test]
+fn reports_are_spread_over_the_entries() {
+    let count = |view: &MemberView| {
+        let mut reports: BTreeMap<InstanceName, usize> = BTreeMap::new();
+        for side in view.sides.keys() {
+            for entry in report_targets(side, view) {
+                *reports.entry(entry.clone()).or_default() += 1;
+            }
+        }
+        reports
+    };
+    let few = view(8, 15);
+    assert!(few.entries.keys().all(|entry| count(&few)[entry] == 15));
+    let many = view(410, 600);
+    let reports = count(&many);
+    assert_eq!(reports.values().sum::<usize>(), 1_800);
+    // The mean is 4.4; 15 is far above what chance gives.
+    assert!(reports.values().all(|reports| *reports <= 15), "{reports:?}");
+    let service = ServiceName::try_from("drafter").unwrap();
+    assert_eq!(endpoint_subset(&name("entry", 0), &service, &many).len(), SUBSET_ENDPOINTS);
+}
