--- a/crates/celeryshed_core/src/membership/tests.rs
+++ b/crates/celeryshed_core/src/membership/tests.rs
@@ -57,7 +57,13 @@
     Refused(u128),
 }
 
-fn state_after(events: &[(f64, Event)], now: f64) -> Option<(MemberState, Option<u128>)> {
+/// State and incarnation in the view; `None` when the sidecar is not part of it.
+type Shown = Option<(MemberState, Option<u128>)>;
+
+/// Name, events with their times, time of the view, expectation.
+type TrackerCase = (&'static str, Vec<(f64, Event)>, f64, Shown);
+
+fn state_after(events: &[(f64, Event)], now: f64) -> Shown {
     let mut tracker = MembershipTracker::new(TrackerOptions::default());
     let side = name("side", 0);
     for (time, event) in events {
@@ -86,7 +92,7 @@
     use Event::{Heard, Listed, Refused, Reported, Unlisted};
     use MemberState::{Leaving, Live, Silent};
     use ReportedState as Says;
-    let cases: Vec<(&str, Vec<(f64, Event)>, f64, Option<(MemberState, Option<u128>)>)> = vec![
+    let cases: Vec<TrackerCase> = vec![
         ("listed, never heard of", vec![(0.0, Listed(false))], 1.0, Some((Silent, None))),
         (
             "heard of, not listed yet",
--- a/crates/celeryshed_core/src/membership/tracker.rs
+++ b/crates/celeryshed_core/src/membership/tracker.rs
@@ -25,8 +25,8 @@
 const MIN_LIST_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Pause per listed instance between two reads of the list: an instance takes about 200 bytes, so
-/// that the list costs a process about 0.8 KB/s of its 3 KB/s at any size.
-const LIST_INTERVAL_PER_INSTANCE: Duration = Duration::from_millis(250);
+/// that the list costs a process about 0.4 KB/s of its 3 KB/s at any size.
+const LIST_INTERVAL_PER_INSTANCE: Duration = Duration::from_millis(500);
 
 common_derives! { value:
     /// Options of a tracker.
--- a/crates/celeryshed_entry/src/configuration/mod.rs
+++ b/crates/celeryshed_entry/src/configuration/mod.rs
@@ -13,7 +13,7 @@
 
 pub use handle::ConfigurationHandle;
 pub use options::{ConfigurationOptions, CrashExchange, OptionsError, ProcessIdentity};
-pub use packed::Packed;
+pub use packed::{Compact, Packed};
 pub use peer::{HttpPeers, PeerClient, PeerError};
 pub use routes::configuration_routes;
 pub use task::{ConfigurationClients, spawn_configuration};
--- a/crates/celeryshed_entry/src/configuration/packed.rs
+++ b/crates/celeryshed_entry/src/configuration/packed.rs
@@ -1,6 +1,6 @@
 //! MessagePack bodies of routes.
 
-use celeryshed_wire::{decode, encode};
+use celeryshed_wire::{decode, encode, encode_compact};
 use rocket::Request;
 use rocket::data::{self, Data, FromData, ToByteUnit};
 use rocket::http::{ContentType, Status};
@@ -41,3 +41,14 @@
         (ContentType::MsgPack, Vec::from(body)).respond_to(request)
     }
 }
+
+/// A reply whose body is MessagePack without field names, for routes that are called all the time.
+#[derive(Debug)]
+pub struct Compact<T>(pub T);
+
+impl<'r, T: Serialize> Responder<'r, 'static> for Compact<T> {
+    fn respond_to(self, request: &'r Request<'_>) -> response::Result<'static> {
+        let body = encode_compact(&self.0).map_err(|_| Status::InternalServerError)?;
+        (ContentType::MsgPack, Vec::from(body)).respond_to(request)
+    }
+}
--- a/crates/celeryshed_entry/src/membership/probe.rs
+++ b/crates/celeryshed_entry/src/membership/probe.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use celeryshed_wire::{ENTRY_HEADER, EndpointReport, MSGPACK, RevisionExchange, decode, encode};
+use celeryshed_wire::{
+    ENTRY_HEADER, EndpointReport, MSGPACK, RevisionExchange, decode, encode_compact,
+};
 use reqwest::header::CONTENT_TYPE;
 
 use crate::configuration::PeerError;
@@ -53,7 +55,7 @@
         exchange: &RevisionExchange,
     ) -> Result<EndpointReport, PeerError> {
         let failed = |reason: String| PeerError { address: address.to_owned(), reason };
-        let body = encode(exchange).map_err(|error| failed(error.to_string()))?;
+        let body = encode_compact(exchange).map_err(|error| failed(error.to_string()))?;
         let url = format!("http://{address}/side/v1/report");
         let request = self.client.post(url).header(CONTENT_TYPE, MSGPACK);
         let reply = request.header(ENTRY_HEADER, entry).body(body).send().await;
--- a/crates/celeryshed_entry/src/membership/routes.rs
+++ b/crates/celeryshed_entry/src/membership/routes.rs
@@ -4,7 +4,7 @@
 use rocket::{Route, State, post, routes};
 
 use super::handle::MembershipHandle;
-use crate::configuration::{ConfigurationHandle, Packed, ProcessIdentity};
+use crate::configuration::{Compact, ConfigurationHandle, Packed, ProcessIdentity};
 
 /// `POST /entry/v1/reports`, for sidecars; needs a managed [`MembershipHandle`],
 /// [`ConfigurationHandle`] and [`ProcessIdentity`].
@@ -18,7 +18,7 @@
     membership: &State<MembershipHandle>,
     configuration: &State<ConfigurationHandle>,
     identity: &State<ProcessIdentity>,
-) -> Packed<ReportReply> {
+) -> Compact<ReportReply> {
     membership.report(report.0).await;
-    Packed(ReportReply { incarnation: identity.incarnation, revision: configuration.revision() })
+    Compact(ReportReply { incarnation: identity.incarnation, revision: configuration.revision() })
 }
--- a/crates/celeryshed_entry/src/membership/task.rs
+++ b/crates/celeryshed_entry/src/membership/task.rs
@@ -26,8 +26,9 @@
 /// Reports that a slow subscriber may lag behind.
 const REPORT_QUEUE: usize = 1024;
 
-/// Pause between two rounds of probes.
-const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Pause between two rounds of probes. Each round allows one more probe of about 0.7 KB; twice as
+/// many would exceed the 3 KB/s of an entry at the target size.
+const PROBE_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Silence after which an endpoint of the subset is probed: one lost report is waited for.
 const PROBE_AFTER: Duration = Duration::from_millis(3_500);
@@ -44,15 +45,16 @@
     pub struct MembershipOptions {
         /// Silence after which a sidecar gets no work.
         pub silence_limit: Duration,
-        /// Probes in each second; two cost about 1.7 KB/s, of 3 KB/s for everything.
-        pub probes_per_s: usize,
+        /// Probes that may be saved up, so that a fresh entry finds endpoints at once; 0 switches
+        /// probes off.
+        pub probe_burst: usize,
     }
 }
 
 impl Default for MembershipOptions {
     fn default() -> Self {
         let silence_limit = TrackerOptions::default().silence_limit;
-        Self { silence_limit, probes_per_s: 2 }
+        Self { silence_limit, probe_burst: 20 }
     }
 }
 
@@ -93,6 +95,7 @@
         reports: reports.clone(),
         calls: JoinSet::new(),
         probed_at: BTreeMap::new(),
+        probes_left: options.probe_burst,
     };
     tokio::spawn(task.run(inbox));
     Ok(MembershipHandle { views, notices, reports })
@@ -115,6 +118,7 @@
     reports: broadcast::Sender<Arc<EndpointReport>>,
     calls: JoinSet<CallResult>,
     probed_at: BTreeMap<InstanceName, MonoTime>,
+    probes_left: usize,
 }
 
 impl MembershipTask {
@@ -218,6 +222,7 @@
 
     fn start_probes(&mut self) {
         let now = self.clock.now();
+        self.probes_left = self.options.probe_burst.min(self.probes_left + 1);
         self.probed_at.retain(|_, at| now - *at < PROBE_PAUSE);
         let view = self.publisher.borrow().clone();
         for instance in self.probe_targets(&view, now) {
@@ -238,12 +243,10 @@
             .map(|subset| subset.into_iter().rev().filter(due).collect())
             .collect();
         let mut targets = Vec::new();
-        while targets.len() < self.options.probes_per_s
-            && queues.iter().any(|queue| !queue.is_empty())
-        {
+        while targets.len() < self.probes_left && queues.iter().any(|queue| !queue.is_empty()) {
             targets.extend(queues.iter_mut().filter_map(Vec::pop));
         }
-        targets.truncate(self.options.probes_per_s);
+        targets.truncate(self.probes_left);
         targets
     }
 
@@ -255,6 +258,7 @@
     }
 
     fn start_probe(&mut self, instance: &InstanceName, address: String, now: MonoTime) {
+        self.probes_left -= 1;
         self.probed_at.insert(instance.clone(), now);
         let sides = Arc::clone(&self.sides);
         let entry = self.identity.address.clone();
--- a/crates/celeryshed_side/src/configuration/client.rs
+++ b/crates/celeryshed_side/src/configuration/client.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use bytes::Bytes;
 use celeryshed_wire::{
-    ConfigurationReply, EndpointReport, MSGPACK, ReportReply, RevisionExchange, decode, encode,
+    CodecError, ConfigurationReply, EndpointReport, MSGPACK, ReportReply, RevisionExchange, decode,
+    encode, encode_compact,
 };
 use reqwest::header::CONTENT_TYPE;
-use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 /// Idle connections are closed before rocket's keep-alive of 5 s ends, so that a call rarely meets a
@@ -61,14 +62,14 @@
         Ok(Self { client })
     }
 
-    async fn post<T: Serialize, R: DeserializeOwned>(
+    async fn post<R: DeserializeOwned>(
         &self,
         address: &str,
         path: &str,
-        content: &T,
+        body: Result<Bytes, CodecError>,
     ) -> Result<R, EntryError> {
         let failed = |reason: String| EntryError { address: address.to_owned(), reason };
-        let body = encode(content).map_err(|error| failed(error.to_string()))?;
+        let body = body.map_err(|error| failed(error.to_string()))?;
         let url = format!("http://{address}{path}");
         let request = self.client.post(url).header(CONTENT_TYPE, MSGPACK).body(body);
         let reply = request.send().await.and_then(reqwest::Response::error_for_status);
@@ -85,7 +86,7 @@
         address: &str,
         report: &EndpointReport,
     ) -> Result<ReportReply, EntryError> {
-        self.post(address, "/entry/v1/reports", report).await
+        self.post(address, "/entry/v1/reports", encode_compact(report)).await
     }
 
     async fn fetch(
@@ -93,6 +94,6 @@
         address: &str,
         exchange: &RevisionExchange,
     ) -> Result<ConfigurationReply, EntryError> {
-        self.post(address, "/entry/v1/revisions", exchange).await
+        self.post(address, "/entry/v1/revisions", encode(exchange)).await
     }
 }
--- a/crates/celeryshed_side/src/configuration/mod.rs
+++ b/crates/celeryshed_side/src/configuration/mod.rs
@@ -15,6 +15,6 @@
 pub use client::{EntryClient, EntryError, HttpEntries};
 pub use handle::ConfigurationHandle;
 pub use options::{EndpointStatus, OptionsError, ReportOptions, SideIdentity};
-pub use packed::Packed;
+pub use packed::{Compact, Packed};
 pub use routes::configuration_routes;
 pub use task::{ConfigurationClients, spawn_configuration};
--- a/crates/celeryshed_side/src/configuration/routes.rs
+++ b/crates/celeryshed_side/src/configuration/routes.rs
@@ -5,7 +5,7 @@
 use rocket::{Route, State, post, routes};
 
 use super::handle::ConfigurationHandle;
-use super::packed::Packed;
+use super::packed::{Compact, Packed};
 
 /// `POST /side/v1/report`, for probes of entries; needs a managed [`ConfigurationHandle`].
 pub fn configuration_routes() -> Vec<Route> {
@@ -29,9 +29,9 @@
     _exchange: Packed<RevisionExchange>,
     entry: EntryAddress,
     configuration: &State<ConfigurationHandle>,
-) -> Packed<EndpointReport> {
+) -> Compact<EndpointReport> {
     if let Some(address) = entry.0 {
         configuration.note_sender(&address);
     }
-    Packed(configuration.report())
+    Compact(configuration.report())
 }
--- a/crates/celeryshed_wire/src/codec.rs
+++ b/crates/celeryshed_wire/src/codec.rs
@@ -42,6 +42,22 @@
     Ok(Bytes::from(rmp_serde::to_vec_named(value)?))
 }
 
+/// Encodes `value` as MessagePack without field names, for messages that are sent all the time.
+///
+/// [`decode`] reads both forms. A type sent in this form can't gain or reorder fields while
+/// processes of two releases exchange it.
+///
+/// ```
+/// use celeryshed_wire::{LoadReport, decode, encode, encode_compact};
+/// let load = LoadReport::default();
+/// let body = encode_compact(&load).unwrap();
+/// assert!(body.len() < encode(&load).unwrap().len());
+/// assert_eq!(decode::<LoadReport>(&body).unwrap(), load);
+/// ```
+pub fn encode_compact<T: Serialize>(value: &T) -> Result<Bytes> {
+    Ok(Bytes::from(rmp_serde::to_vec(value)?))
+}
+
 /// Decodes a MessagePack body.
 ///
 /// ```
--- a/crates/celeryshed_wire/src/lib.rs
+++ b/crates/celeryshed_wire/src/lib.rs
@@ -29,7 +29,7 @@
 pub use bookings::{BookingForward, BookingReply, SealReply, SealRequest};
 pub use claim_convert::AnswerMissing;
 pub use claims::{ClaimOutcome, ClaimRecord};
-pub use codec::{CodecError, FrameDecoder, MSGPACK, decode, encode, encode_frame};
+pub use codec::{CodecError, FrameDecoder, MSGPACK, decode, encode, encode_compact, encode_frame};
 pub use configuration::{
     ConfigurationChange, ConfigurationEntry, ConfigurationRecord, ConfigurationSnapshot,
     ContractTerms, ScarcityRule, ServiceKind, ServiceTerms, VersionTerms,
