Let entries fetch the configuration from sidecars

Cause: when all entries are replaced while the log can't be read, only sidecars know the configuration, and the entries served nothing until the log came back.

Change: the report route notes a sidecar that is ahead; an entry that knows no revision, or for which the log is no help, fetches the state from POST /side/v1/revisions. Ruled out: doing so while the log works, because sidecars of a faster entry would send the state to each slower one.

--- a/crates/celeryshed_entry/src/configuration/handle.rs
+++ b/crates/celeryshed_entry/src/configuration/handle.rs
@@ -9,11 +9,19 @@
 
 use super::options::CrashExchange;
 
+/// A process that knows a newer revision.
+#[derive(Debug)]
+pub(super) enum PeerAhead {
+    Entry(InstanceName),
+    /// Address of a sidecar.
+    Side(String),
+}
+
 /// Access to the configuration; the task ends when the last handle is dropped.
 #[derive(Clone, Debug)]
 pub struct ConfigurationHandle {
     pub(super) states: watch::Receiver<Option<Arc<ConfigurationState>>>,
-    pub(super) peers_ahead: mpsc::Sender<InstanceName>,
+    pub(super) peers_ahead: mpsc::Sender<PeerAhead>,
     pub(super) crashes: Option<CrashExchange>,
 }
 
@@ -39,7 +47,7 @@
         let revision = state.as_ref().map(|state| state.revision);
         if exchange.revision > revision {
             // A full queue means that exchanges are under way already.
-            let _ = self.peers_ahead.try_send(exchange.instance.clone());
+            let _ = self.peers_ahead.try_send(PeerAhead::Entry(exchange.instance.clone()));
         }
         let newer = state.filter(|state| exchange.revision.is_none_or(|own| state.revision > own));
         ConfigurationReply {
@@ -49,6 +57,17 @@
         }
     }
 
+    /// Takes note of the revision that a sidecar reports.
+    ///
+    /// When all entries were replaced while the log can't be read, only sidecars know the
+    /// configuration; it is fetched from one that is ahead.
+    pub fn note_side(&self, address: &str, revision: Option<ConfigRevision>) {
+        if revision > self.revision() {
+            // A full queue means that exchanges are under way already.
+            let _ = self.peers_ahead.try_send(PeerAhead::Side(address.to_owned()));
+        }
+    }
+
     fn known_crashes(&self) -> Vec<celeryshed_wire::CrashNotice> {
         self.crashes.as_ref().map(|crashes| crashes.known.borrow().to_vec()).unwrap_or_default()
     }
--- a/crates/celeryshed_entry/src/configuration/peer.rs
+++ b/crates/celeryshed_entry/src/configuration/peer.rs
@@ -20,7 +20,7 @@
     pub reason: String,
 }
 
-/// Client of other entries.
+/// Client of processes that know a configuration.
 #[async_trait]
 pub trait PeerClient: Send + Sync {
     /// Tells the entry at `address` the own revision; the reply has the state when it is newer.
@@ -29,9 +29,16 @@
         address: &str,
         exchange: &RevisionExchange,
     ) -> Result<ConfigurationReply, PeerError>;
+
+    /// Asks the sidecar at `address` for its state.
+    async fn exchange_with_side(
+        &self,
+        address: &str,
+        exchange: &RevisionExchange,
+    ) -> Result<ConfigurationReply, PeerError>;
 }
 
-/// Client of other entries over HTTP.
+/// Client of entries and sidecars over HTTP.
 #[derive(Clone, Debug)]
 pub struct HttpPeers {
     client: reqwest::Client,
@@ -49,18 +56,16 @@
         let client = builder.pool_idle_timeout(POOL_IDLE).build()?;
         Ok(Self { client })
     }
-}
 
-#[async_trait]
-impl PeerClient for HttpPeers {
-    async fn exchange(
+    async fn post(
         &self,
         address: &str,
+        path: &str,
         exchange: &RevisionExchange,
     ) -> Result<ConfigurationReply, PeerError> {
         let failed = |reason: String| PeerError { address: address.to_owned(), reason };
         let body = encode(exchange).map_err(|error| failed(error.to_string()))?;
-        let url = format!("http://{address}/entry/v1/revisions");
+        let url = format!("http://{address}{path}");
         let request = self.client.post(url).header(CONTENT_TYPE, MSGPACK).body(body);
         let reply = request.send().await.and_then(reqwest::Response::error_for_status);
         let reply = reply.map_err(|error| failed(error.to_string()))?;
@@ -68,3 +73,22 @@
         decode(&body).map_err(|error| failed(error.to_string()))
     }
 }
+
+#[async_trait]
+impl PeerClient for HttpPeers {
+    async fn exchange(
+        &self,
+        address: &str,
+        exchange: &RevisionExchange,
+    ) -> Result<ConfigurationReply, PeerError> {
+        self.post(address, "/entry/v1/revisions", exchange).await
+    }
+
+    async fn exchange_with_side(
+        &self,
+        address: &str,
+        exchange: &RevisionExchange,
+    ) -> Result<ConfigurationReply, PeerError> {
+        self.post(address, "/side/v1/revisions", exchange).await
+    }
+}
--- a/crates/celeryshed_entry/src/configuration/task.rs
+++ b/crates/celeryshed_entry/src/configuration/task.rs
@@ -21,7 +21,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
-use super::handle::ConfigurationHandle;
+use super::handle::{ConfigurationHandle, PeerAhead};
 use super::options::{ConfigurationOptions, CrashExchange, OptionsError, ProcessIdentity};
 use super::peer::{PeerClient, PeerError};
 
@@ -82,7 +82,7 @@
 enum CallResult {
     Read(Result<ReadReply, PlatformError>),
     Appended(Result<LogOffset, PlatformError>),
-    Exchanged(InstanceName, Result<ConfigurationReply, PeerError>),
+    Exchanged(String, Result<ConfigurationReply, PeerError>),
 }
 
 struct ConfigurationTask {
@@ -101,14 +101,15 @@
 }
 
 impl ConfigurationTask {
-    async fn run(mut self, mut ahead: mpsc::Receiver<InstanceName>) {
+    async fn run(mut self, mut ahead: mpsc::Receiver<PeerAhead>) {
         let mut polls = interval(self.options.poll_interval);
         polls.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 _ = polls.tick() => self.poll(),
                 peer = ahead.recv() => match peer {
-                    Some(peer) => self.exchange_with(&peer),
+                    Some(PeerAhead::Entry(peer)) => self.exchange_with(&peer),
+                    Some(PeerAhead::Side(address)) => self.exchange_with_side(address),
                     None => return,
                 },
                 Some(ended) = self.calls.join_next() => match ended {
@@ -199,7 +200,7 @@
         }
     }
 
-    fn take_exchange(&mut self, peer: &InstanceName, reply: Result<ConfigurationReply, PeerError>) {
+    fn take_exchange(&mut self, peer: &str, reply: Result<ConfigurationReply, PeerError>) {
         let reply = match reply {
             Ok(reply) => reply,
             Err(error) => {
@@ -221,7 +222,7 @@
         }
     }
 
-    fn adopt(&mut self, peer: &InstanceName, state: &ConfigurationState) {
+    fn adopt(&mut self, peer: &str, state: &ConfigurationState) {
         let before = self.fold.revision();
         self.fold.adopt(state);
         self.publish();
@@ -263,22 +264,38 @@
             Some(entry) => entry.address.clone(),
             None => return,
         };
+        self.start_exchange(address, false);
+    }
+
+    /// Asks a sidecar that is ahead, unless the log will tell.
+    fn exchange_with_side(&mut self, address: String) {
+        if self.fold.revision().is_none() || self.reading_is_no_help() {
+            self.start_exchange(address, true);
+        }
+    }
+
+    fn start_exchange(&mut self, address: String, with_side: bool) {
         if self.options.exchange_peers == 0 || self.exchanges >= MAX_EXCHANGES {
             return;
         }
         self.exchanges += 1;
         let peers = Arc::clone(&self.clients.peers);
         let limit = self.options.call_timeout;
-        let peer = peer.clone();
         let exchange = RevisionExchange {
             instance: self.identity.instance.clone(),
             incarnation: self.identity.incarnation,
             revision: self.fold.revision_for_peers(),
         };
         self.calls.spawn(async move {
-            let reply = timeout(limit, peers.exchange(&address, &exchange)).await;
-            let late = || PeerError { address, reason: format!("no reply within {limit:?}") };
-            CallResult::Exchanged(peer, reply.unwrap_or_else(|_| Err(late())))
+            let reply = if with_side {
+                timeout(limit, peers.exchange_with_side(&address, &exchange)).await
+            } else {
+                timeout(limit, peers.exchange(&address, &exchange)).await
+            };
+            let reason = || format!("no reply within {limit:?}");
+            let late = || PeerError { address: address.clone(), reason: reason() };
+            let reply = reply.unwrap_or_else(|_| Err(late()));
+            CallResult::Exchanged(address, reply)
         });
     }
 
--- a/crates/celeryshed_entry/src/membership/routes.rs
+++ b/crates/celeryshed_entry/src/membership/routes.rs
@@ -19,6 +19,7 @@
     configuration: &State<ConfigurationHandle>,
     identity: &State<ProcessIdentity>,
 ) -> Compact<ReportReply> {
+    configuration.note_side(&report.0.address, report.0.revision);
     membership.report(report.0).await;
     Compact(ReportReply { incarnation: identity.incarnation, revision: configuration.revision() })
 }
--- a/crates/celeryshed_entry/tests/fleet/configuration.rs
+++ b/crates/celeryshed_entry/tests/fleet/configuration.rs
@@ -101,6 +101,25 @@
     assert!(fleet.everywhere(2, LIMIT).await.is_some());
 }
 
+/// Time until all entries know the revision again that sidecars kept through an outage.
+async fn learned_from_sidecars(exchange_peers: usize) -> Option<Duration> {
+    let options = ConfigurationOptions { exchange_peers, ..Default::default() };
+    let fleet = started_fleet(options).await;
+    fleet.log.set_outage(true);
+    (0..20).for_each(|number| fleet.start_entry(number));
+    fleet.everywhere(1, Duration::from_secs(60)).await
+}
+
+/// Guards against entries that serve nothing although sidecars know the configuration: all entries
+/// are replaced at once while the log is down.
+#[tokio::test(start_paused = true)]
+async fn entries_learn_from_sidecars_when_all_are_replaced() {
+    let passed = learned_from_sidecars(2).await;
+    println!("all entries know the revision after {passed:?}");
+    assert!(passed.is_some_and(|passed| passed <= LIMIT));
+    assert_eq!(learned_from_sidecars(0).await, None);
+}
+
 /// Guards against a process that serves before it knows a revision, and against one that never
 /// learns it because the log and its peers were down when it started.
 #[tokio::test(start_paused = true)]
--- a/crates/celeryshed_entry/tests/fleet/fleet.rs
+++ b/crates/celeryshed_entry/tests/fleet/fleet.rs
@@ -117,6 +117,15 @@
         let node = self.entry(address).await.ok_or_else(|| peer_error(address))?;
         Ok(node.configuration.reply(exchange))
     }
+
+    async fn exchange_with_side(
+        &self,
+        address: &str,
+        exchange: &RevisionExchange,
+    ) -> Result<ConfigurationReply, PeerError> {
+        let node = self.side(address).await.ok_or_else(|| peer_error(address))?;
+        Ok(node.configuration.reply(exchange))
+    }
 }
 
 #[async_trait]
@@ -141,6 +150,7 @@
         report: &EndpointReport,
     ) -> Result<ReportReply, EntryError> {
         let node = self.entry(address).await.ok_or_else(|| entry_error(address))?;
+        node.configuration.note_side(&report.address, report.revision);
         node.membership.report(report.clone()).await;
         let revision = node.configuration.revision();
         Ok(ReportReply { incarnation: node.identity.incarnation, revision })
--- a/crates/celeryshed_side/src/configuration/handle.rs
+++ b/crates/celeryshed_side/src/configuration/handle.rs
@@ -5,7 +5,9 @@
 use celeryshed_base::ConfigRevision;
 use celeryshed_core::configuration::ConfigurationState;
 use celeryshed_core::membership::MemberView;
-use celeryshed_wire::{EndpointReport, EndpointState};
+use celeryshed_wire::{
+    ConfigurationReply, ConfigurationSnapshot, EndpointReport, EndpointState, RevisionExchange,
+};
 use tokio::sync::{mpsc, watch};
 
 use super::options::{EndpointStatus, SideIdentity};
@@ -49,6 +51,18 @@
         let _ = self.senders.try_send(address.to_owned());
     }
 
+    /// Answers an entry that asks for the state.
+    pub fn reply(&self, exchange: &RevisionExchange) -> ConfigurationReply {
+        let state = self.states.borrow().clone();
+        let revision = state.as_ref().map(|state| state.revision);
+        let newer = state.filter(|state| exchange.revision.is_none_or(|own| state.revision > own));
+        ConfigurationReply {
+            revision,
+            snapshot: newer.map(|state| ConfigurationSnapshot::from(&*state)),
+            crashes: Vec::new(),
+        }
+    }
+
     /// The report as of now.
     pub fn report(&self) -> EndpointReport {
         let mut status = self.status.borrow().clone();
--- a/crates/celeryshed_side/src/configuration/routes.rs
+++ b/crates/celeryshed_side/src/configuration/routes.rs
@@ -1,15 +1,16 @@
 //! Routes of the configuration.
 
-use celeryshed_wire::{ENTRY_HEADER, EndpointReport, RevisionExchange};
+use celeryshed_wire::{ConfigurationReply, ENTRY_HEADER, EndpointReport, RevisionExchange};
 use rocket::request::{FromRequest, Outcome, Request};
 use rocket::{Route, State, post, routes};
 
 use super::handle::ConfigurationHandle;
 use super::packed::{Compact, Packed};
 
-/// `POST /side/v1/report`, for probes of entries; needs a managed [`ConfigurationHandle`].
+/// `POST /side/v1/report`, for probes of entries, and `POST /side/v1/revisions`, for entries that
+/// know no configuration; both need a managed [`ConfigurationHandle`].
 pub fn configuration_routes() -> Vec<Route> {
-    routes![give_report]
+    routes![give_report, give_state]
 }
 
 /// Address of the calling entry, when it says so.
@@ -24,6 +25,14 @@
     }
 }
 
+#[post("/side/v1/revisions", data = "<exchange>")]
+async fn give_state(
+    exchange: Packed<RevisionExchange>,
+    configuration: &State<ConfigurationHandle>,
+) -> Packed<ConfigurationReply> {
+    Packed(configuration.reply(&exchange.0))
+}
+
 #[post("/side/v1/report", data = "<_exchange>")]
 async fn give_report(
     _exchange: Packed<RevisionExchange>,
