Tell sidecars that the platform marks them as leaving

Change: an entry that reads the mark of a sidecar which doesn't report leaving tells it. The mark concerns the incarnation of a minute before: sidecars ignore it in their first minute, entries for incarnations that replaced another one within a minute before the read. Ruled out: reading the list more often (0.8 KB/s instead of 0.4 KB/s only halves the delay).

--- a/crates/celeryshed_core/src/membership/mod.rs
+++ b/crates/celeryshed_core/src/membership/mod.rs
@@ -15,7 +15,7 @@
     rendezvous_score, report_targets,
 };
 pub use tracker::{
-    ListedMember, ListedRole, MembershipTracker, ReportedState, SILENCE_LIMIT, SideReport,
-    TrackerOptions,
+    LIST_LAG, ListedMember, ListedRole, MembershipTracker, ReportedState, SILENCE_LIMIT,
+    SideReport, TrackerOptions,
 };
 pub use view::{EntryMember, MemberState, MemberView, SideMember};
--- a/crates/celeryshed_core/src/membership/tests.rs
+++ b/crates/celeryshed_core/src/membership/tests.rs
@@ -165,6 +165,27 @@
             1.0,
             Some((Leaving, Some(OLD))),
         ),
+        (
+            "a lagging mark doesn't concern its replacement",
+            vec![
+                (0.0, Reported(OLD, Says::Leaving)),
+                (10.0, Reported(NEW, Says::Serving)),
+                (11.0, Listed(true)),
+            ],
+            12.0,
+            Some((Live, Some(NEW))),
+        ),
+        (
+            "a later mark does",
+            vec![
+                (0.0, Reported(OLD, Says::Leaving)),
+                (10.0, Reported(NEW, Says::Serving)),
+                (70.0, Listed(true)),
+                (70.0, Reported(NEW, Says::Serving)),
+            ],
+            71.0,
+            Some((Leaving, Some(NEW))),
+        ),
         (
             "remembered while the list lags",
             vec![(0.0, Reported(OLD, Says::Leaving)), (119.0, Unlisted)],
--- a/crates/celeryshed_core/src/membership/tracker.rs
+++ b/crates/celeryshed_core/src/membership/tracker.rs
@@ -21,6 +21,9 @@
 /// Longer than the list's lag of up to a minute, so that a leaving mark outlives the listing.
 const FORGET_AFTER: Duration = Duration::from_secs(120);
 
+/// Longest lag of the platform's list.
+pub const LIST_LAG: Duration = Duration::from_secs(60);
+
 /// Shortest pause between two reads of the list.
 const MIN_LIST_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -106,6 +109,8 @@
 struct HeardSide {
     report: SideReport,
     previous: Option<ProcessIncarnation>,
+    /// When this incarnation replaced the previous one; `None` when it may be of any age.
+    replaced_at: Option<MonoTime>,
     heard_at: MonoTime,
 }
 
@@ -123,6 +128,7 @@
     listed_entries: BTreeMap<InstanceName, EntryMember>,
     listed_sides: BTreeMap<InstanceName, SideMember>,
     listed_leaving: BTreeSet<InstanceName>,
+    listed_at: MonoTime,
     heard: BTreeMap<InstanceName, HeardSide>,
     unreachable: BTreeMap<InstanceName, MonoTime>,
 }
@@ -138,6 +144,7 @@
         self.listed_entries.clear();
         self.listed_sides.clear();
         self.listed_leaving.clear();
+        self.listed_at = now;
         for member in members {
             self.list_member(member);
         }
@@ -172,7 +179,7 @@
     /// view changes.
     pub fn report(&mut self, report: SideReport, now: MonoTime) -> bool {
         let before = self.heard.get(&report.instance);
-        let mut side = HeardSide { report, previous: None, heard_at: now };
+        let mut side = HeardSide { report, previous: None, replaced_at: None, heard_at: now };
         let mut changed = true;
         if let Some(before) = before {
             if before.previous == Some(side.report.incarnation) {
@@ -183,8 +190,10 @@
                     side.report.state = ReportedState::Leaving;
                 }
                 side.previous = before.previous;
+                side.replaced_at = before.replaced_at;
             } else {
                 side.previous = Some(before.report.incarnation);
+                side.replaced_at = Some(now);
             }
             changed = before.report != side.report || self.is_silent(before, now);
         }
@@ -237,6 +246,15 @@
         self.listed_leaving.contains(instance)
     }
 
+    /// Sidecars that the platform marks as leaving and that don't say so themselves, with their
+    /// addresses.
+    pub fn unaware_leaving(&self) -> impl Iterator<Item = (&InstanceName, &str)> {
+        let unaware = self.heard.iter().filter(|(_, side)| {
+            side.report.state != ReportedState::Leaving && self.is_leaving_by_list(side)
+        });
+        unaware.map(|(instance, side)| (instance, side.report.address.as_str()))
+    }
+
     /// When a sidecar was last heard of; `None` when never.
     pub fn heard_at(&self, instance: &InstanceName) -> Option<MonoTime> {
         self.heard.get(instance).map(|side| side.heard_at)
@@ -270,6 +288,13 @@
         self.unreachable.get(instance).is_some_and(|since| now - *since < UNREACHABLE_PAUSE)
     }
 
+    /// Whether the list's leaving mark is about this incarnation: a lagging list may still mean the
+    /// one that it replaced.
+    fn is_leaving_by_list(&self, side: &HeardSide) -> bool {
+        let current = side.replaced_at.is_none_or(|at| at + LIST_LAG <= self.listed_at);
+        current && self.listed_leaving.contains(&side.report.instance)
+    }
+
     fn is_silent(&self, side: &HeardSide, now: MonoTime) -> bool {
         self.options.expect_reports && now - side.heard_at >= self.options.silence_limit
     }
@@ -287,7 +312,7 @@
     fn heard_member(&self, side: &HeardSide, now: MonoTime) -> SideMember {
         let report = side.report.clone();
         let silent = self.is_silent(side, now);
-        let listed_leaving = self.listed_leaving.contains(&report.instance);
+        let listed_leaving = self.is_leaving_by_list(side);
         let state = match report.state {
             ReportedState::Leaving => MemberState::Leaving,
             _ if listed_leaving => MemberState::Leaving,
--- a/crates/celeryshed_entry/src/membership/probe.rs
+++ b/crates/celeryshed_entry/src/membership/probe.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use celeryshed_base::InstanceName;
 use celeryshed_wire::{
     ENTRY_HEADER, EndpointReport, MSGPACK, RevisionExchange, decode, encode_compact,
 };
@@ -24,6 +25,9 @@
         entry: &str,
         exchange: &RevisionExchange,
     ) -> Result<EndpointReport, PeerError>;
+
+    /// Tells the sidecar of `instance` at `address` that the platform marks it as leaving.
+    async fn tell_leaving(&self, address: &str, instance: &InstanceName) -> Result<(), PeerError>;
 }
 
 /// Client of sidecars over HTTP.
@@ -64,4 +68,12 @@
         let body = reply.bytes().await.map_err(|error| failed(error.to_string()))?;
         decode(&body).map_err(|error| failed(error.to_string()))
     }
+
+    async fn tell_leaving(&self, address: &str, instance: &InstanceName) -> Result<(), PeerError> {
+        let url = format!("http://{address}/side/v1/leaving/{instance}");
+        let reply = self.client.post(url).send().await;
+        let reply = reply.and_then(reqwest::Response::error_for_status);
+        let failed = |reason: String| PeerError { address: address.to_owned(), reason };
+        reply.map(|_| ()).map_err(|error| failed(error.to_string()))
+    }
 }
--- a/crates/celeryshed_entry/src/membership/task.rs
+++ b/crates/celeryshed_entry/src/membership/task.rs
@@ -36,6 +36,9 @@
 /// Pause before a sidecar that didn't answer is probed again.
 const PROBE_PAUSE: Duration = Duration::from_secs(10);
 
+/// Leaving sidecars told after one read of the list; the others are told by other entries.
+const MAX_TOLD: usize = 20;
+
 /// Longest wait for the list or a probe's answer.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -105,6 +108,7 @@
 enum CallResult {
     Listed(Result<Vec<ListedInstance>, PlatformError>),
     Probed(Result<Box<EndpointReport>, PeerError>),
+    Told(Result<(), PeerError>),
 }
 
 struct MembershipTask {
@@ -187,10 +191,15 @@
                 let members: Vec<_> = instances.into_iter().map(ListedMember::from).collect();
                 self.tracker.list(&members, self.clock.now());
                 self.publish();
+                self.tell_leaving();
             }
             CallResult::Listed(Err(error)) => {
                 EventLine::new("instance_list_failed").field("error", error).warn();
             }
+            CallResult::Told(Ok(())) => {}
+            CallResult::Told(Err(error)) => {
+                EventLine::new("leaving_mark_failed").field("error", error).debug();
+            }
             CallResult::Probed(Ok(report)) => self.take_report(*report),
             CallResult::Probed(Err(error)) => {
                 EventLine::new("probe_failed").field("error", error).debug();
@@ -198,6 +207,22 @@
         }
     }
 
+    /// Tells sidecars that the platform marks as leaving and that don't know it yet.
+    ///
+    /// A large list is read rarely; one of many entries reads the mark long before the sidecar.
+    fn tell_leaving(&mut self) {
+        for (instance, address) in self.tracker.unaware_leaving().take(MAX_TOLD) {
+            let sides = Arc::clone(&self.sides);
+            let (instance, address) = (instance.clone(), address.to_owned());
+            self.calls.spawn(async move {
+                let told = timeout(CALL_TIMEOUT, sides.tell_leaving(&address, &instance)).await;
+                let late =
+                    || PeerError { address, reason: format!("no reply within {CALL_TIMEOUT:?}") };
+                CallResult::Told(told.unwrap_or_else(|_| Err(late())))
+            });
+        }
+    }
+
     fn publish(&self) {
         let view = self.tracker.view(self.clock.now());
         self.publisher.send_if_modified(|published| {
--- a/crates/celeryshed_entry/tests/fleet/fleet.rs
+++ b/crates/celeryshed_entry/tests/fleet/fleet.rs
@@ -140,6 +140,12 @@
         node.configuration.note_sender(entry);
         Ok(node.configuration.report())
     }
+
+    async fn tell_leaving(&self, address: &str, instance: &InstanceName) -> Result<(), PeerError> {
+        let node = self.side(address).await.ok_or_else(|| peer_error(address))?;
+        let own = node.configuration.marked_leaving(instance.as_str()).await;
+        if own { Ok(()) } else { Err(peer_error(address)) }
+    }
 }
 
 #[async_trait]
--- a/crates/celeryshed_entry/tests/fleet/membership.rs
+++ b/crates/celeryshed_entry/tests/fleet/membership.rs
@@ -64,8 +64,8 @@
     }
 }
 
-/// Guards against a sidecar that the platform drains and that does not know it; the list's lag
-/// and the pause between its reads come first.
+/// Guards against a sidecar that the platform drains and that does not know it, and against a
+/// replacement that drains because of its predecessor's mark.
 #[tokio::test(start_paused = true)]
 async fn sidecar_learns_from_the_list_that_it_leaves() {
     let fleet = started_fleet(MembershipOptions::default()).await;
@@ -73,10 +73,20 @@
         "side-3" => InstanceState::Leaving,
         _ => InstanceState::Live,
     });
+    let published = Instant::now();
     // 80 listed instances are read every 40 s.
-    sleep(LIST_LAG + Duration::from_secs(41)).await;
+    while published.elapsed() < LIST_LAG + Duration::from_secs(41)
+        && !*fleet.side(3).configuration.listed_leaving().borrow()
+    {
+        sleep(Duration::from_millis(100)).await;
+    }
+    println!("known to the sidecar after {:?}, list lag {LIST_LAG:?}", published.elapsed());
     assert!(*fleet.side(3).configuration.listed_leaving().borrow());
     assert_eq!(fleet.side(3).configuration.report().state, EndpointState::Leaving);
+    // Its replacement is not sent away by the mark that the list still shows.
+    fleet.start_side(3);
+    sleep(LIST_LAG / 2).await;
+    assert!(!*fleet.side(3).configuration.listed_leaving().borrow());
 }
 
 async fn dead_sidecar_unused_after(silence_limit: Duration) -> Duration {
--- a/crates/celeryshed_side/src/configuration/handle.rs
+++ b/crates/celeryshed_side/src/configuration/handle.rs
@@ -12,6 +12,15 @@
 
 use super::options::{EndpointStatus, SideIdentity};
 
+/// What the configuration task is told.
+#[derive(Debug)]
+pub(super) enum SideNotice {
+    /// Address of an entry that sent work.
+    Sender(String),
+    /// An entry has read that the platform marks this instance as leaving.
+    MarkedLeaving,
+}
+
 /// Access to the configuration; the task ends when the last handle is dropped.
 #[derive(Clone, Debug)]
 pub struct ConfigurationHandle {
@@ -20,7 +29,7 @@
     pub(super) views: watch::Receiver<Arc<MemberView>>,
     pub(super) listed_leaving: watch::Receiver<bool>,
     pub(super) status: watch::Receiver<EndpointStatus>,
-    pub(super) senders: mpsc::Sender<String>,
+    pub(super) notices: mpsc::Sender<SideNotice>,
 }
 
 impl ConfigurationHandle {
@@ -48,7 +57,17 @@
     /// [`celeryshed_wire::ENTRY_HEADER`] says; it is told when this sidecar leaves.
     pub fn note_sender(&self, address: &str) {
         // A full queue means that many senders were noted just before; this one sends again.
-        let _ = self.senders.try_send(address.to_owned());
+        let _ = self.notices.try_send(SideNotice::Sender(address.to_owned()));
+    }
+
+    /// Takes note that the platform marks `instance` as leaving; returns whether that is this one.
+    pub async fn marked_leaving(&self, instance: &str) -> bool {
+        let own = self.identity.instance.as_str() == instance;
+        if own {
+            // The task only ends with the process.
+            let _ = self.notices.send(SideNotice::MarkedLeaving).await;
+        }
+        own
     }
 
     /// Answers an entry that asks for the state.
--- a/crates/celeryshed_side/src/configuration/routes.rs
+++ b/crates/celeryshed_side/src/configuration/routes.rs
@@ -1,6 +1,7 @@
 //! Routes of the configuration.
 
 use celeryshed_wire::{ConfigurationReply, ENTRY_HEADER, EndpointReport, RevisionExchange};
+use rocket::http::Status;
 use rocket::request::{FromRequest, Outcome, Request};
 use rocket::{Route, State, post, routes};
 
@@ -8,9 +9,10 @@
 use super::packed::{Compact, Packed};
 
 /// `POST /side/v1/report`, for probes of entries, and `POST /side/v1/revisions`, for entries that
-/// know no configuration; both need a managed [`ConfigurationHandle`].
+/// know no configuration, and `POST /side/v1/leaving/<instance>`, for entries that read the
+/// platform's leaving mark; all need a managed [`ConfigurationHandle`].
 pub fn configuration_routes() -> Vec<Route> {
-    routes![give_report, give_state]
+    routes![give_report, give_state, take_leaving_mark]
 }
 
 /// Address of the calling entry, when it says so.
@@ -33,6 +35,13 @@
     Packed(configuration.reply(&exchange.0))
 }
 
+/// A status of 409 tells that another instance has this address now.
+#[post("/side/v1/leaving/<instance>")]
+async fn take_leaving_mark(instance: &str, configuration: &State<ConfigurationHandle>) -> Status {
+    let own = configuration.marked_leaving(instance).await;
+    if own { Status::NoContent } else { Status::Conflict }
+}
+
 #[post("/side/v1/report", data = "<_exchange>")]
 async fn give_report(
     _exchange: Packed<RevisionExchange>,
--- a/crates/celeryshed_side/src/configuration/task.rs
+++ b/crates/celeryshed_side/src/configuration/task.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use celeryshed_base::{ClockSource, ConfigRevision, InstanceName};
+use celeryshed_base::{ClockSource, ConfigRevision, InstanceName, MonoTime};
 use celeryshed_core::configuration::{ConfigurationFold, ConfigurationState};
 use celeryshed_core::membership::{
-    ListedMember, MemberView, MembershipTracker, TrackerOptions, report_targets,
+    LIST_LAG, ListedMember, MemberView, MembershipTracker, TrackerOptions, report_targets,
 };
 use celeryshed_observe::EventLine;
 use celeryshed_platform::{ListClient, PlatformError};
@@ -19,12 +19,12 @@
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until, timeout};
 
 use super::client::{EntryClient, EntryError};
-use super::handle::ConfigurationHandle;
+use super::handle::{ConfigurationHandle, SideNotice};
 use super::options::{EndpointStatus, OptionsError, ReportOptions, SideIdentity};
 use super::senders::WorkSenders;
 
-/// Addresses of senders that wait to be noted.
-const SENDER_QUEUE: usize = 256;
+/// Notices that wait for the task.
+const NOTICE_QUEUE: usize = 256;
 
 /// What the configuration task calls and reads.
 #[derive(Clone)]
@@ -48,7 +48,7 @@
     let (state_publisher, states) = watch::channel(None);
     let (view_publisher, views) = watch::channel(Arc::default());
     let (leaving_publisher, listed_leaving) = watch::channel(false);
-    let (senders, inbox) = mpsc::channel(SENDER_QUEUE);
+    let (notices, inbox) = mpsc::channel(NOTICE_QUEUE);
     let identity = Arc::new(identity);
     let status = clients.status.clone();
     let tracker_options = TrackerOptions { expect_reports: false, ..TrackerOptions::default() };
@@ -56,6 +56,7 @@
         identity: Arc::clone(&identity),
         options,
         clock,
+        started_at: clock.now(),
         clients,
         fold: ConfigurationFold::default(),
         tracker: MembershipTracker::new(tracker_options),
@@ -67,7 +68,7 @@
         fetching: BTreeSet::new(),
     };
     tokio::spawn(task.run(inbox));
-    Ok(ConfigurationHandle { identity, states, views, listed_leaving, status, senders })
+    Ok(ConfigurationHandle { identity, states, views, listed_leaving, status, notices })
 }
 
 /// A call that has ended.
@@ -82,6 +83,7 @@
     identity: Arc<SideIdentity>,
     options: ReportOptions,
     clock: ClockSource,
+    started_at: MonoTime,
     clients: ConfigurationClients,
     fold: ConfigurationFold,
     tracker: MembershipTracker,
@@ -94,7 +96,7 @@
 }
 
 impl ReportTask {
-    async fn run(mut self, mut inbox: mpsc::Receiver<String>) {
+    async fn run(mut self, mut inbox: mpsc::Receiver<SideNotice>) {
         let mut reports = interval(self.options.report_interval);
         reports.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut list_due = Instant::now();
@@ -104,7 +106,10 @@
         loop {
             tokio::select! {
                 sender = inbox.recv() => match sender {
-                    Some(address) => self.work_senders.note(address, self.clock.now()),
+                    Some(SideNotice::Sender(address)) => {
+                        self.work_senders.note(address, self.clock.now());
+                    }
+                    Some(SideNotice::MarkedLeaving) => self.take_leaving_mark(),
                     None => return,
                 },
                 changed = status.changed(), if status_open => {
@@ -209,13 +214,20 @@
         let members: Vec<_> = instances.into_iter().map(ListedMember::from).collect();
         let first = self.view_publisher.borrow().entries.is_empty();
         self.tracker.list(&members, self.clock.now());
-        let leaving = self.tracker.is_listed_leaving(&self.identity.instance);
-        let newly_leaving = leaving && !self.leaving_publisher.send_replace(leaving);
-        if !leaving {
-            self.leaving_publisher.send_replace(false);
-        }
         self.publish_view();
-        if first || newly_leaving {
+        if first {
+            self.send_reports();
+        }
+        if self.tracker.is_listed_leaving(&self.identity.instance) {
+            self.take_leaving_mark();
+        }
+    }
+
+    /// The mark stays for the rest of this incarnation. In its first minute it is not believed: the
+    /// lagging list may mean an earlier incarnation.
+    fn take_leaving_mark(&mut self) {
+        let young = self.clock.now() - self.started_at < LIST_LAG;
+        if !young && !self.leaving_publisher.send_replace(true) {
             self.send_reports();
         }
     }
