Shrink pages of the claim log that take too long

Cause: a page of 1,000 records can hold 64 MB of answers, more than the log client's timeout allows on a 20 Mbit/s link; the partition would never have been read to its end.

Change: pages start at 128 records, halve after a failed read and double after a good one. Arrivals are noted before a read that ends at the same time, because a fence in it may be younger than the request.

--- a/crates/celeryshed_entry/src/bookings/partition.rs
+++ b/crates/celeryshed_entry/src/bookings/partition.rs
@@ -21,6 +21,10 @@
 /// Commands that may wait for the task.
 const COMMAND_QUEUE: usize = 1024;
 
+/// Records of the first read. A record holds up to 64 KiB, so that a large page may take longer
+/// than the client's timeout on a slow link.
+const FIRST_PAGE_RECORDS: u32 = 128;
+
 /// Pause after a read that failed.
 const FAILED_READ_PAUSE: Duration = Duration::from_millis(200);
 
@@ -72,6 +76,7 @@
             watchers: Vec::new(),
             waiting: Vec::new(),
             in_flight: Vec::new(),
+            page_records: FIRST_PAGE_RECORDS.min(options.settings.page_records),
             read_due: Instant::now(),
             failing: false,
         };
@@ -121,6 +126,7 @@
     watchers: Vec<BookingWatcher>,
     waiting: Vec<PendingAppend>,
     in_flight: Vec<PendingAppend>,
+    page_records: u32,
     read_due: Instant,
     failing: bool,
 }
@@ -134,6 +140,9 @@
                 append = Some(self.start_append());
             }
             tokio::select! {
+                // A request's arrival is noted before records of a read that ends meanwhile, since
+                // a fence among them may be younger than the request.
+                biased;
                 command = commands.recv() => match command {
                     Some(command) => self.take(command),
                     None => return,
@@ -172,7 +181,7 @@
         let log = self.log.clone();
         let stream = self.stream.clone();
         let from = self.fold.next_offset();
-        let limit = self.options.settings.page_records;
+        let limit = self.page_records;
         let began = self.clock.now();
         Box::pin(async move { (began, log.read(&stream, from, limit).await) })
     }
@@ -181,10 +190,13 @@
         let pause = match reply {
             Ok(reply) => {
                 self.note_readable();
+                let doubled = self.page_records.saturating_mul(2);
+                self.page_records = doubled.min(self.options.settings.page_records);
                 self.apply(began, &reply)
             }
             Err(error) => {
                 self.note_unreadable(&error);
+                self.page_records = (self.page_records / 2).max(1);
                 FAILED_READ_PAUSE
             }
         };
--- a/crates/celeryshed_entry/tests/bookings/cluster.rs
+++ b/crates/celeryshed_entry/tests/bookings/cluster.rs
@@ -1,14 +1,15 @@
 //! Entries and sidecars of one process that share a fake log.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use async_trait::async_trait;
+use bytes::Bytes;
 use celeryshed_base::{
-    AvailabilityZone, ClockSource, CustomerName, InstanceName, ProcessIncarnation, RegionName,
-    RequestId, ServiceName, UnixMillis,
+    AvailabilityZone, ClockSource, CustomerName, InstanceName, LogOffset, ProcessIncarnation,
+    RegionName, RequestId, ServiceName, UnixMillis,
 };
 use celeryshed_core::booking::{BookingIdentity, DispatchResult, SealResult, partition_of};
 use celeryshed_core::membership::{
@@ -19,9 +20,10 @@
     SideDispatch, start_bookings,
 };
 use celeryshed_platform::fakes::FakeLog;
+use celeryshed_platform::{LogClient, PlatformError};
 use celeryshed_side::claims::{BeginReply, ClaimHandle, ClaimOptions, RunEnd, start_claims};
 use celeryshed_wire::{
-    AttemptRequest, AttemptWork, BookingForward, BookingReply, CallWork, ProblemDetails,
+    AttemptRequest, AttemptWork, BookingForward, BookingReply, CallWork, ProblemDetails, ReadReply,
     SealRequest, ServiceAnswer,
 };
 use tokio::sync::watch;
@@ -34,6 +36,30 @@
     claims: ClaimHandle,
 }
 
+/// A log whose replies with more than some number of records take too long.
+struct SlowLog(Arc<TestNetwork>);
+
+#[async_trait]
+impl LogClient for SlowLog {
+    async fn append(&self, stream: &str, records: Vec<Bytes>) -> Result<LogOffset, PlatformError> {
+        self.0.log.append(stream, records).await
+    }
+
+    async fn read(
+        &self,
+        stream: &str,
+        from: LogOffset,
+        limit: u32,
+    ) -> Result<ReadReply, PlatformError> {
+        let reply = self.0.log.read(stream, from, limit).await?;
+        if reply.entries.len() > self.0.most_records.load(Ordering::Relaxed) {
+            let (target, reason) = ("slow log".to_owned(), "timeout".to_owned());
+            return Err(PlatformError::ReplyLost { target, reason });
+        }
+        Ok(reply)
+    }
+}
+
 /// What happens to a forwarded booking.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) enum ForwardFault {
@@ -57,6 +83,7 @@
     run_time: Mutex<Duration>,
     answer_bytes: Mutex<usize>,
     next_key: AtomicU64,
+    most_records: AtomicUsize,
     runs: Mutex<BTreeMap<String, u32>>,
 }
 
@@ -178,6 +205,7 @@
             run_time: Mutex::new(Duration::from_millis(20)),
             answer_bytes: Mutex::default(),
             next_key: AtomicU64::default(),
+            most_records: AtomicUsize::new(usize::MAX),
             runs: Mutex::default(),
         });
         let mut view = MemberView::default();
@@ -192,7 +220,7 @@
         cluster.hide_sides(false);
         for index in 0..entries {
             let edges = BookingEdges {
-                log: Arc::new(cluster.log.clone()),
+                log: Arc::new(SlowLog(cluster.network.clone())),
                 sides: Arc::new(TestLink(cluster.network.clone())),
                 entries: Arc::new(TestLink(cluster.network.clone())),
                 clock,
@@ -243,6 +271,11 @@
         *self.network.forward_fault.lock().unwrap() = fault;
     }
 
+    /// Lets reads of more than `most` records fail.
+    pub(crate) fn limit_reads(&self, most: usize) {
+        self.network.most_records.store(most, Ordering::Relaxed);
+    }
+
     pub(crate) fn set_run_time(&self, run_time: Duration) {
         *self.network.run_time.lock().unwrap() = run_time;
     }
--- a/crates/celeryshed_entry/tests/bookings/main.rs
+++ b/crates/celeryshed_entry/tests/bookings/main.rs
@@ -177,3 +177,17 @@
     let counts = cluster.log.counts();
     assert!(counts.appends <= 100, "{counts:?}");
 }
+
+/// Guards against a partition that is never read to its end because its pages take too long.
+#[tokio::test(start_paused = true)]
+async fn slow_reads_shrink_the_page() {
+    let cluster = TestCluster::start(1, 2).await;
+    cluster.limit_reads(3);
+    for partition in 0..16 {
+        let filler = vec![bytes::Bytes::from_static(b"no claim record"); 100];
+        cluster.log.insert(&format!("claims-{partition}"), filler);
+    }
+    tokio::time::sleep(Duration::from_secs(300)).await;
+    let booking = cluster.booking("order 13");
+    assert_eq!(answer_of(&cluster.book(0, &booking).await), ("order 13 run 1".to_owned(), false));
+}
