--- a/crates/celeryshed_core/src/booking/procedure/event.rs
+++ b/crates/celeryshed_core/src/booking/procedure/event.rs
@@ -20,6 +20,8 @@
         pub log_wait: Duration,
         /// Age of a claim in force from which its sidecar is asked to seal it.
         pub seal_after: Duration,
+        /// Longest time without a reply of the sidecar before the outcome is reported as unknown.
+        pub side_wait: Duration,
         /// Pause before an append or read that failed is repeated.
         pub retry_pause: Duration,
         /// Longest age of a read to the end that may prove "not run".
@@ -51,6 +53,9 @@
         pub began: MonoTime,
         /// Time at the log.
         pub log_now: UnixMillis,
+        /// Offset that the partition had been read to when the request arrived. A record at this
+        /// offset or above may have been appended after the arrival.
+        pub arrival: LogOffset,
         /// Whether the fold holds every claim that the key can have.
         pub covered: bool,
         /// The claims.
--- a/crates/celeryshed_side/src/attempts/mod.rs
+++ b/crates/celeryshed_side/src/attempts/mod.rs
@@ -6,7 +6,6 @@
 mod crashes;
 mod drain;
 mod engine;
-mod gate;
 mod options;
 mod plain;
 mod routes;
@@ -15,7 +14,6 @@
 mod sse;
 
 pub use drain::DrainState;
-pub use gate::{ClaimGate, ClaimPermission, ClaimRefusal};
 pub use options::{AttemptOptions, AttemptOptionsError, EndpointTarget};
 pub use routes::routes;
 pub use runner::{AttemptInputs, AttemptsHandle, spawn};
