--- a/crates/celeryshed_core/src/routing/endpoint.rs
+++ b/crates/celeryshed_core/src/routing/endpoint.rs
@@ -9,7 +9,7 @@
 };
 
 use super::ejection::EjectionState;
-use super::options::RoutingOptions;
+use super::options::{RoutingOptions, ScoreRates};
 use super::table::RoutingNeed;
 use crate::admission::{SlotClass, headroom_of};
 
@@ -199,25 +199,19 @@
         (share as u32).clamp(1, self.load.slots.max(1))
     }
 
-    /// Whether a further request would find no slot.
-    pub(super) fn is_full(
-        &self,
-        need: &RoutingNeed,
-        options: &RoutingOptions,
-        now: MonoTime,
-    ) -> bool {
-        let slots = self.usable_slots(options, now);
+    /// Whether a further request would find none of the `slots` that may be used.
+    pub(super) fn is_full(&self, need: &RoutingNeed, slots: u32) -> bool {
         let kept = if need.headroom { headroom_of(slots) } else { 0 };
         self.refused_busy(need.class) || self.occupied() >= slots - kept
     }
 
-    /// Expected time to the first token in microseconds.
+    /// Expected time to the first token in microseconds, with `slots` that may be used.
     pub(super) fn expected_us(
         &self,
         need: &RoutingNeed,
         cached_tokens: u64,
-        options: &RoutingOptions,
-        now: MonoTime,
+        slots: u32,
+        rates: &ScoreRates,
     ) -> u64 {
         // Engines process prompts of higher classes first.
         let sent = &self.sent_prompt_tokens;
@@ -230,13 +224,12 @@
             }
         };
         let remaining = need.prompt_tokens.saturating_sub(cached_tokens);
-        let prefill_us = (queued + remaining) * options.prefill_token_ns() / 1000;
-        let slots = u64::from(self.usable_slots(options, now).max(1));
+        let prefill_us = (queued + remaining) * rates.prefill_token_ns / 1000;
+        let slots = u64::from(slots.max(1));
         let occupied = u64::from(self.occupied());
-        let slot_us = options.slot_time.as_micros() as u64;
         // A request that displaces others doesn't wait for a slot.
         let ahead = if need.may_displace { 0 } else { (occupied + 1).saturating_sub(slots) };
-        let occupied_us = (ahead * slot_us + occupied * BATCH_STEP_US * 16) / slots;
+        let occupied_us = (ahead * rates.slot_us + occupied * BATCH_STEP_US * 16) / slots;
         prefill_us + occupied_us + 2 * self.latency_us
     }
 }
--- a/crates/celeryshed_core/src/routing/options.rs
+++ b/crates/celeryshed_core/src/routing/options.rs
@@ -45,6 +45,15 @@
     }
 }
 
+/// Times that scores are made of.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ScoreRates {
+    /// Time that an engine needs for one prompt token.
+    pub(super) prefill_token_ns: u64,
+    /// Time that a request holds a slot.
+    pub(super) slot_us: u64,
+}
+
 /// Options of the routing.
 #[derive(Clone, Debug)]
 pub struct RoutingOptions {
@@ -83,9 +92,12 @@
 }
 
 impl RoutingOptions {
-    /// Time that an engine needs for one prompt token.
-    pub(super) fn prefill_token_ns(&self) -> u64 {
-        1_000_000_000 / self.prefill_tokens_per_s.max(1)
+    /// The times that scores are made of, converted once for all endpoints of a decision.
+    pub(super) fn rates(&self) -> ScoreRates {
+        ScoreRates {
+            prefill_token_ns: 1_000_000_000 / self.prefill_tokens_per_s.max(1),
+            slot_us: self.slot_time.as_micros() as u64,
+        }
     }
 
     /// Options with the defaults.
--- a/crates/celeryshed_core/src/routing/prefixes.rs
+++ b/crates/celeryshed_core/src/routing/prefixes.rs
@@ -44,13 +44,15 @@
 /// Which endpoints may have which prefixes cached.
 #[derive(Clone, Debug, Default)]
 pub(super) struct PrefixHints {
-    holders: BTreeMap<u64, Vec<(u32, MonoTime)>>,
+    /// Endpoint and second in which it was noted; small, because a decision reads many of them.
+    holders: BTreeMap<u64, Vec<(u32, u32)>>,
     count: usize,
 }
 
 impl PrefixHints {
     /// Notes that endpoint `index` has, or soon has, the prefix.
     pub(super) fn note(&mut self, hash: u64, index: u32, now: MonoTime) {
+        let now = seconds(now);
         let holders = self.holders.entry(hash).or_default();
         match holders.iter_mut().find(|(holder, _)| *holder == index) {
             Some((_, noted)) => *noted = now,
@@ -68,6 +70,7 @@
 
     /// Drops old hints, and all of them when there are too many.
     pub(super) fn expire(&mut self, age: Duration, now: MonoTime) {
+        let (now, age) = (seconds(now), age.as_secs() as u32);
         self.retain(|_, noted| now - noted < age);
         if self.count > MAX_HINTS {
             *self = Self::default();
@@ -96,7 +99,7 @@
         held.map_or(0, |prefix| prefix.tokens)
     }
 
-    fn retain(&mut self, keep: impl Fn(u32, MonoTime) -> bool) {
+    fn retain(&mut self, keep: impl Fn(u32, u32) -> bool) {
         for holders in self.holders.values_mut() {
             holders.retain(|(index, noted)| keep(*index, *noted));
         }
@@ -104,3 +107,8 @@
         self.count = self.holders.values().map(Vec::len).sum();
     }
 }
+
+/// Whole seconds since the start; 32 bits last for 136 years.
+fn seconds(now: MonoTime) -> u32 {
+    now.0.as_secs() as u32
+}
--- a/crates/celeryshed_core/src/routing/table.rs
+++ b/crates/celeryshed_core/src/routing/table.rs
@@ -6,7 +6,7 @@
 use celeryshed_base::{AdapterName, ContentDigest, InstanceName, MonoTime, ServiceName};
 
 use super::endpoint::{EndpointLoad, EndpointObservation, EndpointRecord};
-use super::options::{RoutingOptions, RoutingPolicy};
+use super::options::{RoutingOptions, RoutingPolicy, ScoreRates};
 use super::prefixes::{PrefixHints, PromptPrefix};
 use crate::admission::SlotClass;
 use crate::configuration::ConfigurationState;
@@ -345,13 +345,15 @@
                 && !endpoint.ejection.is_ejected(now)
                 && endpoint.may_have(need.version)
         });
+        let rates = self.options.rates();
         let (mut others, mut distrusted) = (Vec::new(), Vec::new());
         let mut subset = Vec::with_capacity(indexes.len());
         for index in fitting {
             let endpoint = &self.endpoints[index];
-            let full = endpoint.is_full(need, &self.options, now);
+            let slots = endpoint.usable_slots(&self.options, now);
+            let full = endpoint.is_full(need, slots);
             let displaces_us = if full { DISPLACEMENT_US } else { 0 };
-            let score = self.score(endpoint, need, cached[index], now) + displaces_us;
+            let score = self.score(endpoint, need, cached[index], slots, &rates) + displaces_us;
             let target = match endpoint.ejection.is_distrusted(now) {
                 true => &mut distrusted,
                 false if endpoint.in_subset => &mut subset,
@@ -373,12 +375,13 @@
         endpoint: &EndpointRecord,
         need: &RoutingNeed,
         cached_tokens: u64,
-        now: MonoTime,
+        slots: u32,
+        rates: &ScoreRates,
     ) -> u64 {
         if self.options.policy == RoutingPolicy::LeastLoad {
             return u64::from(endpoint.occupied()) * EQUAL_US * 2;
         }
-        let expected = endpoint.expected_us(need, cached_tokens, &self.options, now);
+        let expected = endpoint.expected_us(need, cached_tokens, slots, rates);
         let cold = need.adapter.as_ref().is_some_and(|name| !endpoint.adapters.contains(name));
         let adapter_us = if cold { self.options.adapter_load.as_micros() as u64 } else { 0 };
         expected + adapter_us
