Test that a draining sidecar takes no new work; count crashes without refusals

Cause: P5 had no test over sockets, and the bound of two crashes no figure without its mechanism.

Result: three requests reach the second sidecar, none the draining one's engine; ten runs of a crashing request give 2 crashes with refusals and 10 without.

--- a/crates/celeryshed_core/src/quarantine/tests.rs
+++ b/crates/celeryshed_core/src/quarantine/tests.rs
@@ -56,8 +56,9 @@
 }
 
 /// A fleet in which one fingerprint crashes each endpoint that runs it; returns its crashes and
-/// the innocent fingerprints that end up refused. Without `apart`, suspects run together.
-fn crashes_of_a_fleet(steps: &[u8], apart: bool) -> (u32, usize) {
+/// the innocent fingerprints that end up refused. Without `apart`, suspects run together; without
+/// `refuses`, verdicts are ignored.
+fn crashes_of_a_fleet(steps: &[u8], apart: bool, refuses: bool) -> (u32, usize) {
     const BAD: u8 = 0;
     let (mut table, mut crashes, mut endpoints) = (QuarantineTable::default(), 0, vec![vec![]; 4]);
     for (id, step) in steps.iter().enumerate() {
@@ -65,7 +66,8 @@
         let now = MonoTime(Duration::from_secs(id as u64));
         let running: &mut Vec<(u8, bool)> = &mut endpoints[place];
         let suspect = match table.verdict(&fingerprint(request), now) {
-            FingerprintVerdict::Refused => continue,
+            FingerprintVerdict::Refused if refuses => continue,
+            FingerprintVerdict::Refused => false,
             FingerprintVerdict::Suspect => true,
             FingerprintVerdict::Clear => false,
         };
@@ -98,9 +100,12 @@
 #[test]
 fn at_most_two_crashes() {
     fn property(steps: Vec<u8>) -> bool {
-        crashes_of_a_fleet(&steps, true).0 <= 2
+        crashes_of_a_fleet(&steps, true, true).0 <= 2
     }
     seeded(property as fn(Vec<u8>) -> bool);
+    // Without the refusals the request crashes an endpoint at each of its ten runs.
+    assert_eq!(crashes_of_a_fleet(&[0; 10], true, true).0, 2);
+    assert_eq!(crashes_of_a_fleet(&[0; 10], true, false).0, 10);
 }
 
 /// Guards innocent requests: suspects that run together are convicted together, suspects that run
@@ -109,8 +114,8 @@
 fn suspects_run_apart() {
     // Request 1 runs beside request 0 at both crashes; the second time both are suspects.
     let steps = [1, 0, 7, 6];
-    assert_eq!(crashes_of_a_fleet(&steps, false), (2, 1));
-    assert_eq!(crashes_of_a_fleet(&steps, true), (1, 0));
+    assert_eq!(crashes_of_a_fleet(&steps, false, true), (2, 1));
+    assert_eq!(crashes_of_a_fleet(&steps, true, true), (1, 0));
 }
 
 /// Guards against notices that arrive twice, by the direct path and from the log.
--- a/crates/celeryshed_entry/tests/requests.rs
+++ b/crates/celeryshed_entry/tests/requests.rs
@@ -206,3 +206,20 @@
         tokio::time::sleep(Duration::from_millis(150)).await;
     }
 }
+
+/// Guards P5: a draining sidecar gets the request but runs nothing, and another one answers.
+#[tokio::test]
+async fn a_draining_sidecar_takes_no_new_work() {
+    let first = ScriptedServer::start(vec![whole_stream(version(1), 0..2)]).await;
+    let second = ScriptedServer::start(vec![whole_stream(version(1), 0..2)]).await;
+    let side_1 = start_side(EndpointKind::Engine, &first.address, Some(version(1))).await;
+    let side_2 = start_side(EndpointKind::Engine, &second.address, Some(version(1))).await;
+    let entry = start_entry(&[&side_1, &side_2], |_| {}).await;
+    side_1.drain.send_replace(celeryshed_side::attempts::DrainState::Draining);
+    for _ in 0..3 {
+        let request = reqwest::Client::new().post(entry.url("/v1/completions")).json(&ask(false));
+        let response = request.send().await.unwrap();
+        assert_eq!(response.status(), 200);
+    }
+    assert_eq!((first.request_count(), second.request_count()), (0, 3));
+}
