--- a/crates/celeryshed_core/src/routing/table.rs
+++ b/crates/celeryshed_core/src/routing/table.rs
@@ -6,7 +6,7 @@
 use celeryshed_base::{AdapterName, ContentDigest, InstanceName, MonoTime, ServiceName};
 
 use super::endpoint::{EndpointLoad, EndpointObservation, EndpointRecord};
-use super::options::{RoutingOptions, RoutingPolicy};
+use super::options::{RoutingOptions, RoutingPolicy, ScoreRates};
 use super::prefixes::{PrefixHints, PromptPrefix};
 use crate::admission::SlotClass;
 use crate::configuration::ConfigurationState;
@@ -22,8 +22,9 @@
 /// Age of the load in the answer to an attempt: the latency of a link.
 const ANSWER_LAG: Duration = Duration::from_millis(5);
 
-/// Scores count as equal as well when they differ by less than this part of the best: all of these
-/// endpoints must process most of the prompt.
+/// For a prompt with prefixes, scores count as equal as well when they differ by less than this part
+/// of the best: these endpoints must all process most of the prompt, and where it is cached first
+/// matters more for later requests than the latency of a link.
 const EQUAL_PART: u64 = 16;
 
 /// Cost of a displacement: the displaced request's prompt is processed again elsewhere, and the
@@ -344,13 +345,15 @@
                 && !endpoint.ejection.is_ejected(now)
                 && endpoint.may_have(need.version)
         });
+        let rates = self.options.rates();
         let (mut others, mut distrusted) = (Vec::new(), Vec::new());
         let mut subset = Vec::with_capacity(indexes.len());
         for index in fitting {
             let endpoint = &self.endpoints[index];
-            let full = endpoint.is_full(need, &self.options, now);
+            let slots = endpoint.usable_slots(&self.options, now);
+            let full = endpoint.is_full(need, slots);
             let displaces_us = if full { DISPLACEMENT_US } else { 0 };
-            let score = self.score(endpoint, need, cached[index], now) + displaces_us;
+            let score = self.score(endpoint, need, cached[index], slots, &rates) + displaces_us;
             let target = match endpoint.ejection.is_distrusted(now) {
                 true => &mut distrusted,
                 false if endpoint.in_subset => &mut subset,
@@ -372,12 +375,13 @@
         endpoint: &EndpointRecord,
         need: &RoutingNeed,
         cached_tokens: u64,
-        now: MonoTime,
+        slots: u32,
+        rates: &ScoreRates,
     ) -> u64 {
         if self.options.policy == RoutingPolicy::LeastLoad {
             return u64::from(endpoint.occupied()) * EQUAL_US * 2;
         }
-        let expected = endpoint.expected_us(need, cached_tokens, &self.options, now);
+        let expected = endpoint.expected_us(need, cached_tokens, slots, rates);
         let cold = need.adapter.as_ref().is_some_and(|name| !endpoint.adapters.contains(name));
         let adapter_us = if cold { self.options.adapter_load.as_micros() as u64 } else { 0 };
         expected + adapter_us
@@ -396,7 +400,8 @@
         match self.options.policy {
             RoutingPolicy::Expected | RoutingPolicy::LeastLoad => {
                 let best = usable.iter().map(|candidate| candidate.score).min()?;
-                let limit = best + EQUAL_US + best / EQUAL_PART;
+                let cold_part = if need.prefixes.is_empty() { 0 } else { best / EQUAL_PART };
+                let limit = best + EQUAL_US + cold_part;
                 let equal = usable.iter().filter(|it| it.score <= limit);
                 let key = self.spreading_key(need);
                 equal.copied().max_by_key(|it| mix(key, self.endpoints[it.index].name_hash))
--- a/crates/celeryshed_entry/src/role/feeds.rs
+++ b/crates/celeryshed_entry/src/role/feeds.rs
@@ -1,68 +1,72 @@
-//! Carries messages between the entry's tasks.
+//! Connects the completions with the membership's reports and the peers' crash notices.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use celeryshed_wire::{CrashNotice, EndpointReport};
-use tokio::sync::broadcast::{self, error::RecvError};
-use tokio::sync::{mpsc, watch};
-use tokio::time::interval;
+use tokio::sync::broadcast::error::RecvError;
+use tokio::sync::{broadcast, mpsc, watch};
 
 use crate::completions::CompletionsHandle;
 use crate::configuration::CrashExchange;
 
-/// Lists of learned notices that may wait; each comes from one exchange with a peer.
-const LEARNED_QUEUE: usize = 16;
+/// Pause between two looks at the crash notices; sidecars tell running entries at once, and only
+/// entries that start ask for them.
+const CRASH_PERIOD: Duration = Duration::from_secs(1);
 
-/// Pause between looks at the notices in force, which are only told to entries that start.
-const KNOWN_INTERVAL: Duration = Duration::from_secs(1);
+/// Exchanges whose notices may wait.
+const LEARNED_AHEAD: usize = 16;
 
-/// Passes the sidecars' reports on to routing.
-pub(super) async fn feed_reports(
+/// The other ends of a [`CrashExchange`].
+pub(super) struct CrashFeed {
+    known: watch::Sender<Arc<Vec<CrashNotice>>>,
+    learned: mpsc::Receiver<Vec<CrashNotice>>,
+}
+
+/// Channels for the crash notices that travel with revision exchanges.
+pub(super) fn crash_exchange() -> (CrashExchange, CrashFeed) {
+    let (known, known_watch) = watch::channel(Arc::default());
+    let (learned, learned_inbox) = mpsc::channel(LEARNED_AHEAD);
+    let exchange = CrashExchange { known: known_watch, learned };
+    (exchange, CrashFeed { known, learned: learned_inbox })
+}
+
+/// Starts the tasks.
+pub(super) fn spawn_feeds(
+    reports: broadcast::Receiver<Arc<EndpointReport>>,
+    crashes: CrashFeed,
+    completions: &CompletionsHandle,
+) {
+    tokio::spawn(follow_reports(reports, completions.clone()));
+    tokio::spawn(follow_crashes(crashes, completions.clone()));
+}
+
+async fn follow_reports(
     mut reports: broadcast::Receiver<Arc<EndpointReport>>,
     completions: CompletionsHandle,
 ) {
     loop {
         match reports.recv().await {
             Ok(report) => completions.report(EndpointReport::clone(&report)),
-            // Later reports say the same anew.
             Err(RecvError::Lagged(_)) => {}
             Err(RecvError::Closed) => return,
         }
     }
 }
 
-/// The ends of a crash exchange that belong to the requests' side.
-pub(super) struct CrashFeed {
-    known: watch::Sender<Arc<Vec<CrashNotice>>>,
-    learned: mpsc::Receiver<Vec<CrashNotice>>,
-}
-
-/// An exchange and its feed.
-pub(super) fn crash_exchange() -> (CrashExchange, CrashFeed) {
-    let (known_sender, known) = watch::channel(Arc::default());
-    let (learned, learned_receiver) = mpsc::channel(LEARNED_QUEUE);
-    let feed = CrashFeed { known: known_sender, learned: learned_receiver };
-    (CrashExchange { known, learned }, feed)
-}
-
-impl CrashFeed {
-    /// Takes notices from peers, and keeps the known ones current for them.
-    pub(super) async fn run(mut self, completions: CompletionsHandle) {
-        let mut looks = interval(KNOWN_INTERVAL);
-        loop {
-            tokio::select! {
-                _ = looks.tick() => {
-                    let known = completions.recent_crashes().await;
-                    self.known.send_replace(Arc::new(known));
-                }
-                learned = self.learned.recv() => {
-                    let Some(notices) = learned else { return };
-                    for notice in notices {
-                        completions.crash(notice).await;
-                    }
+async fn follow_crashes(mut crashes: CrashFeed, completions: CompletionsHandle) {
+    let mut ticks = tokio::time::interval(CRASH_PERIOD);
+    loop {
+        tokio::select! {
+            notices = crashes.learned.recv() => {
+                let Some(notices) = notices else { return };
+                for notice in notices {
+                    completions.crash(notice).await;
                 }
             }
+            _ = ticks.tick() => {
+                crashes.known.send_replace(Arc::new(completions.recent_crashes().await));
+            }
         }
     }
 }
--- a/crates/celeryshed_entry/src/role/launch.rs
+++ b/crates/celeryshed_entry/src/role/launch.rs
@@ -19,7 +19,7 @@
 use tokio::sync::watch;
 
 use super::error::{Result, in_part};
-use super::feeds::{crash_exchange, feed_reports};
+use super::feeds::{crash_exchange, spawn_feeds};
 use crate::bookings::{
     BookingEdges, BookingHandle, BookingOptions, BookingSettings, HttpEntryForward,
     HttpSideDispatch, booking_routes, start_bookings,
@@ -65,8 +65,8 @@
         let log: Arc<dyn LogClient> = Arc::new(log.map_err(in_part("client of the log"))?);
         let (drain, drain_watch) = watch::channel(DrainState::Serving);
         let membership = start_membership(settings, &identity, clock)?;
-        let (crashes, crash_feed) = crash_exchange();
-        let configuration = start_configuration(settings, &identity, &log, &membership, crashes)?;
+        let (exchange, crashes) = crash_exchange();
+        let configuration = start_configuration(settings, &identity, &log, &membership, exchange)?;
         let bookings = start_booking_tasks(settings, Arc::clone(&log), clock, &membership)?;
         let inputs = CompletionInputs {
             options: completion_options(settings),
@@ -78,8 +78,7 @@
             log,
         };
         let completions = completions::spawn(inputs).map_err(in_part("completions"))?;
-        tokio::spawn(feed_reports(membership.subscribe_reports(), completions.clone()));
-        tokio::spawn(crash_feed.run(completions.clone()));
+        spawn_feeds(membership.subscribe_reports(), crashes, &completions);
         spawn_gauges(settings, &configuration, &membership, &completions);
         let report = StatusReporter {
             settings: settings.clone(),
