Let leaving sidecars tell the entries that send them work

Change: entries name their address with each attempt and sidecars note it. Naming it in the attempt's message was ruled out: probes use the header.

--- a/crates/celeryshed_entry/src/completions/tests.rs
+++ b/crates/celeryshed_entry/src/completions/tests.rs
@@ -335,6 +335,7 @@
         path: "trays".to_owned(),
         content_type: None,
         body: ByteBuf::new(),
+        idempotency_key: None,
         claim: None,
     };
     let job = CallJob {
--- a/crates/celeryshed_entry/src/completions/transport.rs
+++ b/crates/celeryshed_entry/src/completions/transport.rs
@@ -60,6 +60,13 @@
     http: reqwest::Client,
 }
 
+impl HttpSideClient {
+    /// Uses `http`, which must neither follow redirects nor go through a proxy.
+    pub fn new(http: reqwest::Client) -> Self {
+        Self { http }
+    }
+}
+
 impl Default for HttpSideClient {
     fn default() -> Self {
         let client = reqwest::Client::builder().no_proxy();
--- a/crates/celeryshed_entry/src/role/launch.rs
+++ b/crates/celeryshed_entry/src/role/launch.rs
@@ -13,7 +13,8 @@
     launch_server,
 };
 use celeryshed_settings::EntrySettings;
-use celeryshed_wire::ProcessStatus;
+use celeryshed_wire::{ENTRY_HEADER, ProcessStatus};
+use reqwest::header::{HeaderMap, HeaderName, HeaderValue};
 use rocket::serde::json::Json;
 use rocket::{State, get, routes};
 use tokio::sync::watch;
@@ -73,7 +74,7 @@
             configuration: configuration.states(),
             members: membership.views(),
             drain: drain_watch.clone(),
-            sides: Arc::new(HttpSideClient::default()),
+            sides: Arc::new(HttpSideClient::new(http_client(settings)?)),
             bookings: Arc::new(bookings.clone()),
             log,
         };
@@ -154,9 +155,15 @@
     });
 }
 
-fn http_client() -> Result<reqwest::Client> {
+/// A client that tells sidecars the entry's address; a leaving one tells the entries that sent
+/// it work.
+fn http_client(settings: &EntrySettings) -> Result<reqwest::Client> {
+    let address = settings.instance.advertise.to_string();
+    let address = HeaderValue::try_from(address).map_err(in_part("client of sidecars"))?;
+    let headers = HeaderMap::from_iter([(HeaderName::from_static(ENTRY_HEADER), address)]);
     let builder = reqwest::Client::builder().no_proxy().redirect(reqwest::redirect::Policy::none());
     let builder = builder.connect_timeout(CONNECT_TIMEOUT).pool_idle_timeout(POOL_IDLE);
+    let builder = builder.default_headers(headers);
     builder.build().map_err(in_part("client of sidecars and entries"))
 }
 
@@ -201,7 +208,7 @@
     clock: ClockSource,
     membership: &MembershipHandle,
 ) -> Result<BookingHandle> {
-    let client = http_client()?;
+    let client = http_client(settings)?;
     let edges = BookingEdges {
         log,
         sides: Arc::new(HttpSideDispatch::new(client.clone())),
--- a/crates/celeryshed_side/src/configuration/routes.rs
+++ b/crates/celeryshed_side/src/configuration/routes.rs
@@ -16,7 +16,7 @@
 }
 
 /// Address of the calling entry, when it says so.
-struct EntryAddress(Option<String>);
+pub(crate) struct EntryAddress(pub(crate) Option<String>);
 
 #[rocket::async_trait]
 impl<'r> FromRequest<'r> for EntryAddress {
--- a/crates/celeryshed_wire/src/reports.rs
+++ b/crates/celeryshed_wire/src/reports.rs
@@ -6,7 +6,7 @@
 };
 
 /// Header of attempts and probes with the entry's address, to which a leaving sidecar sends a notice.
-pub const ENTRY_HEADER: &str = "Celeryshed-Entry";
+pub const ENTRY_HEADER: &str = "celeryshed-entry";
 
 common_derives! { wire:
     /// State of an endpoint, sent to a few entries every two seconds.
