--- a/crates/celeryshed_measure/src/scarcity/mod.rs
+++ b/crates/celeryshed_measure/src/scarcity/mod.rs
@@ -7,6 +7,7 @@
 
 mod engine;
 mod events;
+mod faults;
 mod options;
 mod report;
 mod traffic;
--- a/crates/celeryshed_measure/src/scarcity/world.rs
+++ b/crates/celeryshed_measure/src/scarcity/world.rs
@@ -10,7 +10,6 @@
 };
 use celeryshed_core::admission::{QueueOptions, SlotDecision, SlotRequest};
 use celeryshed_core::configuration::ConfigurationState;
-use celeryshed_core::membership::{EntryMember, MemberState, MemberView, SideMember};
 use celeryshed_core::routing::{EndpointObservation, RoutingOptions};
 use celeryshed_entry::completions::decisions::{
     AttemptOutcome, EntryDecisions, EntryRefusal, Placement, RequestProfile,
@@ -50,28 +49,15 @@
 /// Pause between two looks of an entry at its waiting requests.
 const WAKE_PERIOD: Duration = Duration::from_millis(50);
 
-/// Time after which a silent instance is known to be silent.
-const SILENCE: Duration = Duration::from_secs(5);
-
 /// Time until a connection to a machine that is gone fails.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Longest wait of an entry for the first event, and between two events.
-const FIRST_EVENT: Duration = Duration::from_secs(10);
-const EVENT_GAP: Duration = Duration::from_secs(5);
-
-/// Engines that die in scenario `half_gone`.
-const HALF: usize = 7;
-
 /// Resends of one call in scenario `retry_storm`, and the pause before each.
 const RESENDS: u32 = 5;
 const RESEND_PAUSE: Duration = Duration::from_millis(100);
 
-/// Pause before a caller whose connection broke calls another entry.
-const RECONNECT_PAUSE: Duration = Duration::from_millis(500);
-
 /// A caller's call; it may be sent several times.
-struct SimCall {
+pub(super) struct SimCall {
     customer: usize,
     prompt: Rc<SimPrompt>,
     arrived: MonoTime,
@@ -81,44 +67,44 @@
 }
 
 /// One sending of a call.
-struct SimRequest {
-    call: usize,
-    entry: usize,
-    delivered: u32,
-    dispatches: u32,
-    displaced: bool,
-    running: Option<AttemptId>,
+pub(super) struct SimRequest {
+    pub(super) call: usize,
+    pub(super) entry: usize,
+    pub(super) delivered: u32,
+    pub(super) dispatches: u32,
+    pub(super) displaced: bool,
+    pub(super) running: Option<AttemptId>,
 }
 
-struct SimEntry {
-    alive: bool,
-    decisions: EntryDecisions,
+pub(super) struct SimEntry {
+    pub(super) alive: bool,
+    pub(super) decisions: EntryDecisions,
 }
 
-struct World {
-    options: ScarcityOptions,
+pub(super) struct World {
+    pub(super) options: ScarcityOptions,
     /// One per customer, so that the same calls arrive whatever the product decides.
-    arrivals: Vec<StdRng>,
-    random: StdRng,
-    now: MonoTime,
-    queue: EventQueue,
-    customers: Vec<SimCustomer>,
-    configuration: Arc<ConfigurationState>,
-    entries: Vec<SimEntry>,
-    engines: Vec<SimEngine>,
-    stepping: Vec<bool>,
-    names: Vec<InstanceName>,
-    indexes: BTreeMap<InstanceName, usize>,
-    calls: Vec<SimCall>,
-    requests: BTreeMap<RequestId, SimRequest>,
-    ids: u128,
-    results: Vec<CustomerResult>,
-    asked_tokens: Vec<u64>,
-    answered_tokens: Vec<u64>,
-    first_tokens: Histogram<u64>,
-    dispatches: u64,
-    dispatched_requests: u64,
-    slow_links: bool,
+    pub(super) arrivals: Vec<StdRng>,
+    pub(super) random: StdRng,
+    pub(super) now: MonoTime,
+    pub(super) queue: EventQueue,
+    pub(super) customers: Vec<SimCustomer>,
+    pub(super) configuration: Arc<ConfigurationState>,
+    pub(super) entries: Vec<SimEntry>,
+    pub(super) engines: Vec<SimEngine>,
+    pub(super) stepping: Vec<bool>,
+    pub(super) names: Vec<InstanceName>,
+    pub(super) indexes: BTreeMap<InstanceName, usize>,
+    pub(super) calls: Vec<SimCall>,
+    pub(super) requests: BTreeMap<RequestId, SimRequest>,
+    pub(super) ids: u128,
+    pub(super) results: Vec<CustomerResult>,
+    pub(super) asked_tokens: Vec<u64>,
+    pub(super) answered_tokens: Vec<u64>,
+    pub(super) first_tokens: Histogram<u64>,
+    pub(super) dispatches: u64,
+    pub(super) dispatched_requests: u64,
+    pub(super) slow_links: bool,
 }
 
 /// Runs the experiment in a runtime of its own, whose clock is paused.
@@ -144,19 +130,19 @@
     runtime.block_on(World::new(options.clone()).run())
 }
 
-fn version(number: u8) -> ContentDigest {
+pub(super) fn version(number: u8) -> ContentDigest {
     ContentDigest::of(&[number])
 }
 
-fn zone(number: usize) -> AvailabilityZone {
+pub(super) fn zone(number: usize) -> AvailabilityZone {
     AvailabilityZone::try_from(format!("zone-{number}")).expect("constant name is valid")
 }
 
-fn region(number: usize) -> RegionName {
+pub(super) fn region(number: usize) -> RegionName {
     RegionName::try_from(format!("region-{number}")).expect("constant name is valid")
 }
 
-fn entry_name(number: usize) -> InstanceName {
+pub(super) fn entry_name(number: usize) -> InstanceName {
     InstanceName::try_from(format!("entry-{number}")).expect("constant name is valid")
 }
 
@@ -246,7 +232,7 @@
         }
     }
 
-    fn after(&mut self, pause: Duration, event: WorldEvent) {
+    pub(super) fn after(&mut self, pause: Duration, event: WorldEvent) {
         self.queue.add(self.now + pause, event);
     }
 
@@ -363,7 +349,7 @@
         self.after(pause, WorldEvent::Failed { attempt, cause, not_run });
     }
 
-    fn latency(&self, entry: usize, engine: usize) -> Duration {
+    pub(super) fn latency(&self, entry: usize, engine: usize) -> Duration {
         let distance =
             if entry == self.engines[engine].zone { Duration::ZERO } else { ZONE_LATENCY };
         distance + if self.slow_links { SPREAD_LATENCY } else { Duration::ZERO }
@@ -556,83 +542,6 @@
         }
     }
 
-    fn sync_members(&mut self) {
-        let live_entries = (0..ZONES).filter(|number| self.entries[*number].alive);
-        let entries = live_entries.map(|number| {
-            let address = String::new();
-            let member = EntryMember { address, zone: zone(number), region: region(number) };
-            (entry_name(number), member)
-        });
-        let sides = self.engines.iter().zip(&self.names).map(|(engine, name)| {
-            let state = if engine.alive { MemberState::Live } else { MemberState::Silent };
-            let member = SideMember {
-                address: name.to_string(),
-                incarnation: None,
-                zone: zone(engine.zone),
-                region: region(engine.zone),
-                service: traffic::service(),
-                state,
-            };
-            (name.clone(), member)
-        });
-        let view = MemberView { entries: entries.collect(), sides: sides.collect() };
-        for entry in &mut self.entries {
-            entry.decisions.sync(&view, Some(Arc::clone(&self.configuration)), self.now);
-        }
-    }
-
-    fn fault(&mut self) {
-        match self.options.scenario {
-            ScarcityScenario::Calm | ScarcityScenario::Overload => {}
-            ScarcityScenario::HalfGone => (0..HALF).for_each(|engine| self.kill(engine)),
-            ScarcityScenario::RetryStorm => (0..ENGINES / 3).for_each(|engine| self.kill(engine)),
-            ScarcityScenario::ZoneGone => self.lose_zone(0),
-            ScarcityScenario::Spread => {
-                self.slow_links = true;
-                for engine in 0..ENGINES {
-                    let pause = Duration::from_secs(1) * engine as u32;
-                    self.after(pause, WorldEvent::NewVersion { engine });
-                }
-            }
-        }
-        self.after(SILENCE, WorldEvent::Silence);
-    }
-
-    /// The engine's process dies: its connections are reset.
-    fn kill(&mut self, engine: usize) {
-        for attempt in self.engines[engine].die() {
-            let (cause, not_run) = (FailureCause::EndpointFailed, NotRunVerdict::Ran);
-            let latency = self.latency(attempt.entry, engine);
-            self.after(latency, WorldEvent::Failed { attempt, cause, not_run });
-        }
-    }
-
-    /// Machines vanish: nothing resets their connections.
-    fn lose_zone(&mut self, lost: usize) {
-        for engine in (0..ENGINES).filter(|engine| engine % ZONES == lost) {
-            for attempt in self.engines[engine].die() {
-                let delivered = self.requests.get(&attempt.request_id).map_or(0, |it| it.delivered);
-                let pause = if delivered == 0 { FIRST_EVENT } else { EVENT_GAP };
-                self.after(pause, WorldEvent::Gap { attempt });
-            }
-        }
-        self.entries[lost].alive = false;
-        let broken = self.requests.iter().filter(|(_, request)| request.entry == lost);
-        let broken: Vec<(RequestId, usize)> = broken.map(|(id, it)| (*id, it.call)).collect();
-        for (request_id, call) in broken {
-            self.requests.remove(&request_id);
-            self.after(RECONNECT_PAUSE, WorldEvent::Resend { call });
-        }
-    }
-
-    fn recover(&mut self) {
-        self.slow_links = false;
-        for engine in self.engines.iter_mut().filter(|engine| !engine.alive) {
-            engine.alive = true;
-        }
-        self.sync_members();
-    }
-
     fn report(mut self) -> ScarcityReport {
         let seconds = (self.options.duration - WARM_UP).as_secs_f64();
         for (number, result) in self.results.iter_mut().enumerate() {
