Refuse new work for 3 s of a drain and prove P6 through processes

Cause: an idle entry or sidecar closed its port at the moment of SIGTERM.

Change: both roles refuse new work with "not run" for at least 3 s before they close the port. drain.rs sends SIGTERM to the entry, the sidecar, both, and both twice, during streams of 11 s, with a reader that pauses for 7 s, with a booking in progress, and in a rolling restart whose callers pass over entries that aren't ready. Not solved: an exit after the last answer took up to 23 s in several runs and more than 30 s in one; presumably the HTTP library waits for open connections on which no request was sent. No request was cut off by that.

--- a/crates/celeryshed_daemon/tests/bookings.rs
+++ b/crates/celeryshed_daemon/tests/bookings.rs
@@ -115,7 +115,7 @@
     /// Whether the moment has come; `records` is the number of claim records before the request.
     async fn has_come(self, deployment: &Deployment, records: u64, key: &str) -> bool {
         match self {
-            Self::BeforeClaim => in_progress(deployment, 0).await > 0,
+            Self::BeforeClaim => deployment.in_progress(0).await > 0,
             Self::ClaimAppended => deployment.claim_records() > records,
             Self::DispatchOnTheWay => {
                 let sides = deployment.members.iter().filter(|member| member.kind == Kind::Desk);
@@ -127,12 +127,6 @@
     }
 }
 
-async fn in_progress(deployment: &Deployment, entry: usize) -> u64 {
-    let status = deployment.caller.get(deployment.entry(entry), "/status").await;
-    let status = status.and_then(|(_, text)| serde_json::from_str::<serde_json::Value>(&text).ok());
-    status.and_then(|status| status["in_progress"].as_u64()).unwrap_or_default()
-}
-
 fn heal_links(deployment: &Deployment) {
     for member in &deployment.members {
         let links = [&member.link, &member.log_link, &member.endpoint_link];
--- /dev/null
+++ b/crates/celeryshed_daemon/tests/drain.rs
@@ -0,0 +1,230 @@
+//! P6: a graceful shutdown cuts off no request in progress.
+
+mod support;
+
+use std::time::Duration;
+
+use futures::future::join_all;
+use serde_json::json;
+use support::{
+    BookEnd, DaemonSignal, Deployment, Kind, LiveStream, PATIENCE, Plan, Relay, RelayMode,
+    StreamEnd, eventually, figures, new_key, until,
+};
+use tokio::time::{Instant, sleep};
+
+/// Tokens a second of one stream.
+const TOKENS_PER_S: u32 = 30;
+
+/// Longest wait for an exit, which is no part of the promise: open connections without a request
+/// held it for more than 30 s in one run.
+const EXIT_LIMIT: Duration = Duration::from_secs(60);
+
+/// A stream of more than 10 s, so that a limit of the HTTP library would cut it.
+const LONG_STREAM: u32 = 11 * TOKENS_PER_S;
+
+fn plan() -> Plan {
+    Plan { engines: 2, stream_tokens_per_s: TOKENS_PER_S, ..Plan::default() }
+}
+
+/// Who gets SIGTERM while the stream runs, and how often.
+#[derive(Clone, Copy, Debug)]
+enum Target {
+    Entry,
+    Sidecar,
+    Both,
+}
+
+/// The member whose engine runs the stream.
+async fn running_member(deployment: &Deployment) -> usize {
+    eventually("an engine runs the stream", async || deployment.busy_member()).await
+}
+
+/// A new request at `entry` until it is refused as draining; it must not be lost on the way.
+async fn assert_refuses_new_work(deployment: &Deployment, entry: usize) {
+    let address = deployment.entry(entry);
+    eventually("the entry refuses new work", || async {
+        let mut late = deployment.caller.stream(address, "too late", 1).await;
+        match late.finish().await {
+            StreamEnd::Refused { status, not_run, body } => {
+                assert_eq!((status, not_run), (503, json!(true)), "{body}");
+                Some(())
+            }
+            StreamEnd::Whole => None,
+            other => panic!("new work at a draining entry: {other:?}"),
+        }
+    })
+    .await;
+    let (status, text) = deployment.caller.get(address, "/readyz").await.expect("readyz");
+    assert_eq!((status, text.as_str()), (503, "draining\n"));
+}
+
+async fn drain_under_stream(target: Target, signals: u32) {
+    let mut deployment = Deployment::start(plan()).await;
+    let mut stream = deployment.caller.stream(deployment.entry(0), "long", LONG_STREAM).await;
+    stream.read_tokens(5).await;
+    let side = running_member(&deployment).await;
+    let targets = match target {
+        Target::Entry => vec![0],
+        Target::Sidecar => vec![side],
+        Target::Both => vec![0, side],
+    };
+    for signal in 0..signals {
+        for index in &targets {
+            deployment.members[*index].daemon.signal(DaemonSignal::Terminate);
+        }
+        stream.read_tokens(5 + 10 * (signal + 1)).await;
+    }
+    if targets.contains(&0) {
+        assert_refuses_new_work(&deployment, 0).await;
+    }
+    let started = Instant::now();
+    let reader = tokio::spawn(async move {
+        stream.finish().await;
+        stream
+    });
+    for index in &targets {
+        let running = deployment.members[*index].daemon.exit_code().is_none();
+        assert!(running, "{target:?} ended during the stream");
+    }
+    let stream = reader.await.expect("the reader ends");
+    assert!(started.elapsed() > Duration::from_secs(5), "the stream outlasts the signals");
+    for index in &targets {
+        assert_eq!(deployment.members[*index].daemon.wait_exit(PATIENCE).await, 0, "{target:?}");
+    }
+    let violations = u64::from(!stream.is_whole());
+    figures(&format!("P6 {target:?}"), u64::from(signals) * targets.len() as u64, 2, violations);
+    assert!(stream.is_whole(), "{}", stream.describe());
+}
+
+/// Guards against an entry that ends, or whose HTTP library cuts connections, before its streams.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entry_drains() {
+    drain_under_stream(Target::Entry, 1).await;
+}
+
+/// Guards against a sidecar that ends before its endpoint's streams.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn sidecar_drains() {
+    drain_under_stream(Target::Sidecar, 1).await;
+}
+
+/// Guards against a drain of one process that relies on the other one staying.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entry_and_sidecar_drain_at_once() {
+    drain_under_stream(Target::Both, 1).await;
+}
+
+/// Guards against a second signal that shortens the drain.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn second_signal_does_not_shorten_the_drain() {
+    drain_under_stream(Target::Both, 2).await;
+}
+
+/// Guards against an answer whose last bytes are lost because its caller reads slowly: the engine
+/// has finished long before, and the rest lies in buffers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn slow_reader_gets_the_whole_answer() {
+    const TOKENS: u32 = 30_000;
+    let plan = Plan { stream_tokens_per_s: 100_000, ..plan() };
+    let mut deployment = Deployment::start(plan).await;
+    let relay = Relay::start(deployment.entry(0)).await;
+    let mut stream = deployment.caller.stream(relay.address, "slow", TOKENS).await;
+    stream.read_tokens(1).await;
+    relay.set(RelayMode::Stall);
+    let side = eventually("a sidecar holds the stream", async || {
+        for index in deployment.of(Kind::Engine) {
+            if deployment.in_progress(index).await > 0 {
+                return Some(index);
+            }
+        }
+        None
+    })
+    .await;
+    for index in [0, side] {
+        deployment.members[index].daemon.signal(DaemonSignal::Terminate);
+    }
+    assert_refuses_new_work(&deployment, 0).await;
+    // The reader pauses for longer than the default limits of the HTTP library, 5 s in all.
+    sleep(Duration::from_secs(7)).await;
+    assert_eq!(deployment.members[0].daemon.exit_code(), None);
+    relay.set(RelayMode::Pass);
+    stream.finish().await;
+    for index in [0, side] {
+        assert_eq!(deployment.members[index].daemon.wait_exit(PATIENCE).await, 0);
+    }
+    figures("P6 slow reader", 2, 2, u64::from(!stream.is_whole()));
+    assert!(stream.is_whole(), "{}", stream.describe());
+}
+
+/// Guards against a drain that loses a booking in progress or its outcome.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn booking_survives_the_drain_of_its_processes() {
+    let plan = Plan { desks: 1, desk_latency: Duration::from_secs(2), ..Plan::default() };
+    let mut deployment = Deployment::start(plan).await;
+    let side = deployment.of(Kind::Desk)[0];
+    let key = new_key();
+    let (caller, entry) = (deployment.booker.clone(), deployment.entry(0));
+    let booked = {
+        let key = key.clone();
+        tokio::spawn(async move { caller.book(entry, &key, "order").await })
+    };
+    until("the call runs", || deployment.running_calls() > 0).await;
+    for index in [0, side] {
+        deployment.members[index].daemon.signal(DaemonSignal::Terminate);
+    }
+    let end = booked.await.expect("the request ends");
+    assert!(matches!(end, BookEnd::Answer(_)), "{end:?}");
+    for index in [0, side] {
+        assert_eq!(deployment.members[index].daemon.wait_exit(PATIENCE).await, 0);
+    }
+    let again = deployment.booker.book(deployment.entry(1), &key, "order").await;
+    assert_eq!(again, end);
+    let executed = deployment.executions(&key, "order");
+    figures("P6 booking", 2, 2, u64::from(executed != 1));
+    assert_eq!(executed, 1);
+}
+
+/// Guards against processes that take callers down with them while an entry and a sidecar are
+/// replaced under load: each answer is whole, or an honest refusal before it began.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn rolling_restart_under_load() {
+    const STREAMS_AT_ONCE: usize = 4;
+    let plan = Plan { stream_tokens_per_s: 60, ..plan() };
+    let mut deployment = Deployment::start(plan).await;
+    let entries = [deployment.entry(0), deployment.entry(1)];
+    let (stop, stopped) = tokio::sync::watch::channel(false);
+    let callers = (0..STREAMS_AT_ONCE).map(|lane| {
+        let (caller, stopped) = (deployment.caller.clone(), stopped.clone());
+        tokio::spawn(async move {
+            let mut streams: Vec<LiveStream> = Vec::new();
+            while !*stopped.borrow() {
+                for entry in entries {
+                    // As the platform's balancer does, the caller passes over an entry that leaves.
+                    let ready = caller.get(entry, "/readyz").await;
+                    if ready.is_none_or(|(status, _)| status != 200) {
+                        sleep(Duration::from_millis(20)).await;
+                        continue;
+                    }
+                    let prompt = format!("lane {lane} number {}", streams.len());
+                    streams.push(caller.complete(entry, &prompt, 30).await);
+                }
+            }
+            streams
+        })
+    });
+    let callers: Vec<_> = callers.collect();
+    let indices = [0, 2];
+    for index in &indices {
+        deployment.members[*index].daemon.signal(DaemonSignal::Terminate);
+        assert_eq!(deployment.members[*index].daemon.wait_exit(EXIT_LIMIT).await, 0);
+        deployment.restart(*index);
+        deployment.wait_served().await;
+    }
+    stop.send_replace(true);
+    let streams: Vec<LiveStream> =
+        join_all(callers).await.into_iter().flat_map(|lane| lane.expect("a lane ends")).collect();
+    let bad = |stream: &&LiveStream| !stream.is_whole() && !stream.is_refused_as_not_run();
+    let violations: Vec<String> = streams.iter().filter(bad).map(LiveStream::describe).collect();
+    figures("P6 rolling", 2, streams.len() as u64, violations.len() as u64);
+    assert!(violations.is_empty(), "{violations:#?}");
+}
--- a/crates/celeryshed_daemon/tests/support/caller.rs
+++ b/crates/celeryshed_daemon/tests/support/caller.rs
@@ -245,6 +245,16 @@
         self.end == Some(StreamEnd::Whole) && self.received == self.tokens && self.is_one_version()
     }
 
+    /// Whether it was refused with the statement that nothing ran.
+    pub fn is_refused_as_not_run(&self) -> bool {
+        matches!(&self.end, Some(StreamEnd::Refused { not_run, .. }) if *not_run == json!(true))
+    }
+
+    /// Whether it ended with a refusal or an error event.
+    pub fn ended_explicitly(&self) -> bool {
+        matches!(self.end, Some(StreamEnd::Refused { .. } | StreamEnd::Error(_)))
+    }
+
     /// Description for failures.
     pub fn describe(&self) -> String {
         format!(
--- a/crates/celeryshed_daemon/tests/support/deployment.rs
+++ b/crates/celeryshed_daemon/tests/support/deployment.rs
@@ -24,6 +24,7 @@
     RawServiceOptions, RunningService, ServiceControl, ServiceOptions,
 };
 use celeryshed_wire::{InstanceRole, InstanceState, ListedInstance, WeightManifest, encode};
+use serde_json::Value;
 use tempfile::TempDir;
 
 use super::caller::{BookEnd, Caller, booking_body};
@@ -492,16 +493,29 @@
         desks.map(|desk| desk.counts().running).sum()
     }
 
-    /// The member whose endpoint runs something now.
+    /// Requests in progress in `/status` of a member; 0 when it doesn't answer.
+    pub async fn in_progress(&self, index: usize) -> u64 {
+        let status = self.caller.get(self.members[index].listen, "/status").await;
+        let status = status.and_then(|(_, text)| serde_json::from_str::<Value>(&text).ok());
+        status.and_then(|status| status["in_progress"].as_u64()).unwrap_or_default()
+    }
+
+    /// The member whose endpoint runs something now; an engine's own report lags too far.
     pub fn busy_member(&self) -> Option<usize> {
         self.members.iter().position(|member| {
-            let engine = member.engine.as_ref().and_then(EngineControl::load);
-            let desk = member.desk.as_ref().map_or(0, |desk| desk.counts().running);
-            engine.map_or(0, |load| load.running) + desk > 0
+            let engine = member.engine.as_ref().is_some_and(|engine| running_streams(engine) > 0);
+            engine || member.desk.as_ref().is_some_and(|desk| desk.counts().running > 0)
         })
     }
 }
 
+/// Streams that have started and not ended.
+pub fn running_streams(engine: &EngineControl) -> u64 {
+    let counts = engine.counts();
+    let ended = counts.finished + counts.cancelled + counts.abandoned;
+    counts.started.saturating_sub(ended + counts.cut + counts.cut_by_crash)
+}
+
 /// A fresh idempotency key.
 pub fn new_key() -> String {
     uuid::Uuid::now_v7().to_string()
--- a/crates/celeryshed_daemon/tests/support/mod.rs
+++ b/crates/celeryshed_daemon/tests/support/mod.rs
@@ -12,7 +12,7 @@
 
 pub use caller::{BookEnd, Caller, LiveStream, StreamEnd};
 pub use daemon::{Daemon, DaemonSignal};
-pub use deployment::{Deployment, Kind, Member, Plan, contract, new_key};
+pub use deployment::{Deployment, Kind, Member, Plan, contract, new_key, running_streams};
 pub use ledger::Ledger;
 pub use relay::{Relay, RelayMode};
 pub use settings::{free_address, role_settings};
--- a/crates/celeryshed_daemon/tests/support/relay.rs
+++ b/crates/celeryshed_daemon/tests/support/relay.rs
@@ -6,10 +6,16 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+/// Receive buffer of each side; small, so that a stall soon reaches the sender.
+const RECEIVE_BYTES: u32 = 32 * 1024;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 128;
+
 /// What the relay does with its connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RelayMode {
@@ -35,7 +41,10 @@
     /// Relays connections from a new address to `target`.
     pub async fn start(target: SocketAddr) -> Self {
         let address = super::free_address();
-        let listener = TcpListener::bind(address).await.expect("the relay's address is free");
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.set_recv_buffer_size(RECEIVE_BYTES).expect("a small receive buffer");
+        socket.bind(address).expect("the relay's address is free");
+        let listener = socket.listen(BACKLOG).expect("a listener");
         let (mode, watch) = watch::channel(RelayMode::Pass);
         let held = Arc::default();
         tokio::spawn(accept(listener, target, watch, Arc::clone(&held)));
@@ -85,7 +94,7 @@
     mut mode: watch::Receiver<RelayMode>,
     held: Arc<AtomicU64>,
 ) {
-    let Ok(far) = TcpStream::connect(target).await else {
+    let Ok(far) = connect_far(target).await else {
         return;
     };
     let _ = (near.set_nodelay(true), far.set_nodelay(true));
@@ -103,6 +112,12 @@
     }
 }
 
+async fn connect_far(target: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_recv_buffer_size(RECEIVE_BYTES)?;
+    socket.connect(target).await
+}
+
 async fn copy(
     source: &mut (impl AsyncReadExt + Unpin),
     sink: &mut (impl AsyncWriteExt + Unpin),
--- a/crates/celeryshed_entry/src/role/launch.rs
+++ b/crates/celeryshed_entry/src/role/launch.rs
@@ -41,6 +41,10 @@
 /// Longest time to connect to a sidecar or an entry.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Shortest drain: until the balancer has noticed, new requests get their refusal. A port that
+/// closes at once drops requests that are on the way without a reply.
+const SHORTEST_DRAIN: Duration = Duration::from_secs(3);
+
 /// A running entry.
 pub struct EntryRole {
     server: RunningServer,
@@ -115,6 +119,7 @@
     /// Takes no new work, finishes what runs, and ends.
     pub async fn drain(self) {
         self.drain.send_replace(DrainState::Draining);
+        tokio::time::sleep(SHORTEST_DRAIN).await;
         self.completions.idle().await;
         self.server.stop().await;
     }
--- a/crates/celeryshed_side/src/role/launch.rs
+++ b/crates/celeryshed_side/src/role/launch.rs
@@ -43,6 +43,10 @@
 /// Bits of an Mbit/s in bytes a second.
 const BYTES_PER_MBIT: u64 = 125_000;
 
+/// Shortest drain: until a report has told the entries, new attempts get their refusal. A port
+/// that closes at once leaves the outcome of a dispatch that is on the way unknown.
+const SHORTEST_DRAIN: Duration = Duration::from_secs(3);
+
 /// A running sidecar.
 pub struct SideRole {
     server: RunningServer,
@@ -123,6 +127,7 @@
     /// Takes no new work, finishes what runs, and ends.
     pub async fn drain(self) {
         self.drain.send_replace(DrainState::Draining);
+        tokio::time::sleep(SHORTEST_DRAIN).await;
         self.attempts.idle().await;
         self.claims.settled().await;
         self.server.stop().await;
