--- a/crates/celeryshed_entry/src/completions/mod.rs
+++ b/crates/celeryshed_entry/src/completions/mod.rs
@@ -5,7 +5,9 @@
 
 mod board;
 mod calls;
+mod crashes;
 mod customers;
+pub mod decisions;
 mod dispatch;
 mod drain;
 mod gate;
@@ -14,12 +16,13 @@
 mod options;
 mod problems;
 mod progress;
+mod refusals;
 mod routes;
 mod services;
 mod streams;
 mod transport;
 
-pub use drain::{DrainState, serve_until_drained, shutdown_settings};
+pub use drain::DrainState;
 pub use gate::BookingGate;
 pub use handle::{CompletionInputs, CompletionsHandle, spawn};
 pub use options::{CompletionOptions, CompletionOptionsError};
