--- a/crates/celeryshed_daemon/tests/support/deployment.rs
+++ b/crates/celeryshed_daemon/tests/support/deployment.rs
@@ -24,6 +24,7 @@
     RawServiceOptions, RunningService, ServiceControl, ServiceOptions,
 };
 use celeryshed_wire::{InstanceRole, InstanceState, ListedInstance, WeightManifest, encode};
+use serde_json::Value;
 use tempfile::TempDir;
 
 use super::caller::{BookEnd, Caller, booking_body};
@@ -60,8 +61,6 @@
     pub desks: usize,
     /// Pause between polls of the log and between reports; the defaults are 2 s.
     pub pause: Duration,
-    /// How far the instance list lags.
-    pub list_lag: Duration,
     /// Time that a booking takes.
     pub desk_latency: Duration,
     /// Tokens a second of one stream.
@@ -81,7 +80,6 @@
             engines: 0,
             desks: 0,
             pause: Duration::from_millis(300),
-            list_lag: Duration::ZERO,
             desk_latency: Duration::from_millis(20),
             stream_tokens_per_s: 100,
             relays: false,
@@ -137,6 +135,7 @@
     engines: Vec<RunningEngine>,
     desks: Vec<RunningService>,
     listed: Vec<ListedInstance>,
+    own_lists: Vec<RunningList>,
 }
 
 impl Deployment {
@@ -156,9 +155,7 @@
     pub async fn start_processes(plan: Plan) -> Self {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let log = RunningLog::launch(LogOptions::default(), any).await.expect("log");
-        let raw = RawListOptions { lag_ms: 0, ..RawListOptions::default() };
-        let options = ListOptions::try_from(raw).expect("list options");
-        let list = RunningList::launch(options, any).await.expect("list");
+        let list = RunningList::launch(list_options(), any).await.expect("list");
         let origin = blobs(RawBlobOptions::origin()).await;
         let store = blobs(RawBlobOptions::store(Some(origin.address().to_string()))).await;
         let mut deployment = Self {
@@ -173,6 +170,7 @@
             engines: Vec::new(),
             desks: Vec::new(),
             listed: Vec::new(),
+            own_lists: Vec::new(),
             plan,
         };
         for number in 0..deployment.plan.entries {
@@ -184,9 +182,6 @@
         for number in 0..deployment.plan.desks {
             deployment.add(Kind::Desk, number).await;
         }
-        let lag_ms = Some(deployment.plan.list_lag.as_millis() as u64);
-        let faults = celeryshed_standin::platform::ListFaults { lag_ms, ..Default::default() };
-        deployment.list.control().set_faults(faults);
         deployment
     }
 
@@ -355,6 +350,31 @@
         self.list.control().set_instances(self.listed.clone());
     }
 
+    /// Restarts a sidecar with a list of its own that names a relay in front of each entry, so
+    /// that its reports can be stalled alone; waits until its endpoint is used again.
+    pub async fn relay_reports(&mut self, index: usize) -> Vec<Relay> {
+        let mut relays = Vec::new();
+        let mut listed = self.listed.clone();
+        for entry in listed.iter_mut().filter(|listed| listed.role == InstanceRole::Entry) {
+            let relay = Relay::start(entry.address.parse().expect("a listed address")).await;
+            entry.address = relay.address.to_string();
+            relays.push(relay);
+        }
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let list = RunningList::launch(list_options(), any).await.expect("list");
+        list.control().set_instances(listed);
+        let (old, new) = (self.list.address().to_string(), list.address().to_string());
+        self.own_lists.push(list);
+        let member = &mut self.members[index];
+        member.settings = member.settings.replace(&old, &new);
+        member.daemon.kill();
+        self.restart(index);
+        for entry in self.of(Kind::Entry) {
+            self.wait_streams(self.entry(entry)).await;
+        }
+        relays
+    }
+
     /// Indices of the members of one kind.
     pub fn of(&self, kind: Kind) -> Vec<usize> {
         (0..self.members.len()).filter(|index| self.members[*index].kind == kind).collect()
@@ -492,21 +512,39 @@
         desks.map(|desk| desk.counts().running).sum()
     }
 
-    /// The member whose endpoint runs something now.
+    /// Requests in progress in `/status` of a member; 0 when it doesn't answer.
+    pub async fn in_progress(&self, index: usize) -> u64 {
+        let status = self.caller.get(self.members[index].listen, "/status").await;
+        let status = status.and_then(|(_, text)| serde_json::from_str::<Value>(&text).ok());
+        status.and_then(|status| status["in_progress"].as_u64()).unwrap_or_default()
+    }
+
+    /// The member whose endpoint runs something now; an engine's own report lags too far.
     pub fn busy_member(&self) -> Option<usize> {
         self.members.iter().position(|member| {
-            let engine = member.engine.as_ref().and_then(EngineControl::load);
-            let desk = member.desk.as_ref().map_or(0, |desk| desk.counts().running);
-            engine.map_or(0, |load| load.running) + desk > 0
+            let engine = member.engine.as_ref().is_some_and(|engine| running_streams(engine) > 0);
+            engine || member.desk.as_ref().is_some_and(|desk| desk.counts().running > 0)
         })
     }
 }
 
+/// Streams that have started and not ended.
+pub fn running_streams(engine: &EngineControl) -> u64 {
+    let counts = engine.counts();
+    let ended = counts.finished + counts.cancelled + counts.abandoned;
+    counts.started.saturating_sub(ended + counts.cut + counts.cut_by_crash)
+}
+
 /// A fresh idempotency key.
 pub fn new_key() -> String {
     uuid::Uuid::now_v7().to_string()
 }
 
+fn list_options() -> ListOptions {
+    let raw = RawListOptions { lag_ms: 0, ..RawListOptions::default() };
+    ListOptions::try_from(raw).expect("list options")
+}
+
 async fn blobs(raw: RawBlobOptions) -> RunningBlobs {
     let raw = RawBlobOptions { bytes_per_s: 1 << 30, requests_per_s: 10_000, ..raw };
     let options = BlobOptions::try_from(raw).expect("options of store or origin");
