--- a/crates/celeryshed_server/src/lib.rs
+++ b/crates/celeryshed_server/src/lib.rs
@@ -2,6 +2,7 @@
 //! signals.
 
 mod gauges;
+mod headers;
 mod health;
 mod launch;
 mod problems;
