--- a/crates/celeryshed_entry/src/completions/tests.rs
+++ b/crates/celeryshed_entry/src/completions/tests.rs
@@ -336,6 +336,7 @@
         content_type: None,
         body: ByteBuf::new(),
         claim: None,
+        idempotency_key: None,
     };
     let job = CallJob {
         request_id: RequestId::random(),
--- a/crates/celeryshed_entry/src/role/launch.rs
+++ b/crates/celeryshed_entry/src/role/launch.rs
@@ -5,10 +5,12 @@
 use std::time::Duration;
 
 use celeryshed_base::{ClockSource, ProcessIncarnation};
+use celeryshed_core::membership::{MemberState, MemberView};
 use celeryshed_observe::{EventLine, MetricsRegistry};
 use celeryshed_platform::{HttpList, HttpLog, HttpTimeouts, LogClient};
 use celeryshed_server::{
-    HealthProbe, ReadyState, RunningServer, ServerOptions, health_routes, launch_server,
+    HealthProbe, ReadyState, RunningServer, ServerOptions, follow_gauge, health_routes,
+    launch_server,
 };
 use celeryshed_settings::EntrySettings;
 use celeryshed_wire::ProcessStatus;
@@ -17,7 +19,7 @@
 use tokio::sync::watch;
 
 use super::error::{Result, in_part};
-use super::feeds::{crash_exchange, spawn_feeds};
+use super::feeds::{crash_exchange, feed_reports};
 use crate::bookings::{
     BookingEdges, BookingHandle, BookingOptions, BookingSettings, HttpEntryForward,
     HttpSideDispatch, booking_routes, start_bookings,
@@ -63,8 +65,8 @@
         let log: Arc<dyn LogClient> = Arc::new(log.map_err(in_part("client of the log"))?);
         let (drain, drain_watch) = watch::channel(DrainState::Serving);
         let membership = start_membership(settings, &identity, clock)?;
-        let (exchange, crashes) = crash_exchange();
-        let configuration = start_configuration(settings, &identity, &log, &membership, exchange)?;
+        let (crashes, crash_feed) = crash_exchange();
+        let configuration = start_configuration(settings, &identity, &log, &membership, crashes)?;
         let bookings = start_booking_tasks(settings, Arc::clone(&log), clock, &membership)?;
         let inputs = CompletionInputs {
             options: completion_options(settings),
@@ -76,7 +78,9 @@
             log,
         };
         let completions = completions::spawn(inputs).map_err(in_part("completions"))?;
-        spawn_feeds(membership.subscribe_reports(), crashes, &completions);
+        tokio::spawn(feed_reports(membership.subscribe_reports(), completions.clone()));
+        tokio::spawn(crash_feed.run(completions.clone()));
+        spawn_gauges(settings, &configuration, &membership, &completions);
         let report = StatusReporter {
             settings: settings.clone(),
             incarnation,
@@ -124,6 +128,33 @@
     }
 }
 
+/// Keeps the entry's gauges current.
+fn spawn_gauges(
+    settings: &EntrySettings,
+    configuration: &ConfigurationHandle,
+    membership: &MembershipHandle,
+    completions: &CompletionsHandle,
+) {
+    let instance = settings.instance.name.to_string();
+    let (states, views, progress) =
+        (configuration.states(), membership.views(), completions.in_progress());
+    tokio::spawn(async move {
+        let live = |view: &Arc<MemberView>| {
+            let states = view.sides.values().filter(|side| side.state == MemberState::Live);
+            states.count() as f64
+        };
+        tokio::join!(
+            follow_gauge("celeryshed_configuration_revision", &instance, states, |state| {
+                state.as_ref().map_or(-1.0, |state| state.revision.0 as f64)
+            }),
+            follow_gauge("celeryshed_live_endpoints", &instance, views, live),
+            follow_gauge("celeryshed_requests_in_progress", &instance, progress, |count| {
+                f64::from(*count)
+            }),
+        );
+    });
+}
+
 fn http_client() -> Result<reqwest::Client> {
     let builder = reqwest::Client::builder().no_proxy().redirect(reqwest::redirect::Policy::none());
     let builder = builder.connect_timeout(CONNECT_TIMEOUT).pool_idle_timeout(POOL_IDLE);
--- a/crates/celeryshed_side/src/configuration/routes.rs
+++ b/crates/celeryshed_side/src/configuration/routes.rs
@@ -1,15 +1,18 @@
 //! Routes of the configuration.
 
-use celeryshed_wire::{ENTRY_HEADER, EndpointReport, RevisionExchange};
+use celeryshed_wire::{ConfigurationReply, ENTRY_HEADER, EndpointReport, RevisionExchange};
+use rocket::http::Status;
 use rocket::request::{FromRequest, Outcome, Request};
 use rocket::{Route, State, post, routes};
 
 use super::handle::ConfigurationHandle;
-use super::packed::Packed;
+use super::packed::{Compact, Packed};
 
-/// `POST /side/v1/report`, for probes of entries; needs a managed [`ConfigurationHandle`].
+/// `POST /side/v1/report`, for probes of entries, and `POST /side/v1/revisions`, for entries that
+/// know no configuration, and `POST /side/v1/leaving/<instance>`, for entries that read the
+/// platform's leaving mark; all need a managed [`ConfigurationHandle`].
 pub fn configuration_routes() -> Vec<Route> {
-    routes![give_report]
+    routes![give_report, give_state, take_leaving_mark]
 }
 
 /// Address of the calling entry, when it says so.
@@ -24,14 +27,29 @@
     }
 }
 
+#[post("/side/v1/revisions", data = "<exchange>")]
+async fn give_state(
+    exchange: Packed<RevisionExchange>,
+    configuration: &State<ConfigurationHandle>,
+) -> Packed<ConfigurationReply> {
+    Packed(configuration.reply(&exchange.0))
+}
+
+/// A status of 409 tells that another instance has this address now.
+#[post("/side/v1/leaving/<instance>")]
+async fn take_leaving_mark(instance: &str, configuration: &State<ConfigurationHandle>) -> Status {
+    let own = configuration.marked_leaving(instance).await;
+    if own { Status::NoContent } else { Status::Conflict }
+}
+
 #[post("/side/v1/report", data = "<_exchange>")]
 async fn give_report(
     _exchange: Packed<RevisionExchange>,
     entry: EntryAddress,
     configuration: &State<ConfigurationHandle>,
-) -> Packed<EndpointReport> {
+) -> Compact<EndpointReport> {
     if let Some(address) = entry.0 {
         configuration.note_sender(&address);
     }
-    Packed(configuration.report())
+    Compact(configuration.report())
 }
