--- a/crates/celeryshed_entry/src/completions/tests.rs
+++ b/crates/celeryshed_entry/src/completions/tests.rs
@@ -337,6 +337,7 @@
         body: ByteBuf::new(),
         idempotency_key: None,
         claim: None,
+        idempotency_key: None,
     };
     let job = CallJob {
         request_id: RequestId::random(),
