--- a/crates/celeryshed_entry/src/completions/routes.rs
+++ b/crates/celeryshed_entry/src/completions/routes.rs
@@ -11,6 +11,7 @@
 use rocket::serde::json::Json;
 use rocket::{Route, State, get, post};
 use serde_json::{Value, json};
+use tokio::io::AsyncReadExt;
 use tokio::time::Instant;
 
 use super::customers::{RequestCustomer, customer_of};
@@ -25,6 +26,9 @@
 /// Largest accepted body.
 const MAX_BODY_MIB: u64 = 8;
 
+/// Largest body that is read to its end; the connection of a larger one is closed.
+const MAX_DROPPED_MIB: u64 = 64;
+
 /// Header with the time that the caller allows, in milliseconds.
 const DEADLINE_HEADER: &str = "Celeryshed-Deadline-Ms";
 
@@ -210,16 +214,22 @@
     })
 }
 
-/// Reads a body within the limit.
+/// Reads a body within the limit. The rest of a larger one is read and dropped: a connection that
+/// is closed while its caller still sends loses the refusal.
 pub(super) async fn read_body(
     data: Data<'_>,
     headers: &CallerHeaders,
 ) -> Result<Vec<u8>, ProblemDetails> {
-    let body = data.open(MAX_BODY_MIB.mebibytes()).into_bytes().await;
-    let body = body.map_err(|error| headers.refuse(ProblemKind::Malformed, &error.to_string()))?;
-    if !body.is_complete() {
+    let malformed =
+        |error: std::io::Error| headers.refuse(ProblemKind::Malformed, &error.to_string());
+    let mut stream = data.open(MAX_DROPPED_MIB.mebibytes());
+    let limit = MAX_BODY_MIB << 20;
+    let mut body = Vec::new();
+    (&mut stream).take(limit + 1).read_to_end(&mut body).await.map_err(malformed)?;
+    if body.len() as u64 > limit {
+        tokio::io::copy(&mut stream, &mut tokio::io::sink()).await.map_err(malformed)?;
         let detail = format!("the body is larger than {MAX_BODY_MIB} MiB");
         return Err(headers.refuse(ProblemKind::Malformed, &detail));
     }
-    Ok(body.into_inner())
+    Ok(body)
 }
