--- a/crates/celeryshed_core/src/spread/items.rs
+++ b/crates/celeryshed_core/src/spread/items.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use celeryshed_base::{ContentDigest, MonoTime};
+use celeryshed_base::{ContentDigest, MonoTime, common_derives};
 
 use super::plan::ChunkSource;
 
@@ -22,6 +22,18 @@
     waits: bool,
 }
 
+common_derives! { index:
+    /// Kinds of fetches with limits of their own.
+    pub(super) enum FetchClass {
+        /// A sender has said that it holds the chunk.
+        Offered,
+        /// By the first of a tree from an outer source.
+        Outer,
+        /// Asks whether the chunk is there yet.
+        Poll,
+    }
+}
+
 /// A missing chunk or manifest.
 #[derive(Clone, Debug)]
 pub(super) struct MissingItem {
@@ -72,11 +84,20 @@
         self.in_flight.is_none() && self.not_before <= now
     }
 
-    /// Order of fetching: urgent versions, offered items, then short distances from the source; each poll
+    /// The limit that applies to it.
+    pub(super) fn class(&self) -> FetchClass {
+        match (&self.offered, self.depth) {
+            (Some(_), _) => FetchClass::Offered,
+            (None, 0) => FetchClass::Outer,
+            (None, _) => FetchClass::Poll,
+        }
+    }
+
+    /// Order of fetching: urgent versions, items that certainly wait somewhere, then short distances from the source; each poll
     /// without success puts the item behind one more level, so that waiting items don't hold
     /// all slots.
     pub(super) fn order(&self, digest: &ContentDigest) -> (usize, bool, u32, u64) {
-        let polled = self.offered.is_none();
+        let polled = self.class() == FetchClass::Poll;
         let level = if polled { self.depth + self.polls } else { self.depth };
         (self.rank, polled, level, digest.leading_u64() ^ self.position as u64)
     }
--- a/crates/celeryshed_core/src/spread/options.rs
+++ b/crates/celeryshed_core/src/spread/options.rs
@@ -37,10 +37,12 @@
         /// Rate of the outer sources; spaces the first fetches of the chunks, so that the first
         /// ones are whole early instead of all of them late. `None` when it isn't known.
         pub outer_bytes_per_s: Option<ByteCount>,
-        /// Fetches and long polls in progress at once.
+        /// Fetches in progress of chunks that a sender has offered. Few, so that each is whole
+        /// soon and doesn't wait for the link while it occupies its sender.
         pub parallel_fetches: usize,
-        /// Fetches among them that no sender has offered. They hold a connection open until the
-        /// sender has the chunk, so that few of them find many chunks late; offers find them.
+        /// Fetches in progress from an outer source by the first of a tree.
+        pub parallel_outer: usize,
+        /// Other requests in progress: long polls, which find what no offer has told.
         pub parallel_polls: usize,
         /// How long a sender without the chunk holds a request open.
         pub poll_wait: Duration,
@@ -64,7 +66,8 @@
         Self {
             outer: vec![OuterSource::Store, OuterSource::Origin],
             outer_bytes_per_s: None,
-            parallel_fetches: 32,
+            parallel_fetches: 4,
+            parallel_outer: 4,
             parallel_polls: 16,
             poll_wait: Duration::from_secs(1),
             patience: Duration::from_secs(5),
@@ -90,12 +93,13 @@
         if self.outer.is_empty() {
             return reject("outer", "empty".to_owned(), "store, origin or both");
         }
-        if !(1..=1024).contains(&self.parallel_fetches) {
-            return reject("parallel_fetches", self.parallel_fetches.to_string(), "1 to 1024");
-        }
-        if !(1..=self.parallel_fetches).contains(&self.parallel_polls) {
-            let accepted = "1 to parallel_fetches";
-            return reject("parallel_polls", self.parallel_polls.to_string(), accepted);
+        let parallel = [
+            ("parallel_fetches", self.parallel_fetches),
+            ("parallel_outer", self.parallel_outer),
+            ("parallel_polls", self.parallel_polls),
+        ];
+        if let Some((key, value)) = parallel.into_iter().find(|(_, n)| !(1..=1024).contains(n)) {
+            return reject(key, value.to_string(), "1 to 1024");
         }
         if self.poll_wait > Duration::from_secs(30) {
             return reject("poll_wait", format!("{:?}", self.poll_wait), "at most 30 s");
--- a/crates/celeryshed_core/src/spread/scheduler.rs
+++ b/crates/celeryshed_core/src/spread/scheduler.rs
@@ -8,7 +8,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use super::items::MissingItem;
+use super::items::{FetchClass, MissingItem};
 use super::options::{FetchOptions, SpreadWeighing};
 use super::penalties::SenderPenalties;
 use super::plan::{ChunkRoute, ChunkSource, SpreadPlan};
@@ -154,9 +154,7 @@
     held: BTreeMap<ContentDigest, u64>,
     held_bytes: u64,
     missing: BTreeMap<ContentDigest, MissingItem>,
-    in_flight: usize,
-    /// Those in flight that no sender has offered.
-    polling: usize,
+    in_flight: BTreeMap<FetchClass, usize>,
     penalties: SenderPenalties,
     random: StdRng,
 }
@@ -171,8 +169,7 @@
             held: BTreeMap::new(),
             held_bytes: 0,
             missing: BTreeMap::new(),
-            in_flight: 0,
-            polling: 0,
+            in_flight: BTreeMap::new(),
             penalties: SenderPenalties::default(),
             random: StdRng::seed_from_u64(seed),
         }
@@ -394,28 +391,25 @@
     }
 
     fn start_fetches(&mut self, now: MonoTime, actions: &mut Vec<SpreadAction>) {
-        if self.in_flight >= self.options.parallel_fetches {
-            return;
-        }
         let Some(plan) = self.plan.take() else { return };
-        let ready = self.missing.iter().filter(|(_, item)| item.is_ready(now));
+        let ready = self
+            .missing
+            .iter()
+            .filter(|(_, item)| item.is_ready(now) && self.has_slot(item.class()));
         let ready = ready.map(|(chunk, item)| Reverse((item.order(chunk), *chunk)));
         let mut ready: BinaryHeap<_> = ready.collect();
-        while self.in_flight < self.options.parallel_fetches
-            && let Some(Reverse((_, chunk))) = ready.pop()
-        {
-            let offered = self.missing.get(&chunk).and_then(|item| item.offered.clone());
-            if offered.is_none() && self.polling >= self.options.parallel_polls {
-                break;
+        while let Some(Reverse((_, chunk))) = ready.pop() {
+            let class = self.missing.get(&chunk).map(MissingItem::class);
+            if !class.is_some_and(|class| self.has_slot(class)) {
+                continue;
             }
             let route = plan.route(&chunk);
             let choice = self.choose(&chunk, &route, plan.weighing(), now);
             let Some(item) = self.missing.get_mut(&chunk) else { continue };
             match choice {
                 SourceChoice::Use(source) => {
-                    self.polling += usize::from(item.offered.is_none());
                     item.in_flight = Some(source.clone());
-                    self.in_flight += 1;
+                    *self.in_flight.entry(item.class()).or_default() += 1;
                     actions.push(SpreadAction::Fetch { chunk, source });
                 }
                 // Always later than now, so that the caller's timer doesn't spin.
@@ -425,6 +419,15 @@
         self.plan = Some(plan);
     }
 
+    fn has_slot(&self, class: FetchClass) -> bool {
+        let limit = match class {
+            FetchClass::Offered => self.options.parallel_fetches,
+            FetchClass::Outer => self.options.parallel_outer,
+            FetchClass::Poll => self.options.parallel_polls,
+        };
+        self.in_flight.get(&class).is_none_or(|in_flight| *in_flight < limit)
+    }
+
     fn choose(
         &mut self,
         chunk: &ContentDigest,
@@ -494,9 +497,10 @@
     }
 
     fn count_in_flight(&mut self) {
-        let in_flight = || self.missing.values().filter(|item| item.in_flight.is_some());
-        self.in_flight = in_flight().count();
-        self.polling = in_flight().filter(|item| item.offered.is_none()).count();
+        self.in_flight.clear();
+        for item in self.missing.values().filter(|item| item.in_flight.is_some()) {
+            *self.in_flight.entry(item.class()).or_default() += 1;
+        }
     }
 }
 
--- /dev/null
+++ b/crates/celeryshed_core/src/spread/tests/budget.rs
@@ -0,0 +1,22 @@
+//! Pacing.
+
+use std::time::Duration;
+
+use celeryshed_base::{ByteCount, MonoTime};
+
+use crate::spread::LinkBudget;
+
+/// Guards against distribution traffic that takes bandwidth from live requests, and against a
+/// rate that doesn't recover when they end.
+#[test]
+fn distribution_gets_what_live_requests_leave() {
+    let mut budget = LinkBudget::new(ByteCount(1_000_000));
+    let mut now = MonoTime::ZERO;
+    for _ in 0..100 {
+        budget.record_live(ByteCount(40_000), now);
+        now = now + Duration::from_millis(100);
+    }
+    let rate = budget.rate(now).0;
+    assert!((500_000..620_000).contains(&rate), "rate={rate}");
+    assert!(budget.rate(now + Duration::from_secs(20)).0 > 940_000);
+}
--- /dev/null
+++ b/crates/celeryshed_core/src/spread/tests/fleet.rs
@@ -0,0 +1,177 @@
+//! Schedulers of several sidecars that exchange chunks without any I/O.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use celeryshed_base::{
+    AvailabilityZone, ByteCount, ContentDigest, InstanceName, MonoTime, RegionName, ServiceName,
+};
+
+use crate::membership::{MemberState, MemberView, SideMember};
+use crate::spread::{
+    ChunkRef, ChunkSource, FetchFailure, FetchOptions, FetchScheduler, SpreadAction, SpreadEvent,
+    SpreadPlan, SpreadWeighing, WantedVersion,
+};
+
+/// Time of one transfer, and of one poll without success.
+const TRANSFER: Duration = Duration::from_millis(50);
+
+pub(super) fn instance(index: usize) -> InstanceName {
+    InstanceName::try_from(format!("side-{index}")).unwrap()
+}
+
+pub(super) fn region(index: usize) -> RegionName {
+    RegionName::try_from(format!("region-{}", index % 3)).unwrap()
+}
+
+pub(super) fn service() -> ServiceName {
+    ServiceName::try_from("copywriter").unwrap()
+}
+
+pub(super) fn digest(index: usize) -> ContentDigest {
+    ContentDigest::of(&index.to_be_bytes())
+}
+
+/// The view that holds the sidecars with these indices.
+pub(super) fn view(indices: impl IntoIterator<Item = usize>) -> MemberView {
+    let mut view = MemberView::default();
+    for index in indices {
+        let side = SideMember {
+            address: format!("127.0.0.1:{index}"),
+            incarnation: None,
+            zone: AvailabilityZone::try_from("zone").unwrap(),
+            region: region(index),
+            service: service(),
+            state: MemberState::Live,
+        };
+        view.sides.insert(instance(index), side);
+    }
+    view
+}
+
+pub(super) fn plan(own: usize, view: &MemberView) -> SpreadPlan {
+    SpreadPlan::new(
+        view,
+        &instance(own),
+        &region(own),
+        &BTreeSet::from([service()]),
+        &region(0),
+        SpreadWeighing::OriginBytes,
+    )
+}
+
+pub(super) struct CoreFleet {
+    pub(super) now: MonoTime,
+    pub(super) sides: Vec<FetchScheduler>,
+    pub(super) dead: BTreeSet<usize>,
+    /// Sender and receiver of each transfer.
+    pub(super) transfers: Vec<(ContentDigest, ChunkSource, usize)>,
+    queue: BTreeMap<(MonoTime, u64), (usize, ContentDigest, ChunkSource)>,
+    sequence: u64,
+    chunks: Vec<ChunkRef>,
+    manifest: ContentDigest,
+}
+
+impl CoreFleet {
+    pub(super) fn new(views: &[MemberView], chunk_count: usize, seed: u64) -> Self {
+        let manifest = digest(usize::MAX);
+        let chunks: Vec<_> = (0..chunk_count)
+            .map(|index| ChunkRef { digest: digest(index), size: ByteCount(100) })
+            .collect();
+        let size = ByteCount(100 * chunk_count as u64);
+        let mut fleet = Self {
+            now: MonoTime::ZERO,
+            sides: Vec::new(),
+            dead: BTreeSet::new(),
+            transfers: Vec::new(),
+            queue: BTreeMap::new(),
+            sequence: 0,
+            chunks,
+            manifest,
+        };
+        for (own, view) in views.iter().enumerate() {
+            let side = FetchScheduler::new(FetchOptions::default(), seed ^ own as u64);
+            fleet.sides.push(side);
+            fleet.tell(own, SpreadEvent::PlanChanged(plan(own, view)));
+            let wanted = vec![WantedVersion { manifest, size }];
+            fleet.tell(own, SpreadEvent::VersionsWanted(wanted));
+        }
+        fleet
+    }
+
+    fn tell(&mut self, side: usize, event: SpreadEvent) {
+        for action in self.sides[side].handle(event, self.now) {
+            match action {
+                SpreadAction::Fetch { chunk, source } => {
+                    self.sequence += 1;
+                    let key = (self.now + TRANSFER, self.sequence);
+                    self.queue.insert(key, (side, chunk, source));
+                }
+                SpreadAction::Offer { chunk, instance: to } if !self.dead.contains(&side) => {
+                    let to = (0..self.sides.len()).find(|index| instance(*index) == to).unwrap();
+                    let source = ChunkSource::Peer(instance(side));
+                    self.tell(to, SpreadEvent::ChunkOffered { chunk, source });
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn end_fetch(&mut self, side: usize, chunk: ContentDigest, source: ChunkSource) {
+        let sender =
+            (0..self.sides.len()).find(|index| source == ChunkSource::Peer(instance(*index)));
+        let failure = match sender {
+            None => None,
+            Some(sender) if self.dead.contains(&sender) => Some(FetchFailure::Unreachable),
+            Some(sender) if self.sides[sender].holds(&chunk) => None,
+            Some(sender) if self.sides[sender].expects(&chunk) => Some(FetchFailure::Pending),
+            Some(_) => Some(FetchFailure::NotWanted),
+        };
+        if let Some(failure) = failure {
+            self.tell(side, SpreadEvent::FetchFailed { chunk, source, failure });
+            return;
+        }
+        self.transfers.push((chunk, source.clone(), side));
+        self.tell(side, SpreadEvent::ChunkArrived { chunk, size: ByteCount(100), source });
+        if chunk == self.manifest {
+            let (manifest, chunks) = (self.manifest, self.chunks.clone());
+            self.tell(side, SpreadEvent::ManifestRead { manifest, chunks });
+        }
+    }
+
+    /// Runs until all sidecars that aren't dead hold everything; `false` when that takes longer
+    /// than `limit`.
+    pub(super) fn run(&mut self, limit: Duration) -> bool {
+        while self.now < MonoTime::ZERO + limit {
+            let alive = (0..self.sides.len()).filter(|side| !self.dead.contains(side));
+            let manifest = self.manifest;
+            if alive.clone().all(|side| self.sides[side].complete_chunks(&manifest).is_some()) {
+                return true;
+            }
+            let wakes = alive.clone().filter_map(|side| self.sides[side].next_wake(self.now));
+            let next = self.queue.keys().next().map(|(time, _)| *time);
+            let Some(next) = wakes.chain(next).min() else { return false };
+            self.now = next;
+            let alive: Vec<_> = alive.collect();
+            for side in alive {
+                self.tell(side, SpreadEvent::TimePassed);
+            }
+            while let Some(entry) = self.queue.first_entry()
+                && entry.key().0 <= self.now
+            {
+                let (side, chunk, source) = entry.remove();
+                if !self.dead.contains(&side) {
+                    self.end_fetch(side, chunk, source);
+                }
+            }
+        }
+        false
+    }
+
+    /// Copies that came from outer sources.
+    pub(super) fn outer_copies(&self) -> f64 {
+        let outer =
+            self.transfers.iter().filter(|(_, source, _)| matches!(source, ChunkSource::Outer(_)));
+        outer.count() as f64 / (self.chunks.len() + 1) as f64
+    }
+}
--- a/crates/celeryshed_side/src/weights/fetch.rs
+++ b/crates/celeryshed_side/src/weights/fetch.rs
@@ -30,8 +30,6 @@
     pub(super) stall_timeout: Duration,
     /// Permits of transfers from other sidecars.
     pub(super) downloads: Semaphore,
-    /// Permits of transfers from outer sources.
-    pub(super) outer_downloads: Semaphore,
     pub(super) verifies: bool,
 }
 
@@ -99,8 +97,6 @@
         fetch: &ChunkFetch,
     ) -> Result<Bytes, FetchFailure> {
         let client = self.outer.get(&outer).ok_or(FetchFailure::NotWanted)?;
-        let permit = self.outer_downloads.acquire().await;
-        let _permit = permit.map_err(|_| FetchFailure::TimedOut)?;
         self.pacer.pace(fetch.size.unwrap_or_default()).await;
         match client.fetch(&fetch.chunk).await {
             Ok(content) => Ok(content),
--- a/crates/celeryshed_side/src/weights/options.rs
+++ b/crates/celeryshed_side/src/weights/options.rs
@@ -16,13 +16,10 @@
     pub link: ByteCount,
     /// Options of the scheduler.
     pub fetch: FetchOptions,
-    /// Transfers from other sidecars in progress at once. Few, so that each is whole soon and can
-    /// be passed on; long polls are limited by [`FetchOptions::parallel_fetches`] alone.
+    /// Transfers from other sidecars in progress at once; others that polls have found wait.
     pub downloads: usize,
     /// Transfers to other sidecars in progress at once.
     pub uploads: usize,
-    /// Transfers from outer sources in progress at once.
-    pub outer_downloads: usize,
     /// A transfer that delivers nothing for this long is given up.
     pub stall_timeout: Duration,
     /// Interval of looking at the engine's state.
@@ -52,7 +49,6 @@
             fetch: FetchOptions::default(),
             downloads: 4,
             uploads: 4,
-            outer_downloads: 4,
             stall_timeout: Duration::from_secs(5),
             engine_poll: Duration::from_secs(1),
             seed: rand::random(),
@@ -67,11 +63,7 @@
         if self.link.0 == 0 {
             return reject("link", "0".to_owned(), "at least one byte a second");
         }
-        let transfers = [
-            ("downloads", self.downloads),
-            ("uploads", self.uploads),
-            ("outer_downloads", self.outer_downloads),
-        ];
+        let transfers = [("downloads", self.downloads), ("uploads", self.uploads)];
         if let Some((key, value)) = transfers.into_iter().find(|(_, value)| *value == 0) {
             return reject(key, value.to_string(), "at least 1");
         }
--- a/crates/celeryshed_side/src/weights/task.rs
+++ b/crates/celeryshed_side/src/weights/task.rs
@@ -175,7 +175,6 @@
         poll_wait: options.fetch.poll_wait,
         stall_timeout: options.stall_timeout,
         downloads: Semaphore::new(options.downloads),
-        outer_downloads: Semaphore::new(options.outer_downloads),
         verifies: options.verifies(),
     };
     let task = WeightsTask {
