--- a/crates/celeryshed_side/src/lib.rs
+++ b/crates/celeryshed_side/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod claims;
 pub mod configuration;
 pub mod reports;
+pub mod role;
 pub mod weights;
--- a/crates/celeryshed_wire/src/lib.rs
+++ b/crates/celeryshed_wire/src/lib.rs
@@ -6,12 +6,15 @@
 
 mod attempts;
 mod bookings;
+mod claim_convert;
 mod claims;
 mod codec;
 mod configuration;
+mod configuration_convert;
 mod crashes;
 mod engines;
 mod fences;
+mod membership_convert;
 mod peers;
 mod platform;
 mod problem;
@@ -24,6 +27,7 @@
     ServiceAnswer,
 };
 pub use bookings::{BookingForward, BookingReply, SealReply, SealRequest};
+pub use claim_convert::AnswerMissing;
 pub use claims::{ClaimOutcome, ClaimRecord};
 pub use codec::{CodecError, FrameDecoder, MSGPACK, decode, encode, encode_frame};
 pub use configuration::{
@@ -32,8 +36,9 @@
 };
 pub use crashes::CrashNotice;
 pub use engines::{
-    CompletionChunk, EngineCommand, EngineCommandKind, EngineCommandReply, EngineEvent, EngineLoad,
-    EngineRequest,
+    CompletionChunk, EngineCommand, EngineCommandFailure, EngineCommandKind, EngineCommandReply,
+    EngineEvent, EngineLoad, EngineRequest, MANIFEST_CHUNK_INDEX, PREFIX_BLOCK_BYTES,
+    prefix_hashes,
 };
 pub use fences::FenceRegistration;
 pub use peers::{BurnCount, BurnReply, ConfigurationReply, ProcessStatus, RevisionExchange};
@@ -42,5 +47,5 @@
     ReadReply,
 };
 pub use problem::ProblemDetails;
-pub use reports::{EndpointReport, EndpointState, LoadReport, ReportReply};
+pub use reports::{ENTRY_HEADER, EndpointReport, EndpointState, LoadReport, ReportReply};
 pub use weights::WeightManifest;
