Limit transfers at both ends, and state what the spread measured

Cause: all 32 slots of a sidecar could hold its senders' upload slots while it read four bodies; late timers lost link time for good; heads of trees queued behind polls.

--- a/crates/celeryshed_measure/src/spread/fleet.rs
+++ b/crates/celeryshed_measure/src/spread/fleet.rs
@@ -17,7 +17,7 @@
 };
 use rocket::config::{LogLevel, Shutdown};
 use rocket::{Config, fairing::AdHoc};
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{Semaphore, oneshot, watch};
 
 use super::engine::{ReadyEngine, ReadyLog};
 use super::links::LinkNetwork;
@@ -63,6 +63,9 @@
             .pool_idle_timeout(IDLE_TIMEOUT)
             .build()
             .map_err(|error| start_error(0, &error))?;
+        let uploads = self.side_options(0)?.uploads;
+        let departures = names.iter().map(|_| Arc::new(Semaphore::new(uploads)));
+        let departures = Arc::new(departures.collect::<Vec<_>>());
         let mut sides = Vec::new();
         for (index, name) in names.iter().enumerate() {
             let (configuration, configuration_now) = watch::channel(None);
@@ -78,10 +81,11 @@
                 addresses: index_of.clone(),
                 network: self.network.clone(),
                 faults: self.faults.clone(),
+                departures: departures.clone(),
             };
             let origin = ShapedOrigin {
                 blobs: self.blobs.clone(),
-                path: self.network.from_origin(index),
+                path: self.network.origin_to(index),
                 own: index,
                 faults: self.faults.clone(),
             };
--- a/crates/celeryshed_measure/src/spread/links.rs
+++ b/crates/celeryshed_measure/src/spread/links.rs
@@ -124,7 +124,7 @@
     }
 
     /// From the origin, in the home region, to an instance.
-    pub(super) fn from_origin(&self, to: usize) -> LinkPath {
+    pub(super) fn origin_to(&self, to: usize) -> LinkPath {
         let mut path = self.between_regions(0, self.region_of(to));
         path.links.push(self.origin.clone());
         path.links.push(self.instances[to].clone());
--- a/crates/celeryshed_measure/src/spread/options.rs
+++ b/crates/celeryshed_measure/src/spread/options.rs
@@ -185,12 +185,14 @@
     /// replicas over the same links.
     pub(super) fn floor(&self) -> Duration {
         let size = self.size_bytes();
-        let copies = match self.plan {
-            SpreadPlanKind::Origin => ORIGIN_COPIES,
-            SpreadPlanKind::Product | SpreadPlanKind::Tree => self.allowed_copies(),
+        let copies = self.allowed_copies();
+        let mut floor = match self.plan {
+            SpreadPlanKind::Origin => copies * size / self.origin_rate(),
+            SpreadPlanKind::Product | SpreadPlanKind::Tree => {
+                let carried = 2.0 - copies / self.replicas as f64;
+                (size / self.origin_rate()).max(carried * size / self.instance_rate())
+            }
         };
-        let carried = 2.0 - copies.min(self.replicas as f64) / self.replicas as f64;
-        let mut floor = (size / self.origin_rate()).max(carried * size / self.instance_rate());
         if self.replicas > 1 {
             floor = floor.max(size / REGION_LINK_BYTES_PER_S);
         }
--- a/crates/celeryshed_measure/src/spread/sources.rs
+++ b/crates/celeryshed_measure/src/spread/sources.rs
@@ -13,6 +13,7 @@
 use futures::StreamExt;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 use super::links::{LINK_SLICE_BYTES, LinkNetwork, LinkPath};
 
@@ -94,6 +95,8 @@
     pub(super) addresses: Arc<BTreeMap<String, usize>>,
     pub(super) network: Arc<LinkNetwork>,
     pub(super) faults: Arc<FaultPlan>,
+    /// Bodies that may leave each sender at once, by instance.
+    pub(super) departures: Arc<Vec<Arc<Semaphore>>>,
 }
 
 #[async_trait]
@@ -119,7 +122,9 @@
         }
         let PeerReply::Held(stream) = reply else { return Ok(reply) };
         let corrupts = self.faults.corrupts_next();
-        let body = ShapedBody { stream, path, corrupts, sender, faults: self.faults.clone() };
+        let departure = self.departures[sender].clone();
+        let faults = self.faults.clone();
+        let body = ShapedBody { stream, path, corrupts, sender, faults, departure, permit: None };
         Ok(PeerReply::Held(body.into_stream(address.to_owned())))
     }
 
@@ -147,6 +152,10 @@
     corrupts: bool,
     sender: usize,
     faults: Arc<FaultPlan>,
+    /// The buffers of the loopback interface hold whole chunks, so that a sender's limit of
+    /// transfers alone wouldn't limit how many bodies share its link.
+    departure: Arc<Semaphore>,
+    permit: Option<OwnedSemaphorePermit>,
 }
 
 impl ShapedBody {
@@ -155,6 +164,9 @@
         let slices = futures::stream::unfold(state, move |(mut body, mut rest)| {
             let address = address.clone();
             async move {
+                if body.permit.is_none() {
+                    body.permit = body.departure.clone().acquire_owned().await.ok();
+                }
                 if rest.is_empty() {
                     rest = match body.stream.next().await? {
                         Ok(piece) if std::mem::take(&mut body.corrupts) => corrupted(&piece),
--- a/crates/celeryshed_side/src/weights/fetch.rs
+++ b/crates/celeryshed_side/src/weights/fetch.rs
@@ -28,7 +28,8 @@
     pub(super) pacer: LinkPacer,
     pub(super) poll_wait: Duration,
     pub(super) stall_timeout: Duration,
-    /// Permits of transfers from other sidecars.
+    /// Permits of transfers from other sidecars, as many as the scheduler starts of offered
+    /// chunks; those that polls have found wait for one.
     pub(super) downloads: Semaphore,
     pub(super) verifies: bool,
 }
--- a/crates/celeryshed_side/src/weights/options.rs
+++ b/crates/celeryshed_side/src/weights/options.rs
@@ -16,8 +16,6 @@
     pub link: ByteCount,
     /// Options of the scheduler.
     pub fetch: FetchOptions,
-    /// Transfers from other sidecars in progress at once; others that polls have found wait.
-    pub downloads: usize,
     /// Transfers to other sidecars in progress at once.
     pub uploads: usize,
     /// A transfer that delivers nothing for this long is given up.
@@ -47,8 +45,7 @@
             weighing: SpreadWeighing::Time,
             link,
             fetch: FetchOptions::default(),
-            downloads: 4,
-            uploads: 4,
+            uploads: 3,
             stall_timeout: Duration::from_secs(5),
             engine_poll: Duration::from_secs(1),
             seed: rand::random(),
@@ -63,9 +60,8 @@
         if self.link.0 == 0 {
             return reject("link", "0".to_owned(), "at least one byte a second");
         }
-        let transfers = [("downloads", self.downloads), ("uploads", self.uploads)];
-        if let Some((key, value)) = transfers.into_iter().find(|(_, value)| *value == 0) {
-            return reject(key, value.to_string(), "at least 1");
+        if self.uploads == 0 {
+            return reject("uploads", "0".to_owned(), "at least 1");
         }
         if self.stall_timeout.is_zero() {
             return reject("stall_timeout", "0 s".to_owned(), "more than 0 s");
--- a/crates/celeryshed_side/src/weights/task.rs
+++ b/crates/celeryshed_side/src/weights/task.rs
@@ -174,7 +174,7 @@
         pacer: pacer.clone(),
         poll_wait: options.fetch.poll_wait,
         stall_timeout: options.stall_timeout,
-        downloads: Semaphore::new(options.downloads),
+        downloads: Semaphore::new(options.fetch.parallel_fetches),
         verifies: options.verifies(),
     };
     let task = WeightsTask {
@@ -340,7 +340,9 @@
                     if let Some(fetch) = self.fetches.remove(&chunk) {
                         fetch.abort();
                     }
-                    self.waiters.remove(&chunk);
+                    if !self.scheduler.expects(&chunk) {
+                        self.waiters.remove(&chunk);
+                    }
                 }
                 SpreadAction::Drop { chunk } => {
                     self.contents.remove(&chunk);
