--- a/crates/celeryshed_side/src/weights/fetch.rs
+++ b/crates/celeryshed_side/src/weights/fetch.rs
@@ -28,10 +28,9 @@
     pub(super) pacer: LinkPacer,
     pub(super) poll_wait: Duration,
     pub(super) stall_timeout: Duration,
-    /// Permits of transfers from other sidecars.
+    /// Permits of transfers from other sidecars, as many as the scheduler starts of offered
+    /// chunks; those that polls have found wait for one.
     pub(super) downloads: Semaphore,
-    /// Permits of transfers from outer sources.
-    pub(super) outer_downloads: Semaphore,
     pub(super) verifies: bool,
 }
 
@@ -99,8 +98,6 @@
         fetch: &ChunkFetch,
     ) -> Result<Bytes, FetchFailure> {
         let client = self.outer.get(&outer).ok_or(FetchFailure::NotWanted)?;
-        let permit = self.outer_downloads.acquire().await;
-        let _permit = permit.map_err(|_| FetchFailure::TimedOut)?;
         self.pacer.pace(fetch.size.unwrap_or_default()).await;
         match client.fetch(&fetch.chunk).await {
             Ok(content) => Ok(content),
--- a/crates/celeryshed_side/src/weights/task.rs
+++ b/crates/celeryshed_side/src/weights/task.rs
@@ -64,7 +64,7 @@
 const SLICE_TIME: Duration = Duration::from_millis(2);
 
 /// Bounds of slices; smaller ones cost processor time, larger ones don't save any more.
-const SLICE_BOUNDS: (usize, usize) = (2 * 1024, 64 * 1024);
+const SLICE_BOUNDS: (usize, usize) = (4 * 1024, 64 * 1024);
 
 fn slice_bytes(link: ByteCount) -> usize {
     let bytes = link.0 as f64 * SLICE_TIME.as_secs_f64();
@@ -174,8 +174,7 @@
         pacer: pacer.clone(),
         poll_wait: options.fetch.poll_wait,
         stall_timeout: options.stall_timeout,
-        downloads: Semaphore::new(options.downloads),
-        outer_downloads: Semaphore::new(options.outer_downloads),
+        downloads: Semaphore::new(options.fetch.parallel_fetches),
         verifies: options.verifies(),
     };
     let task = WeightsTask {
@@ -341,7 +340,9 @@
                     if let Some(fetch) = self.fetches.remove(&chunk) {
                         fetch.abort();
                     }
-                    self.waiters.remove(&chunk);
+                    if !self.scheduler.expects(&chunk) {
+                        self.waiters.remove(&chunk);
+                    }
                 }
                 SpreadAction::Drop { chunk } => {
                     self.contents.remove(&chunk);
