Wait a report interval for a sidecar before a booking is refused

Change: the choice of the first sidecar waits up to 2 s. Refusing without a fence was ruled out: "not run" would not be true of the key any more.

--- a/crates/celeryshed_entry/src/bookings/driver.rs
+++ b/crates/celeryshed_entry/src/bookings/driver.rs
@@ -1,8 +1,9 @@
 //! Drives the claim procedure of one request.
 
 use std::sync::Arc;
+use std::time::Duration;
 
-use celeryshed_base::{AttemptId, ClaimId, ContentDigest, MonoTime};
+use celeryshed_base::{AttemptId, ClaimId, ContentDigest, InstanceName, MonoTime};
 use celeryshed_core::booking::{
     BookingIdentity, BookingRequest, BookingResult, ClaimAction, ClaimEvent, ClaimProcedure,
     DispatchResult, DispatchTicket, LogSight, SealResult, SideTarget,
@@ -20,6 +21,13 @@
 use super::sides::SideLease;
 use super::tasks::{BookingCommand, BookingEdges};
 
+/// Longest wait for a first sidecar: one report interval, after which a fresh entry has heard of
+/// every sidecar that reports to it.
+const ENDPOINT_PATIENCE: Duration = Duration::from_secs(2);
+
+/// Pause between two looks for a sidecar.
+const ENDPOINT_RETRY: Duration = Duration::from_millis(100);
+
 type AnswerEvent = ClaimEvent<ServiceAnswer>;
 type AnswerAction = ClaimAction<ServiceAnswer>;
 
@@ -149,7 +157,23 @@
 }
 
 impl BookingJob {
-    async fn choose_side(&self, avoid: Vec<celeryshed_base::InstanceName>) -> Option<SideLease> {
+    /// Chooses a sidecar, and waits a little for the first one.
+    ///
+    /// An entry that has just started hears of its sidecars within a report interval. Refusing at
+    /// once would fence the key and end the requests of the same key at other entries.
+    async fn choose_side(&self, avoid: Vec<InstanceName>) -> Option<SideLease> {
+        let patience = if avoid.is_empty() { ENDPOINT_PATIENCE } else { Duration::ZERO };
+        let until = self.deadline.min(self.edges.clock.now() + patience);
+        loop {
+            let lease = self.ask_for_side(avoid.clone()).await;
+            if lease.is_some() || self.edges.clock.now() >= until {
+                return lease;
+            }
+            tokio::time::sleep(ENDPOINT_RETRY).await;
+        }
+    }
+
+    async fn ask_for_side(&self, avoid: Vec<InstanceName>) -> Option<SideLease> {
         let (reply, receiver) = oneshot::channel();
         let service = self.booking.service.clone();
         let command = BookingCommand::ChooseSide { service, avoid, reply };
