Send no work to a sidecar that doesn't take requests; add measure slopes

Change: a sidecar takes an attempt at once; when it doesn't within 3 s, the entry sends nothing more until /healthz answers through the same link. The sender of an attempt is noted by a guard that servers without configuration accept. celeryshed measure slopes runs the capacity measurement. A shorter ejection limit was ruled out: each return is new work.

--- a/crates/celeryshed_cli/src/args/measure.rs
+++ b/crates/celeryshed_cli/src/args/measure.rs
@@ -1,13 +1,18 @@
 //! Arguments of `celeryshed measure`.
 
+use std::path::PathBuf;
 use std::time::Duration;
 
 use celeryshed_core::routing::RoutingPolicy;
 use celeryshed_core::spread::SpreadWeighing;
 use celeryshed_measure::scarcity::{ScarcityOptions, ScarcityScenario};
+use celeryshed_measure::slopes::{SlopeOptions, SlopePart, SlopePartError};
 use celeryshed_measure::spread::{SpreadDeployment, SpreadMeasureOptions, SpreadPlanKind};
 use clap::{Args, Subcommand, ValueEnum};
 
+/// Name of the daemon's binary.
+const DAEMON_NAME: &str = "celeryshedd";
+
 /// Experiments.
 #[derive(Clone, Debug, Subcommand)]
 pub enum MeasureCommand {
@@ -15,6 +20,8 @@
     Spread(SpreadArgs),
     /// Goodput and first tokens of each customer when instances are scarce.
     Scarcity(ScarcityArgs),
+    /// What one more peer, report, request, change, booking or chunk costs each role.
+    Slopes(SlopeArgs),
 }
 
 /// `celeryshed measure spread`.
@@ -66,6 +73,20 @@
     pub duration_s: u64,
 }
 
+/// `celeryshed measure slopes`.
+#[derive(Clone, Debug, Args)]
+pub struct SlopeArgs {
+    /// The `celeryshedd` binary to measure; a release build. Without it the one beside this program.
+    #[arg(long, value_name = "FILE")]
+    pub daemon: Option<PathBuf>,
+    /// Parts to run; all without it.
+    #[arg(value_name = "PART", value_parser = part)]
+    pub parts: Vec<SlopePart>,
+    /// How often each size is measured.
+    #[arg(long, value_parser = clap::value_parser!(u32).range(1..=20))]
+    pub repeats: Option<u32>,
+}
+
 /// Deployments.
 #[derive(Clone, Copy, Debug, ValueEnum)]
 pub enum DeploymentChoice {
@@ -133,6 +154,27 @@
     }
 }
 
+impl SlopeArgs {
+    /// The options; the daemon is looked for beside the running program.
+    pub fn options(&self) -> std::io::Result<SlopeOptions> {
+        let beside = || std::env::current_exe().map(|program| program.with_file_name(DAEMON_NAME));
+        let daemon = match &self.daemon {
+            Some(daemon) => daemon.clone(),
+            None => beside()?,
+        };
+        let mut options = SlopeOptions::new(daemon);
+        if !self.parts.is_empty() {
+            options.parts = self.parts.clone();
+        }
+        options.repeats = self.repeats.unwrap_or(options.repeats);
+        Ok(options)
+    }
+}
+
+fn part(value: &str) -> Result<SlopePart, String> {
+    value.parse().map_err(|error: SlopePartError| error.to_string())
+}
+
 fn scenario(value: &str) -> Result<ScarcityScenario, String> {
     ScarcityScenario::try_from(value).map_err(|error| error.to_string())
 }
--- a/crates/celeryshed_cli/src/commands/measure.rs
+++ b/crates/celeryshed_cli/src/commands/measure.rs
@@ -3,11 +3,12 @@
 use std::io::Write;
 
 use celeryshed_measure::scarcity::{ScarcityOptions, run_scarcity};
+use celeryshed_measure::slopes::run_slopes;
 use celeryshed_measure::spread::{SpreadMeasureOptions, measure_spread};
 use eyre::{Result, WrapErr};
 
 use super::output::print;
-use crate::args::{ScarcityArgs, SpreadArgs};
+use crate::args::{ScarcityArgs, SlopeArgs, SpreadArgs};
 use crate::run::ExitStatus;
 
 /// Runs experiment `spread`; its lines appear as they come.
@@ -26,6 +27,19 @@
     Ok(ExitStatus::Done)
 }
 
+/// Runs experiment `slopes`; samples appear as they come, the fits at the end.
+pub(crate) async fn slopes(args: &SlopeArgs) -> Result<ExitStatus> {
+    let options =
+        args.options().wrap_err("the daemon's binary is not known; name it by --daemon")?;
+    let table = run_slopes(&options, |line| {
+        // A closed pipe must not lose the run: the fits are still printed or fail by themselves.
+        let _ = print(&format!("{line}\n"));
+    })
+    .await?;
+    print(&table.to_string())?;
+    Ok(ExitStatus::Done)
+}
+
 /// Standard output that isn't locked between lines.
 struct LineOutput;
 
--- a/crates/celeryshed_cli/src/run.rs
+++ b/crates/celeryshed_cli/src/run.rs
@@ -80,6 +80,9 @@
         OperatorCommand::Measure(MeasureCommand::Scarcity(args)) => {
             commands::measure::scarcity(&args).await
         }
+        OperatorCommand::Measure(MeasureCommand::Slopes(args)) => {
+            commands::measure::slopes(&args).await
+        }
         OperatorCommand::Standin(args) => commands::standin::run(&args).await,
         OperatorCommand::Demo(args) => commands::demo::run(&args).await,
     }
--- a/crates/celeryshed_entry/src/completions/board.rs
+++ b/crates/celeryshed_entry/src/completions/board.rs
@@ -1,6 +1,6 @@
 //! The task that owns the entry's decisions.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,7 +8,7 @@
 use celeryshed_core::admission::QueueOptions;
 use celeryshed_core::burn::BURN_WINDOWS;
 use celeryshed_core::configuration::ConfigurationState;
-use celeryshed_core::membership::MemberView;
+use celeryshed_core::membership::{MemberState, MemberView};
 use celeryshed_core::quarantine::CrashObservation;
 use celeryshed_core::routing::{EndpointLoad, EndpointObservation, RoutingOptions};
 use celeryshed_wire::{BurnCount, CrashNotice, EndpointReport, LoadReport};
@@ -39,6 +39,7 @@
     Finish { request_id: RequestId, complete: bool, tokens: u64 },
     Load(InstanceName, LoadReport),
     Report(Box<EndpointReport>),
+    Reachable(InstanceName, bool),
     Crash(CrashNotice),
     RecentCrashes(oneshot::Sender<Vec<CrashNotice>>),
     Burn(oneshot::Sender<BurnCounts>),
@@ -89,6 +90,11 @@
         self.send(BoardCommand::Load(instance.clone(), load));
     }
 
+    /// Takes note whether requests reach a sidecar; reports may pass a link that requests don't.
+    pub(super) fn reachable(&self, instance: &InstanceName, reachable: bool) {
+        self.send(BoardCommand::Reachable(instance.clone(), reachable));
+    }
+
     /// Takes a crash notice; returns when it is in force.
     pub(super) async fn crash(&self, notice: CrashNotice) {
         self.send(BoardCommand::Crash(notice));
@@ -161,6 +167,8 @@
     clock: ClockSource,
     waiting: BTreeMap<RequestId, PlaceReply>,
     notices: Vec<CrashNotice>,
+    /// Sidecars that requests don't reach.
+    unreachable: BTreeSet<InstanceName>,
 }
 
 /// Starts the task.
@@ -172,6 +180,7 @@
         clock: ClockSource::start(),
         waiting: BTreeMap::new(),
         notices: Vec::new(),
+        unreachable: BTreeSet::new(),
     };
     tokio::spawn(async move {
         let mut ticks = tokio::time::interval(WAKE_PERIOD);
@@ -186,6 +195,9 @@
                     configuration_open = changed.is_ok();
                 }
                 command = inbox.recv() => match command {
+                    Some(BoardCommand::Reachable(instance, reachable)) => {
+                        task.note_reachable(instance, reachable);
+                    }
                     Some(command) => {
                         task.handle(command);
                         continue;
@@ -209,12 +221,25 @@
         members: &mut watch::Receiver<Arc<MemberView>>,
         configuration: &mut watch::Receiver<Option<Arc<ConfigurationState>>>,
     ) {
-        let view = Arc::clone(&members.borrow_and_update());
+        let mut view = MemberView::clone(&members.borrow_and_update());
+        for instance in &self.unreachable {
+            if let Some(side) = view.sides.get_mut(instance) {
+                side.state = MemberState::Silent;
+            }
+        }
         let state = configuration.borrow_and_update().clone();
         self.decisions.sync(&view, state, self.clock.now());
         self.wake();
     }
 
+    fn note_reachable(&mut self, instance: InstanceName, reachable: bool) {
+        if reachable {
+            self.unreachable.remove(&instance);
+        } else {
+            self.unreachable.insert(instance);
+        }
+    }
+
     fn handle(&mut self, command: BoardCommand) {
         let now = self.clock.now();
         match command {
@@ -246,6 +271,9 @@
                 self.decisions.observe(observation_of(*report), now);
                 self.wake();
             }
+            BoardCommand::Reachable(instance, reachable) => {
+                self.note_reachable(instance, reachable);
+            }
             BoardCommand::Crash(notice) => self.crash(notice),
             BoardCommand::RecentCrashes(reply) => {
                 let _ = reply.send(self.notices.clone());
--- a/crates/celeryshed_entry/src/completions/dispatch.rs
+++ b/crates/celeryshed_entry/src/completions/dispatch.rs
@@ -1,8 +1,11 @@
 //! Runs completions: one attempt after another until the answer is complete.
 
 use std::sync::Arc;
+use std::time::Duration;
 
-use celeryshed_base::{AdapterName, AttemptId, ContentDigest, RequestId, ServiceName};
+use celeryshed_base::{
+    AdapterName, AttemptId, ContentDigest, InstanceName, RequestId, ServiceName,
+};
 use celeryshed_wire::{
     AttemptEventKind, AttemptRequest, AttemptWork, CompletionWork, FailureCause, NotRunVerdict,
     ProblemDetails,
@@ -21,6 +24,12 @@
 use super::refusals::{priority_of, refusal_problem, worse};
 use super::transport::{EventStream, SideClient, TransportError};
 
+/// Pause between looks whether a sidecar answers requests again.
+const REACHABLE_PAUSE: Duration = Duration::from_secs(1);
+
+/// Looks after which an attempt is tried again all the same; ten minutes or more.
+const REACHABLE_LOOKS: u32 = 600;
+
 /// A completion to run.
 #[derive(Clone, Debug)]
 pub(super) struct CompletionJob {
@@ -124,16 +133,35 @@
         let request = run.request(attempt_id, placed);
         let address = &placed.choice.address;
         let mut guard = CancelGuard::new(&self.sides, address, attempt_id);
-        let started = timeout(self.options.first_event, self.sides.start(address, &request)).await;
+        let started = timeout(self.options.acknowledge, self.sides.start(address, &request)).await;
         let end = match started {
             Ok(Ok(events)) => self.follow(run, ticket, placed, attempt_id, events).await,
             Ok(Err(error)) => transport_end(&error),
-            Err(_) => broken_end("no answer in time"),
+            Err(_) => {
+                self.await_reachable(&placed.choice.instance, address);
+                broken_end("the sidecar did not take the attempt in time")
+            }
         };
         guard.armed = !matches!(end, AttemptEnd::Complete);
         end
     }
 
+    /// Sends no work to a sidecar until it answers requests again.
+    fn await_reachable(&self, instance: &InstanceName, address: &str) {
+        self.board.reachable(instance, false);
+        let (board, sides) = (self.board.clone(), Arc::clone(&self.sides));
+        let (instance, address) = (instance.clone(), address.to_owned());
+        tokio::spawn(async move {
+            for _ in 0..REACHABLE_LOOKS {
+                tokio::time::sleep(REACHABLE_PAUSE).await;
+                if sides.is_reachable(&address).await {
+                    break;
+                }
+            }
+            board.reachable(&instance, true);
+        });
+    }
+
     async fn follow(
         &self,
         run: &mut JobRun<'_>,
--- a/crates/celeryshed_entry/src/completions/options.rs
+++ b/crates/celeryshed_entry/src/completions/options.rs
@@ -6,6 +6,10 @@
 use celeryshed_core::admission::QueueOptions;
 use celeryshed_core::routing::RoutingOptions;
 
+/// Longest wait for a sidecar to take an attempt. It answers at once, before it looks for a slot;
+/// a link that passes its reports but no requests must get no new work after 5 s.
+const ACKNOWLEDGE: Duration = Duration::from_secs(3);
+
 /// Largest age of a request.
 const MAX_REQUEST: Duration = Duration::from_secs(600);
 
@@ -27,6 +31,8 @@
     pub region: RegionName,
     /// Largest age of a request.
     pub max_request: Duration,
+    /// Longest wait for a sidecar to take an attempt.
+    pub acknowledge: Duration,
     /// Longest wait for the first event of an attempt.
     pub first_event: Duration,
     /// Longest pause between two events of an attempt.
@@ -61,6 +67,7 @@
             zone,
             region,
             max_request: MAX_REQUEST,
+            acknowledge: ACKNOWLEDGE,
             first_event: FIRST_EVENT,
             event_gap: EVENT_GAP,
         }
@@ -70,6 +77,7 @@
     pub fn check(&self) -> Result<(), CompletionOptionsError> {
         let durations = [
             ("max_request", self.max_request),
+            ("acknowledge", self.acknowledge),
             ("first_event", self.first_event),
             ("event_gap", self.event_gap),
         ];
--- a/crates/celeryshed_entry/src/completions/tests.rs
+++ b/crates/celeryshed_entry/src/completions/tests.rs
@@ -77,6 +77,10 @@
         Ok(events.boxed())
     }
 
+    async fn is_reachable(&self, _address: &str) -> bool {
+        true
+    }
+
     async fn cancel(&self, _address: &str, attempt_id: AttemptId) {
         self.cancelled.lock().unwrap().push(attempt_id);
     }
--- a/crates/celeryshed_entry/src/completions/transport.rs
+++ b/crates/celeryshed_entry/src/completions/transport.rs
@@ -37,6 +37,9 @@
     },
 }
 
+/// Longest wait for a sidecar's sign of life.
+const HEALTH_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Events of one attempt; it ends without an error only at the end of the sidecar's answer.
 pub type EventStream = BoxStream<'static, Result<AttemptEvent, TransportError>>;
 
@@ -52,6 +55,9 @@
 
     /// Stops an attempt; a failure is of no consequence, since its events are dropped.
     async fn cancel(&self, address: &str, attempt_id: AttemptId);
+
+    /// Whether requests reach the sidecar with this address.
+    async fn is_reachable(&self, address: &str) -> bool;
 }
 
 /// Client over HTTP.
@@ -104,6 +110,12 @@
         }
     }
 
+    async fn is_reachable(&self, address: &str) -> bool {
+        let request = self.http.get(format!("http://{address}/healthz"));
+        let reply = request.timeout(HEALTH_TIMEOUT).send().await;
+        reply.is_ok_and(|reply| reply.status().is_success())
+    }
+
     async fn cancel(&self, address: &str, attempt_id: AttemptId) {
         let Ok(body) = encode(&CancelRequest { attempt_id }) else {
             return;
--- a/crates/celeryshed_side/src/attempts/routes.rs
+++ b/crates/celeryshed_side/src/attempts/routes.rs
@@ -10,7 +10,7 @@
 use serde::de::DeserializeOwned;
 
 use super::runner::AttemptsHandle;
-use crate::configuration::{ConfigurationHandle, EntryAddress};
+use crate::configuration::NotedSender;
 
 /// Largest accepted body.
 const MAX_BODY_MIB: u64 = 16;
@@ -23,14 +23,10 @@
 #[post("/side/v1/attempts", data = "<data>")]
 async fn start_attempt(
     handle: &State<AttemptsHandle>,
-    entry: EntryAddress,
-    configuration: Option<&State<ConfigurationHandle>>,
+    _sender: NotedSender,
     data: Data<'_>,
 ) -> Result<ByteStream<BoxStream<'static, Bytes>>, Status> {
     let request: AttemptRequest = read(data).await?;
-    if let (Some(address), Some(configuration)) = (&entry.0, configuration) {
-        configuration.note_sender(address);
-    }
     let frames = handle.start(request);
     let frames = stream::unfold(frames, |mut frames| async move {
         frames.recv().await.map(|frame| (frame, frames))
--- a/crates/celeryshed_side/src/configuration/mod.rs
+++ b/crates/celeryshed_side/src/configuration/mod.rs
@@ -16,6 +16,6 @@
 pub use handle::ConfigurationHandle;
 pub use options::{EndpointStatus, OptionsError, ReportOptions, SideIdentity};
 pub use packed::{Compact, Packed};
-pub(crate) use routes::EntryAddress;
+pub(crate) use routes::NotedSender;
 pub use routes::configuration_routes;
 pub use task::{ConfigurationClients, spawn_configuration};
--- a/crates/celeryshed_side/src/configuration/routes.rs
+++ b/crates/celeryshed_side/src/configuration/routes.rs
@@ -16,7 +16,7 @@
 }
 
 /// Address of the calling entry, when it says so.
-pub(crate) struct EntryAddress(pub(crate) Option<String>);
+struct EntryAddress(Option<String>);
 
 #[rocket::async_trait]
 impl<'r> FromRequest<'r> for EntryAddress {
@@ -53,3 +53,22 @@
     }
     Compact(configuration.report())
 }
+
+/// Notes the entry that sends a request, so that it is told when this sidecar leaves.
+///
+/// A server without a [`ConfigurationHandle`] notes nobody.
+pub(crate) struct NotedSender;
+
+#[rocket::async_trait]
+impl<'r> FromRequest<'r> for NotedSender {
+    type Error = std::convert::Infallible;
+
+    async fn from_request(request: &'r Request<'_>) -> Outcome<Self, Self::Error> {
+        let configuration = request.rocket().state::<ConfigurationHandle>();
+        let address = request.headers().get_one(ENTRY_HEADER);
+        if let (Some(configuration), Some(address)) = (configuration, address) {
+            configuration.note_sender(address);
+        }
+        Outcome::Success(Self)
+    }
+}
