Share bodies and role errors in the server package; log every event as a line

Cause: packed.rs and the roles' error.rs stood twice; two places logged key-value pairs that the line pattern doesn't print, so that endpoint_crashed and attempt_failed lines were empty, and the weights tasks logged errors in debug form. Change: Packed, Compact, RoleError and in_part live in celeryshed_server; all events go through EventLine. Printing the pairs in the pattern was ruled out: one way to write an event is enough.

--- a/crates/celeryshed_entry/src/completions/crashes.rs
+++ b/crates/celeryshed_entry/src/completions/crashes.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use celeryshed_base::LogOffset;
+use celeryshed_observe::EventLine;
 use celeryshed_platform::LogClient;
 use celeryshed_wire::{CrashNotice, decode};
 
@@ -48,7 +49,10 @@
         match decode::<CrashNotice>(&entry.payload) {
             Ok(notice) => board.crash(notice).await,
             Err(error) => {
-                log::warn!(event = "crash_record_unreadable", offset:% = entry.offset, error:% = error; "");
+                EventLine::new("crash_record_unreadable")
+                    .field("offset", entry.offset)
+                    .field("error", error)
+                    .warn();
             }
         }
     }
--- a/crates/celeryshed_entry/src/completions/dispatch.rs
+++ b/crates/celeryshed_entry/src/completions/dispatch.rs
@@ -6,6 +6,7 @@
 use celeryshed_base::{
     AdapterName, AttemptId, ContentDigest, InstanceName, RequestId, ServiceName,
 };
+use celeryshed_observe::EventLine;
 use celeryshed_wire::{
     AttemptEventKind, AttemptRequest, AttemptWork, CompletionWork, FailureCause, NotRunVerdict,
     ProblemDetails,
@@ -298,15 +299,13 @@
         detail: String,
     ) {
         self.not_run = worse(self.not_run, not_run);
-        log::info!(
-            event = "attempt_failed",
-            request_id:% = self.job.request_id,
-            instance:% = placed.choice.instance,
-            cause:? = cause,
-            tokens = self.progress.tokens.len(),
-            detail:% = detail;
-            ""
-        );
+        EventLine::new("attempt_failed")
+            .field("request_id", self.job.request_id)
+            .field("instance", &placed.choice.instance)
+            .field("cause", format!("{cause:?}"))
+            .field("tokens", self.progress.tokens.len())
+            .field("detail", &detail)
+            .info();
         self.last_failure = Some(detail);
     }
 
--- a/crates/celeryshed_entry/src/configuration/mod.rs
+++ b/crates/celeryshed_entry/src/configuration/mod.rs
@@ -6,14 +6,12 @@
 
 mod handle;
 mod options;
-mod packed;
 mod peer;
 mod routes;
 mod task;
 
 pub use handle::ConfigurationHandle;
 pub use options::{ConfigurationOptions, CrashExchange, OptionsError, ProcessIdentity};
-pub use packed::{Compact, Packed};
 pub use peer::{HttpPeers, PeerClient, PeerError};
 pub use routes::configuration_routes;
 pub use task::{ConfigurationClients, spawn_configuration};
--- a/crates/celeryshed_entry/src/configuration/routes.rs
+++ b/crates/celeryshed_entry/src/configuration/routes.rs
@@ -1,10 +1,10 @@
 //! Routes of the configuration.
 
+use celeryshed_server::Packed;
 use celeryshed_wire::{ConfigurationReply, RevisionExchange};
 use rocket::{Route, State, post, routes};
 
 use super::handle::ConfigurationHandle;
-use super::packed::Packed;
 
 /// `POST /entry/v1/revisions`, for peers and sidecars; needs a managed [`ConfigurationHandle`].
 pub fn configuration_routes() -> Vec<Route> {
--- a/crates/celeryshed_entry/src/membership/routes.rs
+++ b/crates/celeryshed_entry/src/membership/routes.rs
@@ -1,10 +1,11 @@
 //! Routes of the membership.
 
+use celeryshed_server::{Compact, Packed};
 use celeryshed_wire::{EndpointReport, ReportReply};
 use rocket::{Route, State, post, routes};
 
 use super::handle::MembershipHandle;
-use crate::configuration::{Compact, ConfigurationHandle, Packed, ProcessIdentity};
+use crate::configuration::{ConfigurationHandle, ProcessIdentity};
 
 /// `POST /entry/v1/reports`, for sidecars; needs a managed [`MembershipHandle`],
 /// [`ConfigurationHandle`] and [`ProcessIdentity`].
--- a/crates/celeryshed_entry/src/role/launch.rs
+++ b/crates/celeryshed_entry/src/role/launch.rs
@@ -9,8 +9,8 @@
 use celeryshed_observe::{EventLine, MetricsRegistry};
 use celeryshed_platform::{HttpList, HttpLog, HttpTimeouts, LogClient};
 use celeryshed_server::{
-    HealthProbe, ReadyState, RunningServer, ServerOptions, follow_gauge, health_routes,
-    launch_server,
+    HealthProbe, ReadyState, RoleResult as Result, RunningServer, ServerOptions, follow_gauge,
+    health_routes, in_part, launch_server,
 };
 use celeryshed_settings::EntrySettings;
 use celeryshed_wire::{ENTRY_HEADER, ProcessStatus};
@@ -19,7 +19,6 @@
 use rocket::{State, get, routes};
 use tokio::sync::watch;
 
-use super::error::{Result, in_part};
 use super::feeds::{crash_exchange, spawn_feeds};
 use crate::bookings::{
     BookingEdges, BookingHandle, BookingOptions, BookingSettings, HttpEntryForward,
--- a/crates/celeryshed_entry/src/role/mod.rs
+++ b/crates/celeryshed_entry/src/role/mod.rs
@@ -1,9 +1,7 @@
 //! The assembled entry: its tasks, its server and its drain.
 
 mod booking_gate;
-mod error;
 mod feeds;
 mod launch;
 
-pub use error::RoleError;
 pub use launch::EntryRole;
--- a/crates/celeryshed_server/src/lib.rs
+++ b/crates/celeryshed_server/src/lib.rs
@@ -5,11 +5,15 @@
 mod headers;
 mod health;
 mod launch;
+mod packed;
 mod problems;
+mod role_error;
 mod signals;
 mod traffic;
 
 pub use gauges::follow_gauge;
 pub use health::{HealthProbe, ReadyState, health_routes};
 pub use launch::{RunningServer, ServerError, ServerOptions, launch_server};
+pub use packed::{Compact, Packed};
+pub use role_error::{RoleError, RoleResult, in_part};
 pub use signals::TerminationSignal;
--- a/crates/celeryshed_side/src/attempts/crashes.rs
+++ b/crates/celeryshed_side/src/attempts/crashes.rs
@@ -6,6 +6,7 @@
 
 use celeryshed_base::{AttemptId, ContentDigest, InstanceName, RecordId};
 use celeryshed_core::membership::MemberView;
+use celeryshed_observe::EventLine;
 use celeryshed_platform::LogClient;
 use celeryshed_wire::{CrashNotice, EngineLoad, MSGPACK, encode};
 use futures::future::join_all;
@@ -199,7 +200,7 @@
         let suspects = fresh.iter().filter(|(_, it)| it.suspect).map(|(_, it)| it.fingerprint);
         let notice = self.notice(in_flight, suspects.collect(), Vec::new());
         self.told.extend(fresh.iter().map(|(attempt_id, _)| *attempt_id));
-        log::warn!(event = "endpoint_crashed", in_flight = fresh.len(); "");
+        EventLine::new("endpoint_crashed").field("in_flight", fresh.len()).warn();
         self.tell(notice).await;
     }
 
@@ -247,7 +248,7 @@
         let (log, record) = (Arc::clone(&self.inputs.log), body.clone());
         tokio::spawn(async move {
             if let Err(error) = log.append(CRASH_STREAM, vec![record]).await {
-                log::warn!(event = "crash_notice_not_logged", error:% = error; "");
+                EventLine::new("crash_notice_not_logged").field("error", error).warn();
             }
         });
         let view = Arc::clone(&self.inputs.members.borrow());
--- a/crates/celeryshed_side/src/configuration/mod.rs
+++ b/crates/celeryshed_side/src/configuration/mod.rs
@@ -7,7 +7,6 @@
 mod client;
 mod handle;
 mod options;
-mod packed;
 mod routes;
 mod senders;
 mod task;
@@ -15,7 +14,6 @@
 pub use client::{EntryClient, EntryError, HttpEntries};
 pub use handle::ConfigurationHandle;
 pub use options::{EndpointStatus, OptionsError, ReportOptions, SideIdentity};
-pub use packed::{Compact, Packed};
 pub(crate) use routes::NotedSender;
 pub use routes::configuration_routes;
 pub use task::{ConfigurationClients, spawn_configuration};
--- a/crates/celeryshed_side/src/configuration/routes.rs
+++ b/crates/celeryshed_side/src/configuration/routes.rs
@@ -1,12 +1,12 @@
 //! Routes of the configuration.
 
+use celeryshed_server::{Compact, Packed};
 use celeryshed_wire::{ConfigurationReply, ENTRY_HEADER, EndpointReport, RevisionExchange};
 use rocket::http::Status;
 use rocket::request::{FromRequest, Outcome, Request};
 use rocket::{Route, State, post, routes};
 
 use super::handle::ConfigurationHandle;
-use super::packed::{Compact, Packed};
 
 /// `POST /side/v1/report`, for probes of entries, and `POST /side/v1/revisions`, for entries that
 /// know no configuration, and `POST /side/v1/leaving/<instance>`, for entries that read the
--- a/crates/celeryshed_side/src/role/launch.rs
+++ b/crates/celeryshed_side/src/role/launch.rs
@@ -12,8 +12,8 @@
 use celeryshed_observe::{EventLine, MetricsRegistry};
 use celeryshed_platform::{BlobClient, HttpBlobs, HttpList, HttpLog, HttpTimeouts, LogClient};
 use celeryshed_server::{
-    HealthProbe, ReadyState, RunningServer, ServerOptions, follow_gauge, health_routes,
-    launch_server,
+    HealthProbe, ReadyState, RoleResult as Result, RunningServer, ServerOptions, follow_gauge,
+    health_routes, in_part, launch_server,
 };
 use celeryshed_settings::{SideSettings, WeightSettings, WeightWeighing};
 use celeryshed_wire::ProcessStatus;
@@ -21,7 +21,6 @@
 use rocket::{State, get, routes};
 use tokio::sync::watch;
 
-use super::error::{Result, in_part};
 use super::status::StatusSources;
 use crate::attempts::{
     self, AttemptInputs, AttemptOptions, AttemptsHandle, DrainState, EndpointTarget,
--- a/crates/celeryshed_side/src/weights/engine.rs
+++ b/crates/celeryshed_side/src/weights/engine.rs
@@ -6,6 +6,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use celeryshed_base::{ContentDigest, FenceNumber, common_derives};
+use celeryshed_observe::EventLine;
 use celeryshed_wire::MANIFEST_CHUNK_INDEX;
 use tokio::sync::watch;
 use tokio::time::{MissedTickBehavior, interval};
@@ -105,7 +106,10 @@
                 Ok(()) => failures = 0,
                 Err(error) => {
                     failures += 1;
-                    log::warn!("event=engine_call_failed failures={failures} error={error:?}");
+                    EventLine::new("engine_call_failed")
+                        .field("failures", failures)
+                        .field("error", &error)
+                        .warn();
                     // Only the state tells what the engine serves; a refused command doesn't.
                     if failures >= STATE_FAILURES
                         && matches!(error, EngineError::Unreachable { .. })
@@ -139,7 +143,9 @@
         self.loader.load(fence, &target.manifest, target.chunks.len() as u32).await?;
         let after = self.loader.state().await?;
         if after.boot_id != before.boot_id {
-            log::warn!("event=engine_restarted_during_load manifest={}", target.manifest);
+            EventLine::new("engine_restarted_during_load")
+                .field("manifest", target.manifest)
+                .warn();
         }
         self.report(after.live);
         Ok(())
@@ -153,7 +159,7 @@
         });
         if changed {
             let name = live.map_or("none".to_owned(), |manifest| manifest.to_string());
-            log::info!("event=live_version manifest={name}");
+            EventLine::new("live_version").field("manifest", name).info();
         }
     }
 }
--- a/crates/celeryshed_side/src/weights/fences.rs
+++ b/crates/celeryshed_side/src/weights/fences.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use celeryshed_base::{FenceNumber, InstanceName, ProcessIncarnation};
+use celeryshed_observe::EventLine;
 use celeryshed_platform::LogClient;
 use celeryshed_wire::{FenceRegistration, encode};
 use tokio::sync::watch;
@@ -31,7 +32,7 @@
     let record = match encode(&registration) {
         Ok(record) => record,
         Err(error) => {
-            log::error!("event=fence_registration_invalid error={error:?}");
+            EventLine::new("fence_registration_invalid").field("error", error).error();
             return;
         }
     };
@@ -39,11 +40,13 @@
     loop {
         match log.append(FENCE_STREAM, vec![record.clone()]).await {
             Ok(offset) => {
-                log::info!("event=fence_registered fence={offset}");
+                EventLine::new("fence_registered").field("fence", offset).info();
                 fence.send_replace(Some(FenceNumber(offset.0)));
                 return;
             }
-            Err(error) => log::warn!("event=fence_registration_failed error={error:?}"),
+            Err(error) => {
+                EventLine::new("fence_registration_failed").field("error", error).warn();
+            }
         }
         sleep(pause).await;
         pause = (pause * 2).min(RETRY_LIMIT);
--- a/crates/celeryshed_side/src/weights/task.rs
+++ b/crates/celeryshed_side/src/weights/task.rs
@@ -15,6 +15,7 @@
     ChunkSource, FetchFailure, FetchScheduler, OptionError, OuterSource, SpreadAction, SpreadEvent,
     SpreadPlan, WantedVersion,
 };
+use celeryshed_observe::EventLine;
 use celeryshed_platform::{BlobClient, LogClient};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch};
 use tokio::task::AbortHandle;
@@ -324,7 +325,7 @@
         match read_chunks(content, version) {
             Ok(chunks) => self.handle(SpreadEvent::ManifestRead { manifest, chunks }),
             Err(error) => {
-                log::error!("event=manifest_rejected error={error:?}");
+                EventLine::new("manifest_rejected").field("error", error).error();
                 self.handle(SpreadEvent::ManifestRejected { manifest });
             }
         }
@@ -350,9 +351,11 @@
                 SpreadAction::VersionComplete { manifest } => self.version_complete(manifest),
                 SpreadAction::VersionTooLarge { manifest, size } => {
                     let memory = self.options.fetch.memory;
-                    log::error!(
-                        "event=version_too_large manifest={manifest} size={size} memory={memory}"
-                    );
+                    EventLine::new("version_too_large")
+                        .field("manifest", manifest)
+                        .field("size", size)
+                        .field("memory", memory)
+                        .error();
                 }
             }
         }
@@ -392,7 +395,7 @@
 
     /// Hands the selected version to the engine's task.
     fn version_complete(&mut self, manifest: ContentDigest) {
-        log::info!("event=version_complete manifest={manifest}");
+        EventLine::new("version_complete").field("manifest", manifest).info();
         let selected = self.wanted.first().is_some_and(|version| version.manifest == manifest);
         let Some(chunks) = self.scheduler.complete_chunks(&manifest) else { return };
         if !selected {
@@ -405,7 +408,7 @@
                 let version = CompleteVersion { manifest, manifest_content, chunks };
                 self.target.send_replace(Some(Arc::new(version)));
             }
-            _ => log::error!("event=version_incomplete manifest={manifest}"),
+            _ => EventLine::new("version_incomplete").field("manifest", manifest).error(),
         }
     }
 }
