--- a/crates/celeryshed_measure/src/fleet/launch.rs
+++ b/crates/celeryshed_measure/src/fleet/launch.rs
@@ -315,7 +315,7 @@
             store_region: plan.places.first().map(|place| place.region.clone()),
             link_mbit_per_s: LINK_MBIT_PER_S,
             chunk_memory_mib: ByteCount(1024).0,
-            parallel_fetches: 16,
+            parallel_fetches: 4,
         },
         report_interval: plan.report_interval,
         max_request: MAX_REQUEST,
--- a/crates/celeryshed_settings/src/side_settings.rs
+++ b/crates/celeryshed_settings/src/side_settings.rs
@@ -135,7 +135,7 @@
             store_region: section.checked_optional("store_region"),
             link_mbit_per_s: section.integer("link_mbit_per_s", 1..=400_000, 1_000),
             chunk_memory_mib: section.integer("chunk_memory_mib", 1..=4_194_304, 4_096),
-            parallel_fetches: section.integer("parallel_fetches", 1..=256, 32) as u32,
+            parallel_fetches: section.integer("parallel_fetches", 1..=256, 4) as u32,
         }
     }
 }
--- a/crates/celeryshed_side/src/role/launch.rs
+++ b/crates/celeryshed_side/src/role/launch.rs
@@ -254,7 +254,6 @@
     };
     options.fetch.memory = ByteCount(weights.chunk_memory_mib << 20);
     options.fetch.parallel_fetches = weights.parallel_fetches as usize;
-    options.fetch.parallel_polls = options.fetch.parallel_polls.min(options.fetch.parallel_fetches);
     options
 }
 
