Report the engine's queue; drop empty modules and unused dependencies

Cause: reports said 0 waiting requests and queued prompt tokens whatever the engine had, so that routing saw its queue only on attempts' own events; two placeholder modules and 30 unused dependencies were left from the layout. Change: the status takes the attempts' load report and looks each second; the modules and dependencies are gone.

--- a/crates/celeryshed_entry/src/peers/mod.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Placeholder until this module lands.
--- a/crates/celeryshed_side/src/role/launch.rs
+++ b/crates/celeryshed_side/src/role/launch.rs
@@ -82,7 +82,7 @@
         let sources = StatusSources {
             kind: settings.endpoint.kind,
             live_version,
-            load: attempts.load(),
+            attempts: attempts.clone(),
             drain: drain_watch.clone(),
         };
         spawn_gauges(settings, &configuration, &attempts, live_gauge);
