Give queue_limit its effect; show checks_fence at the start

Cause: found on the read-through: queue_limit was checked and documented with a default of 256, and the queues always had 512; checks_fence changed nothing and no page said so. Sending other commands to endpoints without the check was ruled out: a load names an immutable digest and is harmless when stale. Result: serving_settings_reach_the_requests fails without the line (512 instead of 7) and passes with it.

--- a/crates/celeryshed_entry/src/role/launch.rs
+++ b/crates/celeryshed_entry/src/role/launch.rs
@@ -235,6 +235,7 @@
     let instance = settings.instance.clone();
     let mut options = CompletionOptions::new(instance.name, instance.zone, instance.region);
     options.max_request = settings.max_request;
+    options.queues.length = settings.queue_limit as usize;
     options
 }
 
@@ -279,3 +280,7 @@
 fn process_status(reporter: &State<StatusReporter>) -> Json<ProcessStatus> {
     Json(reporter.status())
 }
+
+#[cfg(test)]
+#[path = "tests.rs"]
+mod tests;
--- a/crates/celeryshed_side/src/role/launch.rs
+++ b/crates/celeryshed_side/src/role/launch.rs
@@ -118,6 +118,7 @@
             .field("instance", &settings.instance.name)
             .field("address", server.address())
             .field("incarnation", incarnation)
+            .field("checks_fence", settings.endpoint.checks_fence)
             .info();
         Ok(Self { server, drain, attempts, claims })
     }
