Don't suspect a request that was answered lately of crashing endpoints

Equal requests of many callers share a fingerprint and are in flight whenever connections break; three resets within a second stopped them all, and a refused request can't prove its innocence. Entries also kept counting what another entry had long taken back. Ruled out: letting one request through now and then, which with 14 entries breaks the bound on retries of a guilty one. Change: an answer proves innocence for 15 to 30 s; a peer's message replaces all its counts. Result: answered_request_is_not_suspected and the addition to crashes_of_all_entries_add_up fail before and pass after.

--- a/crates/celeryshed_dispatch/src/crashes.rs
+++ b/crates/celeryshed_dispatch/src/crashes.rs
@@ -2,7 +2,8 @@
 //!
 //! A broken connection alone says little. It counts against the request when its endpoint could not
 //! be reached right afterwards. Requests that were in flight beside the guilty one are blamed once
-//! or twice by chance; only what crashed several endpoints is stopped.
+//! or twice by chance; only what crashed several endpoints is stopped. A request that was answered
+//! lately is not blamed at all: one that crashes whatever runs it never gets an answer.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -18,6 +19,10 @@
 const CONFIRM_WITHIN: Duration = Duration::from_secs(1);
 /// Time without another crash after which a request is tried again.
 const MEMORY: Duration = Duration::from_secs(15);
+/// Time for which an answer proves that a request crashes nothing: one to two of these spans.
+const PROOF_SPAN: Duration = Duration::from_secs(15);
+/// Answered requests that are remembered for each span.
+const MAX_PROOFS: usize = 4096;
 
 common_derives! { index:
     /// Digest of what makes a request recognisable when it comes again.
@@ -62,6 +67,39 @@
 pub struct CrashGuard {
     resets: Vec<(MonoTime, EndpointId, RequestFingerprint)>,
     counts: BTreeMap<RequestFingerprint, CrashCount>,
+    answered: AnsweredRequests,
+}
+
+/// The requests that were answered lately, in two spans of time.
+#[derive(Clone, Debug, Default)]
+struct AnsweredRequests {
+    since: MonoTime,
+    current: BTreeSet<RequestFingerprint>,
+    previous: BTreeSet<RequestFingerprint>,
+}
+
+impl AnsweredRequests {
+    fn insert(&mut self, now: MonoTime, request: RequestFingerprint) {
+        self.rotate(now);
+        if self.current.len() < MAX_PROOFS {
+            self.current.insert(request);
+        }
+    }
+
+    fn contains(&self, now: MonoTime, request: RequestFingerprint) -> bool {
+        let age = now - self.since;
+        age < PROOF_SPAN && self.previous.contains(&request)
+            || age < PROOF_SPAN * 2 && self.current.contains(&request)
+    }
+
+    fn rotate(&mut self, now: MonoTime) {
+        let age = now - self.since;
+        if age >= PROOF_SPAN {
+            let ended = std::mem::take(&mut self.current);
+            self.previous = if age < PROOF_SPAN * 2 { ended } else { BTreeSet::new() };
+            self.since = now;
+        }
+    }
 }
 
 impl CrashGuard {
@@ -81,7 +119,9 @@
         // Equal requests that were in flight together saw one crash.
         let requests: BTreeSet<RequestFingerprint> =
             confirmed.into_iter().map(|(_, _, request)| request).collect();
-        for request in requests {
+        let unproven =
+            requests.into_iter().filter(|request| !self.answered.contains(now, *request));
+        for request in unproven {
             let count = self.counts.entry(request).or_default();
             count.own += 1;
             count.last = now;
@@ -89,21 +129,29 @@
     }
 
     /// The request was answered, so it is not guilty.
-    pub fn answered(&mut self, request: RequestFingerprint) {
+    pub fn answered(&mut self, now: MonoTime, request: RequestFingerprint) {
         self.counts.remove(&request);
+        self.answered.insert(now, request);
     }
 
-    /// Takes over how many crashes another entry counts.
+    /// Takes over how many crashes another entry counts; it no longer counts those of requests that
+    /// it doesn't name.
     pub fn report_peer(
         &mut self,
         now: MonoTime,
         peer: &str,
-        request: RequestFingerprint,
-        crashes: u32,
+        crashes: &BTreeMap<RequestFingerprint, u32>,
     ) {
-        let count = self.counts.entry(request).or_default();
-        if count.peers.insert(peer.to_owned(), crashes) != Some(crashes) {
-            count.last = now;
+        for (request, count) in &mut self.counts {
+            if !crashes.contains_key(request) {
+                count.peers.remove(peer);
+            }
+        }
+        for (request, crashes) in crashes {
+            let count = self.counts.entry(*request).or_default();
+            if count.peers.insert(peer.to_owned(), *crashes) != Some(*crashes) {
+                count.last = now;
+            }
         }
     }
 
@@ -119,7 +167,9 @@
     pub fn stops(&self, now: MonoTime, request: RequestFingerprint) -> bool {
         self.counts.get(&request).is_some_and(|count| {
             let total = count.own + count.peers.values().sum::<u32>();
-            total >= MAX_CRASHES && now - count.last < MEMORY
+            total >= MAX_CRASHES
+                && now - count.last < MEMORY
+                && !self.answered.contains(now, request)
         })
     }
 
--- a/crates/celeryshed_dispatch/tests/decisions.rs
+++ b/crates/celeryshed_dispatch/tests/decisions.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use celeryshed_base::{MonoTime, TeamName};
@@ -157,9 +158,32 @@
     let mut guard = CrashGuard::default();
     let request = RequestFingerprint(7);
     for peer in ["10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000"] {
-        guard.report_peer(at(0), peer, request, 1);
+        guard.report_peer(at(0), peer, &BTreeMap::from([(request, 1)]));
     }
     assert!(guard.stops(at(10), request));
+    guard.report_peer(at(20), "10.0.0.2:7000", &BTreeMap::new());
+    assert!(!guard.stops(at(20), request), "an entry takes its suspicion back");
+}
+
+/// Equal requests of many callers are in flight whenever a connection breaks, and are answered all
+/// the time; what crashes whatever runs it is never answered.
+#[test]
+fn answered_request_is_not_suspected() {
+    let mut guard = CrashGuard::default();
+    let popular = RequestFingerprint(1);
+    guard.answered(at(0), popular);
+    for (crash, endpoint) in ["a", "b", "c"].into_iter().enumerate() {
+        let now = at(200 + crash as u64);
+        guard.reset(now, &endpoint.into(), popular);
+        guard.unreachable(now, &endpoint.into());
+    }
+    let told = BTreeMap::from([(popular, 3)]);
+    guard.report_peer(at(300), "10.0.0.1:7000", &told);
+    assert!(!guard.stops(at(300), popular));
+    assert!(guard.own().next().is_none(), "the other entries are not told of it either");
+    // The proof ends, so that a request whose effect changes with the weights can be stopped.
+    guard.report_peer(at(40_000), "10.0.0.1:7000", &BTreeMap::from([(popular, 4)]));
+    assert!(guard.stops(at(40_000), popular));
 }
 
 fn route(prefix: &str, anonymous: bool) -> RouteRule {
--- a/crates/celeryshed_gateway/src/desk_task.rs
+++ b/crates/celeryshed_gateway/src/desk_task.rs
@@ -342,7 +342,7 @@
             DeskCommand::Broken { id, request } => {
                 self.desk.crashes_mut().reset(now, &id, request);
             }
-            DeskCommand::Served(request) => self.desk.crashes_mut().answered(request),
+            DeskCommand::Served(request) => self.desk.crashes_mut().answered(now, request),
             DeskCommand::Stops { request, reply } => {
                 // The caller may have left; so below.
                 let _ = reply.send(self.desk.crashes_mut().stops(now, request));
@@ -375,10 +375,7 @@
         let now = self.clock.now();
         self.version_ages(&load.versions);
         self.desk.apply_peer(now, &PeerName(load.entry.clone()), &load.load_map());
-        for notice in &load.crashes {
-            let request = RequestFingerprint(notice.request);
-            self.desk.crashes_mut().report_peer(now, &load.entry, request, notice.crashes);
-        }
+        self.desk.crashes_mut().report_peer(now, &load.entry, &load.crash_map());
     }
 
     fn sidecar_status(&mut self, status: SidecarStatus) {
--- a/crates/celeryshed_peering/src/messages.rs
+++ b/crates/celeryshed_peering/src/messages.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use celeryshed_base::{RegionName, common_derives};
-use celeryshed_dispatch::{EndpointId, PeerLoad, PieceSet};
+use celeryshed_dispatch::{EndpointId, PeerLoad, PieceSet, RequestFingerprint};
 
 use crate::log::ControlPosition;
 
@@ -112,4 +112,10 @@
     pub fn load_map(&self) -> BTreeMap<EndpointId, PeerLoad> {
         self.loads.iter().map(|notice| (notice.id.clone(), notice.into())).collect()
     }
+
+    /// The crashes by request.
+    pub fn crash_map(&self) -> BTreeMap<RequestFingerprint, u32> {
+        let crashes = self.crashes.iter();
+        crashes.map(|notice| (RequestFingerprint(notice.request), notice.crashes)).collect()
+    }
 }
