--- a/crates/celeryshed_dispatch/src/desk.rs
+++ b/crates/celeryshed_dispatch/src/desk.rs
@@ -84,6 +84,13 @@
     born_ms: u64,
 }
 
+impl EndpointRecord {
+    /// What the sidecar said, unless that is too long ago.
+    fn fresh_status(&self, now: MonoTime) -> Option<&EndpointStatus> {
+        self.status.as_ref().filter(|status| now - status.at < STATUS_LIFETIME)
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct DeclaredVersion {
     due_at: MonoTime,
@@ -424,8 +431,13 @@
         id: &EndpointId,
     ) -> Option<EndpointTarget> {
         let entry = self.directory.get(now, id)?;
-        let due = profile.model.as_deref().and_then(|model| self.version_due(now, model));
-        let version = profile.version.or(due);
+        let model = profile.model.as_deref();
+        let due = model.and_then(|model| self.version_due(now, model));
+        // The endpoint may serve a newer version than the one that is due.
+        let served = due
+            .and(model)
+            .and_then(|model| self.served_version(now, entry, self.records.get(id)?, model));
+        let version = profile.version.or(served);
         Some(EndpointTarget { id: id.clone(), address: entry.address.clone(), version })
     }
 
@@ -440,7 +452,6 @@
             if entry.service != profile.service || !self.serves(now, entry, record, profile) {
                 return None;
             }
-            let status = record.status.as_ref().filter(|status| now - status.at < STATUS_LIFETIME);
             Some(Candidate {
                 id,
                 slots: entry.slots,
@@ -448,7 +459,7 @@
                 health: &record.health,
                 distance: self.distance(&entry.zone),
                 timing,
-                closing_at: status.and_then(|status| status.closing_at),
+                closing_at: record.fresh_status(now).and_then(|status| status.closing_at),
             })
         })
     }
@@ -463,15 +474,11 @@
         if entry.state != EndpointState::Ready {
             return false;
         }
-        let status = record.status.as_ref().filter(|status| now - status.at < STATUS_LIFETIME);
-        if status.is_some_and(|status| !status.accepting) {
+        if record.fresh_status(now).is_some_and(|status| !status.accepting) {
             return false;
         }
         let Some(model) = profile.model.as_deref() else { return true };
-        let version = match status {
-            Some(status) => status.models.get(model).copied(),
-            None => entry.version_of(model),
-        };
+        let version = self.served_version(now, entry, record, model);
         let due = self.version_due(now, model);
         version.is_some_and(|version| {
             due.is_none_or(|due| version >= due)
@@ -479,6 +486,20 @@
         })
     }
 
+    /// The version of a model that an endpoint serves, as its sidecar or else the list says.
+    fn served_version(
+        &self,
+        now: MonoTime,
+        entry: &EndpointEntry,
+        record: &EndpointRecord,
+        model: &str,
+    ) -> Option<u64> {
+        match record.fresh_status(now) {
+            Some(status) => status.models.get(model).copied(),
+            None => entry.version_of(model),
+        }
+    }
+
     /// The version that an endpoint must serve by now.
     fn version_due(&self, now: MonoTime, model: &str) -> Option<u64> {
         let versions = self.versions.get(model)?.iter().rev();
--- a/crates/celeryshed_dispatch/src/health.rs
+++ b/crates/celeryshed_dispatch/src/health.rs
@@ -33,6 +33,8 @@
         Full,
         /// Another endpoint answers at the address.
         Misdirected,
+        /// The endpoint serves another version than the one that was asked for.
+        OtherVersion,
     }
 
     /// Why it is unknown whether a request ran.
@@ -103,7 +105,10 @@
                 self.rate(now, 0.0);
                 return;
             }
-            AttemptOutcome::Abandoned => return,
+            // It says nothing of the endpoint's health; the sidecar tells the version soon.
+            AttemptOutcome::Abandoned | AttemptOutcome::NotRun(NotRunReason::OtherVersion) => {
+                return;
+            }
             AttemptOutcome::Failed
             | AttemptOutcome::Unknown(UnknownReason::Malformed | UnknownReason::Reset) => {
                 self.rate(now, 1.0);
--- a/crates/celeryshed_dispatch/src/staging/picker.rs
+++ b/crates/celeryshed_dispatch/src/staging/picker.rs
@@ -21,6 +21,9 @@
 const MAX_ORIGIN_FETCHES: usize = 1;
 /// Time after which the next rank fetches a piece from the origin, in times of one copy.
 const ORIGIN_STEP: f64 = 1.25;
+/// Rate at which pieces become due at the origin, as a multiple of what its link carries: enough to
+/// keep the link busy, and few enough at once that the first ones arrive early and spread meanwhile.
+const ORIGIN_RATE: f64 = 1.3;
 /// Time in which every sidecar that fetches the version is heard of again and again; one that is
 /// not heard for as long has no rank.
 const HEARD_WITHIN: Duration = Duration::from_millis(1200);
@@ -128,6 +131,8 @@
     missing: BTreeSet<u32>,
     /// Pieces that were missing at the start.
     wanted: usize,
+    /// Pieces of one copy, as far as they are known from the missing ones.
+    pieces: u32,
     peers: BTreeMap<String, PeerPieces>,
     fetching: BTreeMap<u32, PieceSource>,
     /// Until when a place is not asked for a piece.
@@ -155,6 +160,7 @@
             started_at: now,
             origin_copy,
             wanted: missing.len(),
+            pieces: missing.last().map_or(1, |last| last + 1),
             missing,
             peers: BTreeMap::new(),
             fetching: BTreeMap::new(),
@@ -310,7 +316,9 @@
             return None;
         }
         let step = self.origin_copy.mul_f64(ORIGIN_STEP);
-        let due = self.started_at + step * self.rank(now, piece, |_| true);
+        let turn =
+            self.origin_copy.mul_f64(f64::from(piece) / f64::from(self.pieces) / ORIGIN_RATE);
+        let due = self.started_at + turn + step * self.rank(now, piece, |_| true);
         (now >= due && self.is_free(now, piece, &PieceSource::Origin))
             .then_some(PieceSource::Origin)
     }
--- a/crates/celeryshed_dispatch/tests/versions.rs
+++ b/crates/celeryshed_dispatch/tests/versions.rs
@@ -59,6 +59,27 @@
     }
 }
 
+/// Guards against demanding the due version from an endpoint that serves a newer one already: with
+/// two declarations 4 s apart every endpoint refused, and was left out for seconds.
+#[test]
+fn newer_version_is_demanded_from_endpoint_that_serves_it() {
+    let mut desk = desk();
+    add(&mut desk, "newer", 1, entry("model", 1, Some(3)));
+    desk.learn_version(at(0), MODEL, 2, Some(Duration::ZERO));
+    desk.learn_version(at(4000), MODEL, 3, Some(Duration::ZERO));
+    let decisions = ask(&mut desk, at(8000), 1, stream(at(8000)));
+    let [celeryshed_dispatch::DispatchDecision::Place { target, .. }] = &decisions[..] else {
+        panic!("not placed: {decisions:?}");
+    };
+    assert_eq!(target.version, Some(3));
+    let refused = celeryshed_dispatch::AttemptOutcome::NotRun(
+        celeryshed_dispatch::NotRunReason::OtherVersion,
+    );
+    let id = target.id.clone();
+    desk.finish(at(8010), &id, 1000, refused);
+    assert_eq!(placed(&ask(&mut desk, at(8020), 2, stream(at(8020)))), Some("newer"));
+}
+
 /// A sidecar's word goes before the list, which lags; without a recent word the list counts.
 #[test]
 fn sidecar_status_goes_before_list() {
--- a/crates/celeryshed_gateway/src/peer_task.rs
+++ b/crates/celeryshed_gateway/src/peer_task.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use celeryshed_base::AvailabilityZone;
 use celeryshed_peering::{ControlHandle, EntryHello, PeerMessage, PeerSocket};
 use tokio::time::{Instant, sleep};
 
@@ -22,6 +23,7 @@
 /// Sends this entry's load and greetings, and passes on what arrives.
 pub(crate) struct PeerTask {
     pub(crate) address: SocketAddr,
+    pub(crate) zone: AvailabilityZone,
     pub(crate) sidecar_port: u16,
     pub(crate) socket: PeerSocket,
     pub(crate) desk: DeskHandle,
@@ -67,8 +69,11 @@
             let address: SocketAddr = endpoint.parse().ok()?;
             Some(SocketAddr::new(address.ip(), self.sidecar_port).to_string())
         });
-        let hello =
-            EntryHello { entry: self.address.to_string(), position: self.control.position() };
+        let hello = EntryHello {
+            entry: self.address.to_string(),
+            zone: self.zone.clone(),
+            position: self.control.position(),
+        };
         self.socket.send(&PeerMessage::Hello(hello), sidecars);
     }
 
--- a/crates/celeryshed_gateway/src/process.rs
+++ b/crates/celeryshed_gateway/src/process.rs
@@ -82,6 +82,7 @@
             .map_err(|source| listen_error("the peer socket", settings.peers, source))?;
         let peer_task = PeerTask {
             address: settings.peers,
+            zone: settings.desk.zone.clone(),
             sidecar_port: settings.sidecar_port,
             socket,
             desk: desk.clone(),
@@ -184,10 +185,10 @@
 
 async fn answer_peer(control: ControlHandle, request: Request<Incoming>) -> Response<GatewayBody> {
     let target = request.uri().path_and_query().map_or("", |target| target.as_str());
-    let Some(position) = relay_target(target) else {
+    let Some(query) = relay_target(target) else {
         return status_response(StatusCode::NOT_FOUND);
     };
-    match control.relay(position).await {
+    match control.relay(query).await {
         Some(bytes) => Response::new(GatewayBody::whole(bytes)),
         None => status_response(StatusCode::SERVICE_UNAVAILABLE),
     }
--- a/crates/celeryshed_gateway/src/request/attempt.rs
+++ b/crates/celeryshed_gateway/src/request/attempt.rs
@@ -135,7 +135,7 @@
 ) -> Result<ExchangeReply, AttemptOutcome> {
     let response = channel.send(outgoing).await.map_err(|error| exchange_failure(&error))?;
     let (head, mut body) = response.into_parts();
-    check_head(names, request, &head)?;
+    check_head(names, request, plan, &head)?;
     if !request.route.kind.is_stream() || !head.status.is_success() {
         let whole = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
         let whole = whole.map_err(|_| AttemptOutcome::Unknown(UnknownReason::Reset))?;
@@ -172,6 +172,7 @@
 fn check_head(
     names: &HeaderNames,
     request: &CallerRequest,
+    plan: &AttemptPlan<'_>,
     head: &Parts,
 ) -> Result<(), AttemptOutcome> {
     let malformed = Err(AttemptOutcome::Unknown(UnknownReason::Malformed));
@@ -180,7 +181,11 @@
         return malformed;
     }
     if head.status == StatusCode::MISDIRECTED_REQUEST {
-        return Err(AttemptOutcome::NotRun(NotRunReason::Misdirected));
+        let reason = match plan.target.version {
+            Some(_) => NotRunReason::OtherVersion,
+            None => NotRunReason::Misdirected,
+        };
+        return Err(AttemptOutcome::NotRun(reason));
     }
     if head.headers.contains_key(&names.not_run) {
         return Err(AttemptOutcome::NotRun(NotRunReason::Full));
--- a/crates/celeryshed_gateway/tests/support/mod.rs
+++ b/crates/celeryshed_gateway/tests/support/mod.rs
@@ -16,7 +16,7 @@
     SplitWeight, TeamEntry,
 };
 use celeryshed_gateway::{EntryProcess, GatewaySettings, HeaderNames};
-use celeryshed_peering::FeedSettings;
+use celeryshed_peering::{FeedSettings, RelayScope};
 use hyper::header::HeaderName;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -154,7 +154,7 @@
                 version_deadline: Duration::from_secs(8),
             },
             feed: FeedSettings {
-                follow: true,
+                scope: RelayScope::Everything,
                 endpoints_interval: Duration::from_millis(50),
                 endpoints_max_age: Duration::from_millis(500),
             },
--- a/crates/celeryshed_http/src/client.rs
+++ b/crates/celeryshed_http/src/client.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::{HeaderMap, Method, Request, StatusCode};
 use tokio::sync::Mutex;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::channel::{ChannelError, HttpChannel, Result};
 
@@ -27,6 +27,23 @@
     pub body: Bytes,
 }
 
+/// How long a call may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallLimits {
+    /// Longest wait for the head of the answer.
+    pub head: Duration,
+    /// Longest silence within its body.
+    pub silence: Duration,
+    /// Longest time until the answer is whole.
+    pub whole: Duration,
+}
+
+impl From<Duration> for CallLimits {
+    fn from(limit: Duration) -> Self {
+        Self { head: limit, silence: limit, whole: limit }
+    }
+}
+
 /// A client of one address; it keeps a connection between calls and opens a new one after a failure.
 #[derive(Debug)]
 pub struct HttpClient {
@@ -51,7 +68,7 @@
         &self.address
     }
 
-    /// Calls `target`, a path with its query, and reads the whole answer within `limit`.
+    /// Calls `target`, a path with its query, and reads the whole answer within `limits`.
     ///
     /// A call that meets a kept connection at its end is made again over a new one, so calls must
     /// be repeatable.
@@ -60,22 +77,22 @@
         method: Method,
         target: &str,
         body: Bytes,
-        limit: Duration,
+        limits: impl Into<CallLimits>,
     ) -> Result<HttpReply> {
+        let limits = limits.into();
         let kept = self.kept.lock().await.take();
         let was_kept = kept.is_some();
         let exchange = async {
-            let first = self.exchange(kept, method.clone(), target, body.clone(), limit).await;
+            let first = self.exchange(kept, method.clone(), target, body.clone(), limits).await;
             match first {
                 Err(ChannelError::Exchange { .. }) if was_kept => {
-                    self.exchange(None, method, target, body, limit).await
+                    self.exchange(None, method, target, body, limits).await
                 }
                 outcome => outcome,
             }
         };
-        let reply = timeout_at(Instant::now() + limit, exchange).await;
-        let (channel, reply) = reply
-            .map_err(|_elapsed| ChannelError::Timeout { address: self.address.clone(), limit })??;
+        let reply = timeout_at(Instant::now() + limits.whole, exchange).await;
+        let (channel, reply) = reply.map_err(|_elapsed| self.timed_out(limits.whole))??;
         *self.kept.lock().await = Some(channel);
         Ok(reply)
     }
@@ -86,11 +103,11 @@
         method: Method,
         target: &str,
         body: Bytes,
-        limit: Duration,
+        limits: CallLimits,
     ) -> Result<(HttpChannel, HttpReply)> {
         let mut channel = match kept.filter(HttpChannel::is_open) {
             Some(channel) => channel,
-            _ => HttpChannel::open(&self.address, limit.min(CONNECT_LIMIT)).await?,
+            _ => HttpChannel::open(&self.address, limits.head.min(CONNECT_LIMIT)).await?,
         };
         let mut request = Request::builder().method(method).uri(target).header(HOST, &self.address);
         if !body.is_empty() {
@@ -100,14 +117,25 @@
             address: self.address.clone(),
             source: std::io::Error::new(std::io::ErrorKind::InvalidInput, error),
         })?;
-        channel.ready().await?;
-        let response = channel.send(request).await?;
+        let late_head = |_elapsed| self.timed_out(limits.head);
+        timeout(limits.head, channel.ready()).await.map_err(late_head)??;
+        let response = timeout(limits.head, channel.send(request)).await.map_err(late_head)??;
         let (head, body) = response.into_parts();
-        let body = Limited::new(body, MAX_ANSWER_BYTES)
-            .collect()
-            .await
-            .map_err(|source| ChannelError::Body { address: self.address.clone(), source })?;
-        let reply = HttpReply { status: head.status, headers: head.headers, body: body.to_bytes() };
+        let mut body = Limited::new(body, MAX_ANSWER_BYTES);
+        let mut bytes = BytesMut::new();
+        let silent = |_elapsed| self.timed_out(limits.silence);
+        while let Some(frame) = timeout(limits.silence, body.frame()).await.map_err(silent)? {
+            let frame = frame
+                .map_err(|source| ChannelError::Body { address: self.address.clone(), source })?;
+            if let Ok(data) = frame.into_data() {
+                bytes.extend_from_slice(&data);
+            }
+        }
+        let reply = HttpReply { status: head.status, headers: head.headers, body: bytes.freeze() };
         Ok((channel, reply))
     }
+
+    fn timed_out(&self, limit: Duration) -> ChannelError {
+        ChannelError::Timeout { address: self.address.clone(), limit }
+    }
 }
--- a/crates/celeryshed_peering/src/lib.rs
+++ b/crates/celeryshed_peering/src/lib.rs
@@ -8,6 +8,7 @@
 mod messages;
 mod record;
 mod relay;
+mod services;
 mod socket;
 mod store;
 mod task;
@@ -18,7 +19,8 @@
     SidecarStatus, VersionNotice,
 };
 pub use record::{ControlBatch, ControlRecord, ControlStream, OperatorRecord};
-pub use relay::{RelayAnswer, RelayError, fetch_control, relay_target};
+pub use relay::{RelayAnswer, RelayError, RelayQuery, RelayScope, fetch_control, relay_target};
+pub use services::ServicesNotice;
 pub use socket::PeerSocket;
 pub use store::{ControlStore, DecodeError, ReadOutcome, RecordDecoder, StoreError};
 pub use task::{ControlEvent, ControlHandle, FeedSettings, start_control};
--- a/crates/celeryshed_peering/src/log.rs
+++ b/crates/celeryshed_peering/src/log.rs
@@ -33,6 +33,8 @@
     pub struct ControlLog {
         operator: BTreeMap<String, ControlRecord>,
         endpoints: BTreeMap<String, ControlRecord>,
+        /// Where the meaning of a record last changed; most records only repeat the one before.
+        changes: BTreeMap<(ControlStream, String), LogOffset>,
         position: ControlPosition,
     }
 }
@@ -69,10 +71,31 @@
         adopted
     }
 
-    /// The records of a stream at or after a position.
+    /// The record of a key means something else since `offset`.
+    ///
+    /// ```
+    /// use celeryshed_base::LogOffset;
+    /// use celeryshed_peering::{ControlBatch, ControlLog, ControlRecord, ControlStream};
+    /// let mut log = ControlLog::default();
+    /// let record = ControlRecord { key: "a".into(), offset: LogOffset(7), value: None };
+    /// let batch = ControlBatch { records: vec![record], end: LogOffset(8), whole: false };
+    /// log.merge(ControlStream::Endpoints, batch);
+    /// log.note_change(ControlStream::Endpoints, "a", LogOffset(2));
+    /// assert!(log.since(ControlStream::Endpoints, LogOffset(3)).records.is_empty());
+    /// ```
+    pub fn note_change(&mut self, stream: ControlStream, key: &str, offset: LogOffset) {
+        self.changes.insert((stream, key.to_owned()), offset);
+    }
+
+    /// The records of a stream that mean something else to a process that knows all before a
+    /// position.
     pub fn since(&self, stream: ControlStream, from: LogOffset) -> ControlBatch {
         let held = self.stream(stream);
-        let records = held.values().filter(|record| record.offset >= from).cloned().collect();
+        let changed = |record: &&ControlRecord| {
+            let noted = self.changes.get(&(stream, record.key.clone()));
+            *noted.unwrap_or(&record.offset) >= from
+        };
+        let records = held.values().filter(changed).cloned().collect();
         let end = match stream {
             ControlStream::Operator => self.position.operator,
             ControlStream::Endpoints => self.position.endpoints,
--- a/crates/celeryshed_peering/src/messages.rs
+++ b/crates/celeryshed_peering/src/messages.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use celeryshed_base::{RegionName, common_derives};
+use celeryshed_base::{AvailabilityZone, RegionName, common_derives};
 use celeryshed_dispatch::{EndpointId, PeerLoad, PieceSet, RequestFingerprint};
 
 use crate::log::ControlPosition;
@@ -54,6 +54,8 @@
     pub struct EntryHello {
         /// Address of the entry's peer socket.
         pub entry: String,
+        /// Its availability zone.
+        pub zone: AvailabilityZone,
         /// Up to where it knows the control records.
         pub position: ControlPosition,
     }
--- a/crates/celeryshed_peering/src/relay.rs
+++ b/crates/celeryshed_peering/src/relay.rs
@@ -4,17 +4,50 @@
 
 use bytes::Bytes;
 use celeryshed_base::{LogOffset, common_derives};
-use celeryshed_http::{ChannelError, HttpClient};
+use celeryshed_http::{CallLimits, ChannelError, HttpClient};
 use hyper::{Method, StatusCode};
 use serde_bytes::ByteBuf;
 
 use crate::log::{ControlLog, ControlPosition};
 use crate::record::{ControlBatch, ControlRecord, ControlStream};
+use crate::services::ServicesNotice;
 
 /// Path of the relay at each entry.
 const RELAY_PATH: &str = "/control";
-/// Longest time that a peer may take.
+/// Longest time that a peer may take to begin its answer, and longest silence within it.
 const RELAY_LIMIT: Duration = Duration::from_millis(600);
+/// Longest time that an answer may take to arrive: a large configuration crosses a narrow link.
+const TRANSFER_LIMIT: Duration = Duration::from_secs(5);
+
+common_derives! { index:
+    /// What a process follows.
+    pub enum RelayScope {
+        /// Everything, as entries do.
+        Everything,
+        /// What concerns weights, as sidecars do.
+        Weights,
+    }
+}
+
+impl RelayScope {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Everything => "everything",
+            Self::Weights => "weights",
+        }
+    }
+}
+
+common_derives! { value:
+    /// What a peer asks for.
+    #[derive(Copy)]
+    pub struct RelayQuery {
+        /// Up to where it knows the records.
+        pub position: ControlPosition,
+        /// What it follows.
+        pub scope: RelayScope,
+    }
+}
 
 common_derives! { wire:
     /// A record on its way between processes.
@@ -28,6 +61,8 @@
     pub struct RelayAnswer {
         operator: Vec<RelayRecord>,
         endpoints: Vec<RelayRecord>,
+        /// In place of the configuration, for a caller that follows weights only.
+        services: Option<ServicesNotice>,
         position: ControlPosition,
     }
 }
@@ -69,16 +104,40 @@
         Self {
             operator: records(ControlStream::Operator, position.operator),
             endpoints: records(ControlStream::Endpoints, position.endpoints),
+            services: None,
             position: log.position(),
         }
     }
 
+    /// The answer to a caller that follows weights only: `services` replace the record at
+    /// `configuration`.
+    pub(crate) fn for_weights(
+        log: &ControlLog,
+        position: ControlPosition,
+        configuration: Option<&str>,
+        services: Option<ServicesNotice>,
+    ) -> Self {
+        let mut answer = Self::since(log, position);
+        answer.operator.retain(|record| configuration != Some(record.key.as_str()));
+        Self { services, ..answer }
+    }
+
     /// The answer as bytes.
     pub fn encode(&self) -> Bytes {
         // Plain data without maps of unknown types always encodes.
         rmp_serde::to_vec(self).unwrap_or_default().into()
     }
 
+    /// Up to where the answering process knows the records.
+    pub(crate) fn position(&self) -> ControlPosition {
+        self.position
+    }
+
+    /// The services in place of a configuration.
+    pub(crate) fn take_services(&mut self) -> Option<ServicesNotice> {
+        self.services.take()
+    }
+
     /// Both streams as batches.
     pub fn into_batches(self) -> [(ControlStream, ControlBatch); 2] {
         let batch = |records: Vec<RelayRecord>, end| ControlBatch {
@@ -93,40 +152,46 @@
     }
 }
 
-/// Reads the position out of a relay request's target; none if the target is another one.
+/// Reads a relay request's target; none if it is another one.
 ///
 /// ```
-/// use celeryshed_peering::relay_target;
-/// let position = relay_target("/control?operator=4&endpoints=9").unwrap();
-/// assert_eq!(position.endpoints.0, 9);
+/// use celeryshed_peering::{RelayScope, relay_target};
+/// let query = relay_target("/control?operator=4&endpoints=9&scope=weights").unwrap();
+/// assert_eq!(query.position.endpoints.0, 9);
+/// assert_eq!(query.scope, RelayScope::Weights);
 /// assert!(relay_target("/other").is_none());
 /// ```
-pub fn relay_target(target: &str) -> Option<ControlPosition> {
+pub fn relay_target(target: &str) -> Option<RelayQuery> {
     let (path, query) = target.split_once('?')?;
     if path != RELAY_PATH {
         return None;
     }
     let mut position = ControlPosition::default();
+    let mut scope = RelayScope::Everything;
     for (key, value) in query.split('&').filter_map(|pair| pair.split_once('=')) {
-        let offset = LogOffset(value.parse().ok()?);
         match key {
-            "operator" => position.operator = offset,
-            "endpoints" => position.endpoints = offset,
+            "operator" => position.operator = LogOffset(value.parse().ok()?),
+            "endpoints" => position.endpoints = LogOffset(value.parse().ok()?),
+            "scope" if value == RelayScope::Weights.name() => scope = RelayScope::Weights,
             _ => {}
         }
     }
-    Some(position)
+    Some(RelayQuery { position, scope })
 }
 
-/// Asks the entry at `address` for the records from `position` on.
-pub async fn fetch_control(
-    address: &str,
-    position: ControlPosition,
-) -> Result<RelayAnswer, RelayError> {
+/// Asks the process at `address` for what the query says.
+pub async fn fetch_control(address: &str, query: RelayQuery) -> Result<RelayAnswer, RelayError> {
     let client = HttpClient::new(address, "application/msgpack");
-    let target =
-        format!("{RELAY_PATH}?operator={}&endpoints={}", position.operator, position.endpoints);
-    let reply = client.call(Method::GET, &target, Bytes::new(), RELAY_LIMIT).await?;
+    let RelayQuery { position, scope } = query;
+    let target = format!(
+        "{RELAY_PATH}?operator={}&endpoints={}&scope={}",
+        position.operator,
+        position.endpoints,
+        scope.name()
+    );
+    let limits =
+        CallLimits { head: RELAY_LIMIT, silence: RELAY_LIMIT, whole: RELAY_LIMIT + TRANSFER_LIMIT };
+    let reply = client.call(Method::GET, &target, Bytes::new(), limits).await?;
     if reply.status != StatusCode::OK {
         return Err(RelayError::Refused(reply.status));
     }
--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -1,19 +1,21 @@
 //! The task that owns the control records: it reads the store, or peers where the store can't be
 //! reached, decodes what is new and passes it on.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use celeryshed_base::{LogOffset, common_derives};
-use celeryshed_dispatch::{DirectoryRecord, EndpointId, RoutingSnapshot};
+use celeryshed_dispatch::{DirectoryRecord, EndpointEntry, EndpointId, RoutingSnapshot};
 use celeryshed_observe::EventLine;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::log::{ControlLog, ControlPosition};
 use crate::record::{ControlBatch, ControlRecord, ControlStream, OperatorRecord};
-use crate::relay::{RelayAnswer, fetch_control};
+use crate::relay::{RelayAnswer, RelayQuery, RelayScope, fetch_control};
+use crate::services::ServicesNotice;
 use crate::store::{ControlStore, ReadOutcome, RecordDecoder, StoreError};
 
 /// Time that the store may hold a read of operators' records without news.
@@ -22,6 +24,9 @@
 const FAILURE_PAUSE: Duration = Duration::from_millis(400);
 /// Time that a process behind its peers waits for its own read before it asks one of them.
 const RELAY_DELAY: Duration = Duration::from_millis(150);
+/// Time after its start in which a process that doesn't follow the operators' records waits for a
+/// peer to tell them, before it reads them itself.
+const OPERATOR_FALLBACK: Duration = Duration::from_secs(5);
 /// Pause between two requests to peers.
 const RELAY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -29,8 +34,10 @@
     /// How a process reads the store.
     #[derive(Copy)]
     pub struct FeedSettings {
-        /// Whether the streams are followed all the time, or read once at the start.
-        pub follow: bool,
+        /// What the process follows. With everything, both streams are read all the time. With
+        /// weights only, the list of endpoints is read once at the start, the operators' records
+        /// when no peer tells them, and peers tell all news.
+        pub scope: RelayScope,
         /// Time between two reads of the list of endpoints.
         pub endpoints_interval: Duration,
         /// Age of the list of endpoints from which peers are asked for a newer one.
@@ -67,7 +74,7 @@
     RelayFailed,
     StoreFailed { stream: ControlStream, error: StoreError },
     PeerPosition { peer: String, position: ControlPosition },
-    Request { position: ControlPosition, reply: oneshot::Sender<Bytes> },
+    Request { query: RelayQuery, reply: oneshot::Sender<Bytes> },
 }
 
 /// Sends to the control task.
@@ -75,6 +82,7 @@
 pub struct ControlHandle {
     inputs: mpsc::UnboundedSender<ControlInput>,
     position: watch::Receiver<ControlPosition>,
+    scope: RelayScope,
 }
 
 impl ControlHandle {
@@ -95,11 +103,24 @@
     }
 
     /// The encoded records that a peer lacks.
-    pub async fn relay(&self, position: ControlPosition) -> Option<Bytes> {
+    pub async fn relay(&self, query: RelayQuery) -> Option<Bytes> {
         let (reply, answer) = oneshot::channel();
-        self.inputs.send(ControlInput::Request { position, reply }).ok()?;
+        self.inputs.send(ControlInput::Request { query, reply }).ok()?;
         answer.await.ok()
     }
+
+    /// Whether records of operators are known.
+    pub fn knows_operator(&self) -> bool {
+        self.position().operator > LogOffset::default()
+    }
+
+    /// Asks a peer for what this process lacks, whatever the peer said of its position.
+    pub async fn ask(&self, peer: &str) {
+        let query = RelayQuery { position: self.position(), scope: self.scope };
+        let input = relayed(peer, query).await;
+        // The task ends only with the process.
+        let _ = self.inputs.send(input);
+    }
 }
 
 /// Starts the control task; events come out of the receiver.
@@ -118,6 +139,7 @@
             store: store.clone(),
             settings,
             inputs: inputs.clone(),
+            position: position_watch.clone(),
             trouble: trouble.clone(),
         };
         tokio::spawn(feed.run());
@@ -129,6 +151,8 @@
         events,
         position,
         inputs: inputs.clone(),
+        entries: BTreeMap::new(),
+        services: None,
         revision: None,
         endpoints_at: None,
         operator_read: false,
@@ -136,7 +160,16 @@
         relaying: false,
     };
     tokio::spawn(task.run(received));
-    (ControlHandle { inputs, position: position_watch }, event_stream)
+    (ControlHandle { inputs, position: position_watch, scope: settings.scope }, event_stream)
+}
+
+/// What sidecars are told in place of the configuration.
+struct KnownServices {
+    /// Key of the configuration's record, if it was read here.
+    key: Option<String>,
+    /// Position of the record with which the services last changed.
+    changed_at: LogOffset,
+    notice: ServicesNotice,
 }
 
 struct ControlTask<D> {
@@ -146,6 +179,9 @@
     events: mpsc::UnboundedSender<ControlEvent>,
     position: watch::Sender<ControlPosition>,
     inputs: mpsc::UnboundedSender<ControlInput>,
+    /// The list of endpoints as it was last passed on, with the position of the last change.
+    entries: BTreeMap<String, (LogOffset, Option<EndpointEntry>)>,
+    services: Option<KnownServices>,
     revision: Option<celeryshed_base::ConfigRevision>,
     endpoints_at: Option<Instant>,
     /// Whether any records of operators were read.
@@ -162,8 +198,11 @@
                     self.store_answered();
                     self.merge(stream, batch);
                 }
-                ControlInput::Relayed(answer) => {
+                ControlInput::Relayed(mut answer) => {
                     self.relaying = false;
+                    if let Some(notice) = answer.take_services() {
+                        self.adopt_services(answer.position().operator, notice);
+                    }
                     for (stream, batch) in answer.into_batches() {
                         self.merge(stream, batch);
                     }
@@ -171,14 +210,29 @@
                 ControlInput::RelayFailed => self.relaying = false,
                 ControlInput::StoreFailed { stream, error } => self.store_failed(stream, &error),
                 ControlInput::PeerPosition { peer, position } => self.consider(peer, position),
-                ControlInput::Request { position, reply } => {
+                ControlInput::Request { query, reply } => {
                     // The caller may have left.
-                    let _ = reply.send(RelayAnswer::since(&self.log, position).encode());
+                    let _ = reply.send(self.answer(query).encode());
                 }
             }
         }
     }
 
+    fn answer(&self, query: RelayQuery) -> RelayAnswer {
+        let position = query.position;
+        match (query.scope, &self.services) {
+            (RelayScope::Weights, Some(known)) => {
+                let news = known.changed_at >= position.operator;
+                let services = news.then(|| known.notice.clone());
+                let key = known.key.as_deref();
+                RelayAnswer::for_weights(&self.log, position, key, services)
+            }
+            (RelayScope::Weights, None) | (RelayScope::Everything, _) => {
+                RelayAnswer::since(&self.log, position)
+            }
+        }
+    }
+
     fn merge(&mut self, stream: ControlStream, batch: ControlBatch) {
         if stream == ControlStream::Endpoints {
             self.endpoints_at = Some(Instant::now());
@@ -207,6 +261,8 @@
                 }
                 line.field("outcome", "in_force").info();
                 self.revision = Some(snapshot.revision);
+                let notice = ServicesNotice::from(&*snapshot);
+                self.note_services(Some(&record.key), record.offset, notice);
                 self.emit(ControlEvent::Configuration(Arc::from(snapshot)));
             }
             Ok(OperatorRecord::ModelVersion { model, version }) => {
@@ -227,6 +283,25 @@
         }
     }
 
+    /// A peer told the services of the configuration that it knows at `offset`.
+    fn adopt_services(&mut self, offset: LogOffset, notice: ServicesNotice) {
+        let revision = notice.revision();
+        if self.revision.is_some_and(|known| revision <= known) {
+            return;
+        }
+        EventLine::new("services_learnt").field("revision", revision).info();
+        self.revision = Some(revision);
+        self.note_services(None, offset, notice.clone());
+        self.emit(ControlEvent::Configuration(Arc::new(notice.into())));
+    }
+
+    fn note_services(&mut self, key: Option<&str>, offset: LogOffset, notice: ServicesNotice) {
+        let same = self.services.as_ref().filter(|known| known.notice.matches(&notice));
+        let changed_at = same.map_or(offset, |known| known.changed_at);
+        let key = key.map(str::to_owned);
+        self.services = Some(KnownServices { key, changed_at, notice });
+    }
+
     fn adopt_endpoint(&mut self, record: ControlRecord) {
         let decoded =
             record.value.as_deref().map(|value| self.decoder.endpoint(&record.key, value));
@@ -241,6 +316,16 @@
             }
             None => None,
         };
+        let known = self.entries.get(&record.key);
+        if let Some((changed_at, known)) = known
+            && *known == entry
+        {
+            // Endpoints write the same again and again to show that they are there.
+            self.log.note_change(ControlStream::Endpoints, &record.key, *changed_at);
+            return;
+        }
+        self.entries.insert(record.key.clone(), (record.offset, entry.clone()));
+        self.log.note_change(ControlStream::Endpoints, &record.key, record.offset);
         let id = EndpointId::from(record.key.as_str());
         self.emit(ControlEvent::Endpoint(DirectoryRecord { id, offset: record.offset, entry }));
     }
@@ -273,28 +358,18 @@
             return;
         }
         let inputs = self.inputs.clone();
-        let follows = self.settings.follow;
+        let scope = self.settings.scope;
         let mut latest = self.position.subscribe();
         tokio::spawn(async move {
-            if follows && position.operator > known.operator {
+            if scope == RelayScope::Everything && position.operator > known.operator {
                 let arrives = latest.wait_for(|latest| latest.operator >= position.operator);
                 if matches!(timeout(RELAY_DELAY, arrives).await, Ok(Ok(_))) {
                     let _ = inputs.send(ControlInput::RelayFailed);
                     return;
                 }
             }
-            let known = *latest.borrow();
-            let outcome = fetch_control(&peer, known).await;
-            let input = match outcome {
-                Ok(answer) => ControlInput::Relayed(answer),
-                Err(error) => {
-                    EventLine::new("relay_failed")
-                        .field("peer", &peer)
-                        .field("error", error)
-                        .warn();
-                    ControlInput::RelayFailed
-                }
-            };
+            let position = *latest.borrow();
+            let input = relayed(&peer, RelayQuery { position, scope }).await;
             if matches!(input, ControlInput::RelayFailed) {
                 sleep(RELAY_PAUSE).await;
             }
@@ -309,18 +384,37 @@
     }
 }
 
+/// What a peer answers to a query, as an input of the task.
+async fn relayed(peer: &str, query: RelayQuery) -> ControlInput {
+    match fetch_control(peer, query).await {
+        Ok(answer) => ControlInput::Relayed(answer),
+        Err(error) => {
+            EventLine::new("relay_failed").field("peer", peer).field("error", error).warn();
+            ControlInput::RelayFailed
+        }
+    }
+}
+
 /// Reads one stream of the store until the process ends.
 struct StoreFeed<S> {
     stream: ControlStream,
     store: Arc<S>,
     settings: FeedSettings,
     inputs: mpsc::UnboundedSender<ControlInput>,
+    position: watch::Receiver<ControlPosition>,
     /// A read of the list of endpoints failed, so a long read may wait on a dead connection.
     trouble: Arc<Notify>,
 }
 
 impl<S: ControlStore> StoreFeed<S> {
-    async fn run(self) {
+    async fn run(mut self) {
+        let follows = self.settings.scope == RelayScope::Everything;
+        if !follows && self.stream == ControlStream::Operator {
+            let told = self.position.wait_for(|known| known.operator > LogOffset::default());
+            if timeout(OPERATOR_FALLBACK, told).await.is_ok() {
+                return;
+            }
+        }
         let mut position: Option<LogOffset> = None;
         loop {
             let outcome = match position {
@@ -357,7 +451,7 @@
                 }
             };
             let failed = matches!(input, ControlInput::StoreFailed { .. });
-            if self.inputs.send(input).is_err() || (!failed && !self.settings.follow) {
+            if self.inputs.send(input).is_err() || (!failed && !follows) {
                 return;
             }
             if failed {
--- a/crates/celeryshed_peering/tests/control.rs
+++ b/crates/celeryshed_peering/tests/control.rs
@@ -1,17 +1,19 @@
 //! Control records: merging in any order, and the way around a store that can't be reached.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
-use celeryshed_base::{ConfigRevision, LogOffset};
-use celeryshed_dispatch::{EndpointEntry, RoutingSnapshot};
+use celeryshed_base::{AvailabilityZone, ConfigRevision, LogOffset, ServiceName};
+use celeryshed_dispatch::{
+    EndpointEntry, EndpointState, EngineProfile, RoutingSnapshot, ServiceProfile,
+};
 use celeryshed_peering::{
-    ControlBatch, ControlEvent, ControlLog, ControlPosition, ControlRecord, ControlStore,
-    ControlStream, DecodeError, FeedSettings, OperatorRecord, ReadOutcome, RecordDecoder,
-    RelayAnswer, StoreError, start_control,
+    ControlBatch, ControlEvent, ControlHandle, ControlLog, ControlPosition, ControlRecord,
+    ControlStore, ControlStream, DecodeError, FeedSettings, OperatorRecord, ReadOutcome,
+    RecordDecoder, RelayAnswer, RelayQuery, RelayScope, StoreError, relay_target, start_control,
 };
 use quickcheck::TestResult;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -147,7 +149,7 @@
 
 fn settings() -> FeedSettings {
     FeedSettings {
-        follow: true,
+        scope: RelayScope::Everything,
         endpoints_interval: Duration::from_millis(100),
         endpoints_max_age: Duration::from_millis(200),
     }
@@ -183,6 +185,210 @@
     }
 }
 
+/// Endpoints whose entries only repeat: values are addresses.
+struct ListDecoder;
+
+impl RecordDecoder for ListDecoder {
+    fn operator(&self, _key: &str, value: &[u8]) -> Result<OperatorRecord, DecodeError> {
+        let engine = EngineProfile { slots: u32::from(value[1]), ..engine() };
+        let service = ServiceProfile { engine: Some(engine), origin: None };
+        let name = ServiceName::try_from("letters").unwrap();
+        let mut snapshot = RoutingSnapshot {
+            revision: ConfigRevision(u64::from(value[0])),
+            services: BTreeMap::from([(name, service)]),
+            ..Default::default()
+        };
+        snapshot.hosts.insert("shop.example".to_owned(), vec![]);
+        Ok(OperatorRecord::Configuration(Box::new(snapshot)))
+    }
+
+    fn endpoint(&self, _key: &str, value: &[u8]) -> Result<EndpointEntry, DecodeError> {
+        Ok(EndpointEntry {
+            service: ServiceName::try_from("letters").unwrap(),
+            address: format!("10.0.0.{}:80", value[0]),
+            zone: AvailabilityZone::try_from("north-a").unwrap(),
+            slots: 1,
+            state: EndpointState::Ready,
+            models: BTreeMap::new(),
+            born_ms: 1,
+        })
+    }
+}
+
+fn engine() -> EngineProfile {
+    EngineProfile {
+        slots: 1,
+        step_us: 1,
+        step_per_request_us: 1,
+        step_per_context_token_ns: 1,
+        read_per_s: 1,
+        read_per_kilopair_ns: 1,
+        read_chunk: 1,
+        pass_steps: 1,
+        mean_answer_tokens: 1,
+        mean_prompt_tokens: 1,
+        models: vec![],
+        piece_count: 1,
+        piece_bytes: 1,
+    }
+}
+
+/// A store whose reads give prepared batches, and whose calls are counted.
+#[derive(Default)]
+struct ScriptedStore {
+    operator: Mutex<Vec<ControlBatch>>,
+    endpoints: Mutex<Vec<ControlBatch>>,
+    operator_calls: AtomicUsize,
+}
+
+impl ScriptedStore {
+    async fn next(&self, stream: ControlStream) -> ControlBatch {
+        let batches = match stream {
+            ControlStream::Operator => {
+                self.operator_calls.fetch_add(1, Ordering::Relaxed);
+                &self.operator
+            }
+            ControlStream::Endpoints => &self.endpoints,
+        };
+        let next = batches.lock().unwrap().pop();
+        match next {
+            Some(batch) => batch,
+            None => std::future::pending().await,
+        }
+    }
+}
+
+impl ControlStore for ScriptedStore {
+    async fn newest(&self, stream: ControlStream) -> Result<ControlBatch, StoreError> {
+        Ok(self.next(stream).await)
+    }
+
+    async fn read(
+        &self,
+        stream: ControlStream,
+        _from: LogOffset,
+        _wait: Duration,
+    ) -> Result<ReadOutcome, StoreError> {
+        Ok(ReadOutcome::Records(self.next(stream).await))
+    }
+}
+
+fn batch(records: Vec<(u8, u64, Vec<u8>)>, end: u64) -> ControlBatch {
+    let records = records.into_iter().map(|(key, offset, value)| ControlRecord {
+        key: format!("k{key}"),
+        offset: LogOffset(offset),
+        value: Some(Bytes::from(value)),
+    });
+    ControlBatch { records: records.collect(), end: LogOffset(end), whole: false }
+}
+
+async fn settled(control: &ControlHandle, endpoints: u64, operator: u64) {
+    while control.position().endpoints < LogOffset(endpoints)
+        || control.position().operator < LogOffset(operator)
+    {
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+async fn relayed(
+    control: &ControlHandle,
+    operator: u64,
+    endpoints: u64,
+    scope: RelayScope,
+) -> usize {
+    let position =
+        ControlPosition { operator: LogOffset(operator), endpoints: LogOffset(endpoints) };
+    control.relay(RelayQuery { position, scope }).await.unwrap().len()
+}
+
+/// Guards against a link full of control traffic: with 1,680 routes published, 88 sidecars fetched
+/// the whole configuration at each change and the whole list every few seconds; entries then learnt
+/// 3.5 s late that endpoints were leaving, and weights did not arrive.
+#[tokio::test(start_paused = true)]
+async fn relays_carry_only_what_changed_for_the_caller() {
+    let store = Arc::new(ScriptedStore::default());
+    // The last batch is read first.
+    *store.endpoints.lock().unwrap() = vec![
+        batch(vec![(1, 2, vec![1]), (2, 3, vec![9])], 4),
+        batch(vec![(1, 0, vec![1]), (2, 1, vec![2])], 2),
+    ];
+    let big = |revision: u8, slots: u8| {
+        let mut value = vec![0; 100_000];
+        (value[0], value[1]) = (revision, slots);
+        value
+    };
+    *store.operator.lock().unwrap() = vec![
+        batch(vec![(7, 2, big(3, 5))], 3),
+        batch(vec![(7, 1, big(2, 4))], 2),
+        batch(vec![(7, 0, big(1, 4))], 1),
+    ];
+    let (control, _events) = start_control(store, Arc::new(ListDecoder), settings());
+    settled(&control, 4, 3).await;
+    // Endpoint 1 only repeated itself, endpoint 2 moved.
+    let nothing = relayed(&control, 3, 4, RelayScope::Weights).await;
+    let moved = relayed(&control, 3, 2, RelayScope::Weights).await;
+    let both = relayed(&control, 3, 0, RelayScope::Weights).await;
+    assert!(nothing < moved && moved < both + 1 && both - moved < 40, "{nothing} {moved} {both}");
+    // The services changed with revision 3; routes alone are not told to sidecars.
+    let known = relayed(&control, 3, 4, RelayScope::Weights).await;
+    let changed = relayed(&control, 2, 4, RelayScope::Weights).await;
+    assert!(known < 100 && changed > known && changed < 1000, "{known} {changed}");
+    assert!(relayed(&control, 2, 4, RelayScope::Everything).await > 100_000);
+}
+
+/// Guards against sidecars that read a large configuration from the store although a neighbour knows
+/// what they need: after a loss of power none of these reads ended in time.
+#[tokio::test]
+async fn sidecar_reads_operators_records_only_when_nobody_tells_them() {
+    let weights = FeedSettings { scope: RelayScope::Weights, ..settings() };
+    for told in [true, false] {
+        let store = Arc::new(ScriptedStore::default());
+        let (control, mut events) = start_control(store.clone(), Arc::new(ListDecoder), weights);
+        if told {
+            let neighbour = Arc::new(ScriptedStore::default());
+            *neighbour.operator.lock().unwrap() = vec![batch(vec![(7, 4, vec![6, 2])], 5)];
+            let (known, _events) = start_control(neighbour, Arc::new(ListDecoder), settings());
+            settled(&known, 0, 5).await;
+            let address = serve_relay(known).await;
+            control.ask(&address).await;
+            match events.recv().await {
+                Some(ControlEvent::Configuration(snapshot)) => {
+                    assert_eq!(snapshot.revision, ConfigRevision(6));
+                    assert!(snapshot.hosts.is_empty() && snapshot.services.len() == 1);
+                }
+                other => panic!("{other:?}"),
+            }
+            settled(&control, 0, 5).await;
+        }
+        // Sockets need real time; the wait for the fallback doesn't.
+        tokio::time::pause();
+        sleep(Duration::from_secs(20)).await;
+        tokio::time::resume();
+        let calls = store.operator_calls.load(Ordering::Relaxed);
+        assert_eq!(calls, usize::from(!told), "told {told}");
+    }
+}
+
+/// A process that answers relay requests.
+async fn serve_relay(control: ControlHandle) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut request = [0; 1024];
+            let length = stream.read(&mut request).await.unwrap();
+            let text = String::from_utf8_lossy(&request[..length]).into_owned();
+            let target = text.split(' ').nth(1).unwrap();
+            let body = control.relay(relay_target(target).unwrap()).await.unwrap();
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+            stream.write_all(head.as_bytes()).await.unwrap();
+            stream.write_all(&body).await.unwrap();
+        }
+    });
+    address
+}
+
 /// The first records of a process may be old, those that follow are news.
 #[tokio::test]
 async fn versions_of_the_first_read_are_marked() {
--- a/crates/celeryshed_stager/src/pieces.rs
+++ b/crates/celeryshed_stager/src/pieces.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use celeryshed_base::{ClockSource, common_derives};
 use celeryshed_dispatch::{StageManifest, UploadPacer};
+use celeryshed_peering::{ControlHandle, relay_target};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
@@ -82,6 +83,7 @@
 #[derive(Debug)]
 pub(crate) struct PieceServer<P> {
     pub(crate) clock: ClockSource,
+    pub(crate) control: ControlHandle,
     pub(crate) platform: Arc<P>,
     pub(crate) staged: watch::Receiver<StagedPieces>,
     pub(crate) pacer: Mutex<UploadPacer>,
@@ -91,6 +93,12 @@
     /// Answers one request.
     pub(crate) async fn serve(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let target = request.uri().path_and_query().map_or("", |target| target.as_str());
+        if let Some(query) = relay_target(target) {
+            return match self.control.relay(query).await {
+                Some(bytes) => Response::new(Full::new(bytes)),
+                None => status(StatusCode::SERVICE_UNAVAILABLE),
+            };
+        }
         let Some(query) = parse_target(target) else { return status(StatusCode::NOT_FOUND) };
         let manifest = {
             let staged = self.staged.borrow();
--- a/crates/celeryshed_stager/src/process.rs
+++ b/crates/celeryshed_stager/src/process.rs
@@ -11,7 +11,7 @@
 use celeryshed_dispatch::UploadPacer;
 use celeryshed_http::{ConnectionServer, ServerSettings};
 use celeryshed_observe::{EventLine, MetricsRegistry};
-use celeryshed_peering::{ControlStore, PeerSocket, RecordDecoder, start_control};
+use celeryshed_peering::{ControlHandle, ControlStore, PeerSocket, RecordDecoder, start_control};
 use http_body_util::Full;
 use hyper::Response;
 use tokio::net::TcpListener;
@@ -24,10 +24,14 @@
 use crate::settings::SidecarSettings;
 use crate::stage_task::{EndpointCondition, StageTask};
 use crate::status_task::StatusTask;
-use crate::view::start_view;
+use crate::view::{StageView, start_view};
 
 /// Largest head of a request of a peer, in bytes.
 const MAX_HEAD_BYTES: usize = 8 * 1024;
+/// Sidecars that are asked for the operators' records at the start.
+const MAX_ASKED: usize = 3;
+/// Nearest sidecars among which the first one to be asked is chosen.
+const NEAR_CHOICES: usize = 8;
 /// Time after which an idle connection of a peer is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -85,9 +89,9 @@
         let socket = Arc::new(socket);
         let (notices, notices_watch) = watch::channel(NoticeMap::new());
         let status_task = StatusTask {
-            endpoint: settings.endpoint.clone(),
+            settings: settings.clone(),
             socket: socket.clone(),
-            control,
+            control: control.clone(),
             condition: condition_watch,
             clock,
             view: view.clone(),
@@ -111,8 +115,10 @@
             notices: notices_watch.clone(),
         };
         tokio::spawn(notice_task.run());
+        tokio::spawn(learn_from_sidecars(settings.clone(), clock, view.clone(), control.clone()));
         let pieces = Arc::new(PieceServer {
             clock,
+            control,
             platform: platform.clone(),
             staged: staged_watch,
             pacer: Mutex::new(UploadPacer::new(settings.link_bits_per_s)),
@@ -154,6 +160,33 @@
     }
 }
 
+/// Asks other sidecars for what operators published: they are there before an entry greets.
+async fn learn_from_sidecars(
+    settings: Arc<SidecarSettings>,
+    clock: ClockSource,
+    mut view: watch::Receiver<Arc<StageView>>,
+    control: ControlHandle,
+) {
+    let sidecars = loop {
+        if view.changed().await.is_err() {
+            return;
+        }
+        let sidecars = view.borrow_and_update().nearest_sidecars(clock.now(), &settings);
+        if !sidecars.is_empty() {
+            break sidecars;
+        }
+    };
+    let first = rand::random_range(0..sidecars.len().min(NEAR_CHOICES));
+    for sidecar in sidecars.iter().skip(first).take(MAX_ASKED) {
+        if control.knows_operator() {
+            return;
+        }
+        control.ask(sidecar).await;
+        // The answer is taken over by the control task.
+        tokio::task::yield_now().await;
+    }
+}
+
 async fn listen(purpose: &'static str, address: SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(address).await.map_err(|source| listen_error(purpose, address, source))
 }
--- a/crates/celeryshed_stager/src/settings.rs
+++ b/crates/celeryshed_stager/src/settings.rs
@@ -39,6 +39,11 @@
         Some(SocketAddr::new(endpoint.ip(), self.peers.port()).to_string())
     }
 
+    /// Whether an availability zone is in the sidecar's own region.
+    pub(crate) fn is_near(&self, zone: &AvailabilityZone) -> bool {
+        self.region_of(zone) == self.region_of(&self.zone)
+    }
+
     /// The region of an availability zone; a zone without one counts as a region of its own.
     pub(crate) fn region_of(&self, zone: &AvailabilityZone) -> RegionName {
         let own = || RegionName::try_from(zone.as_str()).expect("zones and regions have one form");
--- a/crates/celeryshed_stager/src/status_task.rs
+++ b/crates/celeryshed_stager/src/status_task.rs
@@ -10,6 +10,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::notice_task::NoticeMap;
+use crate::settings::SidecarSettings;
 use crate::stage_task::EndpointCondition;
 use crate::view::StageView;
 
@@ -17,12 +18,14 @@
 const STATUS_INTERVAL: Duration = Duration::from_millis(800);
 /// Time after a change at which it is told once more, since datagrams may be lost.
 const REPEAT_AFTER: Duration = Duration::from_millis(60);
+/// Time without a greeting from an entry of the own region after which others are asked for news.
+const NEAR_LIFETIME: Duration = Duration::from_millis(2500);
 /// An entry that sent no greeting for this long is no longer told.
 const ENTRY_LIFETIME: Duration = Duration::from_secs(4);
 
 /// Sends the status to the entries that greeted lately, and receives all datagrams.
 pub(crate) struct StatusTask {
-    pub(crate) endpoint: String,
+    pub(crate) settings: Arc<SidecarSettings>,
     pub(crate) socket: Arc<PeerSocket>,
     pub(crate) control: ControlHandle,
     pub(crate) condition: watch::Receiver<EndpointCondition>,
@@ -37,10 +40,18 @@
         let task = Arc::new(self);
         let receiving = task.clone();
         tokio::spawn(async move {
+            let mut near_at: Option<Instant> = None;
             loop {
                 match receiving.socket.receive().await.0 {
                     PeerMessage::Hello(hello) => {
-                        receiving.control.peer_position(&hello.entry, hello.position);
+                        let now = Instant::now();
+                        let near = receiving.settings.is_near(&hello.zone);
+                        near_at = if near { Some(now) } else { near_at };
+                        // News cross the links between regions only where no entry is near.
+                        let alone = near_at.is_none_or(|at| at.elapsed() > NEAR_LIFETIME);
+                        if near || alone {
+                            receiving.control.peer_position(&hello.entry, hello.position);
+                        }
                         // The receiver ends only with the process.
                         let _ = greeted.send(hello.entry);
                     }
@@ -84,7 +95,7 @@
         });
         let status = SidecarStatus {
             versions: versions.collect(),
-            endpoint: self.endpoint.clone(),
+            endpoint: self.settings.endpoint.clone(),
             models: condition.report.models.clone(),
             accepting: condition.accepting,
             closing_in_ms: condition.closing_at.map(|at| (at - now).as_millis() as u64),
--- a/crates/celeryshed_stager/src/view.rs
+++ b/crates/celeryshed_stager/src/view.rs
@@ -81,6 +81,25 @@
         sidecars.filter(|sidecar| *sidecar != own).collect()
     }
 
+    /// Addresses of the other sidecars of the service, those of the own region first.
+    pub(crate) fn nearest_sidecars(
+        &self,
+        now: MonoTime,
+        settings: &SidecarSettings,
+    ) -> Vec<String> {
+        let own = settings.peers.to_string();
+        let entries = self.directory.entries(now);
+        let service = entries.filter(|(_, entry)| entry.service == settings.service);
+        let sidecars = service.filter_map(|(_, entry)| {
+            let address = settings.sidecar_of(&entry.address)?;
+            Some((!settings.is_near(&entry.zone), address))
+        });
+        let mut sidecars: Vec<(bool, String)> =
+            sidecars.filter(|(_, address)| *address != own).collect();
+        sidecars.sort();
+        sidecars.into_iter().map(|(_, address)| address).collect()
+    }
+
     /// The other sidecars of the service, with what the list says of their endpoints.
     pub(crate) fn peers(
         &self,
