Spread weights by a window at the origin; decide alike which version is finished

A newer version made some sidecars give up what others still waited for (1.2 s tail), and orders began at half of the deadline however fast the origin is. Change: at most 16 pieces are due at the origin at once; ranks don't step in while it fails; postponed news are considered; entries greet near sidecars as soon as a record arrives; the time between two declarations decides for all sidecars whether the first is finished; orders begin when pieces are expected. Tests: few_pieces_leave_origin_at_once, nobody_steps_in_for_an_origin_that_is_away, the addition to orders_are_staggered_before_deadline.

--- a/crates/celeryshed_dispatch/src/staging/picker.rs
+++ b/crates/celeryshed_dispatch/src/staging/picker.rs
@@ -21,16 +21,15 @@
 const MAX_ORIGIN_FETCHES: usize = 1;
 /// Time after which the next rank fetches a piece from the origin, in times of one copy.
 const ORIGIN_STEP: f64 = 1.25;
-/// Rate at which pieces become due at the origin, as a multiple of what its link carries: enough to
-/// keep the link busy, and few enough at once that the first ones arrive early and spread meanwhile.
-const ORIGIN_RATE: f64 = 1.3;
+/// Pieces that are on their way from the origin at once, over all sidecars: enough to keep its link
+/// busy until notices of their arrival are heard, and few enough that the first ones arrive early
+/// and spread meanwhile.
+const ORIGIN_WINDOW: usize = 16;
 /// Time in which every sidecar that fetches the version is heard of again and again; one that is
 /// not heard for as long has no rank.
 const HEARD_WITHIN: Duration = Duration::from_millis(1200);
 /// Time after which the next rank of a region fetches a piece from another region.
 const REGION_STEP: Duration = Duration::from_millis(900);
-/// Part of the pieces that may be missing from a version that is nearly whole.
-const NEARLY_WHOLE: f64 = 0.4;
 /// Pause before a place is asked again for a piece that it failed to give.
 const FAILURE_PAUSE: Duration = Duration::from_millis(400);
 
@@ -129,10 +128,8 @@
     started_at: MonoTime,
     origin_copy: Duration,
     missing: BTreeSet<u32>,
-    /// Pieces that were missing at the start.
-    wanted: usize,
-    /// Pieces of one copy, as far as they are known from the missing ones.
-    pieces: u32,
+    /// When a fetch from the origin last failed.
+    origin_failed_at: Option<MonoTime>,
     peers: BTreeMap<String, PeerPieces>,
     fetching: BTreeMap<u32, PieceSource>,
     /// Until when a place is not asked for a piece.
@@ -159,8 +156,7 @@
             version,
             started_at: now,
             origin_copy,
-            wanted: missing.len(),
-            pieces: missing.last().map_or(1, |last| last + 1),
+            origin_failed_at: None,
             missing,
             peers: BTreeMap::new(),
             fetching: BTreeMap::new(),
@@ -207,11 +203,6 @@
         self.note_remote(now);
     }
 
-    /// Whether so much has arrived that the rest is worth waiting for.
-    pub fn is_nearly_whole(&self) -> bool {
-        (self.missing.len() as f64) < self.wanted as f64 * NEARLY_WHOLE
-    }
-
     /// Sidecars that have the first missing piece.
     pub fn holders_of_first(&self, now: MonoTime) -> usize {
         let first = self.missing.first();
@@ -237,6 +228,9 @@
     /// A fetch failed, or its piece did not match.
     pub fn failed(&mut self, now: MonoTime, fetch: PieceFetch) {
         self.fetching.remove(&fetch.piece);
+        if fetch.source == PieceSource::Origin {
+            self.origin_failed_at = Some(now);
+        }
         self.paused.insert((fetch.piece, fetch.source), now + FAILURE_PAUSE);
     }
 
@@ -261,6 +255,10 @@
             order.into_iter().partition(|piece| local.contains(*piece));
         let (remote, nowhere): (Vec<u32>, Vec<u32>) =
             far.into_iter().partition(|piece| anywhere.contains(*piece));
+        let unheld = self.missing.iter().filter(|piece| !anywhere.contains(**piece));
+        let window_end = unheld.copied().nth(ORIGIN_WINDOW);
+        let nowhere: Vec<u32> =
+            nowhere.into_iter().filter(|piece| window_end.is_none_or(|end| *piece < end)).collect();
         let fetch = self
             .first(&nowhere, |picker, piece| picker.origin_duty(now, piece))
             .or_else(|| self.first(&remote, |picker, piece| picker.region_duty(now, draw, piece)))
@@ -316,9 +314,12 @@
             return None;
         }
         let step = self.origin_copy.mul_f64(ORIGIN_STEP);
-        let turn =
-            self.origin_copy.mul_f64(f64::from(piece) / f64::from(self.pieces) / ORIGIN_RATE);
-        let due = self.started_at + turn + step * self.rank(now, piece, |_| true);
+        // While the origin is away nobody is late.
+        let since = self.origin_failed_at.map_or(self.started_at, |at| at.max(self.started_at));
+        let due = match self.rank(now, piece, |_| true) {
+            0 => self.started_at,
+            rank => since + step * rank,
+        };
         (now >= due && self.is_free(now, piece, &PieceSource::Origin))
             .then_some(PieceSource::Origin)
     }
--- a/crates/celeryshed_dispatch/src/staging/schedule.rs
+++ b/crates/celeryshed_dispatch/src/staging/schedule.rs
@@ -10,8 +10,14 @@
 
 use super::rendezvous;
 
-/// Part of the deadline by which pieces are expected everywhere.
-const SPREAD_PART: f64 = 0.52;
+/// Time in which pieces are expected everywhere, in times of one copy over the origin's link.
+const SPREAD_COPIES: f64 = 1.2;
+/// Time on top of it, until the last pieces have been passed on.
+const SPREAD_TAIL: Duration = Duration::from_millis(250);
+/// Part of the spread after which a version is finished although a newer one was declared.
+const FINISHED_PART: f64 = 0.45;
+/// Part of the deadline from which orders are given in any case.
+const MAX_SPREAD_PART: f64 = 0.6;
 /// Time before the deadline at which the last order is given. Work in progress may end after the
 /// deadline, but none begins.
 const LAST_ORDER: Duration = Duration::from_millis(1100);
@@ -36,10 +42,42 @@
     }
 }
 
+/// Time in which the pieces of a version are expected everywhere.
+fn spread_time(origin_copy: Duration) -> Duration {
+    origin_copy.mul_f64(SPREAD_COPIES) + SPREAD_TAIL
+}
+
+impl VersionTarget {
+    /// Whether this version's pieces are still fetched once a newer one is declared.
+    ///
+    /// All sidecars have to decide alike, since each fetches some pieces for all of them: the time
+    /// between the declarations decides, not what has arrived here. A version that has only begun
+    /// to spread gives way, and endpoints go straight to the newer one.
+    ///
+    /// ```
+    /// use celeryshed_base::MonoTime;
+    /// use celeryshed_dispatch::VersionTarget;
+    /// use std::time::Duration;
+    /// let seconds = |seconds| MonoTime(Duration::from_secs(seconds));
+    /// let target = |version, at| VersionTarget {
+    ///     version,
+    ///     learned_at: seconds(at),
+    ///     due_at: seconds(at + 8),
+    /// };
+    /// let copy = Duration::from_secs(4);
+    /// assert!(target(2, 0).is_finished_before(&target(3, 4), copy));
+    /// assert!(!target(2, 0).is_finished_before(&target(3, 1), copy));
+    /// ```
+    pub fn is_finished_before(&self, newer: &Self, origin_copy: Duration) -> bool {
+        newer.learned_at - self.learned_at >= spread_time(origin_copy).mul_f64(FINISHED_PART)
+    }
+}
+
 impl LoadSchedule {
     /// The schedule of the endpoint `own` among all `endpoints` of its service.
     ///
-    /// `due_at` is the earliest deadline of a version that the endpoint doesn't serve yet.
+    /// `due_at` is the earliest deadline of a version that the endpoint doesn't serve yet;
+    /// the origin's link carries one copy in `origin_copy`.
     ///
     /// ```
     /// use celeryshed_base::MonoTime;
@@ -47,12 +85,20 @@
     /// use std::time::Duration;
     /// let due_at = MonoTime(Duration::from_secs(8));
     /// let target = VersionTarget { version: 2, learned_at: MonoTime::ZERO, due_at };
-    /// let schedule = LoadSchedule::plan("a", &["a", "b"], target, due_at);
+    /// let copy = Duration::from_secs(3);
+    /// let schedule = LoadSchedule::plan("a", &["a", "b"], target, due_at, copy);
     /// assert!(schedule.order_at < due_at);
     /// ```
-    pub fn plan(own: &str, endpoints: &[&str], target: VersionTarget, due_at: MonoTime) -> Self {
+    pub fn plan(
+        own: &str,
+        endpoints: &[&str],
+        target: VersionTarget,
+        due_at: MonoTime,
+        origin_copy: Duration,
+    ) -> Self {
         let window = due_at - target.learned_at;
-        let first = target.learned_at + window.mul_f64(SPREAD_PART);
+        let spread = spread_time(origin_copy).min(window.mul_f64(MAX_SPREAD_PART));
+        let first = target.learned_at + spread;
         let last = target.learned_at + window.saturating_sub(LAST_ORDER);
         let own_rank = rendezvous(own, target.version);
         let ahead =
--- a/crates/celeryshed_dispatch/tests/staging.rs
+++ b/crates/celeryshed_dispatch/tests/staging.rs
@@ -2,10 +2,10 @@
 
 mod support;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use celeryshed_base::MonoTime;
+use celeryshed_base::{MonoTime, RegionName};
 use celeryshed_dispatch::*;
 use support::*;
 
@@ -27,35 +27,37 @@
     between_regions: u32,
 }
 
-/// A fleet in three regions; `silent` ones neither fetch nor answer.
-fn spread(count: usize, silent: &[usize], limit: Duration) -> SpreadResult {
-    let address = |index: usize| format!("10.0.{}.{index}:7000", index % 3);
-    let region_of = |index: usize| region(["north", "east", "south"][index % 3]);
-    let peers = |own: usize| -> Vec<StagePeer> {
-        (0..count)
-            .filter(|index| *index != own)
-            .map(|index| StagePeer {
-                address: address(index),
-                region: region_of(index),
+fn address(index: usize) -> String {
+    format!("10.0.{}.{index}:7000", index % 3)
+}
+
+fn region_of(index: usize) -> RegionName {
+    region(["north", "east", "south"][index % 3])
+}
+
+/// The pickers of a fleet in three regions that know each other.
+fn fleet(count: usize) -> Vec<PiecePicker> {
+    let copy = PIECE_TIME * PIECES;
+    let picker = |index| {
+        let peers: Vec<StagePeer> = (0..count)
+            .filter(|other| *other != index)
+            .map(|other| StagePeer {
+                address: address(other),
+                region: region_of(other),
                 holds: false,
             })
-            .collect()
+            .collect();
+        let region = region_of(index);
+        let mut picker = PiecePicker::new(&address(index), &region, 2, 0..PIECES, copy, at(0));
+        picker.set_peers(at(0), &peers);
+        picker
     };
-    let mut pickers: Vec<PiecePicker> = (0..count)
-        .map(|index| {
-            PiecePicker::new(
-                &address(index),
-                &region_of(index),
-                2,
-                0..PIECES,
-                PIECE_TIME * PIECES,
-                at(0),
-            )
-        })
-        .collect();
-    for (index, picker) in pickers.iter_mut().enumerate() {
-        picker.set_peers(at(0), &peers(index));
-    }
+    (0..count).map(picker).collect()
+}
+
+/// A fleet in three regions; `silent` ones neither fetch nor answer.
+fn spread(count: usize, silent: &[usize], limit: Duration) -> SpreadResult {
+    let mut pickers = fleet(count);
     let mut has: Vec<PieceSet> = vec![PieceSet::default(); count];
     let mut links: BTreeMap<PieceSource, MonoTime> = BTreeMap::new();
     let mut transfers: Vec<Transfer> = Vec::new();
@@ -118,6 +120,47 @@
     }
 }
 
+/// Guards against all sidecars at the origin at once: its link is shared by all transfers in
+/// progress, so that with 88 of them the first piece arrived after seconds, and nothing spread
+/// meanwhile (coca-fleet-grown: weights whole everywhere 7 s after they were named, 4.3 s for a copy).
+#[test]
+fn few_pieces_leave_origin_at_once() {
+    let mut pickers = fleet(60);
+    let mut asked = BTreeSet::new();
+    for (index, picker) in pickers.iter_mut().enumerate() {
+        while let Some(fetch) = picker.next(at(0), index as u64) {
+            assert_eq!(fetch.source, PieceSource::Origin);
+            assert!(asked.insert(fetch.piece), "piece {} is asked for twice", fetch.piece);
+        }
+    }
+    assert!((8..=24).contains(&asked.len()), "{} pieces at once", asked.len());
+}
+
+/// Guards against later ranks that step in because the origin was away: when it returned, two
+/// sidecars fetched each piece and its link carried everything twice.
+#[test]
+fn nobody_steps_in_for_an_origin_that_is_away() {
+    let mut pickers = fleet(12);
+    let copy = PIECE_TIME * PIECES;
+    let step = copy.mul_f64(1.25);
+    // The origin fails everybody's first fetches, and again one step later.
+    for now in [at(0), at(0) + step + ms(10)] {
+        for (index, picker) in pickers.iter_mut().enumerate() {
+            while let Some(fetch) = picker.next(now, index as u64) {
+                picker.failed(now, fetch);
+            }
+        }
+    }
+    let back = at(0) + step + ms(500);
+    let mut asked = BTreeSet::new();
+    for (index, picker) in pickers.iter_mut().enumerate() {
+        while let Some(fetch) = picker.next(back, index as u64) {
+            assert!(asked.insert(fetch.piece), "piece {} is asked for twice", fetch.piece);
+        }
+    }
+    assert!(!asked.is_empty());
+}
+
 /// Sidecars that are not listed yet are fetched from once they are heard, and no longer once they
 /// are not: a release replaces endpoints while a version spreads.
 #[test]
@@ -211,12 +254,17 @@
         let target = VersionTarget { version: 2, learned_at: at(1000), due_at: at(1000 + window) };
         let mut orders: Vec<MonoTime> = endpoints
             .iter()
-            .map(|name| LoadSchedule::plan(name, &endpoints, target, target.due_at).order_at)
+            .map(|name| {
+                LoadSchedule::plan(name, &endpoints, target, target.due_at, ms(2600)).order_at
+            })
             .collect();
         orders.sort();
         assert!(orders[23] < target.due_at, "{window}: {orders:?}");
         if window == 8000 {
             assert!(orders[23] - orders[0] > Duration::from_secs(2), "{orders:?}");
+            // Each endpoint is out for a while: all the time that the spread leaves is used.
+            let left = ms(window) - ms(2600).mul_f64(1.3) - ms(250) - ms(1100);
+            assert!(orders[23] - orders[0] > left.mul_f64(0.9), "{orders:?}");
         }
     }
 }
--- a/crates/celeryshed_gateway/src/peer_task.rs
+++ b/crates/celeryshed_gateway/src/peer_task.rs
@@ -39,14 +39,19 @@
         let mut entries: BTreeMap<String, Instant> = BTreeMap::new();
         let mut greeted_at: Option<Instant> = None;
         let mut told = task.control.position().operator;
+        let mut positions = task.control.positions();
         loop {
-            sleep(LOAD_INTERVAL.max(LOAD_INTERVAL_PER_ENTRY * entries.len() as u32)).await;
+            let load_due = sleep(LOAD_INTERVAL.max(LOAD_INTERVAL_PER_ENTRY * entries.len() as u32));
+            tokio::select! {
+                () = load_due => {}
+                // News from operators reach the sidecars at once.
+                _ = positions.wait_for(|known| known.operator != told) => {}
+            }
             while let Ok(entry) = heard.try_recv() {
                 entries.insert(entry, Instant::now());
             }
             entries.retain(|_, at| at.elapsed() < ENTRY_LIFETIME);
             task.send_load(entries.keys()).await;
-            // News from operators reach the sidecars at once.
             let known = task.control.position().operator;
             let due = greeted_at.is_none_or(|at| at.elapsed() >= HELLO_INTERVAL);
             if due || known != told {
--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -102,6 +102,11 @@
         *self.position.borrow()
     }
 
+    /// Follows up to where this process knows the records.
+    pub fn positions(&self) -> watch::Receiver<ControlPosition> {
+        self.position.clone()
+    }
+
     /// The encoded records that a peer lacks.
     pub async fn relay(&self, query: RelayQuery) -> Option<Bytes> {
         let (reply, answer) = oneshot::channel();
@@ -158,6 +163,7 @@
         operator_read: false,
         store_failing: false,
         relaying: false,
+        postponed: None,
     };
     tokio::spawn(task.run(received));
     (ControlHandle { inputs, position: position_watch, scope: settings.scope }, event_stream)
@@ -188,6 +194,8 @@
     operator_read: bool,
     store_failing: bool,
     relaying: bool,
+    /// The last peer that knew more while another one was asked.
+    postponed: Option<(String, ControlPosition)>,
 }
 
 impl<D: RecordDecoder> ControlTask<D> {
@@ -206,8 +214,12 @@
                     for (stream, batch) in answer.into_batches() {
                         self.merge(stream, batch);
                     }
+                    self.consider_postponed();
+                }
+                ControlInput::RelayFailed => {
+                    self.relaying = false;
+                    self.consider_postponed();
                 }
-                ControlInput::RelayFailed => self.relaying = false,
                 ControlInput::StoreFailed { stream, error } => self.store_failed(stream, &error),
                 ControlInput::PeerPosition { peer, position } => self.consider(peer, position),
                 ControlInput::Request { query, reply } => {
@@ -347,6 +359,12 @@
         self.emit(ControlEvent::StoreFailed);
     }
 
+    fn consider_postponed(&mut self) {
+        if let Some((peer, position)) = self.postponed.take() {
+            self.consider(peer, position);
+        }
+    }
+
     /// Asks a peer that knows more, if the store's own answers don't arrive.
     fn consider(&mut self, peer: String, position: ControlPosition) {
         let known = self.log.position();
@@ -354,7 +372,11 @@
         let stale = self.endpoints_at.is_none_or(|at| at.elapsed() > max_age);
         let behind =
             position.operator > known.operator || (position.endpoints > known.endpoints && stale);
-        if !behind || std::mem::replace(&mut self.relaying, true) {
+        if !behind {
+            return;
+        }
+        if std::mem::replace(&mut self.relaying, true) {
+            self.postponed = Some((peer, position));
             return;
         }
         let inputs = self.inputs.clone();
--- a/crates/celeryshed_stager/src/stage_task.rs
+++ b/crates/celeryshed_stager/src/stage_task.rs
@@ -209,9 +209,10 @@
         (0..manifest.piece_count()).filter(|piece| !staged.verified.contains(piece)).collect()
     }
 
-    fn goal_changed(&self, goal: &StageGoal) -> bool {
+    /// The goal that took the place of another one.
+    fn newer_goal(&self, goal: &StageGoal) -> Option<StageGoal> {
         let latest = self.view.borrow().goal(&self.settings);
-        latest.is_some_and(|latest| latest.target.version != goal.target.version)
+        latest.filter(|latest| latest.target.version != goal.target.version)
     }
 
     /// Keeps the pieces that lie at the endpoint already and match.
@@ -292,10 +293,13 @@
                 Ok(Some(Err(_))) | Err(_) => {}
                 Ok(None) => sleep(PICK_INTERVAL).await,
             }
-            // A version that is nearly there is finished first, since its own deadline runs, unless
-            // nothing arrives any more.
+            // A version that is well on its way is finished first, since its own deadline runs,
+            // unless nothing arrives any more.
             let stalled = self.clock.now() - progress_at > STALL_LIMIT;
-            if self.goal_changed(goal) && (stalled || !picker.is_nearly_whole()) {
+            let newer = self.newer_goal(goal).map(|newer| newer.target);
+            if newer.is_some_and(|newer| {
+                stalled || !goal.target.is_finished_before(&newer, goal.origin_copy)
+            }) {
                 return FetchEnd::GoalChanged;
             }
             if corrupt >= DOUBT_AFTER {
@@ -362,7 +366,8 @@
         let due_at = view.first_due(&goal.model, loaded).unwrap_or(goal.target.due_at);
         let endpoints = view.endpoints(now, &self.settings);
         let names: Vec<&str> = endpoints.iter().map(String::as_str).collect();
-        let schedule = LoadSchedule::plan(&self.settings.endpoint, &names, goal.target, due_at);
+        let own = &self.settings.endpoint;
+        let schedule = LoadSchedule::plan(own, &names, goal.target, due_at, goal.origin_copy);
         self.condition.send_modify(|condition| condition.closing_at = Some(schedule.order_at));
         self.wait_until(schedule.order_at).await;
     }
