Take records of an unknown age for old after an empty answer; return to the origin sooner

A sidecar that had just started asked a neighbour that knew nothing either; the empty answer counted as the first read, so that versions named 17 s before were taken for news, and their fresh age was told to all entries. Result: versions_of_the_first_read_are_marked fails before with the empty answer and passes after; origin_is_asked_again_soon.

--- a/crates/celeryshed_dispatch/src/staging/picker.rs
+++ b/crates/celeryshed_dispatch/src/staging/picker.rs
@@ -17,8 +17,8 @@
 const MAX_FETCHES: usize = 5;
 /// Pieces that are fetched from one place at once.
 const MAX_FETCHES_EACH: usize = 2;
-/// Pieces that are fetched from the origin at once; it accepts few connections.
-const MAX_ORIGIN_FETCHES: usize = 1;
+/// Pieces that one sidecar fetches from the origin at once: it may rank first for several of the last.
+const MAX_ORIGIN_FETCHES: usize = 3;
 /// Time after which the next rank fetches a piece from the origin, in times of one copy.
 const ORIGIN_STEP: f64 = 1.25;
 /// Pieces that are on their way from the origin at once, over all sidecars: enough to keep its link
@@ -30,8 +30,10 @@
 const HEARD_WITHIN: Duration = Duration::from_millis(1200);
 /// Time after which the next rank of a region fetches a piece from another region.
 const REGION_STEP: Duration = Duration::from_millis(900);
-/// Pause before a place is asked again for a piece that it failed to give.
+/// Pause before a sidecar is asked again for a piece that it failed to give.
 const FAILURE_PAUSE: Duration = Duration::from_millis(400);
+/// Pause before the origin is asked again: all sidecars wait for it.
+const ORIGIN_PAUSE: Duration = Duration::from_millis(150);
 
 common_derives! { value:
     /// Another sidecar.
@@ -228,10 +230,14 @@
     /// A fetch failed, or its piece did not match.
     pub fn failed(&mut self, now: MonoTime, fetch: PieceFetch) {
         self.fetching.remove(&fetch.piece);
-        if fetch.source == PieceSource::Origin {
-            self.origin_failed_at = Some(now);
-        }
-        self.paused.insert((fetch.piece, fetch.source), now + FAILURE_PAUSE);
+        let pause = match fetch.source {
+            PieceSource::Origin => {
+                self.origin_failed_at = Some(now);
+                ORIGIN_PAUSE
+            }
+            PieceSource::Peer(_) => FAILURE_PAUSE,
+        };
+        self.paused.insert((fetch.piece, fetch.source), now + pause);
     }
 
     /// The next piece to fetch, if there is one that may be fetched now; `draw` is any number.
--- a/crates/celeryshed_dispatch/tests/staging.rs
+++ b/crates/celeryshed_dispatch/tests/staging.rs
@@ -55,6 +55,20 @@
     (0..count).map(picker).collect()
 }
 
+/// All sidecars tell each other that they have nothing yet.
+fn hear_all(pickers: &mut [PiecePicker], now: MonoTime) {
+    let count = pickers.len();
+    for (index, picker) in pickers.iter_mut().enumerate() {
+        for other in 0..count {
+            let (address, region) = (address(other), region_of(other));
+            if other != index {
+                let peer = StagePeer { address, region, holds: false };
+                picker.peer_has(now, now, &peer, &PieceSet::default());
+            }
+        }
+    }
+}
+
 /// A fleet in three regions; `silent` ones neither fetch nor answer.
 fn spread(count: usize, silent: &[usize], limit: Duration) -> SpreadResult {
     let mut pickers = fleet(count);
@@ -136,6 +150,17 @@
     assert!((8..=24).contains(&asked.len()), "{} pieces at once", asked.len());
 }
 
+/// Guards against a slow return to the origin after an outage: all sidecars wait for its last pieces.
+#[test]
+fn origin_is_asked_again_soon() {
+    let mut picker = PiecePicker::new("10.0.0.1:7000", &region("north"), 2, 0..1, ms(2600), at(0));
+    let fetch = picker.next(at(0), 0).unwrap();
+    assert_eq!(fetch.source, PieceSource::Origin);
+    picker.failed(at(1000), fetch);
+    assert_eq!(picker.next(at(1050), 0), None);
+    assert!(picker.next(at(1200), 0).is_some());
+}
+
 /// Guards against later ranks that step in because the origin was away: when it returned, two
 /// sidecars fetched each piece and its link carried everything twice.
 #[test]
@@ -145,6 +170,7 @@
     let step = copy.mul_f64(1.25);
     // The origin fails everybody's first fetches, and again one step later.
     for now in [at(0), at(0) + step + ms(10)] {
+        hear_all(&mut pickers, now);
         for (index, picker) in pickers.iter_mut().enumerate() {
             while let Some(fetch) = picker.next(now, index as u64) {
                 picker.failed(now, fetch);
@@ -152,6 +178,7 @@
         }
     }
     let back = at(0) + step + ms(500);
+    hear_all(&mut pickers, back);
     let mut asked = BTreeSet::new();
     for (index, picker) in pickers.iter_mut().enumerate() {
         while let Some(fetch) = picker.next(back, index as u64) {
--- a/crates/celeryshed_http/src/client.rs
+++ b/crates/celeryshed_http/src/client.rs
@@ -11,8 +11,8 @@
 
 use crate::channel::{ChannelError, HttpChannel, Result};
 
-/// Longest time that opening a connection may take.
-const CONNECT_LIMIT: Duration = Duration::from_millis(1000);
+/// Longest time that opening a connection takes in general.
+pub const CONNECT_LIMIT: Duration = Duration::from_millis(1000);
 /// Largest answer that is read, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
@@ -30,6 +30,8 @@
 /// How long a call may take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallLimits {
+    /// Longest time that opening a connection may take.
+    pub connect: Duration,
     /// Longest wait for the head of the answer.
     pub head: Duration,
     /// Longest silence within its body.
@@ -40,7 +42,7 @@
 
 impl From<Duration> for CallLimits {
     fn from(limit: Duration) -> Self {
-        Self { head: limit, silence: limit, whole: limit }
+        Self { connect: limit.min(CONNECT_LIMIT), head: limit, silence: limit, whole: limit }
     }
 }
 
@@ -107,7 +109,7 @@
     ) -> Result<(HttpChannel, HttpReply)> {
         let mut channel = match kept.filter(HttpChannel::is_open) {
             Some(channel) => channel,
-            _ => HttpChannel::open(&self.address, limits.head.min(CONNECT_LIMIT)).await?,
+            _ => HttpChannel::open(&self.address, limits.connect).await?,
         };
         let mut request = Request::builder().method(method).uri(target).header(HOST, &self.address);
         if !body.is_empty() {
--- a/crates/celeryshed_http/src/lib.rs
+++ b/crates/celeryshed_http/src/lib.rs
@@ -8,5 +8,5 @@
 mod server;
 
 pub use channel::{ChannelError, HttpChannel};
-pub use client::{CallLimits, HttpClient, HttpReply};
+pub use client::{CONNECT_LIMIT, CallLimits, HttpClient, HttpReply};
 pub use server::{ConnectionServer, ServerSettings};
--- a/crates/celeryshed_peering/src/relay.rs
+++ b/crates/celeryshed_peering/src/relay.rs
@@ -189,8 +189,12 @@
         position.endpoints,
         scope.name()
     );
-    let limits =
-        CallLimits { head: RELAY_LIMIT, silence: RELAY_LIMIT, whole: RELAY_LIMIT + TRANSFER_LIMIT };
+    let limits = CallLimits {
+        connect: RELAY_LIMIT,
+        head: RELAY_LIMIT,
+        silence: RELAY_LIMIT,
+        whole: RELAY_LIMIT + TRANSFER_LIMIT,
+    };
     let reply = client.call(Method::GET, &target, Bytes::new(), limits).await?;
     if reply.status != StatusCode::OK {
         return Err(RelayError::Refused(reply.status));
--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -160,7 +160,6 @@
         services: None,
         revision: None,
         endpoints_at: None,
-        operator_read: false,
         store_failing: false,
         relaying: false,
         postponed: None,
@@ -190,8 +189,6 @@
     services: Option<KnownServices>,
     revision: Option<celeryshed_base::ConfigRevision>,
     endpoints_at: Option<Instant>,
-    /// Whether any records of operators were read.
-    operator_read: bool,
     store_failing: bool,
     relaying: bool,
     /// The last peer that knew more while another one was asked.
@@ -249,8 +246,9 @@
         if stream == ControlStream::Endpoints {
             self.endpoints_at = Some(Instant::now());
         }
-        let initial = !self.operator_read;
-        self.operator_read |= stream == ControlStream::Operator;
+        // A peer that knows nothing yet answers with an empty batch, after which the first records
+        // are still of any age.
+        let initial = self.log.position().operator == LogOffset::default();
         for record in self.log.merge(stream, batch) {
             match stream {
                 ControlStream::Operator => self.adopt_operator(&record, initial),
--- a/crates/celeryshed_peering/tests/control.rs
+++ b/crates/celeryshed_peering/tests/control.rs
@@ -395,6 +395,10 @@
     let store = Arc::new(LostStore::default());
     store.lost.store(true, Ordering::Relaxed);
     let (control, mut events) = start_control(store, Arc::new(PlainDecoder), settings());
+    // A peer that has just started knows nothing: its answer makes no record news (seen after all
+    // processes were killed: a version named 17 s before was given its whole deadline again).
+    let empty = serve_peer(ControlLog::default()).await;
+    control.ask(&empty).await;
     for (version, offset, expected) in [(2, 0, true), (3, 1, false)] {
         let mut log = ControlLog::default();
         let mut written = record(1, offset, Some(version));
--- a/crates/celeryshed_stager/src/notice_task.rs
+++ b/crates/celeryshed_stager/src/notice_task.rs
@@ -41,7 +41,10 @@
         let mut changed_at: Option<MonoTime> = None;
         loop {
             let now = self.clock.now();
-            let spreading = changed_at.is_some_and(|at| now - at < NOTICE_PERIOD);
+            // One that still lacks pieces is heard too, else it would lose its rank while the origin
+            // is away.
+            let spreading = changed_at.is_some_and(|at| now - at < NOTICE_PERIOD)
+                || self.staged.borrow().lacks_pieces();
             let change = if spreading {
                 timeout(NOTICE_INTERVAL, self.staged.changed()).await
             } else {
--- a/crates/celeryshed_stager/src/pieces.rs
+++ b/crates/celeryshed_stager/src/pieces.rs
@@ -47,6 +47,12 @@
         })
     }
 
+    /// Whether pieces of the version that is being staged are missing.
+    pub(crate) fn lacks_pieces(&self) -> bool {
+        let manifest = self.manifest.as_ref();
+        manifest.is_some_and(|manifest| self.verified.len() < manifest.piece_count() as usize)
+    }
+
     fn has(&self, query: &PieceQuery) -> bool {
         let Some(piece) = query.piece else { return self.stages(query) };
         if self.stages(query) {
