Let a later start at an address replace the earlier one; in-time requests go first; greet at once

Cause: after a loss of power each engine starts under a new id at its old address, while its old registration stands for seconds. Since a version was demanded too, the answers were taken for another version and the ids not left out; before that they were left out, but only after a first try. Beside it, entries greeted the first time before they knew the list, so that sidecars waited up to a second; and callers that came back waited ahead of new ones, which were then refused, came back and were late in their turn. Change: the directory keeps one endpoint for an address; 421 means another version only if the answer names one; entries look for new sidecars every 40 ms until there are some and greet them at once; requests that may be in time go before all that came back, and wait for half of their target.

--- a/crates/celeryshed_dispatch/src/directory.rs
+++ b/crates/celeryshed_dispatch/src/directory.rs
@@ -63,6 +63,7 @@
     /// Takes over one record unless a later one of the same endpoint is held.
     pub fn apply(&mut self, now: MonoTime, record: DirectoryRecord) -> bool {
         let DirectoryRecord { id, offset, entry } = record;
+        let entry = entry.filter(|entry| !self.is_superseded(entry));
         let held = self.records.get(&id);
         if held.is_some_and(|held| held.offset >= offset) {
             return false;
@@ -75,10 +76,30 @@
             }
             (entry, _, _) => HeldRecord { offset, entry, removal_due: None },
         };
+        if let Some(entry) = &record.entry {
+            self.drop_predecessors(&entry.address, entry.born_ms);
+        }
         self.records.insert(id, record);
         true
     }
 
+    /// Whether an endpoint that started later uses the entry's address.
+    fn is_superseded(&self, entry: &EndpointEntry) -> bool {
+        let entries = self.records.values().filter_map(|held| held.entry.as_ref());
+        entries
+            .into_iter()
+            .any(|other| other.address == entry.address && other.born_ms > entry.born_ms)
+    }
+
+    /// Forgets endpoints that used an address before: their registrations lapse seconds later.
+    fn drop_predecessors(&mut self, address: &str, born_ms: u64) {
+        for held in self.records.values_mut() {
+            let earlier =
+                |entry: &mut EndpointEntry| entry.address == address && entry.born_ms < born_ms;
+            held.entry.take_if(earlier);
+        }
+    }
+
     /// The endpoints that are there, with their entries.
     pub fn entries(
         &self,
--- a/crates/celeryshed_dispatch/src/refusal.rs
+++ b/crates/celeryshed_dispatch/src/refusal.rs
@@ -12,9 +12,9 @@
 use crate::request::RequestProfile;
 
 /// Part of the target latency that a request may wait for room.
-const PATIENCE: f64 = 0.6;
+const PATIENCE: f64 = 0.5;
 /// Longest wait of a request that came back.
-const RETURNING_PATIENCE: Duration = Duration::from_millis(1500);
+pub(crate) const RETURNING_PATIENCE: Duration = Duration::from_millis(1500);
 /// Part of the remaining time that any request may wait.
 const WAIT_SHARE: f64 = 0.3;
 /// Earliest return after a refusal.
--- a/crates/celeryshed_dispatch/src/waiting.rs
+++ b/crates/celeryshed_dispatch/src/waiting.rs
@@ -1,8 +1,10 @@
 //! The order in which requests wait for room.
 //!
 //! Load pattern: more arrives than the endpoints can start at once. Requests wait at the entry in
-//! the order of arrival, shifted by rank. The shift is bounded, so no team or route starves, and a
-//! caller that came back too late for the full value of its answer gives way to those in time.
+//! the order of arrival, shifted by rank. The shift is bounded, so no team or route starves. A
+//! caller that came back too late for the full value of its answer gives way to all that may still
+//! be in time: after an outage there are more of them than a nearly full fleet can make up for, and
+//! in the order of arrival each new request would be refused, come back and be late in its turn.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -10,12 +12,13 @@
 use celeryshed_base::{MonoTime, ServiceName, common_derives};
 
 use crate::endpoint::EndpointId;
+use crate::refusal::RETURNING_PATIENCE;
 use crate::request::{RequestProfile, TicketId};
 
 /// Time by which a rank further down gives way.
 const RANK_SHIFT: Duration = Duration::from_millis(20);
-/// Time by which a request that can't be in time any more gives way.
-const LATE_SHIFT: Duration = Duration::from_millis(600);
+/// Time by which a request that can't be in time any more gives way; it waits no longer than that.
+const LATE_SHIFT: Duration = RETURNING_PATIENCE;
 
 common_derives! { value:
     /// A request that waits for an endpoint.
--- a/crates/celeryshed_dispatch/tests/decisions.rs
+++ b/crates/celeryshed_dispatch/tests/decisions.rs
@@ -104,6 +104,30 @@
     assert!(budget.try_repeat(at(11_000), &name, 1));
 }
 
+/// Guards against requests to endpoints that are gone: after a loss of power each starts under a new
+/// id at its old address, while the old registration stands for seconds (coca-fleet trouble-2: 1,500
+/// answers 421 in 3 s, and the retry budget was used up).
+#[test]
+fn later_start_at_an_address_replaces_earlier_one() {
+    let start = |born_ms| EndpointEntry { born_ms, ..entry("model", 1, Some(1)) };
+    let ids = |directory: &EndpointDirectory| -> Vec<String> {
+        directory.entries(at(0)).map(|(id, _)| id.to_string()).collect()
+    };
+    let mut directory = EndpointDirectory::default();
+    directory.apply(at(0), record("old", 1, Some(start(1000))));
+    directory.apply(at(0), record("new", 2, Some(start(9000))));
+    assert_eq!(ids(&directory), ["new"]);
+    // A late record of the earlier one changes nothing, and another address stays.
+    directory.apply(at(0), record("old", 3, Some(start(1000))));
+    let other = EndpointEntry { born_ms: 500, ..entry("model", 2, Some(1)) };
+    directory.apply(at(0), record("other", 4, Some(other)));
+    assert_eq!(ids(&directory), ["new", "other"]);
+    // Once the later one has left, a still later one takes its place.
+    directory.apply(at(0), record("new", 5, None));
+    directory.apply(at(0), record("third", 6, Some(start(12_000))));
+    assert_eq!(ids(&directory), ["other", "third"]);
+}
+
 /// A request that crashes endpoints is stopped after the third; its neighbours are not.
 #[test]
 fn crashing_request_is_stopped_and_neighbours_are_not() {
--- a/crates/celeryshed_gateway/src/peer_task.rs
+++ b/crates/celeryshed_gateway/src/peer_task.rs
@@ -1,6 +1,6 @@
 //! Exchange with other entries and with sidecars.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,6 +15,8 @@
 const LOAD_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two messages to the other entries, for each of them.
 const LOAD_INTERVAL_PER_ENTRY: Duration = Duration::from_millis(20);
+/// Time between two looks for the first sidecars after a start: they wait for a greeting.
+const START_INTERVAL: Duration = Duration::from_millis(40);
 /// Time between two greetings of the sidecars.
 const HELLO_INTERVAL: Duration = Duration::from_secs(1);
 /// An entry that no sidecar named for this long is no longer told.
@@ -38,10 +40,15 @@
         tokio::spawn(async move { receiving.receive(found).await });
         let mut entries: BTreeMap<String, Instant> = BTreeMap::new();
         let mut greeted_at: Option<Instant> = None;
+        let mut greeted: BTreeSet<String> = BTreeSet::new();
         let mut told = task.control.position().operator;
         let mut positions = task.control.positions();
         loop {
-            let load_due = sleep(LOAD_INTERVAL.max(LOAD_INTERVAL_PER_ENTRY * entries.len() as u32));
+            let interval = match greeted.is_empty() {
+                true => START_INTERVAL,
+                false => LOAD_INTERVAL.max(LOAD_INTERVAL_PER_ENTRY * entries.len() as u32),
+            };
+            let load_due = sleep(interval);
             tokio::select! {
                 () = load_due => {}
                 // News from operators reach the sidecars at once.
@@ -54,11 +61,16 @@
             task.send_load(entries.keys()).await;
             let known = task.control.position().operator;
             let due = greeted_at.is_none_or(|at| at.elapsed() >= HELLO_INTERVAL);
+            let sidecars = task.sidecars().await;
             if due || known != told {
                 told = known;
                 greeted_at = Some(Instant::now());
-                task.greet().await;
+                task.greet(&sidecars);
+            } else {
+                // A sidecar that has just started waits for a greeting to learn what it needs.
+                task.greet(sidecars.difference(&greeted));
             }
+            greeted = sidecars;
         }
     }
 
@@ -68,12 +80,17 @@
         self.socket.send(&PeerMessage::Load(load), entries);
     }
 
-    async fn greet(&self) {
+    /// Addresses of the sidecars beside all endpoints.
+    async fn sidecars(&self) -> BTreeSet<String> {
         let targets = self.desk.targets().await;
         let sidecars = targets.endpoints.iter().filter_map(|endpoint| {
             let address: SocketAddr = endpoint.parse().ok()?;
             Some(SocketAddr::new(address.ip(), self.sidecar_port).to_string())
         });
+        sidecars.collect()
+    }
+
+    fn greet<'s>(&self, sidecars: impl IntoIterator<Item = &'s String>) {
         let hello = EntryHello {
             entry: self.address.to_string(),
             zone: self.zone.clone(),
--- a/crates/celeryshed_gateway/src/request/attempt.rs
+++ b/crates/celeryshed_gateway/src/request/attempt.rs
@@ -181,10 +181,15 @@
         return malformed;
     }
     if head.status == StatusCode::MISDIRECTED_REQUEST {
-        let reason = match plan.target.version {
-            Some(_) => NotRunReason::OtherVersion,
-            None => NotRunReason::Misdirected,
-        };
+        // Without a word on its version, another endpoint may use the address.
+        let served = text(&head.headers, &names.version).and_then(|text| text.trim().parse().ok());
+        let other_version = plan
+            .target
+            .version
+            .zip(served)
+            .is_some_and(|(wanted, served): (u64, u64)| wanted != served);
+        let reason =
+            if other_version { NotRunReason::OtherVersion } else { NotRunReason::Misdirected };
         return Err(AttemptOutcome::NotRun(reason));
     }
     if head.headers.contains_key(&names.not_run) {
--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -26,7 +26,7 @@
 const RELAY_DELAY: Duration = Duration::from_millis(150);
 /// Time after its start in which a process that doesn't follow the operators' records waits for a
 /// peer to tell them, before it reads them itself.
-const OPERATOR_FALLBACK: Duration = Duration::from_secs(5);
+const OPERATOR_FALLBACK: Duration = Duration::from_secs(4);
 /// Pause between two requests to peers.
 const RELAY_PAUSE: Duration = Duration::from_millis(250);
 
