Withdraw requests that would begin on a version out of force

Change: a placement names the time until which requests may begin on the version that the endpoint serves; an attempt without a first event 150 ms before the deadline is withdrawn. Drains log their stages.

--- a/crates/celeryshed_base/src/clock.rs
+++ b/crates/celeryshed_base/src/clock.rs
@@ -41,6 +41,15 @@
     }
 }
 
+impl Sub<Duration> for MonoTime {
+    type Output = Self;
+
+    /// The time `duration` before, but not before the start of the process.
+    fn sub(self, duration: Duration) -> Self {
+        Self(self.0.saturating_sub(duration))
+    }
+}
+
 /// Wall-clock time in milliseconds since 1970-01-01 UTC.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- a/crates/celeryshed_dispatch/src/desk.rs
+++ b/crates/celeryshed_dispatch/src/desk.rs
@@ -29,6 +29,10 @@
 const MAX_VERSIONS: usize = 8;
 /// Time before the end of a version's deadline from which the old version gets no more requests.
 const VERSION_MARGIN: Duration = Duration::from_millis(700);
+/// Time before the end of a version's deadline at which requests that wait at an endpoint of the old
+/// version are withdrawn: the declaration became known a little after it was made, and the first
+/// event takes its time from the first token to here.
+const BEGIN_MARGIN: Duration = Duration::from_millis(150);
 
 common_derives! { value:
     /// What an entry is told at its start.
@@ -51,6 +55,8 @@
         pub address: String,
         /// Version of the model that it must serve.
         pub version: Option<u64>,
+        /// Until when a request may begin there: a newer version is in force from then on.
+        pub begin_by: Option<MonoTime>,
     }
 
     /// What happens to a request that waited.
@@ -433,12 +439,13 @@
         let entry = self.directory.get(now, id)?;
         let model = profile.model.as_deref();
         let due = model.and_then(|model| self.version_due(now, model));
+        let served =
+            model.and_then(|model| self.served_version(now, entry, self.records.get(id)?, model));
         // The endpoint may serve a newer version than the one that is due.
-        let served = due
-            .and(model)
-            .and_then(|model| self.served_version(now, entry, self.records.get(id)?, model));
-        let version = profile.version.or(served);
-        Some(EndpointTarget { id: id.clone(), address: entry.address.clone(), version })
+        let version = profile.version.or(due.and(served));
+        let begin_by = model.zip(served).and_then(|(model, served)| self.begin_by(model, served));
+        let (id, address) = (id.clone(), entry.address.clone());
+        Some(EndpointTarget { id, address, version, begin_by })
     }
 
     fn candidates<'d>(
@@ -507,6 +514,12 @@
         due.next().map(|(version, _)| *version)
     }
 
+    /// Until when requests may begin on the version `served`.
+    fn begin_by(&self, model: &str, served: u64) -> Option<MonoTime> {
+        let newer = self.versions.get(model)?.iter().filter(|(version, _)| **version > served);
+        newer.map(|(_, declared)| declared.due_at - BEGIN_MARGIN).min()
+    }
+
     fn distance(&self, zone: &AvailabilityZone) -> Distance {
         let regions = &self.settings.regions;
         if *zone == self.settings.zone {
--- a/crates/celeryshed_dispatch/src/health.rs
+++ b/crates/celeryshed_dispatch/src/health.rs
@@ -46,6 +46,8 @@
         Silent,
         /// The bytes were no valid answer.
         Malformed,
+        /// It was withdrawn, since it might have begun on a version that is out of force.
+        Outdated,
     }
 
     /// How an attempt ended.
@@ -106,9 +108,9 @@
                 return;
             }
             // It says nothing of the endpoint's health; the sidecar tells the version soon.
-            AttemptOutcome::Abandoned | AttemptOutcome::NotRun(NotRunReason::OtherVersion) => {
-                return;
-            }
+            AttemptOutcome::Abandoned
+            | AttemptOutcome::NotRun(NotRunReason::OtherVersion)
+            | AttemptOutcome::Unknown(UnknownReason::Outdated) => return,
             AttemptOutcome::Failed
             | AttemptOutcome::Unknown(UnknownReason::Malformed | UnknownReason::Reset) => {
                 self.rate(now, 1.0);
--- a/crates/celeryshed_dispatch/tests/versions.rs
+++ b/crates/celeryshed_dispatch/tests/versions.rs
@@ -117,3 +117,19 @@
         assert_eq!(placed(&ask(&mut desk, at(10), ticket, profile)), Some(expected));
     }
 }
+
+/// A request may begin on the old version until the first newer one is due.
+#[test]
+fn old_version_is_left_when_first_newer_one_is_due() {
+    let mut desk = desk();
+    add(&mut desk, "old", 1, entry("model", 1, Some(1)));
+    let begin_by = |desk: &mut _, now, ticket| match &ask(desk, now, ticket, stream(now))[..] {
+        [celeryshed_dispatch::DispatchDecision::Place { target, .. }] => target.begin_by,
+        decisions => panic!("not placed: {decisions:?}"),
+    };
+    assert_eq!(begin_by(&mut desk, at(10), 1), None);
+    desk.learn_version(at(1000), MODEL, 2, Some(Duration::ZERO));
+    desk.learn_version(at(4000), MODEL, 3, Some(Duration::ZERO));
+    let limit = begin_by(&mut desk, at(4010), 2).expect("a limit");
+    assert!(limit > at(8000) && limit < at(9000), "{limit:?}");
+}
--- a/crates/celeryshed_entry/src/role/launch.rs
+++ b/crates/celeryshed_entry/src/role/launch.rs
@@ -127,7 +127,10 @@
     pub async fn drain(self) {
         self.drain.send_replace(DrainState::Draining);
         tokio::time::sleep(SHORTEST_DRAIN).await;
+        let in_progress = *self.completions.in_progress().borrow();
+        EventLine::new("drain_waits").field("requests", in_progress).info();
         self.completions.idle().await;
+        EventLine::new("drain_requests_ended").info();
         self.server.stop().await;
     }
 }
--- a/crates/celeryshed_gateway/src/context.rs
+++ b/crates/celeryshed_gateway/src/context.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 
 use celeryshed_base::ClockSource;
-use celeryshed_dispatch::RoutingSnapshot;
+use celeryshed_dispatch::{EndpointTarget, RoutingSnapshot};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::desk_task::DeskHandle;
 use crate::names::HeaderNames;
@@ -30,3 +31,10 @@
     /// Whether the process is about to end.
     pub(crate) leaving: watch::Receiver<LeavingPhase>,
 }
+
+impl GatewayContext {
+    /// When a request that has not begun at the endpoint is withdrawn from it.
+    pub(crate) fn withdraw_at(&self, target: &EndpointTarget) -> Option<Instant> {
+        target.begin_by.map(|at| Instant::now() + (at - self.clock.now()))
+    }
+}
--- a/crates/celeryshed_gateway/src/request/attempt.rs
+++ b/crates/celeryshed_gateway/src/request/attempt.rs
@@ -78,6 +78,9 @@
     pub(crate) time_limit: Duration,
     /// When this entry gives the attempt up without a first event or whole answer.
     pub(crate) give_up_at: Instant,
+    /// When it is withdrawn without a first event or whole answer, since the endpoint's version is
+    /// out of force from then on.
+    pub(crate) withdraw_at: Option<Instant>,
     /// Where a stream goes on.
     pub(crate) last_event: Option<u64>,
 }
@@ -96,7 +99,11 @@
         return AttemptReply::Ended(AttemptOutcome::NotRun(NotRunReason::Unreachable));
     };
     let exchange = exchange(names, request, plan, &mut channel, outgoing);
-    match timeout_at(plan.give_up_at, exchange).await {
+    let (end_at, reason) = match plan.withdraw_at {
+        Some(at) if at < plan.give_up_at => (at, UnknownReason::Outdated),
+        _ => (plan.give_up_at, UnknownReason::Silent),
+    };
+    match timeout_at(end_at, exchange).await {
         Ok(Ok(ExchangeReply::Whole(answer))) => AttemptReply::Whole(answer),
         Ok(Ok(ExchangeReply::Stream(stream))) => {
             let StartedStream { head, first, body, splitter } = *stream;
@@ -110,7 +117,7 @@
             }))
         }
         Ok(Err(outcome)) => AttemptReply::Ended(outcome),
-        Err(_elapsed) => AttemptReply::Ended(AttemptOutcome::Unknown(UnknownReason::Silent)),
+        Err(_elapsed) => AttemptReply::Ended(AttemptOutcome::Unknown(reason)),
     }
 }
 
--- a/crates/celeryshed_gateway/src/request/handle.rs
+++ b/crates/celeryshed_gateway/src/request/handle.rs
@@ -139,6 +139,7 @@
             target,
             time_limit: self.due_at - sent_at,
             give_up_at: self.give_up_at(sent_at, expected),
+            withdraw_at: self.context.withdraw_at(target),
             last_event: self.request.last_event,
         };
         match send_attempt(&self.context.headers, &self.request, &plan).await {
--- a/crates/celeryshed_gateway/src/request/relay.rs
+++ b/crates/celeryshed_gateway/src/request/relay.rs
@@ -133,7 +133,13 @@
         };
         let sent_at = Instant::now();
         let time_limit = self.due_at - sent_at;
-        let plan = AttemptPlan { target: &target, time_limit, give_up_at: self.due_at, last_event };
+        let plan = AttemptPlan {
+            target: &target,
+            time_limit,
+            give_up_at: self.due_at,
+            withdraw_at: context.withdraw_at(&target),
+            last_event,
+        };
         let reply = send_attempt(&context.headers, &self.request, &plan).await;
         let AttemptReply::Stream(stream) = reply else {
             if let AttemptReply::Ended(outcome) = reply {
--- a/crates/celeryshed_gateway/tests/requests.rs
+++ b/crates/celeryshed_gateway/tests/requests.rs
@@ -348,3 +348,26 @@
     }
     assert_eq!((draining.count(), removed.count(), staying.count()), (0, 0, 10));
 }
+
+/// Guards against a request that waits at an endpoint of the old version until the new one is in
+/// force, and begins then (seen on a day whose weights arrived late).
+#[tokio::test]
+async fn request_that_has_not_begun_is_withdrawn_before_a_version_is_due() {
+    const DEADLINE: Duration = Duration::from_millis(1500);
+    let engine = endpoint("i-1", &[Hang]).await;
+    let store = Arc::new(FakeStore::default());
+    store.publish(snapshot(1));
+    store.register_model(&engine, "letters", 1);
+    let entry = Deployment::start_due_after(store, DEADLINE).await;
+    entry.wait_ready().await;
+    entry.store.declare("letters", 2);
+    let declared_at = Instant::now();
+    sleep(Duration::from_millis(100)).await;
+    let answer = entry.call(&request("POST", "/strict/a", "r1", "x-model: letters\r\n", "x")).await;
+    assert_eq!(engine.count(), 1);
+    assert_eq!(answer.status(), 502);
+    while engine.request(0).closed_at.is_none() {
+        assert!(declared_at.elapsed() < DEADLINE, "the request was not withdrawn");
+        sleep(Duration::from_millis(10)).await;
+    }
+}
--- a/crates/celeryshed_gateway/tests/support/mod.rs
+++ b/crates/celeryshed_gateway/tests/support/mod.rs
@@ -133,6 +133,11 @@
 
     /// Starts an entry on a store as it is.
     pub(crate) async fn start_with(store: Arc<FakeStore>) -> Self {
+        Self::start_due_after(store, Duration::from_secs(8)).await
+    }
+
+    /// The same, where a declared version has to be in force after `version_deadline`.
+    pub(crate) async fn start_due_after(store: Arc<FakeStore>, version_deadline: Duration) -> Self {
         let block = NEXT_BLOCK.fetch_add(1, Ordering::Relaxed);
         let pid = std::process::id();
         let ip = format!("127.{}.{}.{}", 1 + pid % 250, 1 + (pid / 250) % 250, block);
@@ -147,12 +152,7 @@
             metrics: address(18083),
             sidecar_port: 18082,
             grace: Duration::from_secs(8),
-            desk: DeskSettings {
-                zone,
-                regions: Default::default(),
-                budget,
-                version_deadline: Duration::from_secs(8),
-            },
+            desk: DeskSettings { zone, regions: Default::default(), budget, version_deadline },
             feed: FeedSettings {
                 scope: RelayScope::Everything,
                 endpoints_interval: Duration::from_millis(50),
--- a/crates/celeryshed_gateway/tests/support/store.rs
+++ b/crates/celeryshed_gateway/tests/support/store.rs
@@ -22,6 +22,7 @@
     operator: Vec<ControlRecord>,
     endpoints: Vec<ControlRecord>,
     snapshots: BTreeMap<String, RoutingSnapshot>,
+    versions: BTreeMap<String, (String, u64)>,
     entries: BTreeMap<String, EndpointEntry>,
 }
 
@@ -69,6 +70,26 @@
         records.endpoints.push(ControlRecord { key: endpoint.id.clone(), offset, value });
     }
 
+    /// Writes an endpoint's entry with the version of a model that it serves.
+    pub(crate) fn register_model(&self, endpoint: &ScriptedEndpoint, model: &str, version: u64) {
+        self.register(endpoint);
+        let mut records = self.records.lock().unwrap();
+        let name = format!("{}-{:?}", endpoint.id, EndpointState::Ready);
+        let entry = records.entries.get_mut(&name).unwrap();
+        entry.models.insert(model.to_owned(), version);
+    }
+
+    /// Declares a version of a model.
+    pub(crate) fn declare(&self, model: &str, version: u64) {
+        let mut records = self.records.lock().unwrap();
+        let name = format!("version-{model}-{version}");
+        records.versions.insert(name.clone(), (model.to_owned(), version));
+        let offset = LogOffset(records.operator.len() as u64);
+        let value = Some(Bytes::from(name));
+        records.operator.push(ControlRecord { key: format!("version-{model}"), offset, value });
+        self.changed.notify_waiters();
+    }
+
     /// Removes an endpoint's entry.
     pub(crate) fn remove(&self, endpoint: &ScriptedEndpoint) {
         let mut records = self.records.lock().unwrap();
@@ -133,7 +154,11 @@
 impl RecordDecoder for FakeStore {
     fn operator(&self, key: &str, value: &[u8]) -> Result<OperatorRecord, DecodeError> {
         let name = String::from_utf8_lossy(value).into_owned();
-        let snapshot = self.records.lock().unwrap().snapshots.get(&name).cloned();
+        let records = self.records.lock().unwrap();
+        if let Some((model, version)) = records.versions.get(&name).cloned() {
+            return Ok(OperatorRecord::ModelVersion { model, version });
+        }
+        let snapshot = records.snapshots.get(&name).cloned();
         let snapshot = snapshot.ok_or(DecodeError { key: key.to_owned(), detail: name })?;
         Ok(OperatorRecord::Configuration(Box::new(snapshot)))
     }
