Tell other entries each change of load within 56 ms; add experiment overload

Cause: entries told each other their whole load every 280 ms (14 entries). Change: entries tell the endpoints on which their load changed, by a short key, every 30 ms or 4 ms for each entry, and everything every 0.7 s. The sum over peers is kept, not computed for each placement.

--- a/crates/celeryshed_cli/src/args/measure.rs
+++ b/crates/celeryshed_cli/src/args/measure.rs
@@ -5,6 +5,7 @@
 
 use celeryshed_core::routing::RoutingPolicy;
 use celeryshed_core::spread::SpreadWeighing;
+use celeryshed_measure::overload::{OverloadOptions, OverloadScenario, PlacementPolicy};
 use celeryshed_measure::scarcity::{ScarcityOptions, ScarcityScenario};
 use celeryshed_measure::slopes::{SlopeOptions, SlopePart, SlopePartError};
 use celeryshed_measure::spread::{SpreadDeployment, SpreadMeasureOptions, SpreadPlanKind};
@@ -20,6 +21,8 @@
     Spread(SpreadArgs),
     /// Goodput and first tokens of each team when instances are scarce.
     Scarcity(ScarcityArgs),
+    /// Answers in time of the thin entries and of plain policies near and beyond capacity.
+    Overload(OverloadArgs),
     /// What one more peer, report, request, change, booking or chunk costs each role.
     Slopes(SlopeArgs),
 }
@@ -73,6 +76,32 @@
     pub duration_s: u64,
 }
 
+/// `celeryshed measure overload`.
+#[derive(Clone, Debug, Args)]
+pub struct OverloadArgs {
+    /// What happens; every scenario without it.
+    #[arg(long, value_parser = overload_scenario)]
+    pub scenario: Option<OverloadScenario>,
+    /// Seed of arrivals, prompts and ties.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Engines.
+    #[arg(long, default_value_t = 88, value_parser = clap::value_parser!(u32).range(1..=600))]
+    pub engines: u32,
+    /// Entries.
+    #[arg(long, default_value_t = 14, value_parser = clap::value_parser!(u32).range(1..=64))]
+    pub entries: u32,
+    /// Arrivals a second for each engine.
+    #[arg(long, default_value_t = 8.2, value_parser = arrivals)]
+    pub per_engine_s: f64,
+    /// Milliseconds between two messages of an entry to the others on its load.
+    #[arg(long, default_value_t = 56, value_parser = clap::value_parser!(u64).range(5..=2000))]
+    pub load_interval_ms: u64,
+    /// Folder for one plot (SVG) of each scenario.
+    #[arg(long, value_name = "FOLDER")]
+    pub plots: Option<PathBuf>,
+}
+
 /// `celeryshed measure slopes`.
 #[derive(Clone, Debug, Args)]
 pub struct SlopeArgs {
@@ -154,6 +183,24 @@
     }
 }
 
+impl OverloadArgs {
+    /// The scenarios to run.
+    pub fn scenarios(&self) -> Vec<OverloadScenario> {
+        self.scenario.map_or(OverloadScenario::ALL.to_vec(), |scenario| vec![scenario])
+    }
+
+    /// The options of a scenario.
+    pub fn options(&self, scenario: OverloadScenario) -> OverloadOptions {
+        OverloadOptions {
+            engines: self.engines,
+            entries: self.entries,
+            per_engine_s: self.per_engine_s,
+            load_interval: Duration::from_millis(self.load_interval_ms),
+            ..OverloadOptions::new(self.seed, scenario, PlacementPolicy::Product)
+        }
+    }
+}
+
 impl SlopeArgs {
     /// The options; the daemon is looked for beside the running program.
     pub fn options(&self) -> std::io::Result<SlopeOptions> {
@@ -179,6 +226,15 @@
     ScarcityScenario::try_from(value).map_err(|error| error.to_string())
 }
 
+fn arrivals(value: &str) -> Result<f64, String> {
+    let arrivals = value.parse().ok().filter(|arrivals| (0.1..=50.0).contains(arrivals));
+    arrivals.ok_or_else(|| format!("{value:?} is no number of arrivals from 0.1 to 50 a second"))
+}
+
+fn overload_scenario(value: &str) -> Result<OverloadScenario, String> {
+    OverloadScenario::try_from(value).map_err(|error| error.to_string())
+}
+
 fn policy(value: &str) -> Result<RoutingPolicy, String> {
     RoutingPolicy::try_from(value).map_err(|error| error.to_string())
 }
--- a/crates/celeryshed_cli/src/args/mod.rs
+++ b/crates/celeryshed_cli/src/args/mod.rs
@@ -8,7 +8,7 @@
 use celeryshed_base::{ModelName, NameError, ServiceName, VersionName};
 use clap::{Args, Parser, Subcommand, ValueEnum};
 
-pub(crate) use measure::{MeasureCommand, ScarcityArgs, SlopeArgs, SpreadArgs};
+pub(crate) use measure::{MeasureCommand, OverloadArgs, ScarcityArgs, SlopeArgs, SpreadArgs};
 
 /// Arguments of `celeryshed`.
 #[derive(Clone, Debug, Parser)]
--- a/crates/celeryshed_cli/src/commands/measure.rs
+++ b/crates/celeryshed_cli/src/commands/measure.rs
@@ -2,13 +2,14 @@
 
 use std::io::Write;
 
+use celeryshed_measure::overload::{PlacementPolicy, write_plot};
 use celeryshed_measure::scarcity::{ScarcityOptions, run_scarcity};
 use celeryshed_measure::slopes::run_slopes;
 use celeryshed_measure::spread::{SpreadMeasureOptions, measure_spread};
 use eyre::{Result, WrapErr};
 
 use super::output::print;
-use crate::args::{ScarcityArgs, SlopeArgs, SpreadArgs};
+use crate::args::{OverloadArgs, ScarcityArgs, SlopeArgs, SpreadArgs};
 use crate::run::ExitStatus;
 
 /// Runs experiment `spread`; its lines appear as they come.
@@ -27,6 +28,22 @@
     Ok(ExitStatus::Done)
 }
 
+/// Runs experiment `overload` in simulated time; one line for each scenario and policy.
+pub(crate) async fn overload(args: &OverloadArgs) -> Result<ExitStatus> {
+    for scenario in args.scenarios() {
+        let options = args.options(scenario);
+        let run = tokio::task::spawn_blocking(move || PlacementPolicy::compare(&options)).await;
+        let reports = run.wrap_err("the experiment broke off")?;
+        for report in &reports {
+            print(&format!("{report}\n"))?;
+        }
+        if let Some(folder) = &args.plots {
+            write_plot(&folder.join(format!("{}.svg", scenario.name())), &reports)?;
+        }
+    }
+    Ok(ExitStatus::Done)
+}
+
 /// Runs experiment `slopes`; samples appear as they come, the fits at the end.
 pub(crate) async fn slopes(args: &SlopeArgs) -> Result<ExitStatus> {
     let options =
--- a/crates/celeryshed_cli/src/run.rs
+++ b/crates/celeryshed_cli/src/run.rs
@@ -80,6 +80,9 @@
         OperatorCommand::Measure(MeasureCommand::Scarcity(args)) => {
             commands::measure::scarcity(&args).await
         }
+        OperatorCommand::Measure(MeasureCommand::Overload(args)) => {
+            commands::measure::overload(&args).await
+        }
         OperatorCommand::Measure(MeasureCommand::Slopes(args)) => {
             commands::measure::slopes(&args).await
         }
--- a/crates/celeryshed_dispatch/src/desk.rs
+++ b/crates/celeryshed_dispatch/src/desk.rs
@@ -8,9 +8,9 @@
 use crate::budget::{BudgetLimits, RetryBudget};
 use crate::crashes::CrashGuard;
 use crate::directory::EndpointDirectory;
-use crate::endpoint::{EndpointEntry, EndpointId, EndpointState, EndpointStatus};
+use crate::endpoint::{EndpointEntry, EndpointId, EndpointKey, EndpointState, EndpointStatus};
 use crate::health::{AttemptOutcome, HealthRecord, NotRunReason};
-use crate::load::{EndpointLoad, PeerLoad};
+use crate::load::{EndpointLoad, LoadScope, PeerLoad};
 use crate::peers::PeerName;
 use crate::placement::{Candidate, Distance, PlacementChoice, PlacementQuery, choose};
 use crate::refusal::{RefusalReason, retry_after, wait_until};
@@ -21,7 +21,9 @@
 
 /// A sidecar's word older than this is left out.
 const STATUS_LIFETIME: Duration = Duration::from_millis(2600);
-/// A peer that was not heard for this long is gone.
+/// A peer that was not heard for this long is gone, and its requests with it.
+const PEER_LOAD_LIFETIME: Duration = Duration::from_millis(1500);
+/// A peer that was not heard for this long no longer shares the budget.
 const PEER_LIFETIME: Duration = Duration::from_secs(3);
 /// Entries that share the budget at least, while peers are not known yet.
 const MIN_ENTRIES: u32 = 3;
@@ -104,6 +106,13 @@
     age_known: bool,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct HeardPeer {
+    at: MonoTime,
+    /// Whether its load counts.
+    counted: bool,
+}
+
 /// The decisions of one entry: directory, placement, waiting, refusal, retries.
 #[derive(Clone, Debug)]
 pub struct DispatchDesk {
@@ -113,7 +122,8 @@
     timings: BTreeMap<ServiceName, EngineTiming>,
     /// Declared versions by model; each has a deadline of its own.
     versions: BTreeMap<String, BTreeMap<u64, DeclaredVersion>>,
-    peers: BTreeMap<PeerName, MonoTime>,
+    peers: BTreeMap<PeerName, HeardPeer>,
+    keys: BTreeMap<EndpointKey, EndpointId>,
     line: WaitingLine,
     budget: RetryBudget,
     crashes: CrashGuard,
@@ -145,6 +155,7 @@
             timings: BTreeMap::new(),
             versions: BTreeMap::new(),
             peers: BTreeMap::new(),
+            keys: BTreeMap::new(),
             line: WaitingLine::default(),
             budget,
             crashes: CrashGuard::default(),
@@ -230,6 +241,7 @@
         let born: BTreeMap<EndpointId, u64> =
             self.directory.entries(now).map(|(id, entry)| (id.clone(), entry.born_ms)).collect();
         self.records.retain(|id, record| born.contains_key(id) || record.load.own().running > 0);
+        self.keys = born.keys().map(|id| (EndpointKey::from(id), id.clone())).collect();
         for (id, born_ms) in born {
             let record = self.records.entry(id).or_default();
             if record.born_ms != born_ms {
@@ -247,30 +259,61 @@
         }
     }
 
-    /// Takes over the load of another entry; endpoints that it doesn't name have none of it.
+    /// Takes over the load of another entry.
     pub fn apply_peer(
         &mut self,
         now: MonoTime,
         peer: &PeerName,
-        loads: &BTreeMap<EndpointId, PeerLoad>,
+        scope: LoadScope,
+        loads: &BTreeMap<EndpointKey, PeerLoad>,
     ) {
-        self.peers.insert(peer.clone(), now);
-        self.peers.retain(|_, at| now - *at < PEER_LIFETIME);
-        for (id, record) in &mut self.records {
-            let load = loads.get(id).copied().unwrap_or_default();
-            record.load.report_peer(now, peer, load);
+        self.peers.insert(peer.clone(), HeardPeer { at: now, counted: true });
+        self.peers.retain(|_, heard| now - heard.at < PEER_LIFETIME);
+        match scope {
+            LoadScope::Whole => {
+                for (key, id) in &self.keys {
+                    let load = loads.get(key).copied().unwrap_or_default();
+                    if let Some(record) = self.records.get_mut(id) {
+                        record.load.report_peer(peer, load);
+                    }
+                }
+            }
+            LoadScope::Changes => {
+                for (key, load) in loads {
+                    let id = self.keys.get(key);
+                    if let Some(record) = id.and_then(|id| self.records.get_mut(id)) {
+                        record.load.report_peer(peer, *load);
+                    }
+                }
+            }
         }
     }
 
-    /// This entry's own load, for its peers.
-    pub fn own_loads(&self) -> BTreeMap<EndpointId, PeerLoad> {
-        let loads = self.records.iter().map(|(id, record)| (id.clone(), record.load.own()));
-        loads.filter(|(_, load)| *load != PeerLoad::default()).collect()
+    /// Leaves out the load of peers that fell silent.
+    fn forget_silent_peers(&mut self, now: MonoTime) {
+        for (peer, heard) in &mut self.peers {
+            if heard.counted && now - heard.at >= PEER_LOAD_LIFETIME {
+                heard.counted = false;
+                for record in self.records.values_mut() {
+                    record.load.report_peer(peer, PeerLoad::default());
+                }
+            }
+        }
+    }
+
+    /// This entry's own load, to be told to its peers.
+    pub fn take_loads(&mut self, scope: LoadScope) -> BTreeMap<EndpointKey, PeerLoad> {
+        let keys = self.keys.iter();
+        let loads = keys.filter_map(|(key, id)| {
+            let load = self.records.get_mut(id)?.load.take(scope)?;
+            Some((*key, load))
+        });
+        loads.collect()
     }
 
     /// Entries that are known to be there, this one included.
     pub fn entries(&self, now: MonoTime) -> u32 {
-        let fresh = self.peers.values().filter(|at| now - **at < PEER_LIFETIME).count();
+        let fresh = self.peers.values().filter(|heard| now - heard.at < PEER_LIFETIME).count();
         (fresh as u32 + 1).max(MIN_ENTRIES)
     }
 
@@ -343,6 +386,7 @@
 
     /// Decides on the requests that wait; `draw` is any number and breaks ties.
     pub fn pump(&mut self, now: MonoTime, draw: u64) -> Vec<DispatchDecision> {
+        self.forget_silent_peers(now);
         let mut decisions = Vec::new();
         for service in self.line.services() {
             self.pump_service(now, draw, &service, &mut decisions);
@@ -462,7 +506,7 @@
             Some(Candidate {
                 id,
                 slots: entry.slots,
-                load: record.load.total(now),
+                load: record.load.total(),
                 health: &record.health,
                 distance: self.distance(&entry.zone),
                 timing,
--- a/crates/celeryshed_dispatch/src/endpoint.rs
+++ b/crates/celeryshed_dispatch/src/endpoint.rs
@@ -6,6 +6,8 @@
 use celeryshed_base::{AvailabilityZone, MonoTime, ServiceName, common_derives};
 use serde::{Deserialize, Serialize};
 
+use crate::rendezvous::rendezvous;
+
 /// Identifies one start of an endpoint.
 ///
 /// ```
@@ -35,6 +37,23 @@
     }
 }
 
+common_derives! { index:
+    /// Short form of an [`EndpointId`] in messages between entries; equal ids have equal keys.
+    ///
+    /// ```
+    /// use celeryshed_dispatch::{EndpointId, EndpointKey};
+    /// let id = EndpointId::from("i-1");
+    /// assert_eq!(EndpointKey::from(&id), EndpointKey::from(&id.clone()));
+    /// ```
+    pub struct EndpointKey(pub u32);
+}
+
+impl From<&EndpointId> for EndpointKey {
+    fn from(id: &EndpointId) -> Self {
+        Self(rendezvous(id.as_str(), 0) as u32)
+    }
+}
+
 common_derives! { value:
     /// Whether an endpoint takes new work.
     #[derive(Copy)]
--- a/crates/celeryshed_dispatch/src/load.rs
+++ b/crates/celeryshed_dispatch/src/load.rs
@@ -1,16 +1,25 @@
 //! Work in progress at an endpoint: this entry's own, and what the other entries say of theirs.
+//!
+//! Load pattern: several entries place requests on engines that are nearly full. An entry that hears
+//! of the others' placements late sends its requests where theirs have just gone, so each tells what
+//! changed many times a second, and everything now and then, since messages may be lost.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
-use celeryshed_base::{MonoTime, common_derives};
+use celeryshed_base::common_derives;
 
 use crate::peers::PeerName;
 
-/// A peer's load older than this is left out: the peer is gone and its requests with it.
-const PEER_LOAD_LIFETIME: Duration = Duration::from_millis(1500);
-
 common_derives! { value:
+    /// How much of its load an entry tells.
+    #[derive(Copy)]
+    pub enum LoadScope {
+        /// The endpoints on which it changed since it was last told.
+        Changes,
+        /// All endpoints; there is none on those that aren't named.
+        Whole,
+    }
+
     /// The load that one entry puts on an endpoint.
     #[derive(Copy, Default)]
     pub struct PeerLoad {
@@ -23,18 +32,36 @@
     /// The load of all entries on one endpoint.
     ///
     /// ```
-    /// use celeryshed_base::MonoTime;
     /// use celeryshed_dispatch::EndpointLoad;
     /// let mut load = EndpointLoad::default();
     /// load.started(800);
-    /// assert_eq!(load.total(MonoTime::ZERO).running, 1);
+    /// assert_eq!(load.total().running, 1);
     /// load.answered(800);
-    /// assert_eq!(load.total(MonoTime::ZERO).unread_tokens, 0);
+    /// assert_eq!(load.total().unread_tokens, 0);
     /// ```
     #[derive(Default)]
     pub struct EndpointLoad {
         own: PeerLoad,
-        peers: BTreeMap<PeerName, (MonoTime, PeerLoad)>,
+        /// The own load as it was last taken for the peers.
+        told: PeerLoad,
+        peers: BTreeMap<PeerName, PeerLoad>,
+        peers_sum: PeerLoad,
+    }
+}
+
+impl PeerLoad {
+    fn plus(self, other: Self) -> Self {
+        Self {
+            running: self.running + other.running,
+            unread_tokens: self.unread_tokens + other.unread_tokens,
+        }
+    }
+
+    fn minus(self, other: Self) -> Self {
+        Self {
+            running: self.running - other.running,
+            unread_tokens: self.unread_tokens - other.unread_tokens,
+        }
     }
 }
 
@@ -60,21 +87,29 @@
         self.own.running = self.own.running.saturating_sub(1);
     }
 
+    /// The own load for the peers: whenever there is some, or only when it changed since it was
+    /// taken last.
+    pub fn take(&mut self, scope: LoadScope) -> Option<PeerLoad> {
+        let wanted = match scope {
+            LoadScope::Changes => self.own != self.told,
+            LoadScope::Whole => self.own != PeerLoad::default(),
+        };
+        self.told = self.own;
+        wanted.then_some(self.own)
+    }
+
     /// Takes over what a peer says of its own load.
-    pub fn report_peer(&mut self, now: MonoTime, peer: &PeerName, load: PeerLoad) {
-        if load == PeerLoad::default() {
-            self.peers.remove(peer);
+    pub fn report_peer(&mut self, peer: &PeerName, load: PeerLoad) {
+        let known = if load == PeerLoad::default() {
+            self.peers.remove(peer)
         } else {
-            self.peers.insert(peer.clone(), (now, load));
-        }
+            self.peers.insert(peer.clone(), load)
+        };
+        self.peers_sum = self.peers_sum.minus(known.unwrap_or_default()).plus(load);
     }
 
-    /// The sum over all entries that were heard lately.
-    pub fn total(&self, now: MonoTime) -> PeerLoad {
-        let fresh = self.peers.values().filter(|(at, _)| now - *at < PEER_LOAD_LIFETIME);
-        fresh.fold(self.own, |sum, (_, load)| PeerLoad {
-            running: sum.running + load.running,
-            unread_tokens: sum.unread_tokens + load.unread_tokens,
-        })
+    /// The sum over all entries.
+    pub fn total(&self) -> PeerLoad {
+        self.own.plus(self.peers_sum)
     }
 }
--- a/crates/celeryshed_dispatch/src/staging/picker.rs
+++ b/crates/celeryshed_dispatch/src/staging/picker.rs
@@ -11,7 +11,8 @@
 
 use celeryshed_base::{MonoTime, RegionName, common_derives};
 
-use super::{PieceSet, rendezvous};
+use super::PieceSet;
+use crate::rendezvous::rendezvous;
 
 /// Pieces that are fetched at once.
 const MAX_FETCHES: usize = 5;
--- a/crates/celeryshed_dispatch/src/staging/schedule.rs
+++ b/crates/celeryshed_dispatch/src/staging/schedule.rs
@@ -8,7 +8,7 @@
 
 use celeryshed_base::{MonoTime, common_derives};
 
-use super::rendezvous;
+use crate::rendezvous::rendezvous;
 
 /// Time in which pieces are expected everywhere, in times of one copy over the origin's link.
 const SPREAD_COPIES: f64 = 1.2;
--- a/crates/celeryshed_dispatch/tests/placement.rs
+++ b/crates/celeryshed_dispatch/tests/placement.rs
@@ -14,9 +14,9 @@
     add(&mut desk, "a", 1, entry("model", 1, Some(1)));
     add(&mut desk, "b", 2, entry("model", 2, Some(1)));
     let peer = PeerName("10.0.9.1:7000".to_owned());
-    desk.apply_peer(at(0), &peer, &loads(&[("a", 4, 6000), ("b", 8, 0)]));
+    desk.apply_peer(at(0), &peer, LoadScope::Whole, &loads(&[("a", 4, 6000), ("b", 8, 0)]));
     assert_eq!(placed(&ask(&mut desk, at(10), 1, stream(at(10)))), Some("b"));
-    desk.apply_peer(at(20), &peer, &loads(&[("a", 4, 0), ("b", 17, 0)]));
+    desk.apply_peer(at(20), &peer, LoadScope::Whole, &loads(&[("a", 4, 0), ("b", 17, 0)]));
     assert_eq!(placed(&ask(&mut desk, at(20), 2, stream(at(20)))), Some("a"));
 }
 
@@ -26,7 +26,7 @@
     let mut desk = desk();
     add(&mut desk, "a", 1, entry("model", 1, Some(1)));
     let peer = PeerName("10.0.9.1:7000".to_owned());
-    desk.apply_peer(at(0), &peer, &loads(&[("a", 17, 0)]));
+    desk.apply_peer(at(0), &peer, LoadScope::Whole, &loads(&[("a", 17, 0)]));
     assert_eq!(placed(&ask(&mut desk, at(10), 1, stream(at(10)))), None);
     desk.withdraw(TicketId(1));
     assert_eq!(placed(&ask(&mut desk, at(2000), 2, stream(at(2000)))), Some("a"));
@@ -38,9 +38,9 @@
     let mut desk = desk();
     add(&mut desk, "a", 1, entry("model", 1, Some(1)));
     let peer = PeerName("10.0.9.1:7000".to_owned());
-    desk.apply_peer(at(0), &peer, &loads(&[("a", 17, 0)]));
+    desk.apply_peer(at(0), &peer, LoadScope::Whole, &loads(&[("a", 17, 0)]));
     assert!(ask(&mut desk, at(0), 1, stream(at(0))).is_empty());
-    desk.apply_peer(at(200), &peer, &loads(&[("a", 17, 0)]));
+    desk.apply_peer(at(200), &peer, LoadScope::Whole, &loads(&[("a", 17, 0)]));
     assert!(desk.pump(at(200), 1).is_empty());
     assert_eq!(refused(&desk.pump(at(400), 1)), Some(RefusalReason::Overload));
     assert!(!desk.has_waiting());
@@ -52,7 +52,7 @@
     let mut desk = desk();
     add(&mut desk, "a", 1, entry("model", 1, Some(1)));
     let peer = PeerName("10.0.9.1:7000".to_owned());
-    desk.apply_peer(at(0), &peer, &loads(&[("a", 17, 0)]));
+    desk.apply_peer(at(0), &peer, LoadScope::Whole, &loads(&[("a", 17, 0)]));
     let decisions: Vec<_> = (0..20).flat_map(|n| ask(&mut desk, at(0), n, stream(at(0)))).collect();
     assert!(decisions.len() > 10, "refused at once: {}", decisions.len());
     assert!(desk.waiting() > 0);
@@ -68,7 +68,7 @@
     }
     let peer = PeerName("10.0.9.1:7000".to_owned());
     let full = names.map(|id| (id, 17, 0));
-    desk.apply_peer(at(0), &peer, &loads(&full));
+    desk.apply_peer(at(0), &peer, LoadScope::Whole, &loads(&full));
     let mut low = stream(at(0));
     low.rank = 3;
     assert!(ask(&mut desk, at(0), 1, low).is_empty());
@@ -78,7 +78,7 @@
     for free in 1..=3 {
         let mut load = full;
         load[0].1 = 17 - free;
-        desk.apply_peer(at(110), &peer, &loads(&load));
+        desk.apply_peer(at(110), &peer, LoadScope::Whole, &loads(&load));
         order.extend(desk.pump(at(110), 1).into_iter().filter_map(|decision| match decision {
             DispatchDecision::Place { ticket, .. } => Some(ticket.0),
             DispatchDecision::Refuse { .. } => None,
@@ -95,7 +95,7 @@
     add(&mut desk, "closing", 1, entry("model", 1, Some(1)));
     add(&mut desk, "open", 2, entry("model", 2, Some(1)));
     let peer = PeerName("10.0.9.1:7000".to_owned());
-    desk.apply_peer(at(0), &peer, &loads(&[("open", 12, 0)]));
+    desk.apply_peer(at(0), &peer, LoadScope::Whole, &loads(&[("open", 12, 0)]));
     let status = EndpointStatus {
         at: at(0),
         models: [(MODEL.to_owned(), 1)].into(),
--- a/crates/celeryshed_dispatch/tests/support/mod.rs
+++ b/crates/celeryshed_dispatch/tests/support/mod.rs
@@ -132,12 +132,12 @@
     }
 }
 
-pub(crate) fn loads(entries: &[(&str, u32, u32)]) -> BTreeMap<EndpointId, PeerLoad> {
+pub(crate) fn loads(entries: &[(&str, u32, u32)]) -> BTreeMap<EndpointKey, PeerLoad> {
     entries
         .iter()
         .map(|(id, running, unread_tokens)| {
             let load = PeerLoad { running: *running, unread_tokens: *unread_tokens };
-            (EndpointId::from(*id), load)
+            (EndpointKey::from(&EndpointId::from(*id)), load)
         })
         .collect()
 }
--- a/crates/celeryshed_gateway/src/desk_task.rs
+++ b/crates/celeryshed_gateway/src/desk_task.rs
@@ -9,7 +9,7 @@
 use celeryshed_base::{ClockSource, ServiceName};
 use celeryshed_dispatch::{
     AttemptOutcome, DeskSettings, DispatchDecision, DispatchDesk, EndpointId, EndpointStatus,
-    EndpointTarget, PeerLoad, PeerName, RefusalReason, RequestFingerprint, RequestProfile,
+    EndpointTarget, LoadScope, PeerName, RefusalReason, RequestFingerprint, RequestProfile,
     RoutingSnapshot, TicketId,
 };
 use celeryshed_observe::EventLine;
@@ -71,9 +71,13 @@
         service: ServiceName,
         reply: oneshot::Sender<bool>,
     },
-    Load(EntryLoad),
+    Load {
+        peer: PeerName,
+        load: EntryLoad,
+    },
     Status(SidecarStatus),
     Report {
+        scope: LoadScope,
         position: ControlPosition,
         reply: oneshot::Sender<EntryLoad>,
     },
@@ -131,8 +135,8 @@
     }
 
     /// A peer's load arrived.
-    pub(crate) fn load(&self, load: EntryLoad) {
-        self.send(DeskCommand::Load(load));
+    pub(crate) fn load(&self, peer: PeerName, load: EntryLoad) {
+        self.send(DeskCommand::Load { peer, load });
     }
 
     /// A sidecar's status arrived.
@@ -140,10 +144,14 @@
         self.send(DeskCommand::Status(status));
     }
 
-    /// What to tell the peers; without an address yet.
-    pub(crate) async fn report(&self, position: ControlPosition) -> Option<EntryLoad> {
+    /// What to tell the peers.
+    pub(crate) async fn report(
+        &self,
+        scope: LoadScope,
+        position: ControlPosition,
+    ) -> Option<EntryLoad> {
         let (reply, answer) = oneshot::channel();
-        self.send(DeskCommand::Report { position, reply });
+        self.send(DeskCommand::Report { scope, position, reply });
         answer.await.ok()
     }
 
@@ -350,10 +358,10 @@
             DeskCommand::Repeat { service, reply } => {
                 let _ = reply.send(self.desk.try_repeat(now, &service));
             }
-            DeskCommand::Load(load) => self.peer_load(load),
+            DeskCommand::Load { peer, load } => self.peer_load(&peer, &load),
             DeskCommand::Status(status) => self.sidecar_status(status),
-            DeskCommand::Report { position, reply } => {
-                let _ = reply.send(self.report(position));
+            DeskCommand::Report { scope, position, reply } => {
+                let _ = reply.send(self.report(scope, position));
             }
             DeskCommand::Targets(reply) => {
                 let entries = self.desk.directory().entries(now);
@@ -371,11 +379,11 @@
         }
     }
 
-    fn peer_load(&mut self, load: EntryLoad) {
+    fn peer_load(&mut self, peer: &PeerName, load: &EntryLoad) {
         let now = self.clock.now();
         self.version_ages(&load.versions);
-        self.desk.apply_peer(now, &PeerName(load.entry.clone()), &load.load_map());
-        self.desk.crashes_mut().report_peer(now, &load.entry, &load.crash_map());
+        self.desk.apply_peer(now, peer, load.scope(), &load.load_map());
+        self.desk.crashes_mut().report_peer(now, &peer.0, &load.crash_map());
     }
 
     fn sidecar_status(&mut self, status: SidecarStatus) {
@@ -393,28 +401,35 @@
         self.desk.apply_status(&id, status);
     }
 
-    fn report(&self, position: ControlPosition) -> EntryLoad {
-        let notice = |(id, load): (EndpointId, PeerLoad)| EndpointLoadNotice {
-            id,
+    fn report(&mut self, scope: LoadScope, position: ControlPosition) -> EntryLoad {
+        let loads = self.desk.take_loads(scope).into_iter().map(|(key, load)| EndpointLoadNotice {
+            key: key.0,
             running: load.running,
             unread_tokens: load.unread_tokens,
-        };
+        });
         let crashes = self.desk.crashes().own();
+        let crashes = crashes.map(|(request, crashes)| CrashNotice { request: request.0, crashes });
+        let versions = match scope {
+            LoadScope::Changes => Vec::new(),
+            LoadScope::Whole => self.version_notices(),
+        };
+        EntryLoad {
+            position,
+            whole: scope == LoadScope::Whole,
+            loads: loads.collect(),
+            crashes: crashes.collect(),
+            versions,
+        }
+    }
+
+    fn version_notices(&self) -> Vec<VersionNotice> {
         let versions = self.desk.version_ages(self.clock.now());
-        let versions = versions.map(|(model, version, age)| VersionNotice {
+        let notices = versions.map(|(model, version, age)| VersionNotice {
             model: model.to_owned(),
             version,
             age_ms: age.as_millis() as u64,
         });
-        EntryLoad {
-            entry: String::new(),
-            position,
-            loads: self.desk.own_loads().into_iter().map(notice).collect(),
-            crashes: crashes
-                .map(|(request, crashes)| CrashNotice { request: request.0, crashes })
-                .collect(),
-            versions: versions.collect(),
-        }
+        notices.collect()
     }
 
     fn pump(&mut self) {
--- a/crates/celeryshed_gateway/src/peer_task.rs
+++ b/crates/celeryshed_gateway/src/peer_task.rs
@@ -6,16 +6,21 @@
 use std::time::Duration;
 
 use celeryshed_base::AvailabilityZone;
+use celeryshed_dispatch::{LoadScope, PeerName};
 use celeryshed_peering::{ControlHandle, EntryHello, PeerMessage, PeerSocket};
 use tokio::time::{Instant, sleep};
 
 use crate::desk_task::DeskHandle;
 
-/// Least time between two messages to the other entries.
-const LOAD_INTERVAL: Duration = Duration::from_millis(100);
-/// Time between two messages to the other entries, for each of them.
-const LOAD_INTERVAL_PER_ENTRY: Duration = Duration::from_millis(20);
-/// Time between two looks for the first sidecars after a start: they wait for a greeting.
+/// Least time between two messages to the other entries on what changed.
+const LOAD_INTERVAL: Duration = Duration::from_millis(30);
+/// Time between two such messages, for each of them.
+const LOAD_INTERVAL_PER_ENTRY: Duration = Duration::from_millis(4);
+/// Time between two messages to the other entries on the whole load.
+const WHOLE_INTERVAL: Duration = Duration::from_millis(700);
+/// Time between two looks for sidecars that have just started: they wait for a greeting.
+const LOOK_INTERVAL: Duration = Duration::from_millis(250);
+/// The same until the first ones are known.
 const START_INTERVAL: Duration = Duration::from_millis(40);
 /// Time between two greetings of the sidecars.
 const HELLO_INTERVAL: Duration = Duration::from_secs(1);
@@ -38,48 +43,67 @@
         let receiving = task.clone();
         let (found, mut heard) = tokio::sync::mpsc::unbounded_channel();
         tokio::spawn(async move { receiving.receive(found).await });
+        let telling = task.clone();
+        tokio::spawn(async move { telling.greet_sidecars().await });
         let mut entries: BTreeMap<String, Instant> = BTreeMap::new();
-        let mut greeted_at: Option<Instant> = None;
-        let mut greeted: BTreeSet<String> = BTreeSet::new();
+        let mut whole_at: Option<Instant> = None;
         let mut told = task.control.position().operator;
         let mut positions = task.control.positions();
         loop {
-            let interval = match greeted.is_empty() {
-                true => START_INTERVAL,
-                false => LOAD_INTERVAL.max(LOAD_INTERVAL_PER_ENTRY * entries.len() as u32),
-            };
-            let load_due = sleep(interval);
+            let interval = LOAD_INTERVAL.max(LOAD_INTERVAL_PER_ENTRY * entries.len() as u32);
             tokio::select! {
-                () = load_due => {}
-                // News from operators reach the sidecars at once.
+                () = sleep(interval) => {}
+                // News from operators reach the other entries at once.
                 _ = positions.wait_for(|known| known.operator != told) => {}
             }
             while let Ok(entry) = heard.try_recv() {
                 entries.insert(entry, Instant::now());
             }
             entries.retain(|_, at| at.elapsed() < ENTRY_LIFETIME);
-            task.send_load(entries.keys()).await;
             let known = task.control.position().operator;
+            let due = whole_at.is_none_or(|at| at.elapsed() >= WHOLE_INTERVAL) || known != told;
+            if due {
+                (whole_at, told) = (Some(Instant::now()), known);
+            }
+            let scope = if due { LoadScope::Whole } else { LoadScope::Changes };
+            task.send_load(scope, entries.keys()).await;
+        }
+    }
+
+    async fn send_load(&self, scope: LoadScope, entries: impl Iterator<Item = &String>) {
+        let Some(load) = self.desk.report(scope, self.control.position()).await else { return };
+        if !load.is_empty() {
+            self.socket.send(&PeerMessage::Load(load), entries);
+        }
+    }
+
+    async fn greet_sidecars(&self) {
+        let mut greeted_at: Option<Instant> = None;
+        let mut greeted: BTreeSet<String> = BTreeSet::new();
+        let mut told = self.control.position().operator;
+        let mut positions = self.control.positions();
+        loop {
+            let interval = if greeted.is_empty() { START_INTERVAL } else { LOOK_INTERVAL };
+            tokio::select! {
+                () = sleep(interval) => {}
+                // News from operators reach the sidecars at once.
+                _ = positions.wait_for(|known| known.operator != told) => {}
+            }
+            let known = self.control.position().operator;
             let due = greeted_at.is_none_or(|at| at.elapsed() >= HELLO_INTERVAL);
-            let sidecars = task.sidecars().await;
+            let sidecars = self.sidecars().await;
             if due || known != told {
                 told = known;
                 greeted_at = Some(Instant::now());
-                task.greet(&sidecars);
+                self.greet(&sidecars);
             } else {
                 // A sidecar that has just started waits for a greeting to learn what it needs.
-                task.greet(sidecars.difference(&greeted));
+                self.greet(sidecars.difference(&greeted));
             }
             greeted = sidecars;
         }
     }
 
-    async fn send_load(&self, entries: impl Iterator<Item = &String>) {
-        let Some(mut load) = self.desk.report(self.control.position()).await else { return };
-        load.entry = self.address.to_string();
-        self.socket.send(&PeerMessage::Load(load), entries);
-    }
-
     /// Addresses of the sidecars beside all endpoints.
     async fn sidecars(&self) -> BTreeSet<String> {
         let targets = self.desk.targets().await;
@@ -102,13 +126,14 @@
     async fn receive(&self, found: tokio::sync::mpsc::UnboundedSender<String>) {
         let own = self.address.to_string();
         loop {
-            let (message, _from) = self.socket.receive().await;
+            let (message, from) = self.socket.receive().await;
             match message {
                 PeerMessage::Load(load) => {
-                    self.control.peer_position(&load.entry, load.position);
+                    let peer = from.to_string();
+                    self.control.peer_position(&peer, load.position);
                     // The sending half ends only with the process.
-                    let _ = found.send(load.entry.clone());
-                    self.desk.load(load);
+                    let _ = found.send(peer.clone());
+                    self.desk.load(PeerName(peer), load);
                 }
                 PeerMessage::Status(status) => {
                     for entry in status.entries.iter().filter(|entry| **entry != own) {
--- a/crates/celeryshed_measure/src/lib.rs
+++ b/crates/celeryshed_measure/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod demo;
 pub mod fleet;
+pub mod overload;
 pub mod scarcity;
 pub mod slopes;
 pub mod spread;
--- /dev/null
+++ b/crates/celeryshed_measure/src/overload/plot.rs
@@ -0,0 +1,78 @@
+//! A plot of a scenario: time to the first event and served worth over time, one line a policy.
+
+use std::path::Path;
+
+use plotters::prelude::*;
+
+use super::report::{LoadWindow, OverloadReport};
+
+/// Width and height in pixels.
+const SIZE: (u32, u32) = (900, 640);
+/// Largest time to the first event that is drawn, in milliseconds.
+const MOST_MS: f64 = 3000.0;
+
+/// The plot could not be written.
+#[derive(Debug, thiserror::Error)]
+#[error("the plot {path} can't be written: {reason}")]
+pub struct PlotError {
+    /// The file.
+    pub path: String,
+    /// The reason.
+    pub reason: String,
+}
+
+/// Result of this module.
+pub(crate) type Result<T> = std::result::Result<T, PlotError>;
+
+/// Draws the reports of one scenario into an SVG file.
+///
+/// ```no_run
+/// use celeryshed_measure::overload::*;
+/// let options = OverloadOptions::new(1, OverloadScenario::Burst, PlacementPolicy::Product);
+/// write_plot(std::path::Path::new("burst.svg"), &PlacementPolicy::compare(&options)).unwrap();
+/// ```
+pub fn write_plot(path: &Path, reports: &[OverloadReport]) -> Result<()> {
+    draw(path, reports)
+        .map_err(|error| PlotError { path: path.display().to_string(), reason: error.to_string() })
+}
+
+type DrawResult = std::result::Result<(), Box<dyn std::error::Error>>;
+
+fn draw(path: &Path, reports: &[OverloadReport]) -> DrawResult {
+    let area = SVGBackend::new(path, SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let (upper, lower) = area.split_vertically(SIZE.1 as i32 / 2);
+    draw_chart(&upper, reports, "served worth", 1.0, LoadWindow::served_worth)?;
+    let p95 = |window: &LoadWindow| window.first_event_ms(95) as f64;
+    draw_chart(&lower, reports, "first event, 95 in 100, ms", MOST_MS, p95)?;
+    area.present()?;
+    Ok(())
+}
+
+fn draw_chart(
+    area: &DrawingArea<SVGBackend<'_>, plotters::coord::Shift>,
+    reports: &[OverloadReport],
+    caption: &str,
+    most: f64,
+    measure: impl Fn(&LoadWindow) -> f64,
+) -> DrawResult {
+    let seconds = reports.iter().map(|report| report.windows.len()).max().unwrap_or(1) as f64;
+    let mut chart = ChartBuilder::on(area)
+        .caption(caption, ("sans-serif", 16))
+        .margin(8)
+        .x_label_area_size(24)
+        .y_label_area_size(48)
+        .build_cartesian_2d(0.0..seconds, 0.0..most)?;
+    chart.configure_mesh().x_desc("second").draw()?;
+    for (index, report) in reports.iter().enumerate() {
+        let color = Palette99::pick(index).to_rgba();
+        let points = report.windows.iter().enumerate();
+        let points = points.map(|(second, window)| (second as f64, measure(window).min(most)));
+        chart
+            .draw_series(LineSeries::new(points, color.stroke_width(2)))?
+            .label(report.options.policy.name())
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], color));
+    }
+    chart.configure_series_labels().background_style(WHITE.mix(0.8)).draw()?;
+    Ok(())
+}
--- a/crates/celeryshed_peering/src/messages.rs
+++ b/crates/celeryshed_peering/src/messages.rs
@@ -3,15 +3,15 @@
 use std::collections::BTreeMap;
 
 use celeryshed_base::{AvailabilityZone, RegionName, common_derives};
-use celeryshed_dispatch::{EndpointId, PeerLoad, PieceSet, RequestFingerprint};
+use celeryshed_dispatch::{EndpointKey, LoadScope, PeerLoad, PieceSet, RequestFingerprint};
 
 use crate::log::ControlPosition;
 
 common_derives! { wire:
     /// Load of one entry on one endpoint.
     pub struct EndpointLoadNotice {
-        /// The endpoint.
-        pub id: EndpointId,
+        /// Key of the endpoint.
+        pub key: u32,
         /// Requests in progress.
         pub running: u32,
         /// Prompt tokens of requests without a first event.
@@ -36,17 +36,18 @@
         pub age_ms: u64,
     }
 
-    /// What an entry tells the other entries, several times a second.
+    /// What an entry tells the other entries, many times a second.
     pub struct EntryLoad {
-        /// Address of the entry's peer socket.
-        pub entry: String,
         /// Up to where it knows the control records.
         pub position: ControlPosition,
+        /// Whether `loads` names all endpoints on which it has load, and not only those where it
+        /// changed.
+        pub whole: bool,
         /// Its load.
         pub loads: Vec<EndpointLoadNotice>,
         /// Requests that it suspects.
         pub crashes: Vec<CrashNotice>,
-        /// Declared versions.
+        /// Declared versions; only beside the whole load.
         pub versions: Vec<VersionNotice>,
     }
 
@@ -110,9 +111,19 @@
 }
 
 impl EntryLoad {
+    /// How much of the load is told.
+    pub fn scope(&self) -> LoadScope {
+        if self.whole { LoadScope::Whole } else { LoadScope::Changes }
+    }
+
     /// The load by endpoint.
-    pub fn load_map(&self) -> BTreeMap<EndpointId, PeerLoad> {
-        self.loads.iter().map(|notice| (notice.id.clone(), notice.into())).collect()
+    pub fn load_map(&self) -> BTreeMap<EndpointKey, PeerLoad> {
+        self.loads.iter().map(|notice| (EndpointKey(notice.key), notice.into())).collect()
+    }
+
+    /// Whether there is nothing to tell.
+    pub fn is_empty(&self) -> bool {
+        !self.whole && self.loads.is_empty() && self.crashes.is_empty()
     }
 
     /// The crashes by request.
