Serve the older version for a moment after a start that knows no version's age

Change: a version of unknown age is due when the process has run for the platform's stable window, within which it is held to no deadline; an age that another process tells goes first. Sidecars spread their orders over that time and don't reserve time for a spread that has mostly happened. Writing the time of declaration to the store was ruled out: a call for each version and a record that may itself be missing.

--- a/crates/celeryshed_dispatch/src/desk.rs
+++ b/crates/celeryshed_dispatch/src/desk.rs
@@ -7,6 +7,7 @@
 
 use crate::budget::{BudgetLimits, RetryBudget};
 use crate::crashes::CrashGuard;
+use crate::deadline::VersionDeadlines;
 use crate::directory::EndpointDirectory;
 use crate::endpoint::{EndpointEntry, EndpointId, EndpointKey, EndpointState, EndpointStatus};
 use crate::health::{AttemptOutcome, HealthRecord, NotRunReason};
@@ -45,8 +46,8 @@
         pub regions: BTreeMap<AvailabilityZone, RegionName>,
         /// Bounds of repeats.
         pub budget: BudgetLimits,
-        /// Time after which a new version of a model must be in force.
-        pub version_deadline: Duration,
+        /// When a new version of a model must be in force.
+        pub versions: VersionDeadlines,
     }
 
     /// The endpoint that a request goes to.
@@ -133,15 +134,16 @@
     /// A desk that knows no endpoint yet.
     ///
     /// ```
-    /// # use celeryshed_dispatch::{BudgetLimits, DeskSettings, DispatchDesk};
+    /// # use celeryshed_dispatch::{BudgetLimits, DeskSettings, DispatchDesk, VersionDeadlines};
     /// # use celeryshed_base::{AvailabilityZone, MonoTime};
     /// # use std::time::Duration;
     /// # let budget = BudgetLimits { percent: 20, allowance: 100, window: Duration::from_secs(10) };
+    /// # let versions = VersionDeadlines { declared: Duration::from_secs(8), after_start: Duration::ZERO };
     /// let settings = DeskSettings {
     ///     zone: AvailabilityZone::try_from("north-a").unwrap(),
     ///     regions: Default::default(),
     ///     budget,
-    ///     version_deadline: Duration::from_secs(8),
+    ///     versions,
     /// };
     /// let mut desk = DispatchDesk::new(settings);
     /// assert!(desk.pump(MonoTime::ZERO, 0).is_empty());
@@ -192,7 +194,8 @@
 
     /// A version of a model was declared; older declarations change nothing.
     ///
-    /// Without an `age`, the declaration may be of any age, so that the version counts as due.
+    /// Without an `age`, the declaration may be of any age, so that the version counts as due soon
+    /// after the start of this process.
     pub fn learn_version(
         &mut self,
         now: MonoTime,
@@ -200,7 +203,7 @@
         version: u64,
         age: Option<Duration>,
     ) {
-        let due_at = self.version_due_at(now, age);
+        let due_at = self.settings.versions.due_at(now, age);
         let declared = DeclaredVersion { due_at, age_known: age.is_some() };
         let known = self.versions.entry(model.to_owned()).or_default();
         known.entry(version).or_insert(declared);
@@ -211,7 +214,7 @@
 
     /// Another process says how long it has known a version; the longest counts.
     pub fn learn_version_age(&mut self, now: MonoTime, model: &str, version: u64, age: Duration) {
-        let due_at = self.version_due_at(now, Some(age));
+        let due_at = self.settings.versions.due_at(now, Some(age));
         let versions = self.versions.get_mut(model);
         if let Some(known) = versions.and_then(|versions| versions.get_mut(&version)) {
             known.due_at = if known.age_known { known.due_at.min(due_at) } else { due_at };
@@ -221,7 +224,7 @@
 
     /// The declared versions whose age is known, with their age.
     pub fn version_ages(&self, now: MonoTime) -> impl Iterator<Item = (&str, u64, Duration)> + '_ {
-        let deadline = self.settings.version_deadline;
+        let deadline = self.settings.versions.declared;
         let declared = self.versions.iter().flat_map(|(model, versions)| {
             versions.iter().map(move |(version, known)| (model.as_str(), *version, known))
         });
@@ -231,11 +234,6 @@
         })
     }
 
-    fn version_due_at(&self, now: MonoTime, age: Option<Duration>) -> MonoTime {
-        let deadline = self.settings.version_deadline;
-        now + age.map_or(Duration::ZERO, |age| deadline.saturating_sub(age))
-    }
-
     /// Drops the records of endpoints that are gone, and what was learnt of earlier lives.
     pub fn refresh(&mut self, now: MonoTime) {
         let born: BTreeMap<EndpointId, u64> =
--- a/crates/celeryshed_dispatch/src/lib.rs
+++ b/crates/celeryshed_dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod budget;
 mod crashes;
+mod deadline;
 mod desk;
 mod directory;
 mod endpoint;
@@ -26,6 +27,7 @@
 
 pub use budget::{BudgetLimits, RetryBudget};
 pub use crashes::{CrashGuard, RequestFingerprint};
+pub use deadline::VersionDeadlines;
 pub use desk::{DeskSettings, DispatchDecision, DispatchDesk, EndpointTarget};
 pub use directory::{DirectoryRecord, EndpointDirectory};
 pub use endpoint::{EndpointEntry, EndpointId, EndpointKey, EndpointState, EndpointStatus};
--- a/crates/celeryshed_dispatch/src/staging/schedule.rs
+++ b/crates/celeryshed_dispatch/src/staging/schedule.rs
@@ -32,6 +32,8 @@
         pub learned_at: MonoTime,
         /// When it has to be in force.
         pub due_at: MonoTime,
+        /// Whether it was declared while this process ran; else its pieces may have spread already.
+        pub fresh: bool,
     }
 
     /// The time of one endpoint's order.
@@ -63,6 +65,7 @@
     ///     version,
     ///     learned_at: seconds(at),
     ///     due_at: seconds(at + 8),
+    ///     fresh: true,
     /// };
     /// let copy = Duration::from_secs(4);
     /// assert!(target(2, 0).is_finished_before(&target(3, 4), copy));
@@ -84,7 +87,7 @@
     /// use celeryshed_dispatch::{LoadSchedule, VersionTarget};
     /// use std::time::Duration;
     /// let due_at = MonoTime(Duration::from_secs(8));
-    /// let target = VersionTarget { version: 2, learned_at: MonoTime::ZERO, due_at };
+    /// let target = VersionTarget { version: 2, learned_at: MonoTime::ZERO, due_at, fresh: true };
     /// let copy = Duration::from_secs(3);
     /// let schedule = LoadSchedule::plan("a", &["a", "b"], target, due_at, copy);
     /// assert!(schedule.order_at < due_at);
@@ -97,7 +100,10 @@
         origin_copy: Duration,
     ) -> Self {
         let window = due_at - target.learned_at;
-        let spread = spread_time(origin_copy).min(window.mul_f64(MAX_SPREAD_PART));
+        let spread = match target.fresh {
+            true => spread_time(origin_copy).min(window.mul_f64(MAX_SPREAD_PART)),
+            false => Duration::ZERO,
+        };
         let first = target.learned_at + spread;
         let last = target.learned_at + window.saturating_sub(LAST_ORDER);
         let own_rank = rendezvous(own, target.version);
--- a/crates/celeryshed_measure/src/overload/entry.rs
+++ b/crates/celeryshed_measure/src/overload/entry.rs
@@ -8,6 +8,7 @@
     AttemptOutcome, BudgetLimits, DeskSettings, DirectoryRecord, DispatchDecision, DispatchDesk,
     EndpointEntry, EndpointId, EndpointKey, EndpointState, EndpointStatus, LoadScope, PeerLoad,
     PeerName, RequestProfile, RouteKind, RoutingSnapshot, ServiceProfile, TicketId,
+    VersionDeadlines,
 };
 use rand::Rng;
 use rand::rngs::StdRng;
@@ -70,7 +71,10 @@
             zone: zone(index),
             regions: regions.collect(),
             budget,
-            version_deadline: Duration::from_secs(13),
+            versions: VersionDeadlines {
+                declared: Duration::from_secs(13),
+                after_start: Duration::ZERO,
+            },
         });
         let mut snapshot = RoutingSnapshot::default();
         let engine = Some(published_profile(MODEL));
--- a/crates/celeryshed_stager/src/process.rs
+++ b/crates/celeryshed_stager/src/process.rs
@@ -79,7 +79,7 @@
         let clock = ClockSource::start();
         let registry = MetricsRegistry::install();
         let (control, events) = start_control(store, decoder, settings.feed);
-        let view = start_view(clock, settings.version_deadline, events);
+        let view = start_view(clock, settings.versions, events);
         let (staged, staged_watch) = watch::channel(StagedPieces::default());
         let (condition, condition_watch) = watch::channel(EndpointCondition::default());
 
--- a/crates/celeryshed_stager/src/settings.rs
+++ b/crates/celeryshed_stager/src/settings.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use celeryshed_base::{AvailabilityZone, RegionName, ServiceName};
+use celeryshed_dispatch::VersionDeadlines;
 use celeryshed_peering::FeedSettings;
 
 /// Everything that a sidecar needs to start.
@@ -24,8 +24,8 @@
     pub zone: AvailabilityZone,
     /// The region of each availability zone.
     pub regions: BTreeMap<AvailabilityZone, RegionName>,
-    /// Time after which a declared version must be in force.
-    pub version_deadline: Duration,
+    /// When a declared version must be in force.
+    pub versions: VersionDeadlines,
     /// Bandwidth of the instance's own link in bits a second; zero if it has no limit.
     pub link_bits_per_s: u64,
     /// How the store is read.
--- a/crates/celeryshed_stager/src/view.rs
+++ b/crates/celeryshed_stager/src/view.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use celeryshed_base::{ClockSource, MonoTime, common_derives};
-use celeryshed_dispatch::{EndpointDirectory, RoutingSnapshot, StagePeer, VersionTarget};
+use celeryshed_dispatch::{
+    EndpointDirectory, RoutingSnapshot, StagePeer, VersionDeadlines, VersionTarget,
+};
 use celeryshed_peering::ControlEvent;
 use tokio::sync::{mpsc, watch};
 
@@ -45,6 +47,7 @@
             version: FIRST_VERSION,
             learned_at: MonoTime::ZERO,
             due_at: MonoTime::ZERO,
+            fresh: false,
         };
         let declared = self.versions.get(&model).and_then(|versions| versions.last());
         let target = declared.copied().unwrap_or(first);
@@ -61,7 +64,7 @@
     /// Versions that were declared while this process ran.
     pub(crate) fn dated_versions(&self) -> impl Iterator<Item = (&String, &VersionTarget)> + '_ {
         let newest = self.versions.iter().filter_map(|(m, versions)| Some((m, versions.last()?)));
-        newest.filter(|(_, target)| target.due_at > target.learned_at)
+        newest.filter(|(_, target)| target.fresh)
     }
 
     /// Addresses of all endpoints of the service.
@@ -124,16 +127,16 @@
 /// Folds control events into a view.
 pub(crate) fn start_view(
     clock: ClockSource,
-    version_deadline: Duration,
+    deadlines: VersionDeadlines,
     mut events: mpsc::UnboundedReceiver<ControlEvent>,
 ) -> watch::Receiver<Arc<StageView>> {
     let (view, receiver) = watch::channel(Arc::new(StageView::default()));
     tokio::spawn(async move {
         let mut current = StageView::default();
         while let Some(event) = events.recv().await {
-            apply(&mut current, clock.now(), version_deadline, event);
+            apply(&mut current, clock.now(), deadlines, event);
             while let Ok(event) = events.try_recv() {
-                apply(&mut current, clock.now(), version_deadline, event);
+                apply(&mut current, clock.now(), deadlines, event);
             }
             view.send_replace(Arc::new(current.clone()));
         }
@@ -141,15 +144,16 @@
     receiver
 }
 
-fn apply(view: &mut StageView, now: MonoTime, version_deadline: Duration, event: ControlEvent) {
+fn apply(view: &mut StageView, now: MonoTime, deadlines: VersionDeadlines, event: ControlEvent) {
     match event {
         ControlEvent::Configuration(snapshot) => view.snapshot = Some(snapshot),
         ControlEvent::ModelVersion { model, version, initial } => {
-            // A version that was there at the start may be due already.
-            let due_at = if initial { now } else { now + version_deadline };
+            // A version that was there at the start may be of any age.
+            let due_at = deadlines.due_at(now, (!initial).then_some(Duration::ZERO));
             let versions = view.versions.entry(model).or_default();
             if versions.last().is_none_or(|known| version > known.version) {
-                versions.push(VersionTarget { version, learned_at: now, due_at });
+                let fresh = !initial;
+                versions.push(VersionTarget { version, learned_at: now, due_at, fresh });
             }
         }
         ControlEvent::Endpoint(record) => {
