Adopt pieces that lie at the engine after a sidecar's restart

Cause: a restarted sidecar looked for staged pieces only if its engine served nothing. Change: pieces are looked for whenever the version was known at the start.

--- a/crates/celeryshed_stager/src/stage_task.rs
+++ b/crates/celeryshed_stager/src/stage_task.rs
@@ -142,7 +142,9 @@
     async fn reach(&mut self, goal: StageGoal, report: EngineReport) {
         let started = self.clock.now();
         let loaded = report.models.get(&goal.model).copied();
-        let Some(manifest) = self.stage(&goal, loaded.is_none()).await else { return };
+        // A process before this one may have laid pieces down.
+        let may_be_present = loaded.is_none() || !goal.target.fresh;
+        let Some(manifest) = self.stage(&goal, may_be_present).await else { return };
         EventLine::new("version_staged")
             .field("model", &goal.model)
             .field("version", goal.target.version)
