Bound the datagrams of each process and repeat every status

Cause: each sidecar told all 53 entries its status with the addresses of all of them, every heartbeat restarted the sidecar's wait, so that no status was ever repeated and all expired, and every entry told every other its load at one interval.

--- a/crates/celeryshed_dispatch/src/dispatcher.rs
+++ b/crates/celeryshed_dispatch/src/dispatcher.rs
@@ -11,6 +11,7 @@
 use crate::endpoint::{EndpointHash, EndpointId, EndpointState, EndpointStatus, ListedEndpoint};
 use crate::health::{AttemptOutcome, HealthRecord, NotRunReason};
 use crate::load::{EndpointLoad, LoadScope, PeerLoad};
+use crate::pacing::LoadAudience;
 use crate::peers::PeerAddress;
 use crate::placement::{Candidate, Distance, PlacementChoice, PlacementQuery, choose};
 use crate::quarantine::RequestQuarantine;
@@ -20,14 +21,9 @@
 use crate::timing::EngineTiming;
 use crate::waiting_queue::{WaitingQueue, WaitingRequest};
 
-/// Status reports of sidecars that are older than this are ignored.
-const STATUS_LIFETIME: Duration = Duration::from_millis(2600);
-/// Time without a load report after which a peer is assumed to have stopped, so that its load is
-/// dropped.
-const PEER_LOAD_LIFETIME: Duration = Duration::from_millis(1500);
-/// Time without a load report after which a peer no longer counts as an entry that shares the
+/// Lifetimes of a load report after which its sender no longer counts as an entry that shares the
 /// budget.
-const PEER_LIFETIME: Duration = Duration::from_secs(3);
+const PEER_LIFETIME_FACTOR: u32 = 2;
 /// Smallest number of entries assumed to share the budget, for the time in which peers are unknown.
 const MIN_ENTRY_COUNT: u32 = 3;
 /// Maximum number of declared versions stored for a model; the oldest are dropped.
@@ -88,6 +84,30 @@
     }
 }
 
+impl DispatcherSettings {
+    /// Whether an availability zone belongs to the region of this entry; a zone without a region
+    /// counts as its own region.
+    ///
+    /// ```
+    /// # use celeryshed_dispatch::{BudgetLimits, DispatcherSettings, VersionDeadlines};
+    /// # use celeryshed_base::AvailabilityZone;
+    /// # use std::time::Duration;
+    /// # let window = Duration::from_secs(10);
+    /// # let budget = BudgetLimits { retry_percent: 20, retry_allowance: 100, window };
+    /// # let (after_declaration, after_start) = (Duration::from_secs(8), Duration::ZERO);
+    /// # let versions = VersionDeadlines { after_declaration, after_start };
+    /// let zone = |name| AvailabilityZone::try_from(name).unwrap();
+    /// let settings =
+    ///     DispatcherSettings { zone: zone("north-a"), regions: Default::default(), budget, versions };
+    /// assert!(settings.is_in_own_region(&zone("north-a")));
+    /// assert!(!settings.is_in_own_region(&zone("south-a")));
+    /// ```
+    pub fn is_in_own_region(&self, zone: &AvailabilityZone) -> bool {
+        let own_region = self.regions.get(&self.zone);
+        *zone == self.zone || own_region.is_some() && self.regions.get(zone) == own_region
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct EndpointRecord {
     load: EndpointLoad,
@@ -99,7 +119,7 @@
 impl EndpointRecord {
     /// The last status report of the sidecar; `None` if it is outdated.
     fn fresh_status(&self, now: MonoTime) -> Option<&EndpointStatus> {
-        self.status.as_ref().filter(|status| now - status.received_at < STATUS_LIFETIME)
+        self.status.as_ref().filter(|status| now < status.expires_at)
     }
 }
 
@@ -113,10 +133,19 @@
 #[derive(Clone, Copy, Debug)]
 struct PeerContact {
     last_heard_at: MonoTime,
+    /// Time after the last report for which its load counts.
+    lifetime: Duration,
     /// Whether the peer's load is included in the endpoint loads.
     load_included: bool,
 }
 
+impl PeerContact {
+    /// Whether the peer still counts as an entry that shares the budget.
+    fn is_entry(&self, now: MonoTime) -> bool {
+        now - self.last_heard_at < self.lifetime * PEER_LIFETIME_FACTOR
+    }
+}
+
 /// The directory, waiting queue, retry budget and request quarantine of one entry.
 #[derive(Clone, Debug)]
 pub struct EntryDispatcher {
@@ -173,6 +202,11 @@
         }
     }
 
+    /// Availability zone of the entry.
+    pub fn zone(&self) -> &AvailabilityZone {
+        &self.settings.zone
+    }
+
     /// The list of endpoints.
     pub fn directory(&self) -> &EndpointDirectory {
         &self.directory
@@ -222,8 +256,16 @@
     }
 
     /// Applies the age of a version that another process reported; the longest reported age counts.
+    ///
+    /// A version that is unknown here becomes known: the log keeps the newest declaration of a model
+    /// only, so that a restarted process can't read an earlier one that is not due yet.
     pub fn apply_version_age(&mut self, now: MonoTime, model: &str, version: u64, age: Duration) {
         let due_at = self.settings.versions.due_at(now, Some(age));
+        let is_known = self.versions.get(model).is_some_and(|known| known.contains_key(&version));
+        if !is_known {
+            self.add_declared_version(now, model, version, Some(age));
+            return;
+        }
         let versions = self.versions.get_mut(model);
         if let Some(known) = versions.and_then(|versions| versions.get_mut(&version)) {
             known.due_at = if known.age_known { known.due_at.min(due_at) } else { due_at };
@@ -272,15 +314,19 @@
     }
 
     /// Applies a load report of another entry; endpoints that are unknown here are ignored.
+    ///
+    /// Its load counts for `lifetime`, unless a newer report arrives.
     pub fn apply_peer_load(
         &mut self,
         now: MonoTime,
         peer: &PeerAddress,
         scope: LoadScope,
         loads: &BTreeMap<EndpointHash, PeerLoad>,
+        lifetime: Duration,
     ) {
-        self.peers.insert(peer.clone(), PeerContact { last_heard_at: now, load_included: true });
-        self.peers.retain(|_, contact| now - contact.last_heard_at < PEER_LIFETIME);
+        let contact = PeerContact { last_heard_at: now, lifetime, load_included: true };
+        self.peers.insert(peer.clone(), contact);
+        self.peers.retain(|_, contact| contact.is_entry(now));
         match scope {
             LoadScope::Whole => {
                 for (hash, id) in &self.hashes {
@@ -304,7 +350,7 @@
     /// Removes the load of peers whose reports stopped.
     fn remove_silent_peer_loads(&mut self, now: MonoTime) {
         for (peer, contact) in &mut self.peers {
-            if contact.load_included && now - contact.last_heard_at >= PEER_LOAD_LIFETIME {
+            if contact.load_included && now - contact.last_heard_at >= contact.lifetime {
                 contact.load_included = false;
                 for record in self.records.values_mut() {
                     record.load.apply_peer_load(peer, PeerLoad::default());
@@ -313,11 +359,15 @@
         }
     }
 
-    /// Returns this entry's own load for a report to its peers, and notes it as reported.
-    pub fn take_own_loads(&mut self, scope: LoadScope) -> BTreeMap<EndpointHash, PeerLoad> {
+    /// Returns this entry's own load for a report to `audience`, and notes it as reported there.
+    pub fn take_own_loads(
+        &mut self,
+        audience: LoadAudience,
+        scope: LoadScope,
+    ) -> BTreeMap<EndpointHash, PeerLoad> {
         let hashes = self.hashes.iter();
         let loads = hashes.filter_map(|(hash, id)| {
-            let load = self.records.get_mut(id)?.load.take_report(scope)?;
+            let load = self.records.get_mut(id)?.load.take_report(audience, scope)?;
             Some((*hash, load))
         });
         loads.collect()
@@ -325,11 +375,7 @@
 
     /// Number of entries heard recently, including this one; never fewer than three.
     pub fn entry_count(&self, now: MonoTime) -> u32 {
-        let recent = self
-            .peers
-            .values()
-            .filter(|contact| now - contact.last_heard_at < PEER_LIFETIME)
-            .count();
+        let recent = self.peers.values().filter(|contact| contact.is_entry(now)).count();
         (recent as u32 + 1).max(MIN_ENTRY_COUNT)
     }
 
@@ -596,12 +642,9 @@
     }
 
     fn distance(&self, zone: &AvailabilityZone) -> Distance {
-        let regions = &self.settings.regions;
         if *zone == self.settings.zone {
             Distance::SameZone
-        } else if regions.get(zone).is_some()
-            && regions.get(zone) == regions.get(&self.settings.zone)
-        {
+        } else if self.settings.is_in_own_region(zone) {
             Distance::SameRegion
         } else {
             Distance::OtherRegion
--- a/crates/celeryshed_dispatch/src/endpoint.rs
+++ b/crates/celeryshed_dispatch/src/endpoint.rs
@@ -84,8 +84,8 @@
 
     /// Last status that the sidecar reported of its endpoint.
     pub struct EndpointStatus {
-        /// When the status arrived.
-        pub received_at: MonoTime,
+        /// When the status no longer counts, unless a newer one has arrived by then.
+        pub expires_at: MonoTime,
         /// Loaded version of each model; a model that is only partly loaded is not listed.
         pub models: BTreeMap<String, u64>,
         /// Whether the endpoint accepts work; `false` while it loads weights or waits to load them.
--- a/crates/celeryshed_dispatch/src/lib.rs
+++ b/crates/celeryshed_dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 mod endpoint;
 mod health;
 mod load;
+mod pacing;
 mod peers;
 mod placement;
 mod quarantine;
@@ -34,6 +35,9 @@
 pub use endpoint::{EndpointHash, EndpointId, EndpointState, EndpointStatus, ListedEndpoint};
 pub use health::{AttemptOutcome, HealthRecord, NotRunReason, UnknownReason};
 pub use load::{EndpointLoad, LoadScope, PeerLoad};
+pub use pacing::{
+    LoadAudience, heartbeat_interval, load_lifetime, message_lifetime, status_interval,
+};
 pub use peers::PeerAddress;
 pub use quarantine::{RequestFingerprint, RequestQuarantine};
 pub use refusal::{RefusalReason, retry_after};
--- a/crates/celeryshed_dispatch/src/load.rs
+++ b/crates/celeryshed_dispatch/src/load.rs
@@ -2,13 +2,14 @@
 //!
 //! Load pattern: several entries place requests on engines that are nearly full. An entry that
 //! learns late of the others' placements sends its requests to the same endpoints. Each entry
-//! therefore reports changes many times a second, and its whole load at longer intervals, since
-//! messages may be lost.
+//! therefore reports changes many times a second, most often to the entries of its region, and its
+//! whole load at longer intervals, since messages may be lost.
 
 use std::collections::BTreeMap;
 
 use celeryshed_base::common_derives;
 
+use crate::pacing::LoadAudience;
 use crate::peers::PeerAddress;
 
 common_derives! { value:
@@ -43,8 +44,8 @@
     #[derive(Default)]
     pub struct EndpointLoad {
         own: PeerLoad,
-        /// The own load as last reported to the peers.
-        last_reported: PeerLoad,
+        /// The own load as last reported to each audience.
+        last_reported: BTreeMap<LoadAudience, PeerLoad>,
         peers: BTreeMap<PeerAddress, PeerLoad>,
         peers_total: PeerLoad,
     }
@@ -88,15 +89,15 @@
         self.own.running = self.own.running.saturating_sub(1);
     }
 
-    /// Returns the own load for a report to the peers, and notes it as reported.
+    /// Returns the own load for a report to `audience`, and notes it as reported there.
     ///
     /// `None` if a report of this scope leaves the endpoint out.
-    pub fn take_report(&mut self, scope: LoadScope) -> Option<PeerLoad> {
+    pub fn take_report(&mut self, audience: LoadAudience, scope: LoadScope) -> Option<PeerLoad> {
+        let reported = self.last_reported.insert(audience, self.own).unwrap_or_default();
         let is_needed = match scope {
-            LoadScope::Changes => self.own != self.last_reported,
+            LoadScope::Changes => self.own != reported,
             LoadScope::Whole => self.own != PeerLoad::default(),
         };
-        self.last_reported = self.own;
         is_needed.then_some(self.own)
     }
 
--- /dev/null
+++ b/crates/celeryshed_dispatch/src/pacing.rs
@@ -0,0 +1,116 @@
+//! Intervals of the datagrams that entries and sidecars send each other.
+//!
+//! Load pattern: the number of pairs of processes grows with the square of the fleet, while the
+//! links of an instance and between regions stay as they are. Each process therefore sends a bounded
+//! number of datagrams a second, whatever the number of receivers, and every message says how long
+//! its content counts. Processes of the own region hear sooner than others: most requests are placed
+//! within the region, and its links are neither shared nor paid for.
+
+use std::time::Duration;
+
+use celeryshed_base::common_derives;
+
+/// Shortest time between two load reports to the same entry.
+const MIN_LOAD_INTERVAL: Duration = Duration::from_millis(30);
+/// Time between two load reports for each receiving entry of the own region.
+const NEAR_LOAD_INTERVAL_PER_ENTRY: Duration = Duration::from_millis(5);
+/// Time between two load reports for each receiving entry of another region.
+const FAR_LOAD_INTERVAL_PER_ENTRY: Duration = Duration::from_millis(6);
+/// Time between two load reports that list all endpoints, while the fleet is small.
+const MIN_WHOLE_LOAD_INTERVAL: Duration = Duration::from_millis(700);
+/// Time between two status messages of a sidecar, while the fleet is small.
+const MIN_STATUS_INTERVAL: Duration = Duration::from_millis(800);
+/// Time between two status messages for each receiving entry.
+const STATUS_INTERVAL_PER_ENTRY: Duration = Duration::from_millis(25);
+/// Time between two heartbeats to the same sidecar, while the fleet is small.
+const MIN_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1000);
+/// Time between two heartbeats for each receiving sidecar.
+const HEARTBEAT_INTERVAL_PER_SIDECAR: Duration = Duration::from_millis(15);
+/// Intervals without a message after which the content of the last one no longer counts. Single
+/// datagrams may be lost.
+const LIFETIME_INTERVALS: f64 = 3.25;
+/// Shortest lifetime of a load report: a process may be delayed for a second.
+const MIN_LOAD_LIFETIME: Duration = Duration::from_millis(1500);
+
+common_derives! { value:
+    /// The receivers of a load report.
+    #[derive(Copy, PartialOrd, Ord)]
+    pub enum LoadAudience {
+        /// Entries of the sender's region.
+        OwnRegion,
+        /// Entries of all other regions.
+        OtherRegions,
+    }
+}
+
+impl LoadAudience {
+    /// Both audiences.
+    pub const ALL: [Self; 2] = [Self::OwnRegion, Self::OtherRegions];
+
+    /// Time between two load reports to `receivers` entries.
+    ///
+    /// ```
+    /// use celeryshed_dispatch::LoadAudience;
+    /// use std::time::Duration;
+    /// assert_eq!(LoadAudience::OwnRegion.load_interval(2), Duration::from_millis(30));
+    /// assert!(LoadAudience::OtherRegions.load_interval(400) > Duration::from_secs(2));
+    /// ```
+    pub fn load_interval(self, receivers: usize) -> Duration {
+        let per_entry = match self {
+            Self::OwnRegion => NEAR_LOAD_INTERVAL_PER_ENTRY,
+            Self::OtherRegions => FAR_LOAD_INTERVAL_PER_ENTRY,
+        };
+        MIN_LOAD_INTERVAL.max(per_entry * receivers as u32)
+    }
+
+    /// Time between two load reports that list all endpoints.
+    pub fn whole_load_interval(self, receivers: usize) -> Duration {
+        MIN_WHOLE_LOAD_INTERVAL.max(self.load_interval(receivers))
+    }
+}
+
+/// Time without a load report after which the load of a peer no longer counts, given the interval of
+/// its whole reports.
+///
+/// ```
+/// use celeryshed_dispatch::load_lifetime;
+/// use std::time::Duration;
+/// assert!(load_lifetime(Duration::from_millis(700)) > Duration::from_millis(1400));
+/// ```
+pub fn load_lifetime(whole_interval: Duration) -> Duration {
+    MIN_LOAD_LIFETIME.max(whole_interval.mul_f64(2.0))
+}
+
+/// Time between two status messages of a sidecar to `receivers` entries, while nothing changes.
+///
+/// ```
+/// use celeryshed_dispatch::status_interval;
+/// use std::time::Duration;
+/// assert_eq!(status_interval(5), Duration::from_millis(800));
+/// assert!(status_interval(400) >= Duration::from_secs(10));
+/// ```
+pub fn status_interval(receivers: usize) -> Duration {
+    MIN_STATUS_INTERVAL.max(STATUS_INTERVAL_PER_ENTRY * receivers as u32)
+}
+
+/// Time between two heartbeats of an entry to `receivers` sidecars.
+///
+/// ```
+/// use celeryshed_dispatch::heartbeat_interval;
+/// use std::time::Duration;
+/// assert_eq!(heartbeat_interval(14), Duration::from_secs(1));
+/// ```
+pub fn heartbeat_interval(receivers: usize) -> Duration {
+    MIN_HEARTBEAT_INTERVAL.max(HEARTBEAT_INTERVAL_PER_SIDECAR * receivers as u32)
+}
+
+/// Time for which a message counts whose sender repeats it at `interval`.
+///
+/// ```
+/// use celeryshed_dispatch::message_lifetime;
+/// use std::time::Duration;
+/// assert_eq!(message_lifetime(Duration::from_millis(800)), Duration::from_millis(2600));
+/// ```
+pub fn message_lifetime(interval: Duration) -> Duration {
+    interval.mul_f64(LIFETIME_INTERVALS)
+}
--- a/crates/celeryshed_dispatch/tests/placement.rs
+++ b/crates/celeryshed_dispatch/tests/placement.rs
@@ -15,19 +15,9 @@
     add_endpoint(&mut dispatcher, "a", 1, endpoint("model", 1, Some(1)));
     add_endpoint(&mut dispatcher, "b", 2, endpoint("model", 2, Some(1)));
     let peer = PeerAddress("10.0.9.1:7000".to_owned());
-    dispatcher.apply_peer_load(
-        at(0),
-        &peer,
-        LoadScope::Whole,
-        &peer_loads(&[("a", 4, 6000), ("b", 8, 0)]),
-    );
+    report_load(&mut dispatcher, at(0), &peer, &peer_loads(&[("a", 4, 6000), ("b", 8, 0)]));
     assert_eq!(placed(&submit(&mut dispatcher, at(10), 1, stream(at(10)))), Some("b"));
-    dispatcher.apply_peer_load(
-        at(20),
-        &peer,
-        LoadScope::Whole,
-        &peer_loads(&[("a", 4, 0), ("b", 17, 0)]),
-    );
+    report_load(&mut dispatcher, at(20), &peer, &peer_loads(&[("a", 4, 0), ("b", 17, 0)]));
     assert_eq!(placed(&submit(&mut dispatcher, at(20), 2, stream(at(20)))), Some("a"));
 }
 
@@ -37,7 +27,7 @@
     let mut dispatcher = dispatcher();
     add_endpoint(&mut dispatcher, "a", 1, endpoint("model", 1, Some(1)));
     let peer = PeerAddress("10.0.9.1:7000".to_owned());
-    dispatcher.apply_peer_load(at(0), &peer, LoadScope::Whole, &peer_loads(&[("a", 17, 0)]));
+    report_load(&mut dispatcher, at(0), &peer, &peer_loads(&[("a", 17, 0)]));
     assert_eq!(placed(&submit(&mut dispatcher, at(10), 1, stream(at(10)))), None);
     dispatcher.cancel(RequestNumber(1));
     assert_eq!(placed(&submit(&mut dispatcher, at(2000), 2, stream(at(2000)))), Some("a"));
@@ -49,9 +39,9 @@
     let mut dispatcher = dispatcher();
     add_endpoint(&mut dispatcher, "a", 1, endpoint("model", 1, Some(1)));
     let peer = PeerAddress("10.0.9.1:7000".to_owned());
-    dispatcher.apply_peer_load(at(0), &peer, LoadScope::Whole, &peer_loads(&[("a", 17, 0)]));
+    report_load(&mut dispatcher, at(0), &peer, &peer_loads(&[("a", 17, 0)]));
     assert!(submit(&mut dispatcher, at(0), 1, stream(at(0))).is_empty());
-    dispatcher.apply_peer_load(at(200), &peer, LoadScope::Whole, &peer_loads(&[("a", 17, 0)]));
+    report_load(&mut dispatcher, at(200), &peer, &peer_loads(&[("a", 17, 0)]));
     assert!(dispatcher.dispatch_waiting(at(200), 1).is_empty());
     assert_eq!(refused(&dispatcher.dispatch_waiting(at(400), 1)), Some(RefusalReason::Overload));
     assert!(!dispatcher.has_waiting());
@@ -64,7 +54,7 @@
     let mut dispatcher = dispatcher();
     add_endpoint(&mut dispatcher, "a", 1, endpoint("model", 1, Some(1)));
     let peer = PeerAddress("10.0.9.1:7000".to_owned());
-    dispatcher.apply_peer_load(at(0), &peer, LoadScope::Whole, &peer_loads(&[("a", 17, 0)]));
+    report_load(&mut dispatcher, at(0), &peer, &peer_loads(&[("a", 17, 0)]));
     let decisions: Vec<_> =
         (0..20).flat_map(|n| submit(&mut dispatcher, at(0), n, stream(at(0)))).collect();
     assert!(decisions.len() > 10, "refused immediately: {}", decisions.len());
@@ -87,7 +77,7 @@
     }
     let peer = PeerAddress("10.0.9.1:7000".to_owned());
     let full = names.map(|id| (id, 17, 0));
-    dispatcher.apply_peer_load(at(0), &peer, LoadScope::Whole, &peer_loads(&full));
+    report_load(&mut dispatcher, at(0), &peer, &peer_loads(&full));
     let mut low_priority = stream(at(0));
     low_priority.rank = 3;
     assert!(submit(&mut dispatcher, at(0), 1, low_priority).is_empty());
@@ -97,7 +87,7 @@
     for free_slots in 1..=3 {
         let mut load = full;
         load[0].1 = 17 - free_slots;
-        dispatcher.apply_peer_load(at(110), &peer, LoadScope::Whole, &peer_loads(&load));
+        report_load(&mut dispatcher, at(110), &peer, &peer_loads(&load));
         order.extend(dispatcher.dispatch_waiting(at(110), 1).into_iter().filter_map(|decision| {
             match decision {
                 DispatchDecision::Place { number, .. } => Some(number.0),
@@ -116,9 +106,9 @@
     add_endpoint(&mut dispatcher, "closing", 1, endpoint("model", 1, Some(1)));
     add_endpoint(&mut dispatcher, "open", 2, endpoint("model", 2, Some(1)));
     let peer = PeerAddress("10.0.9.1:7000".to_owned());
-    dispatcher.apply_peer_load(at(0), &peer, LoadScope::Whole, &peer_loads(&[("open", 12, 0)]));
+    report_load(&mut dispatcher, at(0), &peer, &peer_loads(&[("open", 12, 0)]));
     let status = EndpointStatus {
-        received_at: at(0),
+        expires_at: at(2600),
         models: [(MODEL.to_owned(), 1)].into(),
         accepting: true,
         closing_at: Some(at(800)),
--- a/crates/celeryshed_dispatch/tests/support/mod.rs
+++ b/crates/celeryshed_dispatch/tests/support/mod.rs
@@ -154,3 +154,13 @@
         })
         .collect()
 }
+
+/// Applies a whole load report of a peer that counts for 1.5 s.
+pub(crate) fn report_load(
+    dispatcher: &mut EntryDispatcher,
+    now: MonoTime,
+    peer: &PeerAddress,
+    loads: &BTreeMap<EndpointHash, PeerLoad>,
+) {
+    dispatcher.apply_peer_load(now, peer, LoadScope::Whole, loads, ms(1500));
+}
--- a/crates/celeryshed_dispatch/tests/versions.rs
+++ b/crates/celeryshed_dispatch/tests/versions.rs
@@ -56,6 +56,22 @@
     assert_eq!(placed(&submit(&mut dispatcher, at(4610), 3, stream(at(4610)))), None);
 }
 
+/// Guards against an entry that restarts between two declarations and reads only the newer one from
+/// the log: it placed requests on version 1 after version 2 was due, which its peers knew.
+#[test]
+fn reported_version_that_log_no_longer_holds_becomes_known() {
+    let mut dispatcher = dispatcher();
+    add_endpoint(&mut dispatcher, "old", 1, endpoint("model", 1, Some(1)));
+    dispatcher.add_declared_version(at(0), MODEL, 3, None);
+    dispatcher.apply_version_age(at(100), MODEL, 3, Duration::from_secs(3));
+    dispatcher.apply_version_age(at(100), MODEL, 2, Duration::from_secs(5));
+    assert_eq!(placed(&submit(&mut dispatcher, at(2000), 1, stream(at(2000)))), Some("old"));
+    assert_eq!(placed(&submit(&mut dispatcher, at(2500), 2, stream(at(2500)))), None);
+    dispatcher.cancel(celeryshed_dispatch::RequestNumber(2));
+    add_endpoint(&mut dispatcher, "middle", 2, endpoint("model", 2, Some(2)));
+    assert_eq!(placed(&submit(&mut dispatcher, at(3300), 3, stream(at(3300)))), Some("middle"));
+}
+
 #[test]
 fn version_ages_give_longest_reported_age() {
     let mut dispatcher = dispatcher();
@@ -110,7 +126,7 @@
     let mut dispatcher = dispatcher();
     add_endpoint(&mut dispatcher, "a", 1, endpoint("model", 1, Some(1)));
     let closed = EndpointStatus {
-        received_at: at(0),
+        expires_at: at(2600),
         models: Default::default(),
         accepting: false,
         closing_at: None,
--- a/crates/celeryshed_gateway/src/dispatcher_task.rs
+++ b/crates/celeryshed_gateway/src/dispatcher_task.rs
@@ -6,11 +6,11 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use celeryshed_base::{ClockSource, ServiceName};
+use celeryshed_base::{AvailabilityZone, ClockSource, ServiceName};
 use celeryshed_dispatch::{
     AttemptOutcome, DispatchDecision, DispatcherSettings, EndpointId, EndpointStatus,
-    EndpointTarget, EntryDispatcher, LoadScope, PeerAddress, RefusalReason, RequestFingerprint,
-    RequestNumber, RequestProfile, RoutingSnapshot,
+    EndpointTarget, EntryDispatcher, LoadAudience, LoadScope, PeerAddress, RefusalReason,
+    RequestFingerprint, RequestNumber, RequestProfile, RoutingSnapshot,
 };
 use celeryshed_observe::EventLine;
 use celeryshed_peering::{
@@ -32,11 +32,15 @@
     Refused { reason: RefusalReason, retry_after: Duration },
 }
 
-/// Addresses of the known endpoints. A sidecar runs on the instance of each endpoint, so these
-/// addresses also give the IP addresses of the sidecars.
-#[derive(Debug, Default, Clone)]
-pub(crate) struct EndpointAddresses {
-    pub(crate) endpoints: Vec<String>,
+/// Which load report a message to other entries contains.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LoadQuery {
+    pub(crate) audience: LoadAudience,
+    pub(crate) scope: LoadScope,
+    /// Position up to which this entry has read the control records.
+    pub(crate) position: ControlPosition,
+    /// Time for which the reported load counts.
+    pub(crate) lifetime: Duration,
 }
 
 enum DispatcherCommand {
@@ -76,12 +80,11 @@
         load: EntryStatus,
     },
     SidecarStatus(SidecarStatus),
-    EntryStatus {
-        scope: LoadScope,
-        position: ControlPosition,
+    LoadReport {
+        query: LoadQuery,
         reply: oneshot::Sender<EntryStatus>,
     },
-    EndpointAddresses(oneshot::Sender<EndpointAddresses>),
+    ListedEndpoints(oneshot::Sender<Vec<(String, AvailabilityZone)>>),
 }
 
 /// Gives access to the dispatcher task.
@@ -145,23 +148,17 @@
         self.send(DispatcherCommand::SidecarStatus(status));
     }
 
-    /// This entry's status for the other entries; `None` if the dispatcher task has ended.
-    ///
-    /// `position` is the position up to which this entry has read the control streams.
-    pub(crate) async fn entry_status(
-        &self,
-        scope: LoadScope,
-        position: ControlPosition,
-    ) -> Option<EntryStatus> {
+    /// This entry's status for other entries; `None` if the dispatcher task has ended.
+    pub(crate) async fn load_report(&self, query: LoadQuery) -> Option<EntryStatus> {
         let (reply, answer) = oneshot::channel();
-        self.send(DispatcherCommand::EntryStatus { scope, position, reply });
+        self.send(DispatcherCommand::LoadReport { query, reply });
         answer.await.ok()
     }
 
-    /// Addresses of the known endpoints; empty if the dispatcher task has ended.
-    pub(crate) async fn endpoint_addresses(&self) -> EndpointAddresses {
+    /// Address and availability zone of each known endpoint; empty if the dispatcher task has ended.
+    pub(crate) async fn listed_endpoints(&self) -> Vec<(String, AvailabilityZone)> {
         let (reply, answer) = oneshot::channel();
-        self.send(DispatcherCommand::EndpointAddresses(reply));
+        self.send(DispatcherCommand::ListedEndpoints(reply));
         answer.await.unwrap_or_default()
     }
 
@@ -384,13 +381,14 @@
             }
             DispatcherCommand::PeerLoad { peer, load } => self.apply_peer_load(&peer, &load),
             DispatcherCommand::SidecarStatus(status) => self.apply_sidecar_status(status),
-            DispatcherCommand::EntryStatus { scope, position, reply } => {
-                let _ = reply.send(self.entry_status(scope, position));
+            DispatcherCommand::LoadReport { query, reply } => {
+                let _ = reply.send(self.load_report(query));
             }
-            DispatcherCommand::EndpointAddresses(reply) => {
+            DispatcherCommand::ListedEndpoints(reply) => {
                 let endpoints = self.dispatcher.directory().endpoints(now);
-                let endpoints = endpoints.map(|(_, endpoint)| endpoint.address.clone()).collect();
-                let _ = reply.send(EndpointAddresses { endpoints });
+                let endpoints = endpoints
+                    .map(|(_, endpoint)| (endpoint.address.clone(), endpoint.zone.clone()));
+                let _ = reply.send(endpoints.collect());
             }
         }
     }
@@ -406,7 +404,9 @@
     fn apply_peer_load(&mut self, peer: &PeerAddress, load: &EntryStatus) {
         let now = self.clock.now();
         self.apply_version_ages(&load.versions);
-        self.dispatcher.apply_peer_load(now, peer, load.scope(), &load.loads_by_endpoint());
+        let lifetime = Duration::from_millis(load.lifetime_ms.into());
+        let loads = load.loads_by_endpoint();
+        self.dispatcher.apply_peer_load(now, peer, load.scope(), &loads, lifetime);
         self.dispatcher.quarantine_mut().apply_peer_crashes(
             now,
             &peer.0,
@@ -422,7 +422,7 @@
         let Some(id) = endpoint.map(|(id, _)| id.clone()) else { return };
         let closing_at = status.closing_in_ms.map(|millis| now + Duration::from_millis(millis));
         let status = EndpointStatus {
-            received_at: now,
+            expires_at: now + Duration::from_millis(status.lifetime_ms.into()),
             models: status.models,
             accepting: status.accepting,
             closing_at,
@@ -430,24 +430,25 @@
         self.dispatcher.apply_status(&id, status);
     }
 
-    fn entry_status(&mut self, scope: LoadScope, position: ControlPosition) -> EntryStatus {
-        let loads =
-            self.dispatcher.take_own_loads(scope).into_iter().map(|(endpoint_hash, load)| {
-                KeyedLoad {
-                    key: endpoint_hash.0,
-                    running: load.running,
-                    unread_tokens: load.unread_tokens,
-                }
-            });
+    fn load_report(&mut self, query: LoadQuery) -> EntryStatus {
+        let LoadQuery { audience, scope, position, lifetime } = query;
+        let loads = self.dispatcher.take_own_loads(audience, scope);
+        let loads = loads.into_iter().map(|(endpoint_hash, load)| KeyedLoad {
+            key: endpoint_hash.0,
+            running: load.running,
+            unread_tokens: load.unread_tokens,
+        });
         let crashes = self.dispatcher.quarantine().own_crashes();
         let crashes =
             crashes.map(|(request, crashes)| RequestCrashes { request: request.0, crashes });
-        let versions = match scope {
-            LoadScope::Changes => Vec::new(),
-            LoadScope::Whole => self.version_ages(),
+        let (zone, versions) = match scope {
+            LoadScope::Changes => (None, Vec::new()),
+            LoadScope::Whole => (Some(self.dispatcher.zone().clone()), self.version_ages()),
         };
         EntryStatus {
             position,
+            zone,
+            lifetime_ms: lifetime.as_millis() as u32,
             whole: scope == LoadScope::Whole,
             loads: loads.collect(),
             crashes: crashes.collect(),
--- a/crates/celeryshed_gateway/src/peer_task.rs
+++ b/crates/celeryshed_gateway/src/peer_task.rs
@@ -2,137 +2,195 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use celeryshed_base::AvailabilityZone;
-use celeryshed_dispatch::{LoadScope, PeerAddress};
+use celeryshed_dispatch::{
+    DispatcherSettings, LoadAudience, LoadScope, PeerAddress, heartbeat_interval, load_lifetime,
+    message_lifetime,
+};
 use celeryshed_peering::{ControlHandle, EntryHeartbeat, PeerMessage, PeerSocket};
 use tokio::time::{Instant, sleep};
 
-use crate::dispatcher_task::DispatcherHandle;
+use crate::dispatcher_task::{DispatcherHandle, LoadQuery};
 
-/// Shortest time between two load reports, unless new operator records arrive.
-const MIN_LOAD_INTERVAL: Duration = Duration::from_millis(30);
-/// Shortest time between two load reports, per receiving entry, so that the number of datagrams per
-/// second doesn't grow with the number of entries.
-const LOAD_INTERVAL_PER_ENTRY: Duration = Duration::from_millis(4);
-/// Time between two load reports that list all endpoints instead of the changed ones.
-const WHOLE_LOAD_INTERVAL: Duration = Duration::from_millis(700);
 /// Time between two searches for sidecars that have just started and wait for a heartbeat.
 const SIDECAR_SEARCH_INTERVAL: Duration = Duration::from_millis(250);
 /// Time between two such searches while no sidecar is known.
 const FIRST_SEARCH_INTERVAL: Duration = Duration::from_millis(40);
-/// Time between two heartbeats to all sidecars.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
-/// Time after which an entry gets no more load reports if it sent none itself and no sidecar listed
-/// it.
-const ENTRY_LIFETIME: Duration = Duration::from_secs(5);
+/// Shortest time after which an entry gets no more load reports if it sent none itself and no
+/// sidecar named it.
+const MIN_ENTRY_LIFETIME: Duration = Duration::from_secs(5);
+
+/// Another entry.
+struct EntryContact {
+    /// When the entry sent a load report, or a sidecar named it.
+    heard_at: Instant,
+    /// Its availability zone; `None` before its first whole report.
+    zone: Option<AvailabilityZone>,
+}
 
 /// Sends load reports and heartbeats, and passes received messages to the other tasks.
 pub(crate) struct PeerTask {
     pub(crate) address: SocketAddr,
-    pub(crate) zone: AvailabilityZone,
+    pub(crate) settings: DispatcherSettings,
     pub(crate) sidecar_port: u16,
     pub(crate) socket: PeerSocket,
     pub(crate) dispatcher: DispatcherHandle,
     pub(crate) control: ControlHandle,
+    /// The other entries, by the address of their peer sockets.
+    entries: Mutex<BTreeMap<String, EntryContact>>,
 }
 
 impl PeerTask {
+    pub(crate) fn new(
+        address: SocketAddr,
+        settings: DispatcherSettings,
+        sidecar_port: u16,
+        socket: PeerSocket,
+        dispatcher: DispatcherHandle,
+        control: ControlHandle,
+    ) -> Self {
+        let entries = Mutex::default();
+        Self { address, settings, sidecar_port, socket, dispatcher, control, entries }
+    }
+
     pub(crate) async fn run(self) {
         let task = Arc::new(self);
-        let receive_task = task.clone();
-        let (entry_sender, mut entry_receiver) = tokio::sync::mpsc::unbounded_channel();
-        tokio::spawn(async move { receive_task.receive(entry_sender).await });
-        let heartbeat_task = task.clone();
-        tokio::spawn(async move { heartbeat_task.send_heartbeats().await });
-        let mut entries: BTreeMap<String, Instant> = BTreeMap::new();
+        for audience in LoadAudience::ALL {
+            let sender = task.clone();
+            tokio::spawn(async move { sender.send_loads(audience).await });
+            let sender = task.clone();
+            tokio::spawn(async move { sender.send_heartbeats(audience).await });
+        }
+        task.receive().await;
+    }
+
+    /// Sends the entries of `audience` load reports until the process ends.
+    async fn send_loads(&self, audience: LoadAudience) {
         let mut whole_at: Option<Instant> = None;
-        let mut sent_offset = task.control.position().operator;
-        let mut position = task.control.watch_position();
+        let mut sent_offset = self.control.position().operator;
+        let mut position = self.control.watch_position();
         loop {
-            let interval = MIN_LOAD_INTERVAL.max(LOAD_INTERVAL_PER_ENTRY * entries.len() as u32);
+            let entries = self.entries_in(audience);
             tokio::select! {
-                () = sleep(interval) => {}
+                () = sleep(audience.load_interval(entries.len())) => {}
                 // Reports the position of new operator records to the other entries at once.
                 _ = position.wait_for(|latest| latest.operator != sent_offset) => {}
             }
-            while let Ok(entry) = entry_receiver.try_recv() {
-                entries.insert(entry, Instant::now());
+            let latest = self.control.position();
+            let whole_interval = audience.whole_load_interval(entries.len());
+            let is_whole = whole_at.is_none_or(|at| at.elapsed() >= whole_interval)
+                || latest.operator != sent_offset;
+            if is_whole {
+                (whole_at, sent_offset) = (Some(Instant::now()), latest.operator);
             }
-            entries.retain(|_, at| at.elapsed() < ENTRY_LIFETIME);
-            let offset = task.control.position().operator;
-            let due = whole_at.is_none_or(|at| at.elapsed() >= WHOLE_LOAD_INTERVAL)
-                || offset != sent_offset;
-            if due {
-                (whole_at, sent_offset) = (Some(Instant::now()), offset);
+            let query = LoadQuery {
+                audience,
+                scope: if is_whole { LoadScope::Whole } else { LoadScope::Changes },
+                position: latest,
+                lifetime: load_lifetime(whole_interval),
+            };
+            let Some(load) = self.dispatcher.load_report(query).await else { return };
+            if !load.is_empty() {
+                self.socket.send(&PeerMessage::Load(load), entries);
             }
-            let scope = if due { LoadScope::Whole } else { LoadScope::Changes };
-            task.send_load(scope, entries.keys()).await;
         }
     }
 
-    async fn send_load(&self, scope: LoadScope, entries: impl Iterator<Item = &String>) {
-        let Some(load) = self.dispatcher.entry_status(scope, self.control.position()).await else {
-            return;
-        };
-        if !load.is_empty() {
-            self.socket.send(&PeerMessage::Load(load), entries);
+    /// The audience of load reports that an entry belongs to. Entries of an unknown zone count as
+    /// entries of another region.
+    fn audience_of(&self, zone: Option<&AvailabilityZone>) -> LoadAudience {
+        match zone {
+            Some(zone) if self.settings.is_in_own_region(zone) => LoadAudience::OwnRegion,
+            _ => LoadAudience::OtherRegions,
         }
     }
 
-    async fn send_heartbeats(&self) {
+    /// Addresses of the other entries of `audience`; forgets those that are gone.
+    fn entries_in(&self, audience: LoadAudience) -> Vec<String> {
+        let mut entries = self.entries.lock().expect("no holder of the lock panics");
+        let far_interval = LoadAudience::OtherRegions.whole_load_interval(entries.len());
+        let lifetime = MIN_ENTRY_LIFETIME.max(load_lifetime(far_interval));
+        entries.retain(|_, entry| entry.heard_at.elapsed() < lifetime);
+        let members =
+            entries.iter().filter(|(_, entry)| self.audience_of(entry.zone.as_ref()) == audience);
+        members.map(|(address, _)| address.clone()).collect()
+    }
+
+    fn record_entry(&self, address: &str, zone: Option<AvailabilityZone>) {
+        let mut entries = self.entries.lock().expect("no holder of the lock panics");
+        let heard_at = Instant::now();
+        let entry =
+            entries.entry(address.to_owned()).or_insert(EntryContact { heard_at, zone: None });
+        entry.heard_at = heard_at;
+        entry.zone = zone.or_else(|| entry.zone.take());
+    }
+
+    /// Sends heartbeats to the sidecars of `audience` until the process ends.
+    async fn send_heartbeats(&self, audience: LoadAudience) {
         let mut heartbeat_at: Option<Instant> = None;
         let mut known_sidecars: BTreeSet<String> = BTreeSet::new();
         let mut sent_offset = self.control.position().operator;
         let mut position = self.control.watch_position();
         loop {
-            let interval = if known_sidecars.is_empty() {
+            let search_interval = if known_sidecars.is_empty() {
                 FIRST_SEARCH_INTERVAL
             } else {
                 SIDECAR_SEARCH_INTERVAL
             };
             tokio::select! {
-                () = sleep(interval) => {}
+                () = sleep(search_interval) => {}
                 // Reports the position of new operator records to the sidecars at once.
                 _ = position.wait_for(|latest| latest.operator != sent_offset) => {}
             }
             let offset = self.control.position().operator;
-            let due = heartbeat_at.is_none_or(|at| at.elapsed() >= HEARTBEAT_INTERVAL);
-            let sidecars = self.sidecars().await;
-            if due || offset != sent_offset {
-                sent_offset = offset;
+            let sidecars = self.sidecars_in(audience).await;
+            let interval = heartbeat_interval(sidecars.len());
+            let is_due = heartbeat_at.is_none_or(|at| at.elapsed() >= interval);
+            // Sidecars read records from entries of their own region, as long as there is one.
+            let has_news = offset != sent_offset && audience == LoadAudience::OwnRegion;
+            sent_offset = offset;
+            if is_due || has_news {
                 heartbeat_at = Some(Instant::now());
-                self.send_heartbeat(&sidecars);
+                self.send_heartbeat(interval, &sidecars);
             } else {
                 // A sidecar that has just started needs a heartbeat to know where to fetch records.
-                self.send_heartbeat(sidecars.difference(&known_sidecars));
+                self.send_heartbeat(interval, sidecars.difference(&known_sidecars));
             }
             known_sidecars = sidecars;
         }
     }
 
-    /// Addresses of the peer sockets of all sidecars; each runs on the instance of an endpoint.
-    async fn sidecars(&self) -> BTreeSet<String> {
-        let addresses = self.dispatcher.endpoint_addresses().await;
-        let sidecars = addresses.endpoints.iter().filter_map(|endpoint| {
-            let address: SocketAddr = endpoint.parse().ok()?;
+    /// Addresses of the peer sockets of the sidecars in the regions of `audience`; a sidecar runs
+    /// on the instance of each endpoint.
+    async fn sidecars_in(&self, audience: LoadAudience) -> BTreeSet<String> {
+        let endpoints = self.dispatcher.listed_endpoints().await;
+        let members = endpoints.iter().filter(|(_, zone)| self.audience_of(Some(zone)) == audience);
+        let sidecars = members.filter_map(|(address, _)| {
+            let address: SocketAddr = address.parse().ok()?;
             Some(SocketAddr::new(address.ip(), self.sidecar_port).to_string())
         });
         sidecars.collect()
     }
 
-    fn send_heartbeat<'s>(&self, sidecars: impl IntoIterator<Item = &'s String>) {
+    /// Sends a heartbeat that the sender repeats after `interval`.
+    fn send_heartbeat<'s>(
+        &self,
+        interval: Duration,
+        sidecars: impl IntoIterator<Item = &'s String>,
+    ) {
         let heartbeat = EntryHeartbeat {
             entry: self.address.to_string(),
-            zone: self.zone.clone(),
+            zone: self.settings.zone.clone(),
             position: self.control.position(),
+            lifetime_ms: message_lifetime(interval).as_millis() as u32,
         };
         self.socket.send(&PeerMessage::Hello(heartbeat), sidecars);
     }
 
-    async fn receive(&self, entry_sender: tokio::sync::mpsc::UnboundedSender<String>) {
+    async fn receive(&self) {
         let own = self.address.to_string();
         loop {
             let (message, sender) = self.socket.receive().await;
@@ -140,13 +198,12 @@
                 PeerMessage::Load(load) => {
                     let peer = sender.to_string();
                     self.control.report_peer_position(&peer, load.position);
-                    // The receiver ends only with the process.
-                    let _ = entry_sender.send(peer.clone());
+                    self.record_entry(&peer, load.zone.clone());
                     self.dispatcher.apply_peer_load(PeerAddress(peer), load);
                 }
                 PeerMessage::Status(status) => {
                     for entry in status.entries.iter().filter(|entry| **entry != own) {
-                        let _ = entry_sender.send(entry.clone());
+                        self.record_entry(entry, None);
                     }
                     self.dispatcher.apply_sidecar_status(status);
                 }
--- a/crates/celeryshed_gateway/src/process.rs
+++ b/crates/celeryshed_gateway/src/process.rs
@@ -80,14 +80,14 @@
         let socket = PeerSocket::bind(settings.peer_address)
             .await
             .map_err(|source| listen_error("the peer socket", settings.peer_address, source))?;
-        let peer_task = PeerTask {
-            address: settings.peer_address,
-            zone: settings.dispatcher.zone.clone(),
-            sidecar_port: settings.sidecar_port,
+        let peer_task = PeerTask::new(
+            settings.peer_address,
+            settings.dispatcher.clone(),
+            settings.sidecar_port,
             socket,
-            dispatcher: dispatcher.clone(),
-            control: control.clone(),
-        };
+            dispatcher.clone(),
+            control.clone(),
+        );
         tokio::spawn(peer_task.run());
 
         let (server_settings, settings_watch) =
--- a/crates/celeryshed_measure/src/overload/entry.rs
+++ b/crates/celeryshed_measure/src/overload/entry.rs
@@ -7,8 +7,9 @@
 use celeryshed_dispatch::{
     AttemptOutcome, BudgetLimits, DirectoryRecord, DispatchDecision, DispatcherSettings,
     EndpointHash, EndpointId, EndpointState, EndpointStatus, EntryDispatcher, ListedEndpoint,
-    LoadScope, PeerAddress, PeerLoad, RequestNumber, RequestProfile, RouteKind, RoutingSnapshot,
-    ServiceProfile, VersionDeadlines,
+    LoadAudience, LoadScope, PeerAddress, PeerLoad, RequestNumber, RequestProfile, RouteKind,
+    RoutingSnapshot, ServiceProfile, VersionDeadlines, load_lifetime, message_lifetime,
+    status_interval,
 };
 use rand::Rng;
 use rand::rngs::StdRng;
@@ -218,7 +219,9 @@
     /// Load of this entry for a report to the other entries.
     pub(super) fn take_own_loads(&mut self, scope: LoadScope) -> BTreeMap<EndpointHash, PeerLoad> {
         match self.policy {
-            PlacementPolicy::Product => self.dispatcher.take_own_loads(scope),
+            PlacementPolicy::Product => {
+                self.dispatcher.take_own_loads(LoadAudience::OwnRegion, scope)
+            }
             _ => {
                 self.own_loads.iter().map(|(engine, load)| (engine_hash(*engine), *load)).collect()
             }
@@ -234,7 +237,11 @@
         loads: &BTreeMap<EndpointHash, PeerLoad>,
     ) {
         match self.policy {
-            PlacementPolicy::Product => self.dispatcher.apply_peer_load(now, peer, scope, loads),
+            PlacementPolicy::Product => {
+                let whole_interval = LoadAudience::OwnRegion.whole_load_interval(1);
+                let lifetime = load_lifetime(whole_interval);
+                self.dispatcher.apply_peer_load(now, peer, scope, loads, lifetime);
+            }
             _ => {
                 self.peer_loads.insert(peer.clone(), loads.clone());
             }
@@ -255,7 +262,8 @@
             self.closed_engines.insert(engine);
         }
         let models = BTreeMap::from([(MODEL_NAME.to_owned(), 1)]);
-        let status = EndpointStatus { received_at: now, models, accepting, closing_at };
+        let expires_at = now + message_lifetime(status_interval(1));
+        let status = EndpointStatus { expires_at, models, accepting, closing_at };
         self.dispatcher.apply_status(&engine_id(engine), status);
     }
 }
--- a/crates/celeryshed_peering/src/messages.rs
+++ b/crates/celeryshed_peering/src/messages.rs
@@ -40,6 +40,10 @@
     pub struct EntryStatus {
         /// Position up to which the entry has read the control records.
         pub position: ControlPosition,
+        /// Availability zone of the entry; only in reports with `whole` set.
+        pub zone: Option<AvailabilityZone>,
+        /// Milliseconds for which the reported load counts, unless a newer report arrives.
+        pub lifetime_ms: u32,
         /// Whether `loads` lists all endpoints on which the entry has load; otherwise, only those
         /// whose load changed.
         pub whole: bool,
@@ -59,6 +63,8 @@
         pub zone: AvailabilityZone,
         /// Position up to which the entry has read the control records.
         pub position: ControlPosition,
+        /// Milliseconds without another heartbeat after which the entry counts as gone.
+        pub lifetime_ms: u32,
     }
 
     /// Status of a sidecar, sent to the entries whose heartbeats it receives.
@@ -74,8 +80,11 @@
         pub closing_in_ms: Option<u64>,
         /// Declared versions that the sidecar knows.
         pub versions: Vec<VersionAge>,
-        /// Addresses of the entries whose heartbeats arrived recently.
+        /// Addresses of some of the entries whose heartbeats arrived recently; others follow in
+        /// later messages.
         pub entries: Vec<String>,
+        /// Milliseconds for which the status counts, unless a newer one arrives.
+        pub lifetime_ms: u32,
     }
 
     /// The pieces of a version that a sidecar can send to others.
--- a/crates/celeryshed_stager/src/status_task.rs
+++ b/crates/celeryshed_stager/src/status_task.rs
@@ -5,24 +5,24 @@
 use std::time::Duration;
 
 use celeryshed_base::ClockSource;
+use celeryshed_dispatch::{message_lifetime, status_interval};
 use celeryshed_peering::{ControlHandle, PeerMessage, PeerSocket, SidecarStatus, VersionAge};
 use tokio::sync::watch;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout_at};
 
 use crate::inventory_task::InventoryMap;
 use crate::settings::SidecarSettings;
 use crate::stage_task::EndpointCondition;
 use crate::view::StageView;
 
-/// Interval of status messages while nothing changes.
-const STATUS_INTERVAL: Duration = Duration::from_millis(800);
 /// Delay after which a changed status is sent a second time, since datagrams may be lost.
 const REPEAT_DELAY: Duration = Duration::from_millis(60);
 /// Time without a heartbeat from an entry of the own region after which entries of other regions
 /// are asked for control records too.
 const OWN_REGION_TIMEOUT: Duration = Duration::from_millis(2500);
-/// Time without a heartbeat after which an entry gets no more status messages.
-const ENTRY_TIMEOUT: Duration = Duration::from_secs(4);
+/// Maximum number of entries that one status message names, so that its length doesn't grow with
+/// their number.
+const MAX_NAMED_ENTRIES: usize = 6;
 
 /// Sends the status to the entries with a recent heartbeat, and receives all datagrams.
 pub(crate) struct StatusTask {
@@ -58,7 +58,8 @@
                                 .report_peer_position(&heartbeat.entry, heartbeat.position);
                         }
                         // The receiver lives as long as the process.
-                        let _ = entry_sender.send(heartbeat.entry);
+                        let lifetime = Duration::from_millis(heartbeat.lifetime_ms.into());
+                        let _ = entry_sender.send((heartbeat.entry, now + lifetime));
                     }
                     PeerMessage::Pieces(inventory) => {
                         let received = (receiving.clock.now(), inventory);
@@ -71,27 +72,47 @@
             }
         });
         let mut condition = task.condition.clone();
+        // Entries with the time at which each counts as gone unless it sends another heartbeat.
         let mut entries: BTreeMap<String, Instant> = BTreeMap::new();
-        let mut pause = STATUS_INTERVAL;
+        let mut next_at = Instant::now();
+        let mut sent_count = 0;
         loop {
             tokio::select! {
-                changed = timeout(pause, condition.changed()) => {
-                    pause = if changed.is_ok() { REPEAT_DELAY } else { STATUS_INTERVAL };
+                changed = timeout_at(next_at, condition.changed()) => {
+                    let pause = match changed {
+                        Ok(_) => REPEAT_DELAY,
+                        Err(_elapsed) => status_interval(entries.len()),
+                    };
+                    next_at = Instant::now() + pause;
                 }
-                Some(entry) = entry_receiver.recv() => {
+                Some((entry, gone_at)) = entry_receiver.recv() => {
                     // A new entry gets the status at once, a known one at the next interval.
-                    if entries.insert(entry, Instant::now()).is_some() {
-                        continue;
+                    if entries.insert(entry.clone(), gone_at).is_none() {
+                        task.send_status(&condition.borrow().clone(), &entries, sent_count, [&entry]);
+                        sent_count += 1;
                     }
+                    continue;
                 }
             }
-            entries.retain(|_, at| at.elapsed() < ENTRY_TIMEOUT);
-            task.send_status(&condition.borrow_and_update().clone(), &entries);
+            entries.retain(|_, gone_at| Instant::now() < *gone_at);
+            let latest = condition.borrow_and_update().clone();
+            task.send_status(&latest, &entries, sent_count, entries.keys());
+            sent_count += 1;
         }
     }
 
-    fn send_status(&self, condition: &EndpointCondition, entries: &BTreeMap<String, Instant>) {
+    /// Sends the status to `receivers`. The message names a few of all `entries`, in turn by the
+    /// number of messages sent before.
+    fn send_status<'r>(
+        &self,
+        condition: &EndpointCondition,
+        entries: &BTreeMap<String, Instant>,
+        sent_count: usize,
+        receivers: impl IntoIterator<Item = &'r String>,
+    ) {
         let now = self.clock.now();
+        let first_named = sent_count * MAX_NAMED_ENTRIES % entries.len().max(1);
+        let named = entries.keys().cycle().skip(first_named);
         let view = self.view.borrow().clone();
         let versions = view.versions_of_known_age().map(|(model, target)| VersionAge {
             model: model.clone(),
@@ -104,8 +125,9 @@
             models: condition.report.models.clone(),
             accepting: condition.accepting,
             closing_in_ms: condition.closing_at.map(|at| (at - now).as_millis() as u64),
-            entries: entries.keys().cloned().collect(),
+            entries: named.take(entries.len().min(MAX_NAMED_ENTRIES)).cloned().collect(),
+            lifetime_ms: message_lifetime(status_interval(entries.len())).as_millis() as u32,
         };
-        self.socket.send(&PeerMessage::Status(status), entries.keys());
+        self.socket.send(&PeerMessage::Status(status), receivers);
     }
 }
--- a/crates/celeryshed_stager/tests/support/mod.rs
+++ b/crates/celeryshed_stager/tests/support/mod.rs
@@ -1,6 +1,9 @@
 //! Starts a sidecar on loopback with an in-memory store, engine and origin.
 
+#![allow(dead_code, reason = "each test file uses some of them")]
+
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -200,8 +203,8 @@
     ServiceName::try_from(name).unwrap()
 }
 
-/// Starts a sidecar whose store declares `version`.
-pub(crate) fn start_sidecar(weights: &Arc<FakeWeights>, version: u64) {
+/// Starts a sidecar whose store declares `version`, and returns the address of its peer socket.
+pub(crate) fn start_sidecar(weights: &Arc<FakeWeights>, version: u64) -> SocketAddr {
     let host = NEXT_HOST.fetch_add(1, Ordering::Relaxed);
     let pid = std::process::id();
     let ip = format!("127.{}.{}.{}", 1 + pid % 250, 1 + (pid / 250) % 250, host);
@@ -227,5 +230,7 @@
     };
     let store = Arc::new(FakeStore { version, endpoint: settings.endpoint.clone() });
     let weights = weights.clone();
+    let peer_address = settings.peer_address;
     tokio::spawn(async move { SidecarProcess::run(settings, store.clone(), store, weights).await });
+    peer_address
 }
