Compare a random sample of endpoints, smaller the older the load reports are

Each waiting request listed all endpoints anew at every event. Change: about as many endpoints are compared as one unknown placement on the best of them allows, from the interval of load reports and the time between two starts of a full engine; a pool of candidates is shared by the requests of one decision; news of peers is dispatched at the next tick.

--- a/crates/celeryshed_dispatch/src/dispatcher.rs
+++ b/crates/celeryshed_dispatch/src/dispatcher.rs
@@ -10,10 +10,12 @@
 use crate::directory::EndpointDirectory;
 use crate::endpoint::{EndpointHash, EndpointId, EndpointState, EndpointStatus, ListedEndpoint};
 use crate::health::{AttemptOutcome, HealthRecord, NotRunReason};
-use crate::load::{EndpointLoad, LoadScope, PeerLoad};
+use crate::load::{EndpointLoad, LoadReport, LoadScope, PeerLoad};
 use crate::pacing::LoadAudience;
 use crate::peers::PeerAddress;
-use crate::placement::{Candidate, Distance, PlacementChoice, PlacementQuery, choose};
+use crate::placement::{
+    Candidate, CandidatePool, ComparisonLimits, Distance, PlacementChoice, PlacementQuery,
+};
 use crate::quarantine::RequestQuarantine;
 use crate::refusal::{RefusalReason, retry_after, wait_until};
 use crate::request::{RequestNumber, RequestProfile};
@@ -135,6 +137,8 @@
     last_heard_at: MonoTime,
     /// Time after the last report for which its load counts.
     lifetime: Duration,
+    /// Whether the peer is in the own region.
+    audience: LoadAudience,
     /// Whether the peer's load is included in the endpoint loads.
     load_included: bool,
 }
@@ -314,17 +318,16 @@
     }
 
     /// Applies a load report of another entry; endpoints that are unknown here are ignored.
-    ///
-    /// Its load counts for `lifetime`, unless a newer report arrives.
-    pub fn apply_peer_load(
-        &mut self,
-        now: MonoTime,
-        peer: &PeerAddress,
-        scope: LoadScope,
-        loads: &BTreeMap<EndpointHash, PeerLoad>,
-        lifetime: Duration,
-    ) {
-        let contact = PeerContact { last_heard_at: now, lifetime, load_included: true };
+    pub fn apply_peer_load(&mut self, now: MonoTime, peer: &PeerAddress, report: &LoadReport) {
+        let known_audience = self.peers.get(peer).map(|contact| contact.audience);
+        let audience = match &report.zone {
+            Some(zone) if self.settings.is_in_own_region(zone) => LoadAudience::OwnRegion,
+            Some(_) => LoadAudience::OtherRegions,
+            None => known_audience.unwrap_or(LoadAudience::OtherRegions),
+        };
+        let LoadReport { scope, loads, lifetime, .. } = report;
+        let contact =
+            PeerContact { last_heard_at: now, lifetime: *lifetime, audience, load_included: true };
         self.peers.insert(peer.clone(), contact);
         self.peers.retain(|_, contact| contact.is_entry(now));
         match scope {
@@ -469,67 +472,92 @@
         service: &ServiceName,
         decisions: &mut Vec<DispatchDecision>,
     ) {
-        let numbers: Vec<RequestNumber> =
-            self.queue.requests(service).map(|(number, _)| number).collect();
-        let mut ahead = 0_u32;
-        for number in numbers {
+        for (number, decision) in self.decide_requests(now, random, service) {
             let Some(request) = self.queue.remove(number) else { continue };
-            let random = random ^ number.0.wrapping_mul(0x9e37_79b9);
-            match self.decide_request(now, random, &request, ahead) {
-                WaitDecision::Place(target, expected) => {
+            match decision {
+                RequestDecision::Place(target, expected) => {
                     if let Some(record) = self.records.get_mut(&target.id) {
                         record.load.started(request.profile.prompt_tokens);
                     }
                     decisions.push(DispatchDecision::Place { number, target, expected });
                 }
-                WaitDecision::Refuse(reason) => decisions.push(DispatchDecision::Refuse {
+                RequestDecision::Refuse(reason) => decisions.push(DispatchDecision::Refuse {
                     number,
                     reason,
-                    retry_after: retry_after(random),
+                    retry_after: retry_after(random ^ spread(number)),
                 }),
-                WaitDecision::Wait => {
-                    ahead += 1;
-                    self.queue.push(number, request);
+            }
+        }
+    }
+
+    /// Decides on the waiting requests of a service, next one first; those that go on waiting are
+    /// left out.
+    ///
+    /// Requests for the same model share a list of candidates, so that the time grows with the sum
+    /// of the numbers of requests and endpoints and not with their product.
+    fn decide_requests(
+        &self,
+        now: MonoTime,
+        random: u64,
+        service: &ServiceName,
+    ) -> Vec<(RequestNumber, RequestDecision)> {
+        let mut pools: BTreeMap<(Option<&str>, Option<u64>), CandidatePool<'_>> = BTreeMap::new();
+        let mut decisions = Vec::new();
+        let mut ahead = 0_u32;
+        for (number, request) in self.queue.requests(service) {
+            let profile = &request.profile;
+            let pool = pools
+                .entry((profile.model.as_deref(), profile.version))
+                .or_insert_with(|| self.candidate_pool(now, profile));
+            let random = random ^ spread(number);
+            match self.decide_request(now, random, request, pool, ahead) {
+                Some(RequestDecision::Place(target, expected)) => {
+                    for pool in pools.values_mut() {
+                        pool.count_placement(&target.id, request.profile.prompt_tokens);
+                    }
+                    decisions.push((number, RequestDecision::Place(target, expected)));
                 }
+                Some(refusal) => decisions.push((number, refusal)),
+                None => ahead += 1,
             }
         }
+        decisions
     }
 
+    /// Decides on one request; `None` if it goes on waiting.
     fn decide_request(
         &self,
         now: MonoTime,
         random: u64,
         request: &WaitingRequest,
+        pool: &CandidatePool<'_>,
         ahead: u32,
-    ) -> WaitDecision {
+    ) -> Option<RequestDecision> {
         let profile = &request.profile;
         if now >= profile.deadline {
-            return WaitDecision::Refuse(RefusalReason::TimeLimit);
+            return Some(RequestDecision::Refuse(RefusalReason::TimeLimit));
         }
         let query = PlacementQuery { profile, excluded: &request.excluded, now, random };
-        let candidates: Vec<Candidate<'_>> = self.candidates(now, profile).collect();
         let until = wait_until(profile, request.queued_at);
-        match choose(candidates.iter().copied(), &query) {
+        match pool.choose(&query) {
             PlacementChoice::Place { id, expected } => {
-                match self.endpoint_target(now, profile, &id) {
-                    Some(target) => WaitDecision::Place(target, expected),
-                    None => WaitDecision::Refuse(RefusalReason::NoEndpoint),
-                }
+                Some(match self.endpoint_target(now, profile, &id) {
+                    Some(target) => RequestDecision::Place(target, expected),
+                    None => RequestDecision::Refuse(RefusalReason::NoEndpoint),
+                })
             }
-            PlacementChoice::Full
-                if now + self.queue_wait(now, profile, &candidates, ahead) > until =>
-            {
-                WaitDecision::Refuse(RefusalReason::Overload)
+            PlacementChoice::Full if now + self.queue_wait(now, profile, pool, ahead) > until => {
+                Some(RequestDecision::Refuse(RefusalReason::Overload))
             }
-            PlacementChoice::Full => WaitDecision::Wait,
+            PlacementChoice::Full => None,
             // No endpoint serves the request. An endpoint that loads or starts takes longer than a
             // first attempt may wait.
             PlacementChoice::NoEndpoint
                 if !profile.caller_retry || !request.excluded.is_empty() || now >= until =>
             {
-                WaitDecision::Refuse(RefusalReason::NoEndpoint)
+                Some(RequestDecision::Refuse(RefusalReason::NoEndpoint))
             }
-            PlacementChoice::NoEndpoint => WaitDecision::Wait,
+            PlacementChoice::NoEndpoint => None,
         }
     }
 
@@ -539,11 +567,11 @@
         &self,
         now: MonoTime,
         profile: &RequestProfile,
-        candidates: &[Candidate<'_>],
+        pool: &CandidatePool<'_>,
         ahead: u32,
     ) -> Duration {
         let Some(timing) = self.timings.get(&profile.service) else { return Duration::ZERO };
-        let endpoints = candidates.len().max(1) as u32;
+        let endpoints = pool.len().max(1) as u32;
         timing.slot_interval() * ahead * self.entry_count(now) / endpoints
     }
 
@@ -566,13 +594,14 @@
         Some(EndpointTarget { id, address, version, start_deadline })
     }
 
-    fn candidates<'d>(
-        &'d self,
-        now: MonoTime,
-        profile: &'d RequestProfile,
-    ) -> impl Iterator<Item = Candidate<'d>> + 'd {
+    /// The endpoints that serve a request, and how many of them are compared.
+    fn candidate_pool<'d>(&'d self, now: MonoTime, profile: &RequestProfile) -> CandidatePool<'d> {
         let timing = self.timings.get(&profile.service).copied();
-        self.directory.endpoints(now).filter_map(move |(id, endpoint)| {
+        let limits = timing.map(|timing| {
+            let slot_interval = timing.slot_interval();
+            ComparisonLimits::new(slot_interval, |audience| self.load_interval(now, audience))
+        });
+        let candidates = self.directory.endpoints(now).filter_map(|(id, endpoint)| {
             let record = self.records.get(id)?;
             if endpoint.service != profile.service || !self.serves(now, endpoint, record, profile) {
                 return None;
@@ -586,7 +615,14 @@
                 timing,
                 closing_at: record.fresh_status(now).and_then(|status| status.closing_at),
             })
-        })
+        });
+        CandidatePool::new(candidates.collect(), limits)
+    }
+
+    /// Time between two load reports from the same entry of `audience`.
+    fn load_interval(&self, now: MonoTime, audience: LoadAudience) -> Duration {
+        let members = self.peers.values().filter(|peer| peer.audience == audience);
+        audience.load_interval(members.filter(|peer| peer.is_entry(now)).count())
     }
 
     fn serves(
@@ -652,8 +688,13 @@
     }
 }
 
-enum WaitDecision {
+enum RequestDecision {
+    /// The endpoint, and the expected time to the first token or answer.
     Place(EndpointTarget, Duration),
     Refuse(RefusalReason),
-    Wait,
+}
+
+/// Varies a random number from request to request.
+fn spread(number: RequestNumber) -> u64 {
+    number.0.wrapping_mul(0x9e37_79b9)
 }
--- a/crates/celeryshed_dispatch/src/lib.rs
+++ b/crates/celeryshed_dispatch/src/lib.rs
@@ -34,7 +34,7 @@
 pub use dispatcher::{DispatchDecision, DispatcherSettings, EndpointTarget, EntryDispatcher};
 pub use endpoint::{EndpointHash, EndpointId, EndpointState, EndpointStatus, ListedEndpoint};
 pub use health::{AttemptOutcome, HealthRecord, NotRunReason, UnknownReason};
-pub use load::{EndpointLoad, LoadScope, PeerLoad};
+pub use load::{EndpointLoad, LoadReport, LoadScope, PeerLoad};
 pub use pacing::{
     LoadAudience, heartbeat_interval, load_lifetime, message_lifetime, status_interval,
 };
--- a/crates/celeryshed_dispatch/src/load.rs
+++ b/crates/celeryshed_dispatch/src/load.rs
@@ -6,9 +6,11 @@
 //! whole load at longer intervals, since messages may be lost.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
-use celeryshed_base::common_derives;
+use celeryshed_base::{AvailabilityZone, common_derives};
 
+use crate::endpoint::EndpointHash;
 use crate::pacing::LoadAudience;
 use crate::peers::PeerAddress;
 
@@ -31,6 +33,18 @@
         pub unread_tokens: u32,
     }
 
+    /// A load report of another entry.
+    pub struct LoadReport {
+        /// Endpoints that the report covers.
+        pub scope: LoadScope,
+        /// The reported load of each covered endpoint.
+        pub loads: BTreeMap<EndpointHash, PeerLoad>,
+        /// Time for which the load counts, unless a newer report arrives.
+        pub lifetime: Duration,
+        /// Availability zone of the reporting entry; `None` if the report leaves it out.
+        pub zone: Option<AvailabilityZone>,
+    }
+
     /// The load of all entries on one endpoint.
     ///
     /// ```
--- a/crates/celeryshed_dispatch/src/placement.rs
+++ b/crates/celeryshed_dispatch/src/placement.rs
@@ -1,9 +1,11 @@
 //! Chooses the endpoint of a request.
 //!
 //! Load pattern: several entries place streams with prompts of unequal length on batching engines,
-//! near or beyond the engines' capacity. Each entry learns the load of the others with a delay. A
-//! request is placed on the endpoint with the earliest expected first token. A full engine gets no
-//! more requests: they wait at the entry, which can still choose another endpoint or refuse.
+//! near or beyond the engines' capacity. Each entry learns the load of the others with a delay, and
+//! entries that choose the best of all endpoints from the same reports choose the same one. A request
+//! is placed on the endpoint with the earliest expected first token among a random sample, which is
+//! the smaller the older the reports are. A full engine gets no more requests: they wait at the
+//! entry, which can still choose another endpoint or refuse.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -13,6 +15,8 @@
 use crate::endpoint::EndpointId;
 use crate::health::HealthRecord;
 use crate::load::PeerLoad;
+use crate::pacing::LoadAudience;
+use crate::rendezvous::rendezvous;
 use crate::request::RequestProfile;
 use crate::timing::{EngineTiming, plain_answer_time};
 
@@ -28,6 +32,8 @@
 const OTHER_REGION_PENALTY: Duration = Duration::from_millis(25);
 /// Time added to the score of an endpoint in another availability zone of the same region.
 const OTHER_ZONE_PENALTY: Duration = Duration::from_millis(6);
+/// Smallest number of endpoints of a region, or of all other regions, that are compared.
+const MIN_COMPARED: usize = 2;
 /// Maximum random time added to a score, so that entries with equal information choose differently.
 const MAX_JITTER: Duration = Duration::from_millis(8);
 
@@ -120,39 +126,111 @@
     }
 }
 
-/// Chooses the endpoint with the lowest score among `candidates`, which all serve the request.
+/// How many endpoints are compared for one request.
 ///
-/// Endpoints that the request was already sent to are skipped. A suspended endpoint is chosen only
-/// if no other one has a free slot, so that a service whose endpoints are all suspended still gets
-/// requests.
-pub(crate) fn choose<'c>(
-    candidates: impl Iterator<Item = Candidate<'c>>,
-    query: &PlacementQuery<'_>,
-) -> PlacementChoice {
-    let mut best: Option<(bool, Duration, &EndpointId, Duration)> = None;
-    let mut has_candidate = false;
-    for candidate in candidates {
-        if query.excluded.contains(candidate.id) {
-            continue;
+/// Entries with the same information choose the same endpoint, and learn only from the next load
+/// reports that others did so too. So many endpoints are compared that, at full load, about one
+/// request that this entry doesn't know of is placed on the best of them.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ComparisonLimits {
+    own_region: usize,
+    other_regions: usize,
+}
+
+impl ComparisonLimits {
+    /// `slot_interval` is the time between two requests that a full engine starts, and
+    /// `load_interval` the one between two load reports of an entry.
+    pub(crate) fn new(
+        slot_interval: Duration,
+        load_interval: impl Fn(LoadAudience) -> Duration,
+    ) -> Self {
+        let limit = |audience| {
+            // Reports are half an interval old on average.
+            let mean_age = load_interval(audience).as_secs_f64() / 2.0;
+            ((slot_interval.as_secs_f64() / mean_age) as usize).max(MIN_COMPARED)
+        };
+        Self {
+            own_region: limit(LoadAudience::OwnRegion),
+            other_regions: limit(LoadAudience::OtherRegions),
         }
-        has_candidate = true;
-        if !candidate.has_capacity() {
-            continue;
+    }
+}
+
+/// The endpoints that serve a request.
+#[derive(Clone, Debug)]
+pub(crate) struct CandidatePool<'c> {
+    candidates: Vec<Candidate<'c>>,
+    /// `None` if all endpoints are compared.
+    limits: Option<ComparisonLimits>,
+}
+
+impl<'c> CandidatePool<'c> {
+    pub(crate) fn new(candidates: Vec<Candidate<'c>>, limits: Option<ComparisonLimits>) -> Self {
+        Self { candidates, limits }
+    }
+
+    /// Number of endpoints, also of those without a free slot.
+    pub(crate) fn len(&self) -> usize {
+        self.candidates.len()
+    }
+
+    /// Counts a request that was placed on an endpoint after the pool was created.
+    pub(crate) fn count_placement(&mut self, id: &EndpointId, prompt_tokens: u32) {
+        for candidate in self.candidates.iter_mut().filter(|candidate| candidate.id == id) {
+            candidate.load.running += 1;
+            candidate.load.unread_tokens += prompt_tokens;
         }
-        let expected = candidate.expected_time(query.profile);
-        let suspended = candidate.health.is_suspended(query.now);
-        let score = candidate.score(query, expected);
-        if best.is_none_or(|(best_suspended, best_score, ..)| {
-            (suspended, score) < (best_suspended, best_score)
-        }) {
-            best = Some((suspended, score, candidate.id, expected));
+    }
+
+    /// Chooses the endpoint with the lowest score among a random sample of those that have a free
+    /// slot.
+    ///
+    /// Endpoints that the request was already sent to are skipped. A suspended endpoint is chosen
+    /// only if no other one has a free slot, so that a service whose endpoints are all suspended
+    /// still gets requests.
+    pub(crate) fn choose(&self, query: &PlacementQuery<'_>) -> PlacementChoice {
+        let mut untried = self
+            .candidates
+            .iter()
+            .filter(|candidate| !query.excluded.contains(candidate.id))
+            .peekable();
+        if untried.peek().is_none() {
+            return PlacementChoice::NoEndpoint;
+        }
+        let (suspended, open): (Vec<&Candidate<'c>>, Vec<_>) = untried
+            .filter(|candidate| candidate.has_capacity())
+            .partition(|candidate| candidate.health.is_suspended(query.now));
+        let eligible = if open.is_empty() { suspended } else { open };
+        let (own_region, other_regions): (Vec<&Candidate<'_>>, Vec<_>) =
+            eligible.into_iter().partition(|candidate| candidate.distance != Distance::OtherRegion);
+        let compared = match self.limits {
+            Some(limits) => sample(own_region, limits.own_region, query.random)
+                .chain(sample(other_regions, limits.other_regions, query.random))
+                .collect(),
+            None => [own_region, other_regions].concat(),
+        };
+        let scored = compared.iter().map(|candidate| {
+            let expected = candidate.expected_time(query.profile);
+            (candidate.score(query, expected), candidate.id, expected)
+        });
+        match scored.min() {
+            Some((_, id, expected)) => PlacementChoice::Place { id: id.clone(), expected },
+            None => PlacementChoice::Full,
         }
     }
-    match best {
-        Some((_, _, id, expected)) => PlacementChoice::Place { id: id.clone(), expected },
-        None if has_candidate => PlacementChoice::Full,
-        None => PlacementChoice::NoEndpoint,
+}
+
+/// A random sample of at most `limit` candidates.
+fn sample<'p, 'c>(
+    mut candidates: Vec<&'p Candidate<'c>>,
+    limit: usize,
+    random: u64,
+) -> impl Iterator<Item = &'p Candidate<'c>> {
+    if candidates.len() > limit {
+        let hash = |candidate: &&Candidate<'_>| rendezvous(candidate.id.as_str(), random);
+        candidates.sort_by_cached_key(hash);
     }
+    candidates.into_iter().take(limit)
 }
 
 /// Hashes both arguments to a number from 0 to 1.
--- a/crates/celeryshed_dispatch/tests/support/mod.rs
+++ b/crates/celeryshed_dispatch/tests/support/mod.rs
@@ -162,5 +162,7 @@
     peer: &PeerAddress,
     loads: &BTreeMap<EndpointHash, PeerLoad>,
 ) {
-    dispatcher.apply_peer_load(now, peer, LoadScope::Whole, loads, ms(1500));
+    let loads = loads.clone();
+    let report = LoadReport { scope: LoadScope::Whole, loads, lifetime: ms(1500), zone: None };
+    dispatcher.apply_peer_load(now, peer, &report);
 }
--- a/crates/celeryshed_gateway/src/dispatcher_task.rs
+++ b/crates/celeryshed_gateway/src/dispatcher_task.rs
@@ -87,6 +87,26 @@
     ListedEndpoints(oneshot::Sender<Vec<(String, AvailabilityZone)>>),
 }
 
+impl DispatcherCommand {
+    /// Whether the command passes on a message of another process, or a query for one.
+    fn is_peer_news(&self) -> bool {
+        match self {
+            Self::PeerLoad { .. }
+            | Self::SidecarStatus(_)
+            | Self::LoadReport { .. }
+            | Self::ListedEndpoints(_) => true,
+            Self::Place { .. }
+            | Self::Cancel(_)
+            | Self::Answered { .. }
+            | Self::Finish { .. }
+            | Self::Reset { .. }
+            | Self::Served(_)
+            | Self::IsQuarantined { .. }
+            | Self::Retry { .. } => false,
+        }
+    }
+}
+
 /// Gives access to the dispatcher task.
 #[derive(Clone, Debug)]
 pub(crate) struct DispatcherHandle {
@@ -281,6 +301,9 @@
         let mut ticks = interval(DISPATCH_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
+            // News of other processes may free slots, but comes many times a second; waiting
+            // requests are dispatched after it at the next tick.
+            let mut is_urgent = true;
             tokio::select! {
                 Some(event) = events.recv() => {
                     self.apply_event(event);
@@ -301,15 +324,17 @@
                     });
                 }
                 Some(command) = commands.recv() => {
+                    is_urgent = !command.is_peer_news();
                     self.run_command(command);
                     while let Ok(command) = commands.try_recv() {
+                        is_urgent |= !command.is_peer_news();
                         self.run_command(command);
                     }
                 }
                 _ = ticks.tick(), if self.dispatcher.has_waiting() => {}
                 else => return,
             }
-            if self.dispatcher.has_waiting() {
+            if is_urgent && self.dispatcher.has_waiting() {
                 self.dispatch_waiting();
             }
         }
@@ -404,9 +429,7 @@
     fn apply_peer_load(&mut self, peer: &PeerAddress, load: &EntryStatus) {
         let now = self.clock.now();
         self.apply_version_ages(&load.versions);
-        let lifetime = Duration::from_millis(load.lifetime_ms.into());
-        let loads = load.loads_by_endpoint();
-        self.dispatcher.apply_peer_load(now, peer, load.scope(), &loads, lifetime);
+        self.dispatcher.apply_peer_load(now, peer, &load.load_report());
         self.dispatcher.quarantine_mut().apply_peer_crashes(
             now,
             &peer.0,
--- a/crates/celeryshed_measure/src/overload/entry.rs
+++ b/crates/celeryshed_measure/src/overload/entry.rs
@@ -7,8 +7,8 @@
 use celeryshed_dispatch::{
     AttemptOutcome, BudgetLimits, DirectoryRecord, DispatchDecision, DispatcherSettings,
     EndpointHash, EndpointId, EndpointState, EndpointStatus, EntryDispatcher, ListedEndpoint,
-    LoadAudience, LoadScope, PeerAddress, PeerLoad, RequestNumber, RequestProfile, RouteKind,
-    RoutingSnapshot, ServiceProfile, VersionDeadlines, load_lifetime, message_lifetime,
+    LoadAudience, LoadReport, LoadScope, PeerAddress, PeerLoad, RequestNumber, RequestProfile,
+    RouteKind, RoutingSnapshot, ServiceProfile, VersionDeadlines, load_lifetime, message_lifetime,
     status_interval,
 };
 use rand::Rng;
@@ -240,7 +240,9 @@
             PlacementPolicy::Product => {
                 let whole_interval = LoadAudience::OwnRegion.whole_load_interval(1);
                 let lifetime = load_lifetime(whole_interval);
-                self.dispatcher.apply_peer_load(now, peer, scope, loads, lifetime);
+                let (loads, zone) = (loads.clone(), Some(self.dispatcher.zone().clone()));
+                let report = LoadReport { scope, loads, lifetime, zone };
+                self.dispatcher.apply_peer_load(now, peer, &report);
             }
             _ => {
                 self.peer_loads.insert(peer.clone(), loads.clone());
--- a/crates/celeryshed_peering/src/messages.rs
+++ b/crates/celeryshed_peering/src/messages.rs
@@ -1,9 +1,12 @@
 //! Datagrams that entries and sidecars send to each other.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use celeryshed_base::{AvailabilityZone, RegionName, common_derives};
-use celeryshed_dispatch::{EndpointHash, LoadScope, PeerLoad, PieceSet, RequestFingerprint};
+use celeryshed_dispatch::{
+    EndpointHash, LoadReport, LoadScope, PeerLoad, PieceSet, RequestFingerprint,
+};
 
 use crate::log::ControlPosition;
 
@@ -121,14 +124,14 @@
 }
 
 impl EntryStatus {
-    /// Whether `loads` lists all endpoints or only the changed ones.
-    pub fn scope(&self) -> LoadScope {
-        if self.whole { LoadScope::Whole } else { LoadScope::Changes }
-    }
-
-    /// The reported load, keyed by endpoint.
-    pub fn loads_by_endpoint(&self) -> BTreeMap<EndpointHash, PeerLoad> {
-        self.loads.iter().map(|load| (EndpointHash(load.key), load.into())).collect()
+    /// The reported load.
+    pub fn load_report(&self) -> LoadReport {
+        LoadReport {
+            scope: if self.whole { LoadScope::Whole } else { LoadScope::Changes },
+            loads: self.loads.iter().map(|load| (EndpointHash(load.key), load.into())).collect(),
+            lifetime: Duration::from_millis(self.lifetime_ms.into()),
+            zone: self.zone.clone(),
+        }
     }
 
     /// Whether the report contains nothing new; false for a report with `whole` set.
