Collect a later version while the earlier one waits for its load

Change: a fetch task collects pieces in memory (PieceStore), a load task stores complete versions and orders them; an endpoint whose turn comes late loads the later version alone, and those that serve the second version wait for those with the earlier deadline. Inventories go to the own region more often than to others.

--- a/crates/celeryshed_dispatch/src/staging/schedule.rs
+++ b/crates/celeryshed_dispatch/src/staging/schedule.rs
@@ -86,8 +86,12 @@
 impl ReloadSchedule {
     /// Plans the reload of the endpoint `own` among all `endpoints` of its service.
     ///
-    /// `due_at` is the earliest deadline of a version that the endpoint doesn't serve yet, and
-    /// `origin_transfer` the time that one copy of the weights takes over the origin's link.
+    /// `due_at` is the earliest deadline of a version that the endpoint doesn't serve yet,
+    /// `loaded_due_at` the deadline of the version that it serves, and `origin_transfer` the time
+    /// that one copy of the weights takes over the origin's link.
+    ///
+    /// Until the deadline of the version that it serves, endpoints of older versions reload first:
+    /// their deadline is earlier, and reloads of both at once would leave too few endpoints.
     ///
     /// ```
     /// use celeryshed_base::MonoTime;
@@ -97,7 +101,7 @@
     /// let learned_at = MonoTime::ZERO;
     /// let target = VersionTarget { version: 2, learned_at, due_at, declared_while_running: true };
     /// let copy = Duration::from_secs(3);
-    /// let schedule = ReloadSchedule::plan("a", &["a", "b"], target, due_at, copy);
+    /// let schedule = ReloadSchedule::plan("a", &["a", "b"], target, due_at, None, copy);
     /// assert!(schedule.reload_at < due_at);
     /// ```
     pub fn plan(
@@ -105,6 +109,7 @@
         endpoints: &[&str],
         target: VersionTarget,
         due_at: MonoTime,
+        loaded_due_at: Option<MonoTime>,
         origin_transfer: Duration,
     ) -> Self {
         let remaining = due_at - target.learned_at;
@@ -114,8 +119,9 @@
             }
             false => Duration::ZERO,
         };
-        let first = target.learned_at + distribution;
         let last = target.learned_at + remaining.saturating_sub(LAST_RELOAD_MARGIN);
+        let first = target.learned_at + distribution;
+        let first = loaded_due_at.map_or(first, |at| first.max(at - LAST_RELOAD_MARGIN)).min(last);
         let own_rank = rendezvous(own, target.version);
         let ahead =
             endpoints.iter().filter(|name| rendezvous(name, target.version) < own_rank).count();
--- a/crates/celeryshed_dispatch/tests/staging.rs
+++ b/crates/celeryshed_dispatch/tests/staging.rs
@@ -307,7 +307,8 @@
         let mut reloads: Vec<MonoTime> = endpoints
             .iter()
             .map(|name| {
-                ReloadSchedule::plan(name, &endpoints, target, target.due_at, ms(2600)).reload_at
+                ReloadSchedule::plan(name, &endpoints, target, target.due_at, None, ms(2600))
+                    .reload_at
             })
             .collect();
         reloads.sort();
@@ -345,7 +346,7 @@
         declared_while_running: false,
     };
     let reload_at = |name: &&str| {
-        ReloadSchedule::plan(name, &endpoints, target, target.due_at, ms(4300)).reload_at
+        ReloadSchedule::plan(name, &endpoints, target, target.due_at, None, ms(4300)).reload_at
     };
     let mut reloads: Vec<MonoTime> = endpoints.iter().map(reload_at).collect();
     reloads.sort();
--- /dev/null
+++ b/crates/celeryshed_stager/src/fetch_task.rs
@@ -0,0 +1,278 @@
+//! Collects the pieces of each declared version, also while an earlier version waits for its load.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use celeryshed_base::{ClockSource, MonoTime};
+use celeryshed_dispatch::{PieceFetch, PiecePicker, PieceSource, SidecarPeer, StageManifest};
+use celeryshed_observe::EventLine;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+
+use crate::fetch::{FetchFailure, PieceFetcher};
+use crate::inventory_task::InventoryMap;
+use crate::piece_store::PieceStore;
+use crate::platform::WeightPlatform;
+use crate::settings::SidecarSettings;
+use crate::view::{StageGoal, StageView};
+
+/// Corrupt pieces from the origin after which the manifest is fetched again, as one of its digests
+/// may be wrong.
+const MAX_CORRUPT_PIECES: u32 = 6;
+/// Longest time between two attempts to start fetches.
+const PICK_INTERVAL: Duration = Duration::from_millis(60);
+/// Time without a new piece after which a newer version is collected instead.
+const STALL_TIMEOUT: Duration = Duration::from_millis(700);
+/// Inventories older than this are ignored: their sender may have stopped.
+const INVENTORY_MAX_AGE: Duration = Duration::from_secs(2);
+/// Interval of `stage_progress` events.
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval of checks whether a version is needed, if nothing changes.
+const CHECK_INTERVAL: Duration = Duration::from_millis(600);
+
+/// Fetches the pieces of the newest declared version into the [`PieceStore`].
+pub(crate) struct FetchTask<P> {
+    pub(crate) settings: Arc<SidecarSettings>,
+    pub(crate) clock: ClockSource,
+    pub(crate) platform: Arc<P>,
+    pub(crate) view: watch::Receiver<Arc<StageView>>,
+    pub(crate) store: Arc<watch::Sender<PieceStore>>,
+    /// The last inventories from each other sidecar, with the time of receipt.
+    pub(crate) inventories: watch::Receiver<InventoryMap>,
+}
+
+impl<P: WeightPlatform> FetchTask<P> {
+    pub(crate) async fn run(mut self) {
+        let mut store = self.store.subscribe();
+        loop {
+            let goal = self.view.borrow_and_update().goal(&self.settings);
+            store.mark_unchanged();
+            match goal.filter(|goal| self.needs_pieces(goal)) {
+                Some(goal) => self.collect(goal).await,
+                None => {
+                    let changed = async {
+                        tokio::select! {
+                            _ = self.view.changed() => {}
+                            _ = store.changed() => {}
+                        }
+                    };
+                    // Checks again after a change or the interval.
+                    let _ = timeout(CHECK_INTERVAL, changed).await;
+                }
+            }
+        }
+    }
+
+    /// Whether the endpoint needs a version that isn't complete here.
+    ///
+    /// Nothing is fetched before the endpoint was asked what it has loaded. One that doesn't reply
+    /// may start together with this process, and its pieces are fetched meanwhile.
+    fn needs_pieces(&self, goal: &StageGoal) -> bool {
+        let store = self.store.borrow();
+        let version = goal.target.version;
+        let loaded = store.loaded_version(&goal.model).unwrap_or(0);
+        let bytes = goal.version_bytes;
+        let fits = store.memory_bytes() == 0
+            || store.memory_bytes() + bytes <= self.settings.piece_memory_bytes;
+        store.endpoint_asked && loaded < version && !store.is_complete(version) && fits
+    }
+
+    /// Fetches all pieces of the goal, unless a newer version replaces it meanwhile.
+    async fn collect(&mut self, goal: StageGoal) {
+        let started = self.clock.now();
+        let version = goal.target.version;
+        let fetcher = Arc::new(PieceFetcher {
+            platform: self.platform.clone(),
+            goal: goal.clone(),
+            settings: self.settings.clone(),
+            clock: self.clock,
+            view: self.view.clone(),
+        });
+        let known = self.store.borrow().manifest(version).cloned();
+        let mut manifest = match known {
+            Some(manifest) => manifest,
+            None => Arc::new(fetcher.manifest().await),
+        };
+        loop {
+            self.begin(&goal, &manifest).await;
+            match self.fetch_missing(&fetcher, &manifest).await {
+                FetchOutcome::Complete => break,
+                FetchOutcome::GoalChanged => {
+                    self.store.send_modify(|store| store.abandon(version));
+                    return;
+                }
+                FetchOutcome::ManifestDoubtful => {}
+            }
+            let refetched = Arc::new(fetcher.manifest().await);
+            if refetched != manifest {
+                EventLine::new("manifest_replaced")
+                    .field("model", &goal.model)
+                    .field("version", version)
+                    .warn();
+                manifest = refetched;
+            }
+        }
+        EventLine::new("version_staged")
+            .field("model", &goal.model)
+            .field("version", version)
+            .field("elapsed_ms", (self.clock.now() - started).as_millis())
+            .info();
+    }
+
+    /// Opens the store for a version. Pieces that an earlier sidecar process stored at the endpoint
+    /// are kept if they are valid.
+    async fn begin(&self, goal: &StageGoal, manifest: &Arc<StageManifest>) {
+        let is_new = self.store.send_if_modified(|store| store.begin(manifest));
+        let loaded = self.store.borrow().loaded_version(&goal.model);
+        if is_new && (loaded.is_none() || !goal.target.declared_while_running) {
+            self.keep_valid_pieces(manifest).await;
+        }
+    }
+
+    async fn keep_valid_pieces(&self, manifest: &StageManifest) {
+        let Ok(stored) = self.platform.staged_pieces(manifest.model()).await else { return };
+        for piece in stored {
+            if let Ok(Some(bytes)) = self.platform.read_piece(manifest.model(), piece).await
+                && manifest.verifies(piece, &bytes)
+            {
+                self.store.send_modify(|store| store.insert(manifest.version(), piece, bytes));
+            }
+        }
+    }
+
+    fn missing(&self, manifest: &StageManifest) -> BTreeSet<u32> {
+        let held = self.store.borrow().in_memory(manifest.version());
+        (0..manifest.piece_count()).filter(|piece| !held.contains_key(piece)).collect()
+    }
+
+    /// The current goal, if its version differs from that of `goal`.
+    fn newer_goal(&self, goal: &StageGoal) -> Option<StageGoal> {
+        let latest = self.view.borrow().goal(&self.settings);
+        latest.filter(|latest| latest.target.version != goal.target.version)
+    }
+
+    /// Fetches pieces until none is missing, the goal changes or the manifest proves doubtful.
+    async fn fetch_missing(
+        &mut self,
+        fetcher: &Arc<PieceFetcher<P>>,
+        manifest: &Arc<StageManifest>,
+    ) -> FetchOutcome {
+        let goal = &fetcher.goal;
+        let version = goal.target.version;
+        let region = self.settings.region_of(&self.settings.zone);
+        let own = self.settings.peer_address.to_string();
+        let missing = self.missing(manifest);
+        let started = self.clock.now();
+        let mut picker =
+            PiecePicker::new(&own, &region, version, missing, goal.origin_transfer, started);
+        let mut fetches = JoinSet::new();
+        let mut corrupt_count = 0;
+        let mut last_piece_at = started;
+        let mut logged_at = started;
+        let mut last_view: Option<Arc<StageView>> = None;
+        self.inventories.mark_changed();
+        while !picker.missing().is_empty() {
+            let now = self.clock.now();
+            self.update_peers(now, goal, &mut picker, &mut last_view);
+            if now - logged_at >= PROGRESS_INTERVAL {
+                logged_at = now;
+                log_progress(now, goal, &picker);
+            }
+            while let Some(fetch) = picker.start_next_fetch(now, rand::random()) {
+                let (fetcher, manifest) = (fetcher.clone(), manifest.clone());
+                fetches.spawn(async move {
+                    let outcome = fetcher.piece(&manifest, &fetch).await;
+                    (fetch, outcome)
+                });
+            }
+            let ended: Option<(PieceFetch, Result<Bytes, FetchFailure>)> =
+                match timeout(PICK_INTERVAL, fetches.join_next()).await {
+                    Ok(Some(Ok(ended))) => Some(ended),
+                    Ok(Some(Err(_))) | Err(_) => None,
+                    Ok(None) => {
+                        sleep(PICK_INTERVAL).await;
+                        None
+                    }
+                };
+            match ended {
+                Some((fetch, Ok(bytes))) => {
+                    picker.record_fetched(fetch.piece);
+                    self.store.send_modify(|store| store.insert(version, fetch.piece, bytes));
+                    last_piece_at = self.clock.now();
+                }
+                Some((fetch, Err(failure))) => {
+                    let from_origin = fetch.source == PieceSource::Origin;
+                    corrupt_count += u32::from(from_origin && failure == FetchFailure::Corrupt);
+                    picker.record_failure(self.clock.now(), fetch);
+                }
+                None => {}
+            }
+            // A version that was declared long enough before the newer one is finished first, since
+            // its own deadline still applies, unless no more pieces arrive.
+            let stalled = self.clock.now() - last_piece_at > STALL_TIMEOUT;
+            let newer = self.newer_goal(goal).map(|newer| newer.target);
+            if newer.is_some_and(|newer| {
+                stalled || !goal.target.is_worth_finishing(&newer, goal.origin_transfer)
+            }) {
+                return FetchOutcome::GoalChanged;
+            }
+            if corrupt_count >= MAX_CORRUPT_PIECES {
+                return FetchOutcome::ManifestDoubtful;
+            }
+        }
+        FetchOutcome::Complete
+    }
+
+    /// Passes the other sidecars and their inventories to the picker, if they changed.
+    fn update_peers(
+        &mut self,
+        now: MonoTime,
+        goal: &StageGoal,
+        picker: &mut PiecePicker,
+        last_view: &mut Option<Arc<StageView>>,
+    ) {
+        let view = self.view.borrow().clone();
+        if !last_view.as_ref().is_some_and(|last| Arc::ptr_eq(last, &view)) {
+            picker.set_peers(now, &view.sidecar_peers(now, &self.settings, goal));
+            *last_view = Some(view);
+        }
+        if !self.inventories.has_changed().unwrap_or(false) {
+            return;
+        }
+        let inventories = self.inventories.borrow_and_update();
+        for (at, inventory) in inventories.values() {
+            if inventory.model == goal.model
+                && inventory.version == goal.target.version
+                && now - *at < INVENTORY_MAX_AGE
+            {
+                let peer = SidecarPeer {
+                    address: inventory.sidecar.clone(),
+                    region: inventory.region.clone(),
+                    has_all_pieces: false,
+                };
+                picker.record_peer_pieces(now, *at, &peer, &inventory.pieces);
+            }
+        }
+    }
+}
+
+enum FetchOutcome {
+    Complete,
+    GoalChanged,
+    /// Too many pieces from the origin don't match the manifest, which may be wrong itself.
+    ManifestDoubtful,
+}
+
+fn log_progress(now: MonoTime, goal: &StageGoal, picker: &PiecePicker) {
+    EventLine::new("stage_progress")
+        .field("model", &goal.model)
+        .field("version", goal.target.version)
+        .field("missing", picker.missing().len())
+        .field("fetching", picker.fetch_count())
+        .field("first_missing", picker.missing().first().copied().unwrap_or_default())
+        .field("holders", picker.first_piece_holder_count(now))
+        .info();
+}
--- a/crates/celeryshed_stager/src/inventory_task.rs
+++ b/crates/celeryshed_stager/src/inventory_task.rs
@@ -1,15 +1,16 @@
-//! Sends the other sidecars an inventory of the pieces at this endpoint.
+//! Sends the other sidecars inventories of the pieces that this one holds.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use celeryshed_base::{ClockSource, MonoTime};
+use celeryshed_dispatch::LoadAudience;
 use celeryshed_peering::{PeerMessage, PeerSocket, PieceInventory};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-use crate::pieces::StagedPieces;
+use crate::piece_store::PieceStore;
 use crate::settings::SidecarSettings;
 use crate::view::StageView;
 
@@ -25,16 +26,21 @@
 /// listed.
 const SENDER_MAX_AGE: Duration = Duration::from_secs(2);
 
-/// The last inventory from each other sidecar by its address, with the time of receipt.
-pub(crate) type InventoryMap = BTreeMap<String, (MonoTime, PieceInventory)>;
+/// The last inventory of each version from each other sidecar, by the sidecar's address and the
+/// version, with the time of receipt.
+pub(crate) type InventoryMap = BTreeMap<(String, u64), (MonoTime, PieceInventory)>;
 
-/// Sends inventories while sidecars stage a version.
+/// Sends inventories to the sidecars of one audience while versions are collected.
+///
+/// Sidecars of the own region get them more often: within a region, each piece is passed on many
+/// times, but it comes from another region only once.
 pub(crate) struct InventoryTask {
+    pub(crate) audience: LoadAudience,
     pub(crate) settings: Arc<SidecarSettings>,
     pub(crate) clock: ClockSource,
     pub(crate) socket: Arc<PeerSocket>,
     pub(crate) view: watch::Receiver<Arc<StageView>>,
-    pub(crate) staged: watch::Receiver<StagedPieces>,
+    pub(crate) store: watch::Receiver<PieceStore>,
     pub(crate) inventories: watch::Receiver<InventoryMap>,
 }
 
@@ -47,42 +53,50 @@
             // silent sidecar out of their ranking, so it would lose its rank while the origin is
             // down.
             let resending = changed_at.is_some_and(|at| now - at < RESEND_PERIOD)
-                || self.staged.borrow().lacks_pieces();
+                || self.store.borrow().lacks_pieces();
             let change = if resending {
-                timeout(INVENTORY_INTERVAL, self.staged.changed()).await
+                timeout(INVENTORY_INTERVAL, self.store.changed()).await
             } else {
-                Ok(self.staged.changed().await)
+                Ok(self.store.changed().await)
             };
             match change {
                 Ok(Ok(())) => changed_at = Some(self.clock.now()),
                 Ok(Err(_closed)) => return,
                 Err(_elapsed) => {}
             }
-            let receiver_count = self.send_inventory();
+            let receiver_count = self.send_inventories();
             sleep(PAUSE_PER_RECEIVER * receiver_count as u32).await;
         }
     }
 
-    /// Sends the current inventory; returns the number of receivers.
-    fn send_inventory(&mut self) -> usize {
-        let staged = self.staged.borrow_and_update().clone();
-        let Some(manifest) = &staged.manifest else { return 0 };
-        let inventory = PieceInventory {
-            sidecar: self.settings.peer_address.to_string(),
-            region: self.settings.region_of(&self.settings.zone),
-            model: manifest.model().to_owned(),
-            version: manifest.version(),
-            pieces: staged.verified.into_iter().collect(),
-        };
+    /// Sends the current inventories; returns the number of receivers.
+    fn send_inventories(&mut self) -> usize {
         let now = self.clock.now();
-        let listed = self.view.borrow().sidecars(now, &self.settings);
+        let receivers = self.receivers(now);
+        let store = self.store.borrow_and_update();
+        for (manifest, pieces) in store.inventories() {
+            let inventory = PieceInventory {
+                sidecar: self.settings.peer_address.to_string(),
+                region: self.settings.region_of(&self.settings.zone),
+                model: manifest.model().to_owned(),
+                version: manifest.version(),
+                pieces,
+            };
+            self.socket.send(&PeerMessage::Pieces(inventory), &receivers);
+        }
+        receivers.len()
+    }
+
+    fn receivers(&self, now: MonoTime) -> BTreeSet<String> {
+        let in_own_region = self.audience == LoadAudience::OwnRegion;
+        let mut receivers: BTreeSet<String> =
+            self.view.borrow().sidecars(now, &self.settings, in_own_region).into_iter().collect();
         // The inventory of a sidecar that just started may arrive before it is listed.
+        let own_region = self.settings.region_of(&self.settings.zone);
         let inventories = self.inventories.borrow();
         let recent = inventories.values().filter(|(at, _)| now - *at < SENDER_MAX_AGE);
-        let senders = recent.map(|(_, inventory)| inventory.sidecar.clone());
-        let receivers: BTreeSet<String> = listed.into_iter().chain(senders).collect();
-        let receiver_count = receivers.len();
-        self.socket.send(&PeerMessage::Pieces(inventory), receivers);
-        receiver_count
+        let senders = recent.filter(|(_, sent)| (sent.region == own_region) == in_own_region);
+        receivers.extend(senders.map(|(_, inventory)| inventory.sidecar.clone()));
+        receivers
     }
 }
--- a/crates/celeryshed_stager/src/lib.rs
+++ b/crates/celeryshed_stager/src/lib.rs
@@ -6,7 +6,9 @@
 //! the origin of weights.
 
 mod fetch;
+mod fetch_task;
 mod inventory_task;
+mod piece_store;
 mod pieces;
 mod platform;
 mod process;
--- a/crates/celeryshed_stager/src/pieces.rs
+++ b/crates/celeryshed_stager/src/pieces.rs
@@ -1,11 +1,11 @@
-//! The pieces that are stored at the endpoint, and the server that passes them to other sidecars.
+//! Serves pieces, manifests and control records to other sidecars.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use bytes::Bytes;
 use celeryshed_base::{ClockSource, common_derives};
-use celeryshed_dispatch::{StageManifest, UploadPacer};
+use celeryshed_dispatch::UploadPacer;
 use celeryshed_peering::{ControlHandle, parse_control_query};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -13,6 +13,7 @@
 use tokio::sync::{Mutex, watch};
 use tokio::time::sleep;
 
+use crate::piece_store::{PieceLocation, PieceStore};
 use crate::platform::WeightPlatform;
 
 /// Path of requests for a piece.
@@ -21,18 +22,6 @@
 const MANIFEST_PATH: &str = "/manifest";
 
 common_derives! { value:
-    /// The weights that are stored at the endpoint.
-    #[derive(Default)]
-    pub(crate) struct StagedPieces {
-        /// The manifest of the version that is being staged; none before the first one is fetched.
-        pub(crate) manifest: Option<Arc<StageManifest>>,
-        /// Pieces of that version that are stored and match the manifest.
-        pub(crate) verified: BTreeSet<u32>,
-        /// Loaded version of each model; all its pieces are stored unless another version is being
-        /// staged.
-        pub(crate) loaded: BTreeMap<String, u64>,
-    }
-
     /// A request of another sidecar: for a piece, or for the manifest if `piece` is `None`.
     struct PieceQuery {
         model: String,
@@ -41,28 +30,6 @@
     }
 }
 
-impl StagedPieces {
-    fn is_staging(&self, query: &PieceQuery) -> bool {
-        self.manifest.as_ref().is_some_and(|manifest| {
-            manifest.model() == query.model && manifest.version() == query.version
-        })
-    }
-
-    /// Whether pieces of the version that is being staged are missing.
-    pub(crate) fn lacks_pieces(&self) -> bool {
-        let manifest = self.manifest.as_ref();
-        manifest.is_some_and(|manifest| self.verified.len() < manifest.piece_count() as usize)
-    }
-
-    fn can_serve(&self, query: &PieceQuery) -> bool {
-        let Some(piece) = query.piece else { return self.is_staging(query) };
-        if self.is_staging(query) {
-            return self.verified.contains(&piece);
-        }
-        self.manifest.is_none() && self.loaded.get(&query.model) == Some(&query.version)
-    }
-}
-
 /// Path and query of a request for a piece.
 pub(crate) fn piece_target(model: &str, version: u64, piece: u32) -> String {
     format!("{PIECE_PATH}?model={model}&version={version}&piece={piece}")
@@ -92,7 +59,7 @@
     pub(crate) clock: ClockSource,
     pub(crate) control: ControlHandle,
     pub(crate) platform: Arc<P>,
-    pub(crate) staged: watch::Receiver<StagedPieces>,
+    pub(crate) store: watch::Receiver<PieceStore>,
     pub(crate) pacer: Mutex<UploadPacer>,
 }
 
@@ -106,27 +73,36 @@
             };
         }
         let Some(query) = parse_target(target) else { return status(StatusCode::NOT_FOUND) };
-        let manifest = {
-            let staged = self.staged.borrow();
-            if !staged.can_serve(&query) {
-                return status(StatusCode::NOT_FOUND);
-            }
-            staged.manifest.clone()
-        };
-        match (query.piece, manifest) {
-            (Some(piece), _) => self.send_piece(&query.model, piece).await,
-            (None, Some(manifest)) => match rmp_serde::to_vec(&manifest.hex_digests()) {
-                Ok(bytes) => Response::new(Full::new(bytes.into())),
-                Err(_) => status(StatusCode::INTERNAL_SERVER_ERROR),
-            },
-            (None, None) => status(StatusCode::NOT_FOUND),
+        match query.piece {
+            Some(piece) => self.send_piece(&query, piece).await,
+            None => self.send_manifest(&query),
         }
     }
 
-    async fn send_piece(&self, model: &str, piece: u32) -> Response<Full<Bytes>> {
-        let Ok(Some(bytes)) = self.platform.read_piece(model, piece).await else {
+    fn send_manifest(&self, query: &PieceQuery) -> Response<Full<Bytes>> {
+        let store = self.store.borrow();
+        let manifest = store.manifest(query.version);
+        let Some(manifest) = manifest.filter(|manifest| manifest.model() == query.model) else {
             return status(StatusCode::NOT_FOUND);
         };
+        match rmp_serde::to_vec(&manifest.hex_digests()) {
+            Ok(bytes) => Response::new(Full::new(bytes.into())),
+            Err(_) => status(StatusCode::INTERNAL_SERVER_ERROR),
+        }
+    }
+
+    async fn send_piece(&self, query: &PieceQuery, piece: u32) -> Response<Full<Bytes>> {
+        let location = self.store.borrow().locate(&query.model, query.version, piece);
+        let bytes = match location {
+            Some(PieceLocation::Memory(bytes)) => bytes,
+            Some(PieceLocation::Endpoint) => {
+                match self.platform.read_piece(&query.model, piece).await {
+                    Ok(Some(bytes)) => bytes,
+                    Ok(None) | Err(_) => return status(StatusCode::NOT_FOUND),
+                }
+            }
+            None => return status(StatusCode::NOT_FOUND),
+        };
         let upload_delay = self.pacer.lock().await.schedule_upload(self.clock.now(), bytes.len());
         let Some(delay) = upload_delay else { return status(StatusCode::TOO_MANY_REQUESTS) };
         sleep(delay).await;
--- a/crates/celeryshed_stager/src/process.rs
+++ b/crates/celeryshed_stager/src/process.rs
@@ -1,6 +1,5 @@
 //! Starts the tasks of a sidecar; they run until SIGTERM.
 
-use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -8,7 +7,7 @@
 
 use bytes::Bytes;
 use celeryshed_base::ClockSource;
-use celeryshed_dispatch::UploadPacer;
+use celeryshed_dispatch::{LoadAudience, UploadPacer};
 use celeryshed_http::{ConnectionServer, ServerSettings};
 use celeryshed_observe::{EventLine, MetricsRegistry};
 use celeryshed_peering::{ControlHandle, ControlStore, PeerSocket, RecordDecoder, start_control};
@@ -18,8 +17,10 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Mutex, watch};
 
+use crate::fetch_task::FetchTask;
 use crate::inventory_task::{InventoryMap, InventoryTask};
-use crate::pieces::{PieceServer, StagedPieces};
+use crate::piece_store::PieceStore;
+use crate::pieces::PieceServer;
 use crate::platform::WeightPlatform;
 use crate::settings::SidecarSettings;
 use crate::stage_task::{EndpointCondition, StageTask};
@@ -80,7 +81,8 @@
         let registry = MetricsRegistry::install();
         let (control, events) = start_control(store, decoder, settings.control);
         let view = start_view(clock, settings.versions, events);
-        let (staged, staged_watch) = watch::channel(StagedPieces::default());
+        let (store_sender, store_watch) = watch::channel(PieceStore::default());
+        let piece_store = Arc::new(store_sender);
         let (condition, condition_watch) = watch::channel(EndpointCondition::default());
 
         let socket = PeerSocket::bind(settings.peer_address)
@@ -106,15 +108,18 @@
         let (_closing, closing) = watch::channel(false);
         let server = ConnectionServer::new(server_settings, closing);
         let listener = listen("the piece service", settings.peer_address).await?;
-        let inventory_task = InventoryTask {
-            settings: settings.clone(),
-            clock,
-            socket,
-            view: view.clone(),
-            staged: staged_watch.clone(),
-            inventories: inventories_watch.clone(),
-        };
-        tokio::spawn(inventory_task.run());
+        for audience in LoadAudience::ALL {
+            let inventory_task = InventoryTask {
+                audience,
+                settings: settings.clone(),
+                clock,
+                socket: socket.clone(),
+                view: view.clone(),
+                store: store_watch.clone(),
+                inventories: inventories_watch.clone(),
+            };
+            tokio::spawn(inventory_task.run());
+        }
         tokio::spawn(fetch_operator_records(
             settings.clone(),
             clock,
@@ -125,7 +130,7 @@
             clock,
             control,
             platform: platform.clone(),
-            staged: staged_watch,
+            store: store_watch,
             pacer: Mutex::new(UploadPacer::new(settings.link_bits_per_s)),
         });
         tokio::spawn(server.clone().run(listener, move |request, _from| {
@@ -137,16 +142,22 @@
             let text = registry.render();
             async move { Response::new(Full::new(Bytes::from(text))) }
         }));
+        let fetch_task = FetchTask {
+            settings: settings.clone(),
+            clock,
+            platform: platform.clone(),
+            view: view.clone(),
+            store: piece_store.clone(),
+            inventories: inventories_watch,
+        };
+        tokio::spawn(fetch_task.run());
         let stage_task = StageTask {
             settings: settings.clone(),
             clock,
             platform,
             view,
-            staged,
+            store: piece_store,
             condition,
-            inventories: inventories_watch,
-            endpoint_seen: false,
-            buffered_pieces: BTreeMap::new(),
         };
         tokio::spawn(stage_task.run());
         EventLine::new("started")
--- a/crates/celeryshed_stager/src/settings.rs
+++ b/crates/celeryshed_stager/src/settings.rs
@@ -26,6 +26,9 @@
     pub regions: BTreeMap<AvailabilityZone, RegionName>,
     /// Time limits until a declared version must be in force.
     pub versions: VersionDeadlines,
+    /// Memory for pieces of versions that the endpoint hasn't loaded, in bytes. A single version is
+    /// collected whatever its size.
+    pub piece_memory_bytes: usize,
     /// Bandwidth of the instance's own link in bits per second; zero means no limit.
     pub link_bits_per_s: u64,
     /// How the control records are read from the store.
--- a/crates/celeryshed_stager/src/status_task.rs
+++ b/crates/celeryshed_stager/src/status_task.rs
@@ -64,7 +64,8 @@
                     PeerMessage::Pieces(inventory) => {
                         let received = (receiving.clock.now(), inventory);
                         receiving.inventories.send_modify(|inventories| {
-                            inventories.insert(received.1.sidecar.clone(), received);
+                            let key = (received.1.sidecar.clone(), received.1.version);
+                            inventories.insert(key, received);
                         });
                     }
                     PeerMessage::Load(_) | PeerMessage::Status(_) => {}
--- a/crates/celeryshed_stager/src/view.rs
+++ b/crates/celeryshed_stager/src/view.rs
@@ -25,6 +25,8 @@
         pub(crate) origin: String,
         /// Time in which the origin's link carries all pieces of a version once.
         pub(crate) origin_transfer: Duration,
+        /// Bytes of all pieces of a version.
+        pub(crate) version_bytes: usize,
     }
 }
 
@@ -54,7 +56,24 @@
         let declared = self.versions.get(&model).and_then(|versions| versions.last());
         let target = declared.copied().unwrap_or(first);
         let origin_transfer = origin.transfer_time(engine.piece_count, engine.piece_bytes);
-        Some(StageGoal { model, target, origin: origin.address.clone(), origin_transfer })
+        let version_bytes = engine.piece_count as usize * engine.piece_bytes as usize;
+        let origin = origin.address.clone();
+        Some(StageGoal { model, target, origin, origin_transfer, version_bytes })
+    }
+
+    /// The goal of serving a declared version that may not be the newest one.
+    pub(crate) fn goal_of(&self, settings: &SidecarSettings, version: u64) -> Option<StageGoal> {
+        let newest = self.goal(settings)?;
+        let declared = self.versions.get(&newest.model).into_iter().flatten();
+        let target = declared.copied().find(|target| target.version == version);
+        Some(StageGoal { target: target.unwrap_or(newest.target), ..newest })
+            .filter(|goal| goal.target.version == version)
+    }
+
+    /// When a declared version has to be in force; `None` if it isn't known.
+    pub(crate) fn due_of(&self, model: &str, version: u64) -> Option<MonoTime> {
+        let versions = self.versions.get(model)?;
+        versions.iter().find(|target| target.version == version).map(|target| target.due_at)
     }
 
     /// When the first known version after `loaded` has to be in force; `None` if none is known.
@@ -80,11 +99,20 @@
             .collect()
     }
 
-    /// Addresses of the other sidecars of the service.
-    pub(crate) fn sidecars(&self, now: MonoTime, settings: &SidecarSettings) -> Vec<String> {
+    /// Addresses of the other sidecars of the service, either those of the own region or all others.
+    pub(crate) fn sidecars(
+        &self,
+        now: MonoTime,
+        settings: &SidecarSettings,
+        in_own_region: bool,
+    ) -> Vec<String> {
         let own = settings.peer_address.to_string();
-        let endpoints = self.endpoints(now, settings);
-        let sidecars = endpoints.iter().filter_map(|endpoint| settings.sidecar_address(endpoint));
+        let members = self.directory.endpoints(now).filter(|(_, endpoint)| {
+            endpoint.service == settings.service
+                && settings.is_in_own_region(&endpoint.zone) == in_own_region
+        });
+        let sidecars =
+            members.filter_map(|(_, endpoint)| settings.sidecar_address(&endpoint.address));
         sidecars.filter(|sidecar| *sidecar != own).collect()
     }
 
--- a/crates/celeryshed_stager/tests/support/mod.rs
+++ b/crates/celeryshed_stager/tests/support/mod.rs
@@ -221,6 +221,7 @@
             after_declaration: Duration::from_secs(8),
             after_start: Duration::from_secs(2),
         },
+        piece_memory_bytes: 1_000_000,
         link_bits_per_s: 0,
         control: ControlSettings {
             scope: ControlScope::Everything,
