Share reads of the list within a region; end stalled and endless answers

Cause: each of 53 entries read the whole list of 242 endpoints from the store every 1.6 s, half of all calls. A stream without data for 900 ms was cut whatever its route allows, any byte kept a stalled one alive for its whole time limit, and an event or an answer without end took the memory and the thread. The origin's link idled while inventories were on their way.

--- a/crates/celeryshed_dispatch/src/lib.rs
+++ b/crates/celeryshed_dispatch/src/lib.rs
@@ -24,6 +24,7 @@
 mod retry;
 mod routes;
 mod staging;
+mod stall;
 mod timing;
 mod waiting_queue;
 
@@ -36,7 +37,8 @@
 pub use health::{AttemptOutcome, HealthRecord, NotRunReason, UnknownReason};
 pub use load::{EndpointLoad, LoadReport, LoadScope, PeerLoad};
 pub use pacing::{
-    LoadAudience, heartbeat_interval, load_lifetime, message_lifetime, status_interval,
+    LoadAudience, heartbeat_interval, inventory_interval, load_lifetime, message_lifetime,
+    status_interval,
 };
 pub use peers::PeerAddress;
 pub use quarantine::{RequestFingerprint, RequestQuarantine};
@@ -51,4 +53,5 @@
     ManifestError, PieceFetch, PiecePicker, PieceSet, PieceSource, ReloadSchedule, SidecarPeer,
     StageManifest, UploadPacer, VersionTarget, manifest_sources,
 };
+pub use stall::StallLimits;
 pub use timing::EngineTiming;
--- a/crates/celeryshed_dispatch/src/pacing.rs
+++ b/crates/celeryshed_dispatch/src/pacing.rs
@@ -26,6 +26,8 @@
 const MIN_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1000);
 /// Time between two heartbeats for each receiving sidecar.
 const HEARTBEAT_INTERVAL_PER_SIDECAR: Duration = Duration::from_millis(15);
+/// Time between two inventories of pieces for each receiving sidecar.
+const INVENTORY_INTERVAL_PER_SIDECAR: Duration = Duration::from_millis(4);
 /// Intervals without a message after which the content of the last one no longer counts. Single
 /// datagrams may be lost.
 const LIFETIME_INTERVALS: f64 = 3.25;
@@ -104,6 +106,17 @@
     MIN_HEARTBEAT_INTERVAL.max(HEARTBEAT_INTERVAL_PER_SIDECAR * receivers as u32)
 }
 
+/// Shortest time between two inventories of pieces to `receivers` sidecars.
+///
+/// ```
+/// use celeryshed_dispatch::inventory_interval;
+/// use std::time::Duration;
+/// assert_eq!(inventory_interval(100), Duration::from_millis(400));
+/// ```
+pub fn inventory_interval(receivers: usize) -> Duration {
+    INVENTORY_INTERVAL_PER_SIDECAR * receivers as u32
+}
+
 /// Time for which a message counts whose sender repeats it at `interval`.
 ///
 /// ```
--- a/crates/celeryshed_dispatch/src/routes.rs
+++ b/crates/celeryshed_dispatch/src/routes.rs
@@ -42,6 +42,9 @@
         pub timeout: Duration,
         /// Time after the arrival within which an answer has its full value.
         pub target_latency: Duration,
+        /// Longest pause between two events with which a stream has its full value; zero if the
+        /// configuration names none.
+        pub target_gap: Duration,
         /// Priority among routes; zero is the most urgent. A team may override it.
         pub rank: u8,
         /// Services that the requests are split between by weight.
@@ -201,7 +204,7 @@
     /// # let targets = vec![SplitTarget { service: service.clone(), weight: SplitWeight(3) }];
     /// # let route = RouteRule { name: "r".into(), path_prefix: "/".into(),
     /// #     kind: RouteKind::Idempotent, timeout: Default::default(),
-    /// #     target_latency: Default::default(), rank: 0, targets, max_attempts: 1, anonymous: true };
+    /// #     target_latency: Default::default(), target_gap: Default::default(), rank: 0, targets, max_attempts: 1, anonymous: true };
     /// assert_eq!(route.pick_service(7), Some(&service));
     /// ```
     pub fn pick_service(&self, random: u64) -> Option<&ServiceName> {
--- a/crates/celeryshed_dispatch/src/staging/picker.rs
+++ b/crates/celeryshed_dispatch/src/staging/picker.rs
@@ -13,6 +13,7 @@
 use celeryshed_base::{MonoTime, RegionName, common_derives};
 
 use super::PieceSet;
+use crate::pacing::inventory_interval;
 use crate::rendezvous::rendezvous;
 
 /// Maximum number of concurrent fetches of one sidecar.
@@ -25,15 +26,16 @@
 /// Time after which the next sidecar of the ranking fetches a piece from the origin, as a multiple
 /// of the time that one copy takes over the origin's link.
 const ORIGIN_TURN_COPIES: f64 = 1.25;
-/// Maximum number of pieces that all sidecars together fetch from the origin concurrently. It is
-/// large enough to keep the origin's link busy until the sidecars learn which pieces have arrived,
-/// and small enough that the first pieces arrive early and are passed on meanwhile.
-const MAX_ORIGIN_PIECES: usize = 16;
+/// Number of pieces that all sidecars together fetch from the origin concurrently, in addition to
+/// those that its link carries until inventories arrive in other regions. It is small enough that the
+/// first pieces arrive early and are passed on meanwhile.
+const CONCURRENT_ORIGIN_PIECES: usize = 16;
 /// Time without a report after which a sidecar is left out of the ranking. Sidecars that fetch the
 /// version report several times within this time.
 const REPORT_LIFETIME: Duration = Duration::from_millis(1200);
-/// Time after which the next sidecar of a region's ranking fetches a piece from another region.
-const REGION_TURN_DELAY: Duration = Duration::from_millis(900);
+/// Time after which the next sidecar of a region's ranking fetches a piece from another region, in
+/// addition to the time until inventories from there arrive.
+const REGION_TURN_DELAY: Duration = Duration::from_millis(800);
 /// Time for which a sidecar is not asked again for a piece after a failed fetch.
 const PEER_FAILURE_PAUSE: Duration = Duration::from_millis(400);
 /// Time for which the origin is not asked again for a piece after a failed fetch. It is short
@@ -137,6 +139,8 @@
     version: u64,
     started_at: MonoTime,
     origin_transfer: Duration,
+    /// Time that one piece takes over the origin's link.
+    piece_transfer: Duration,
     missing: BTreeSet<u32>,
     /// Time of the last failed fetch from the origin.
     origin_failed_at: Option<MonoTime>,
@@ -161,12 +165,14 @@
         now: MonoTime,
     ) -> Self {
         let missing: BTreeSet<u32> = missing.into_iter().collect();
+        let piece_count = missing.last().map_or(1, |last| last + 1);
         Self {
             own_address: own.to_owned(),
             region: region.clone(),
             version,
             started_at: now,
             origin_transfer,
+            piece_transfer: origin_transfer / piece_count,
             origin_failed_at: None,
             missing,
             peers: BTreeMap::new(),
@@ -275,7 +281,7 @@
         let (remote, origin_only): (Vec<u32>, Vec<u32>) =
             not_local.into_iter().partition(|piece| held_anywhere.contains(*piece));
         let unheld = self.missing.iter().filter(|piece| !held_anywhere.contains(**piece));
-        let window_end = unheld.copied().nth(MAX_ORIGIN_PIECES);
+        let window_end = unheld.copied().nth(self.origin_window());
         let origin_only: Vec<u32> = origin_only
             .into_iter()
             .filter(|piece| window_end.is_none_or(|end| *piece < end))
@@ -297,6 +303,20 @@
         Some(fetch)
     }
 
+    /// Time until an inventory of a sidecar of another region is sent again.
+    fn far_inventory_interval(&self) -> Duration {
+        let local_count = self.peers.values().filter(|peer| peer.region == self.region).count();
+        inventory_interval(self.peers.len() - local_count)
+    }
+
+    /// Number of pieces that no sidecar is known to have and that may be fetched from the origin.
+    /// Its link would idle if all of them had arrived before other regions learn so.
+    fn origin_window(&self) -> usize {
+        let piece_us = self.piece_transfer.as_micros().max(1);
+        let unreported = self.far_inventory_interval().as_micros() / piece_us;
+        CONCURRENT_ORIGIN_PIECES + unreported as usize
+    }
+
     /// The pieces that eligible sidecars have.
     fn held_pieces(&self, now: MonoTime, eligible: impl Fn(&PeerPieces) -> bool) -> PieceSet {
         let mut held = PieceSet::default();
@@ -367,7 +387,8 @@
             return None;
         }
         let since = self.known_since.get(&piece)?;
-        let due = *since + REGION_TURN_DELAY * self.rank(now, piece, local);
+        let turn_delay = REGION_TURN_DELAY + self.far_inventory_interval();
+        let due = *since + turn_delay * self.rank(now, piece, local);
         if now < due {
             return None;
         }
--- a/crates/celeryshed_dispatch/tests/decisions.rs
+++ b/crates/celeryshed_dispatch/tests/decisions.rs
@@ -232,6 +232,7 @@
         kind: RouteKind::Idempotent,
         timeout: ms(1000),
         target_latency: ms(100),
+        target_gap: Duration::ZERO,
         rank: 1,
         targets: vec![SplitTarget { service: service("plain"), weight: SplitWeight(1) }],
         max_attempts: 2,
--- a/crates/celeryshed_dispatch/tests/staging.rs
+++ b/crates/celeryshed_dispatch/tests/staging.rs
@@ -323,6 +323,31 @@
     }
 }
 
+/// Guards against endpoints of two versions that reload at once when a third is declared: those that
+/// serve the second wait until the others, whose deadline is earlier, have reloaded.
+#[test]
+fn endpoints_of_older_version_reload_first() {
+    let names: Vec<String> = (0..24).map(|index| format!("10.0.0.{index}:8000")).collect();
+    let endpoints: Vec<&str> = names.iter().map(String::as_str).collect();
+    let (second_due, third_due) = (at(13_000), at(17_000));
+    let third = VersionTarget {
+        version: 3,
+        learned_at: at(4000),
+        due_at: third_due,
+        declared_while_running: true,
+    };
+    let reloads = |due_at, loaded_due_at| -> Vec<MonoTime> {
+        let plan =
+            |name| ReloadSchedule::plan(name, &endpoints, third, due_at, loaded_due_at, ms(4300));
+        endpoints.iter().map(|name| plan(name).reload_at).collect()
+    };
+    let last_of_first = reloads(second_due, None).into_iter().max().unwrap();
+    let first_of_second = reloads(third_due, Some(second_due)).into_iter().min().unwrap();
+    assert!(last_of_first < second_due, "{last_of_first:?}");
+    assert!(first_of_second >= last_of_first, "{first_of_second:?} {last_of_first:?}");
+    assert!(reloads(third_due, Some(second_due)).into_iter().max().unwrap() < third_due);
+}
+
 #[test]
 fn uploads_are_paced_by_link_bandwidth() {
     let mut pacer = UploadPacer::new(7_300_000);
--- a/crates/celeryshed_gateway/src/context.rs
+++ b/crates/celeryshed_gateway/src/context.rs
@@ -9,6 +9,7 @@
 
 use crate::dispatcher_task::DispatcherHandle;
 use crate::names::HeaderNames;
+use crate::request::BufferBudget;
 
 /// Phase of the shutdown after SIGTERM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,6 +31,8 @@
     pub(crate) dispatcher: DispatcherHandle,
     pub(crate) snapshot: watch::Receiver<Option<Arc<RoutingSnapshot>>>,
     pub(crate) shutdown_phase: watch::Receiver<ShutdownPhase>,
+    /// Memory for answers that are not complete.
+    pub(crate) buffers: BufferBudget,
 }
 
 impl GatewayContext {
--- a/crates/celeryshed_gateway/src/peer_task.rs
+++ b/crates/celeryshed_gateway/src/peer_task.rs
@@ -119,13 +119,15 @@
         members.map(|(address, _)| address.clone()).collect()
     }
 
-    fn record_entry(&self, address: &str, zone: Option<AvailabilityZone>) {
+    /// Records that an entry is there, and returns whether it is known to be in the own region.
+    fn record_entry(&self, address: &str, zone: Option<AvailabilityZone>) -> bool {
         let mut entries = self.entries.lock().expect("no holder of the lock panics");
         let heard_at = Instant::now();
         let entry =
             entries.entry(address.to_owned()).or_insert(EntryContact { heard_at, zone: None });
         entry.heard_at = heard_at;
         entry.zone = zone.or_else(|| entry.zone.take());
+        self.audience_of(entry.zone.as_ref()) == LoadAudience::OwnRegion
     }
 
     /// Sends heartbeats to the sidecars of `audience` until the process ends.
@@ -197,8 +199,8 @@
             match message {
                 PeerMessage::Load(load) => {
                     let peer = sender.to_string();
-                    self.control.report_peer_position(&peer, load.position);
-                    self.record_entry(&peer, load.zone.clone());
+                    let is_near = self.record_entry(&peer, load.zone.clone());
+                    self.control.report_peer_position(&peer, load.position, is_near);
                     self.dispatcher.apply_peer_load(PeerAddress(peer), load);
                 }
                 PeerMessage::Status(status) => {
--- a/crates/celeryshed_gateway/src/process.rs
+++ b/crates/celeryshed_gateway/src/process.rs
@@ -22,7 +22,7 @@
 use crate::context::{GatewayContext, ShutdownPhase};
 use crate::dispatcher_task::{DispatcherOutputs, start_dispatcher};
 use crate::peer_task::PeerTask;
-use crate::request::{GatewayBody, handle_request};
+use crate::request::{BufferBudget, GatewayBody, handle_request};
 use crate::settings::GatewaySettings;
 
 /// Time after SIGTERM in which requests are still accepted, because the platform sends callers here
@@ -99,6 +99,7 @@
             dispatcher,
             snapshot: snapshot.clone(),
             shutdown_phase: shutdown_watch.clone(),
+            buffers: BufferBudget::new(settings.answer_memory_bytes),
         });
         let callers = ConnectionServer::new(settings_watch.clone(), closing_watch.clone());
         let listener = listen("the callers' service", settings.caller_address).await?;
--- a/crates/celeryshed_gateway/src/request/attempt.rs
+++ b/crates/celeryshed_gateway/src/request/attempt.rs
@@ -6,10 +6,10 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use celeryshed_dispatch::{AttemptOutcome, EndpointTarget, NotRunReason, UnknownReason};
 use celeryshed_http::{HttpConnection, HttpError};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::{
     CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, EXPECT, HeaderName, HeaderValue, TE, TRAILER,
@@ -20,13 +20,12 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::names::HeaderNames;
+use crate::request::buffer::{BufferBudget, BufferLease};
 use crate::request::events::EventSplitter;
 use crate::request::parse::{CallerRequest, header_text};
 
 /// Limit for opening a connection to an endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
-/// Largest body of an answer that is not a stream.
-const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 /// Headers that apply to one connection only and are not forwarded.
 const CONNECTION_HEADERS: [HeaderName; 8] = [
     CONNECTION,
@@ -85,6 +84,8 @@
     pub(crate) start_deadline: Option<Instant>,
     /// Id of the event after which the stream resumes; none for a stream from its start.
     pub(crate) last_event: Option<u64>,
+    /// Memory for answers that are not complete.
+    pub(crate) buffers: &'a BufferBudget,
 }
 
 /// Sends a request to an endpoint, and waits for the complete answer or the first event.
@@ -147,13 +148,11 @@
     let (head, mut body) = response.into_parts();
     check_head(names, request, plan, &head)?;
     if !request.route.kind.is_stream() || !head.status.is_success() {
-        let whole = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-        let whole = whole.map_err(|_| AttemptOutcome::Unknown(UnknownReason::Reset))?;
-        let answer =
-            WholeAnswer { status: head.status, headers: head.headers, body: whole.to_bytes() };
+        let body = read_whole(body, plan.buffers.lease()).await?;
+        let answer = WholeAnswer { status: head.status, headers: head.headers, body };
         return Ok(ExchangeReply::Whole(answer));
     }
-    let mut splitter = EventSplitter::resume(plan.last_event);
+    let mut splitter = EventSplitter::resume(plan.last_event, plan.buffers.lease());
     loop {
         let frame = body.frame().await;
         let frame = frame.transpose().map_err(|_| AttemptOutcome::Unknown(UnknownReason::Reset))?;
@@ -162,13 +161,30 @@
             return Err(AttemptOutcome::Unknown(UnknownReason::Reset));
         };
         let Ok(data) = frame.into_data() else { continue };
-        if let Some(first) = splitter.push(data) {
+        let complete_events = splitter
+            .push(data)
+            .map_err(|_exceeded| AttemptOutcome::Unknown(UnknownReason::Malformed))?;
+        if let Some(first) = complete_events {
             let stream = StartedStream { head, first, body, splitter };
             return Ok(ExchangeReply::Stream(Box::new(stream)));
         }
     }
 }
 
+/// Reads a body to its end.
+async fn read_whole(mut body: Incoming, mut lease: BufferLease) -> Result<Bytes, AttemptOutcome> {
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| AttemptOutcome::Unknown(UnknownReason::Reset))?;
+        let Ok(data) = frame.into_data() else { continue };
+        lease
+            .resize(whole.len() + data.len())
+            .map_err(|_exceeded| AttemptOutcome::Unknown(UnknownReason::Malformed))?;
+        whole.extend_from_slice(&data);
+    }
+    Ok(whole.freeze())
+}
+
 fn exchange_failure(error: &HttpError) -> AttemptOutcome {
     match error {
         HttpError::Exchange { source, .. } if source.is_parse() => {
--- a/crates/celeryshed_gateway/src/request/events.rs
+++ b/crates/celeryshed_gateway/src/request/events.rs
@@ -2,13 +2,17 @@
 
 use bytes::{Bytes, BytesMut};
 
+use crate::request::buffer::{BufferExceeded, BufferLease};
+
 /// The blank line that ends an event.
 const EVENT_END: &[u8] = b"\n\n";
 
 /// Buffers bytes until an event is complete, and keeps the id of the last complete event.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct EventSplitter {
     pending: BytesMut,
+    /// Covers the pending bytes.
+    lease: BufferLease,
     last_id: Option<u64>,
     /// Events up to this id are skipped, because an earlier attempt forwarded them; `None` once a
     /// later event has arrived.
@@ -18,24 +22,32 @@
 impl EventSplitter {
     /// A splitter for a stream that resumes after the event `last_id`, which is `None` for a stream
     /// that starts at its first event.
-    pub(crate) fn resume(last_id: Option<u64>) -> Self {
-        Self { pending: BytesMut::new(), last_id, skip_to: last_id }
+    pub(crate) fn resume(last_id: Option<u64>, lease: BufferLease) -> Self {
+        Self { pending: BytesMut::new(), lease, last_id, skip_to: last_id }
     }
 
-    /// Adds bytes, and returns the events that are complete now.
-    pub(crate) fn push(&mut self, bytes: Bytes) -> Option<Bytes> {
+    /// Adds bytes, and returns the events that are complete now; an error if the event that is
+    /// being received is too large.
+    pub(crate) fn push(&mut self, bytes: Bytes) -> Result<Option<Bytes>, BufferExceeded> {
         let complete_events = if self.pending.is_empty() && bytes.ends_with(EVENT_END) {
             bytes
         } else {
+            self.lease.resize(self.pending.len() + bytes.len())?;
+            // The bytes before were searched already, but an end may begin with the last of them.
+            let searched = self.pending.len().saturating_sub(EVENT_END.len() - 1);
             self.pending.extend_from_slice(&bytes);
-            let end = find_last(&self.pending, EVENT_END)? + EVENT_END.len();
-            self.pending.split_to(end).freeze()
+            let Some(end) = find_last(&self.pending[searched..], EVENT_END) else {
+                return Ok(None);
+            };
+            let complete_events = self.pending.split_to(searched + end + EVENT_END.len()).freeze();
+            self.lease.resize(self.pending.len())?;
+            complete_events
         };
         let complete_events = self.skip_forwarded(complete_events);
         if let Some(id) = last_event_id(&complete_events) {
             self.last_id = Some(id);
         }
-        Some(complete_events).filter(|complete_events| !complete_events.is_empty())
+        Ok(Some(complete_events).filter(|complete_events| !complete_events.is_empty()))
     }
 
     /// Id of the last complete event.
--- a/crates/celeryshed_gateway/src/request/handle.rs
+++ b/crates/celeryshed_gateway/src/request/handle.rs
@@ -162,6 +162,7 @@
             give_up_at: self.give_up_at(sent_at, expected),
             start_deadline: self.context.start_deadline(target),
             last_event: self.request.last_event,
+            buffers: &self.context.buffers,
         };
         match send_attempt(&self.context.headers, &self.request, &plan).await {
             AttemptReply::Whole(answer) => {
--- a/crates/celeryshed_gateway/src/request/mod.rs
+++ b/crates/celeryshed_gateway/src/request/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod body;
+mod buffer;
 mod events;
 mod handle;
 mod parse;
@@ -9,4 +10,5 @@
 mod replies;
 
 pub(crate) use body::GatewayBody;
+pub(crate) use buffer::BufferBudget;
 pub(crate) use handle::handle_request;
--- a/crates/celeryshed_gateway/src/request/relay.rs
+++ b/crates/celeryshed_gateway/src/request/relay.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use celeryshed_dispatch::{
-    AttemptHistory, AttemptOutcome, EndpointId, RetryVerdict, UnknownReason,
+    AttemptHistory, AttemptOutcome, EndpointId, RetryVerdict, StallLimits, UnknownReason,
 };
 use celeryshed_observe::EventLine;
 use http_body_util::BodyExt;
@@ -17,10 +17,9 @@
 use crate::dispatcher_task::{PlacementPermit, PlacementVerdict};
 use crate::request::attempt::{AttemptPlan, AttemptReply, OpenStream, send_attempt};
 use crate::request::body::StreamBroken;
+use crate::request::buffer::BufferExceeded;
 use crate::request::parse::CallerRequest;
 
-/// Time without data after which a stream counts as broken off.
-const MAX_SILENCE: Duration = Duration::from_millis(900);
 /// Number of event batches that may wait for a slow caller.
 pub(crate) const EVENT_BUFFER_LEN: usize = 16;
 
@@ -86,8 +85,9 @@
     }
 
     async fn forward(&mut self, events: &mpsc::Sender<Result<Bytes, StreamBroken>>) -> RelayEnd {
+        let mut stalled_at = Instant::now() + self.stall_limit();
         loop {
-            let frame_deadline = (Instant::now() + MAX_SILENCE).min(self.due_at);
+            let frame_deadline = stalled_at.min(self.due_at);
             let frame = tokio::select! {
                 frame = timeout_at(frame_deadline, self.stream.body.frame()) => frame,
                 () = events.closed() => return RelayEnd::CallerDisconnected,
@@ -102,16 +102,33 @@
                 Ok(None) => return RelayEnd::Complete,
                 Ok(Some(Ok(frame))) => frame.into_data(),
             };
-            let Some(complete_events) = data.ok().and_then(|data| self.stream.splitter.push(data))
-            else {
-                continue;
+            let Ok(data) = data else { continue };
+            let complete_events = match self.stream.splitter.push(data) {
+                Ok(Some(complete_events)) => complete_events,
+                // Bytes that complete no event are no progress.
+                Ok(None) if Instant::now() >= stalled_at => {
+                    return RelayEnd::Broken(UnknownReason::Silent);
+                }
+                Ok(None) => continue,
+                Err(BufferExceeded) => return RelayEnd::Broken(UnknownReason::Malformed),
             };
             if events.send(Ok(complete_events)).await.is_err() {
                 return RelayEnd::CallerDisconnected;
             }
+            stalled_at = Instant::now() + self.stall_limit();
         }
     }
 
+    /// Longest time until the next whole event.
+    fn stall_limit(&self) -> Duration {
+        let limits = StallLimits::from(&self.request.route);
+        let route = &self.request.route;
+        let may_resume = route.kind.is_retryable()
+            && self.stream.splitter.last_id().is_some()
+            && self.history.may_have_run + 1 < route.max_attempts;
+        if may_resume { limits.resume_after } else { limits.give_up_after }
+    }
+
     /// Resumes the stream at another endpoint; `None` if no event with an id has arrived, the route
     /// or the retry budget allows no retry, or no endpoint accepts the stream.
     async fn resume(mut self, reason: UnknownReason) -> Option<Self> {
@@ -144,6 +161,7 @@
             give_up_at: self.due_at,
             start_deadline: context.start_deadline(&target),
             last_event,
+            buffers: &context.buffers,
         };
         let reply = send_attempt(&context.headers, &self.request, &plan).await;
         let AttemptReply::Stream(stream) = reply else {
--- a/crates/celeryshed_gateway/src/settings.rs
+++ b/crates/celeryshed_gateway/src/settings.rs
@@ -26,6 +26,9 @@
     pub sidecar_port: u16,
     /// Longest time from SIGTERM to the end of the process.
     pub grace_period: Duration,
+    /// Memory for answers of endpoints that are not complete, in bytes; a single one may take
+    /// a sixteenth of it.
+    pub answer_memory_bytes: usize,
     /// Zone, retry budget and version deadlines.
     pub dispatcher: DispatcherSettings,
     /// Scope and intervals for reading the store.
--- a/crates/celeryshed_gateway/tests/support/endpoint.rs
+++ b/crates/celeryshed_gateway/tests/support/endpoint.rs
@@ -19,14 +19,20 @@
     Reset,
     /// Keeps the connection open and silent until the entry closes it.
     Hang,
+    /// Sends the same bytes again and again, with a pause of this many milliseconds between, until
+    /// the entry closes the connection.
+    Repeat(&'static str, u64),
 }
 
 /// A request that an endpoint received.
 #[derive(Clone, Debug)]
 pub(crate) struct RecordedRequest {
     pub(crate) text: String,
-    /// When the entry closed the connection; set only during [`ScriptStep::Hang`].
+    /// When the entry closed the connection; set only during [`ScriptStep::Hang`] and
+    /// [`ScriptStep::Repeat`].
     pub(crate) closed_at: Option<Instant>,
+    /// Bytes that [`ScriptStep::Repeat`] has sent.
+    pub(crate) repeated_bytes: usize,
 }
 
 impl RecordedRequest {
@@ -77,7 +83,7 @@
     requests: Arc<Mutex<Vec<RecordedRequest>>>,
 ) {
     let Some(text) = read_request(&mut stream).await else { return };
-    let recorded = RecordedRequest { text, closed_at: None };
+    let recorded = RecordedRequest { text, closed_at: None, repeated_bytes: 0 };
     let id = recorded.header("x-request").unwrap_or_default().to_owned();
     let index = {
         let mut requests = requests.lock().unwrap();
@@ -91,6 +97,14 @@
                 let _ = stream.write_all(text.replace("{id}", &id).as_bytes()).await;
             }
             ScriptStep::Pause(millis) => sleep(Duration::from_millis(*millis)).await,
+            ScriptStep::Repeat(text, millis) => {
+                while stream.write_all(text.as_bytes()).await.is_ok() {
+                    requests.lock().unwrap()[index].repeated_bytes += text.len();
+                    sleep(Duration::from_millis(*millis)).await;
+                }
+                requests.lock().unwrap()[index].closed_at = Some(Instant::now());
+                return;
+            }
             ScriptStep::Reset => {
                 stream.set_zero_linger().unwrap();
                 return;
--- a/crates/celeryshed_gateway/tests/support/mod.rs
+++ b/crates/celeryshed_gateway/tests/support/mod.rs
@@ -61,6 +61,9 @@
     }
 }
 
+/// Memory of each entry for answers that are not complete.
+pub(crate) const ANSWER_MEMORY_BYTES: usize = 4_000_000;
+
 pub(crate) fn service(name: &str) -> ServiceName {
     ServiceName::try_from(name).unwrap()
 }
@@ -91,6 +94,7 @@
         kind,
         timeout: Duration::from_millis(if kind.is_stream() { 8000 } else { 3000 }),
         target_latency: Duration::from_millis(400),
+        target_gap: Duration::from_millis(300),
         rank: 1,
         targets: vec![SplitTarget { service: service("shop"), weight: SplitWeight(1) }],
         max_attempts,
@@ -163,6 +167,7 @@
             metrics_address: address(18083),
             sidecar_port: 18082,
             grace_period: Duration::from_secs(8),
+            answer_memory_bytes: ANSWER_MEMORY_BYTES,
             dispatcher: DispatcherSettings { zone, regions: Default::default(), budget, versions },
             control: ControlSettings {
                 scope: ControlScope::Everything,
@@ -206,11 +211,7 @@
 
     /// Like [`Self::call`], for answers that take longer than [`ANSWER_TIMEOUT`].
     pub(crate) async fn call_without_timeout(&self, request: &str) -> Received {
-        let mut stream = self.connect(request).await;
-        let mut bytes = Vec::new();
-        // A reset ends the answer like a close; the bytes received before it are kept.
-        let _ = stream.read_to_end(&mut bytes).await;
-        Received { text: String::from_utf8_lossy(&bytes).into_owned() }
+        read_answer(self.connect(request).await).await
     }
 
     /// Sends a request over a new connection.
@@ -235,3 +236,11 @@
         body.len()
     )
 }
+
+/// Reads an answer until its connection ends.
+pub(crate) async fn read_answer(mut stream: TcpStream) -> Received {
+    let mut bytes = Vec::new();
+    // A reset ends the answer like a close; the bytes received before it are kept.
+    let _ = stream.read_to_end(&mut bytes).await;
+    Received { text: String::from_utf8_lossy(&bytes).into_owned() }
+}
--- a/crates/celeryshed_peering/src/fetch.rs
+++ b/crates/celeryshed_peering/src/fetch.rs
@@ -8,6 +8,7 @@
 use celeryshed_http::{CallTimeouts, HttpClient, HttpError};
 use hyper::{Method, StatusCode};
 use serde_bytes::ByteBuf;
+use tokio::time::Instant;
 
 use crate::log::{ControlLog, ControlPosition};
 use crate::record::{ControlBatch, ControlRecord, ControlStream};
@@ -66,6 +67,8 @@
         /// Sent instead of the configuration's record if the scope is [`ControlScope::Weights`].
         services: Option<ServiceCatalog>,
         position: ControlPosition,
+        /// Milliseconds since the list of endpoints was read from the store; none if it never was.
+        list_age_ms: Option<u64>,
     }
 }
 
@@ -108,6 +111,7 @@
             endpoints: records(ControlStream::Endpoints, position.endpoints),
             services: None,
             position: log.position(),
+            list_age_ms: None,
         }
     }
 
@@ -124,6 +128,16 @@
         Self { services, ..reply }
     }
 
+    /// The reply with the time since the list of endpoints was read from the store.
+    pub(crate) fn with_list_age(self, age: Option<Duration>) -> Self {
+        Self { list_age_ms: age.map(|age| age.as_millis() as u64), ..self }
+    }
+
+    /// When the list of endpoints was read from the store; `None` if it never was.
+    pub(crate) fn list_read_at(&self) -> Option<Instant> {
+        Instant::now().checked_sub(Duration::from_millis(self.list_age_ms?))
+    }
+
     /// Encodes the reply for the wire.
     pub fn encode(&self) -> Bytes {
         // Encoding fails only for types that this struct doesn't contain.
--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -10,7 +10,7 @@
 use celeryshed_dispatch::{DirectoryRecord, EndpointId, ListedEndpoint, RoutingSnapshot};
 use celeryshed_observe::EventLine;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::fetch::{ControlQuery, ControlReply, ControlScope, fetch_control};
 use crate::log::{ControlLog, ControlPosition};
@@ -28,6 +28,9 @@
 /// Time after the start of a process with [`ControlScope::Weights`] until it reads the operators'
 /// records from the store, unless a peer has sent them before.
 const OPERATOR_FALLBACK_DELAY: Duration = Duration::from_secs(4);
+/// Fraction of the interval between two reads of the list of endpoints over which processes spread
+/// their reads. The first one to read passes the list on to the others of its region.
+const LIST_READ_SPREAD: f64 = 0.5;
 /// Pause after a failed fetch from a peer.
 const PEER_RETRY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -40,9 +43,10 @@
         /// the start and the operators' records only if no peer sends them; all later records
         /// come from peers.
         pub scope: ControlScope,
-        /// Pause between two reads of the list of endpoints.
+        /// Age of the list of endpoints from which a newer one is fetched, from a peer of the own
+        /// region or from the store.
         pub endpoints_interval: Duration,
-        /// Age of the list of endpoints beyond which a newer one is fetched from a peer.
+        /// Age of the list of endpoints beyond which a newer one is fetched from any peer.
         pub endpoints_max_age: Duration,
     }
 
@@ -69,6 +73,14 @@
     }
 }
 
+/// The position that a peer told.
+#[derive(Clone, Debug)]
+struct PeerPosition {
+    peer: String,
+    position: ControlPosition,
+    is_near: bool,
+}
+
 /// Messages to the control task.
 enum ControlInput {
     Batch {
@@ -82,10 +94,7 @@
         stream: ControlStream,
         error: StoreError,
     },
-    PeerPosition {
-        peer: String,
-        position: ControlPosition,
-    },
+    PeerPosition(PeerPosition),
     Query {
         query: ControlQuery,
         reply: oneshot::Sender<Bytes>,
@@ -102,11 +111,14 @@
 
 impl ControlHandle {
     /// Reports the position of a peer; if this process is behind, it may fetch records from there.
-    pub fn report_peer_position(&self, peer: &str, position: ControlPosition) {
+    ///
+    /// `is_near` states whether the peer is in the own region.
+    pub fn report_peer_position(&self, peer: &str, position: ControlPosition, is_near: bool) {
         if position.operator > self.position().operator
             || position.endpoints > self.position().endpoints
         {
-            let input = ControlInput::PeerPosition { peer: peer.to_owned(), position };
+            let peer = peer.to_owned();
+            let input = ControlInput::PeerPosition(PeerPosition { peer, position, is_near });
             // The task ends only with the process.
             let _ = self.inputs.send(input);
         }
@@ -153,6 +165,7 @@
     let (events, event_stream) = mpsc::unbounded_channel();
     let (position, position_watch) = watch::channel(ControlPosition::default());
     let list_failed = Arc::new(Notify::new());
+    let (list_read_at, list_read_watch) = watch::channel(None);
     for stream in [ControlStream::Operator, ControlStream::Endpoints] {
         let reader = StoreReader {
             stream,
@@ -161,6 +174,7 @@
             inputs: inputs.clone(),
             position: position_watch.clone(),
             list_failed: list_failed.clone(),
+            list_read_at: list_read_watch.clone(),
         };
         tokio::spawn(reader.run());
     }
@@ -174,7 +188,7 @@
         endpoints: BTreeMap::new(),
         services: None,
         revision: None,
-        list_updated_at: None,
+        list_read_at,
         store_failing: false,
         fetching: false,
         pending_peer: None,
@@ -203,13 +217,13 @@
     endpoints: BTreeMap<String, (LogOffset, Option<ListedEndpoint>)>,
     services: Option<KnownServices>,
     revision: Option<celeryshed_base::ConfigRevision>,
-    /// When the last batch of the list of endpoints arrived, from the store or from a peer.
-    list_updated_at: Option<Instant>,
+    /// When the known list of endpoints was read from the store, by this process or a peer.
+    list_read_at: watch::Sender<Option<Instant>>,
     store_failing: bool,
     /// Whether a fetch from a peer is in progress.
     fetching: bool,
     /// The last peer that was ahead of this process during a fetch from another peer.
-    pending_peer: Option<(String, ControlPosition)>,
+    pending_peer: Option<PeerPosition>,
 }
 
 impl<D: RecordDecoder> ControlTask<D> {
@@ -218,6 +232,9 @@
             match input {
                 ControlInput::Batch { stream, batch } => {
                     self.store_answered();
+                    if stream == ControlStream::Endpoints {
+                        self.list_read_at.send_replace(Some(Instant::now()));
+                    }
                     self.merge(stream, batch);
                 }
                 ControlInput::PeerReply(mut reply) => {
@@ -225,6 +242,13 @@
                     if let Some(catalog) = reply.take_services() {
                         self.apply_services(reply.position().operator, catalog);
                     }
+                    if let Some(read_at) = reply.list_read_at() {
+                        self.list_read_at.send_if_modified(|known| {
+                            let is_newer = known.is_none_or(|known| known < read_at);
+                            *known = (*known).max(Some(read_at));
+                            is_newer
+                        });
+                    }
                     for (stream, batch) in reply.into_batches() {
                         self.merge(stream, batch);
                     }
@@ -235,9 +259,7 @@
                     self.fetch_from_pending_peer();
                 }
                 ControlInput::StoreFailed { stream, error } => self.store_failed(stream, &error),
-                ControlInput::PeerPosition { peer, position } => {
-                    self.fetch_if_behind(peer, position)
-                }
+                ControlInput::PeerPosition(peer) => self.fetch_if_behind(peer),
                 ControlInput::Query { query, reply } => {
                     // The peer may have disconnected.
                     let _ = reply.send(self.reply_to(query).encode());
@@ -248,7 +270,8 @@
 
     fn reply_to(&self, query: ControlQuery) -> ControlReply {
         let position = query.position;
-        match (query.scope, &self.services) {
+        let list_age = self.list_read_at.borrow().map(|at| at.elapsed());
+        let reply = match (query.scope, &self.services) {
             (ControlScope::Weights, Some(known)) => {
                 let changed = known.changed_at >= position.operator;
                 let services = changed.then(|| known.catalog.clone());
@@ -258,13 +281,11 @@
             (ControlScope::Weights, None) | (ControlScope::Everything, _) => {
                 ControlReply::changed_since(&self.log, position)
             }
-        }
+        };
+        reply.with_list_age(list_age)
     }
 
     fn merge(&mut self, stream: ControlStream, batch: ControlBatch) {
-        if stream == ControlStream::Endpoints {
-            self.list_updated_at = Some(Instant::now());
-        }
         // A peer without records replies with an empty batch. The first records that arrive after
         // such a batch may be old too, so the position decides and not the number of batches.
         let initial = self.log.position().operator == LogOffset::default();
@@ -377,25 +398,34 @@
     }
 
     fn fetch_from_pending_peer(&mut self) {
-        if let Some((peer, position)) = self.pending_peer.take() {
-            self.fetch_if_behind(peer, position);
+        if let Some(peer) = self.pending_peer.take() {
+            self.fetch_if_behind(peer);
         }
     }
 
     /// Fetches records from a peer that is ahead, unless the store delivers them in time.
-    fn fetch_if_behind(&mut self, peer: String, position: ControlPosition) {
+    ///
+    /// While the store fails, a removal from the list may only mean that a registration expired
+    /// during the outage; this process then learns from the store itself when the outage ends.
+    fn fetch_if_behind(&mut self, sender: PeerPosition) {
+        let PeerPosition { position, is_near, .. } = sender;
         let known = self.log.position();
-        let max_age = self.settings.endpoints_max_age;
-        let stale = self.list_updated_at.is_none_or(|at| at.elapsed() > max_age);
+        let max_age = if is_near && !self.store_failing {
+            self.settings.endpoints_interval
+        } else {
+            self.settings.endpoints_max_age
+        };
+        let stale = self.list_read_at.borrow().is_none_or(|at| at.elapsed() > max_age);
         let behind =
             position.operator > known.operator || (position.endpoints > known.endpoints && stale);
         if !behind {
             return;
         }
         if std::mem::replace(&mut self.fetching, true) {
-            self.pending_peer = Some((peer, position));
+            self.pending_peer = Some(sender);
             return;
         }
+        let peer = sender.peer;
         let inputs = self.inputs.clone();
         let scope = self.settings.scope;
         let mut latest = self.position.subscribe();
@@ -445,6 +475,8 @@
     /// Notified when a read of the list of endpoints fails. The pending read of the operators'
     /// records may then wait on a dead connection, so it is cancelled and sent again.
     list_failed: Arc<Notify>,
+    /// When the known list of endpoints was read from the store, by this process or a peer.
+    list_read_at: watch::Receiver<Option<Instant>>,
 }
 
 impl<S: ControlStore> StoreReader<S> {
@@ -500,7 +532,26 @@
             if failed {
                 sleep(STORE_RETRY_PAUSE).await;
             } else if stream == ControlStream::Endpoints {
-                sleep(self.settings.endpoints_interval).await;
+                self.wait_for_old_list().await;
+                // Peers may have sent later records meanwhile.
+                position = position.max(Some(self.position.borrow().endpoints));
+            }
+        }
+    }
+
+    /// Waits until the list of endpoints is so old that this process reads it again.
+    async fn wait_for_old_list(&mut self) {
+        let interval = self.settings.endpoints_interval;
+        let max_age = interval + interval.mul_f64(LIST_READ_SPREAD * rand::random::<f64>());
+        loop {
+            let read_at = *self.list_read_at.borrow_and_update();
+            let due_at = read_at.map_or_else(Instant::now, |at| at + max_age);
+            if due_at <= Instant::now() {
+                return;
+            }
+            tokio::select! {
+                () = sleep_until(due_at) => {}
+                _ = self.list_read_at.changed() => {}
             }
         }
     }
--- a/crates/celeryshed_stager/src/inventory_task.rs
+++ b/crates/celeryshed_stager/src/inventory_task.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use celeryshed_base::{ClockSource, MonoTime};
-use celeryshed_dispatch::LoadAudience;
+use celeryshed_dispatch::{LoadAudience, inventory_interval};
 use celeryshed_peering::{PeerMessage, PeerSocket, PieceInventory};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
@@ -16,8 +16,6 @@
 
 /// Interval of inventories while no new piece arrives.
 const INVENTORY_INTERVAL: Duration = Duration::from_millis(450);
-/// Shortest time between two inventories, for each of their receivers.
-const PAUSE_PER_RECEIVER: Duration = Duration::from_millis(4);
 /// Time after the last new piece in which inventories are still sent, for sidecars that start
 /// later.
 const RESEND_PERIOD: Duration = Duration::from_secs(6);
@@ -65,7 +63,7 @@
                 Err(_elapsed) => {}
             }
             let receiver_count = self.send_inventories();
-            sleep(PAUSE_PER_RECEIVER * receiver_count as u32).await;
+            sleep(inventory_interval(receiver_count)).await;
         }
     }
 
--- a/crates/celeryshed_stager/tests/support/mod.rs
+++ b/crates/celeryshed_stager/tests/support/mod.rs
@@ -23,7 +23,8 @@
     WeightPlatform,
 };
 use sha2::{Digest, Sha256};
-use tokio::time::sleep;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
 
 pub(crate) const MODEL: &str = "letters";
 pub(crate) const PIECES: u32 = 8;
@@ -42,6 +43,8 @@
     pub(crate) loaded: Mutex<BTreeMap<String, u64>>,
     /// Pieces that the origin was asked for, in the order of the requests.
     pub(crate) fetched: Mutex<Vec<u32>>,
+    /// Versions whose load was ordered, in the order of the orders.
+    pub(crate) ordered: Mutex<Vec<u64>>,
 }
 
 impl FakeWeights {
@@ -50,7 +53,7 @@
         Arc::new(Self {
             staged: Mutex::new(staged.into_iter().collect()),
             loaded: Mutex::new(BTreeMap::from([(MODEL.to_owned(), loaded)])),
-            fetched: Mutex::default(),
+            ..Self::default()
         })
     }
 
@@ -91,6 +94,7 @@
             (0..PIECES).all(|piece| staged.get(&piece) == Some(&piece_bytes(version, piece)));
         assert!(complete, "load ordered before all pieces of version {version} were staged");
         self.loaded.lock().unwrap().insert(model.to_owned(), version);
+        self.ordered.lock().unwrap().push(version);
         Ok(ReloadReply::Started)
     }
 
@@ -119,49 +123,84 @@
     }
 }
 
-/// A store with records that were all written before the sidecar started.
+/// A store with a configuration and a list of endpoints. The operator may declare further versions.
 pub(crate) struct FakeStore {
-    version: u64,
-    endpoint: String,
+    /// Declared versions, oldest first.
+    declared: watch::Sender<Vec<u64>>,
+    endpoints: Vec<String>,
 }
 
 impl FakeStore {
-    fn batch(&self, stream: ControlStream) -> ControlBatch {
-        let keys: &[&str] = match stream {
-            ControlStream::Operator => &["configuration", "version"],
-            ControlStream::Endpoints => &["i-1"],
-        };
-        let records = keys.iter().enumerate().map(|(offset, key)| ControlRecord {
-            key: (*key).to_owned(),
+    /// Declares a further version.
+    pub(crate) fn declare(&self, version: u64) {
+        self.declared.send_modify(|declared| declared.push(version));
+    }
+
+    fn operator_records(&self) -> Vec<ControlRecord> {
+        let configuration = ("configuration".to_owned(), Bytes::new());
+        let declared = self.declared.borrow();
+        let versions = declared.iter().map(|version| ("version".to_owned(), version.to_string()));
+        let versions = versions.map(|(key, version)| (key, Bytes::from(version)));
+        let records = std::iter::once(configuration).chain(versions).enumerate();
+        let record = |(offset, (key, value))| ControlRecord {
+            key,
             offset: LogOffset(offset as u64),
-            value: Some(Bytes::new()),
+            value: Some(value),
+        };
+        records.map(record).collect()
+    }
+
+    fn endpoint_records(&self) -> Vec<ControlRecord> {
+        let records = self.endpoints.iter().enumerate().map(|(index, address)| ControlRecord {
+            key: format!("i-{index}"),
+            offset: LogOffset(index as u64),
+            value: Some(Bytes::from(address.clone())),
         });
-        let end = LogOffset(keys.len() as u64);
-        ControlBatch { records: records.collect(), end, is_snapshot: true }
+        records.collect()
+    }
+
+    fn batch(&self, stream: ControlStream) -> ControlBatch {
+        let records = match stream {
+            ControlStream::Operator => self.operator_records(),
+            ControlStream::Endpoints => self.endpoint_records(),
+        };
+        let end = LogOffset(records.len() as u64);
+        ControlBatch { records, end, is_snapshot: true }
     }
 }
 
 impl ControlStore for FakeStore {
     async fn newest(&self, stream: ControlStream) -> Result<ControlBatch, StoreError> {
-        Ok(self.batch(stream))
+        let mut batch = self.batch(stream);
+        if stream == ControlStream::Operator {
+            // Only the newest record of each key is kept.
+            let newest = batch.records.len() - 1;
+            batch.records.retain(|record| record.offset.0 == 0 || record.offset.0 == newest as u64);
+        }
+        Ok(batch)
     }
 
     async fn read(
         &self,
         stream: ControlStream,
-        _from: LogOffset,
+        from: LogOffset,
         wait: Duration,
     ) -> Result<ReadOutcome, StoreError> {
-        sleep(wait).await;
-        Ok(ReadOutcome::Records(self.batch(stream)))
+        let mut declared = self.declared.subscribe();
+        // A read without new records ends after the wait.
+        let _ = timeout(wait, declared.wait_for(|all| all.len() as u64 >= from.0)).await;
+        let mut batch = self.batch(stream);
+        batch.records.retain(|record| record.offset >= from);
+        batch.is_snapshot = false;
+        Ok(ReadOutcome::Records(batch))
     }
 }
 
 impl RecordDecoder for FakeStore {
-    fn operator(&self, key: &str, _value: &[u8]) -> Result<OperatorRecord, DecodeError> {
+    fn operator(&self, key: &str, value: &[u8]) -> Result<OperatorRecord, DecodeError> {
         if key == "version" {
-            let (model, version) = (MODEL.to_owned(), self.version);
-            return Ok(OperatorRecord::ModelVersion { model, version });
+            let version = std::str::from_utf8(value).unwrap().parse().unwrap();
+            return Ok(OperatorRecord::ModelVersion { model: MODEL.to_owned(), version });
         }
         let mut snapshot = RoutingSnapshot { revision: ConfigRevision(1), ..Default::default() };
         let engine = Some(EngineProfile {
@@ -186,10 +225,10 @@
         Ok(OperatorRecord::Configuration(Box::new(snapshot)))
     }
 
-    fn endpoint(&self, _key: &str, _value: &[u8]) -> Result<ListedEndpoint, DecodeError> {
+    fn endpoint(&self, _key: &str, value: &[u8]) -> Result<ListedEndpoint, DecodeError> {
         Ok(ListedEndpoint {
             service: service("writer"),
-            address: self.endpoint.clone(),
+            address: String::from_utf8(value.to_vec()).unwrap(),
             zone: AvailabilityZone::try_from("north-a").unwrap(),
             slots: 4,
             state: EndpointState::Ready,
@@ -203,17 +242,37 @@
     ServiceName::try_from(name).unwrap()
 }
 
-/// Starts a sidecar whose store declares `version`, and returns the address of its peer socket.
-pub(crate) fn start_sidecar(weights: &Arc<FakeWeights>, version: u64) -> SocketAddr {
+/// The next loopback address for a sidecar of this test process.
+fn next_ip() -> String {
     let host = NEXT_HOST.fetch_add(1, Ordering::Relaxed);
     let pid = std::process::id();
-    let ip = format!("127.{}.{}.{}", 1 + pid % 250, 1 + (pid / 250) % 250, host);
+    format!("127.{}.{}.{}", 1 + pid % 250, 1 + (pid / 250) % 250, host)
+}
+
+/// Address of the endpoint beside the sidecar at `ip`.
+fn endpoint_address(ip: &str) -> String {
+    format!("{ip}:18094")
+}
+
+/// Starts a sidecar whose store declares `version`, and returns the address of its peer socket.
+pub(crate) fn start_sidecar(weights: &Arc<FakeWeights>, version: u64) -> SocketAddr {
+    start_listed_sidecar(weights, version, |_own| Vec::new()).0
+}
+
+/// Starts a sidecar whose store declares `version` and lists other endpoints. `others` gets the
+/// address of the own endpoint, and returns those of the others.
+pub(crate) fn start_listed_sidecar(
+    weights: &Arc<FakeWeights>,
+    version: u64,
+    others: impl Fn(&str) -> Vec<String>,
+) -> (SocketAddr, Arc<FakeStore>) {
+    let ip = next_ip();
     let address = |port: u16| format!("{ip}:{port}").parse().unwrap();
     let settings = SidecarSettings {
         name: "side-1".to_owned(),
         peer_address: address(18092),
         metrics_address: address(18093),
-        endpoint: format!("{ip}:18094"),
+        endpoint: endpoint_address(&ip),
         service: service("writer"),
         zone: AvailabilityZone::try_from("north-a").unwrap(),
         regions: BTreeMap::new(),
@@ -229,9 +288,12 @@
             endpoints_max_age: Duration::from_millis(500),
         },
     };
-    let store = Arc::new(FakeStore { version, endpoint: settings.endpoint.clone() });
-    let weights = weights.clone();
+    let mut endpoints = others(&settings.endpoint);
+    endpoints.push(settings.endpoint.clone());
+    let (declared, _) = watch::channel(vec![version]);
+    let store = Arc::new(FakeStore { declared, endpoints });
+    let (weights, fake) = (weights.clone(), store.clone());
     let peer_address = settings.peer_address;
-    tokio::spawn(async move { SidecarProcess::run(settings, store.clone(), store, weights).await });
-    peer_address
+    tokio::spawn(async move { SidecarProcess::run(settings, fake.clone(), fake, weights).await });
+    (peer_address, store)
 }
