Tell of a new piece at once, and store pieces at the endpoint as they arrive

Cause: inventories of 235 sidecars reach other regions every 0.75 s, so that pieces wait for hops; all sidecars of a region ask the first holder of a piece and are refused; pieces in memory alone are lost when all processes are killed. Change: an inventory at once after a piece that its receivers may not know of, others half as often; as many sidecars ask for a piece as its holders serve; EndpointStage writes pieces through unless the stage is reserved for a load; a request is placed on an older version only if it starts well before the deadline. distribution_is_not_delayed_by_late_inventories replays 80 sidecars.

--- a/crates/celeryshed_dispatch/src/dispatcher.rs
+++ b/crates/celeryshed_dispatch/src/dispatcher.rs
@@ -614,6 +614,7 @@
                 distance: self.distance(&endpoint.zone),
                 timing,
                 closing_at: record.fresh_status(now).and_then(|status| status.closing_at),
+                start_deadline: self.served_start_deadline(now, endpoint, record, profile),
             })
         });
         CandidatePool::new(candidates.collect(), limits)
@@ -670,6 +671,19 @@
         due.next().map(|(version, _)| *version)
     }
 
+    /// Time until which a request may start on the version that an endpoint serves; `None` if no newer
+    /// version is declared.
+    fn served_start_deadline(
+        &self,
+        now: MonoTime,
+        endpoint: &ListedEndpoint,
+        record: &EndpointRecord,
+        profile: &RequestProfile,
+    ) -> Option<MonoTime> {
+        let model = profile.model.as_deref()?;
+        self.start_deadline(model, self.served_version(now, endpoint, record, model)?)
+    }
+
     /// Time until which requests may start on the version `served`; `None` if no newer version is
     /// declared.
     fn start_deadline(&self, model: &str, served: u64) -> Option<MonoTime> {
--- a/crates/celeryshed_dispatch/src/pacing.rs
+++ b/crates/celeryshed_dispatch/src/pacing.rs
@@ -27,7 +27,7 @@
 /// Time between two heartbeats for each receiving sidecar.
 const HEARTBEAT_INTERVAL_PER_SIDECAR: Duration = Duration::from_millis(15);
 /// Time between two inventories of pieces for each receiving sidecar.
-const INVENTORY_INTERVAL_PER_SIDECAR: Duration = Duration::from_millis(4);
+const INVENTORY_INTERVAL_PER_SIDECAR: Duration = Duration::from_millis(8);
 /// Intervals without a message after which the content of the last one no longer counts. Single
 /// datagrams may be lost.
 const LIFETIME_INTERVALS: f64 = 3.25;
@@ -35,12 +35,12 @@
 const MIN_LOAD_LIFETIME: Duration = Duration::from_millis(1500);
 
 common_derives! { value:
-    /// The receivers of a load report.
+    /// The receivers of a load report or of an inventory of pieces.
     #[derive(Copy, PartialOrd, Ord)]
     pub enum LoadAudience {
-        /// Entries of the sender's region.
+        /// Processes of the sender's region.
         OwnRegion,
-        /// Entries of all other regions.
+        /// Processes of all other regions.
         OtherRegions,
     }
 }
@@ -106,12 +106,13 @@
     MIN_HEARTBEAT_INTERVAL.max(HEARTBEAT_INTERVAL_PER_SIDECAR * receivers as u32)
 }
 
-/// Shortest time between two inventories of pieces to `receivers` sidecars.
+/// Time between two inventories of pieces to `receivers` sidecars, unless a piece arrives that none
+/// of them may know of yet.
 ///
 /// ```
 /// use celeryshed_dispatch::inventory_interval;
 /// use std::time::Duration;
-/// assert_eq!(inventory_interval(100), Duration::from_millis(400));
+/// assert_eq!(inventory_interval(50), Duration::from_millis(400));
 /// ```
 pub fn inventory_interval(receivers: usize) -> Duration {
     INVENTORY_INTERVAL_PER_SIDECAR * receivers as u32
--- a/crates/celeryshed_dispatch/src/placement.rs
+++ b/crates/celeryshed_dispatch/src/placement.rs
@@ -32,6 +32,8 @@
 const OTHER_REGION_PENALTY: Duration = Duration::from_millis(25);
 /// Time added to the score of an endpoint in another availability zone of the same region.
 const OTHER_ZONE_PENALTY: Duration = Duration::from_millis(6);
+/// Multiple of the expected time to the first token within which a request is certain to start.
+const START_TIME_RESERVE: f64 = 2.5;
 /// Smallest number of endpoints of a region, or of all other regions, that are compared.
 const MIN_COMPARED: usize = 2;
 /// Maximum random time added to a score, so that entries with equal information choose differently.
@@ -55,6 +57,8 @@
     pub(crate) distance: Distance,
     pub(crate) timing: Option<EngineTiming>,
     pub(crate) closing_at: Option<MonoTime>,
+    /// Time until which requests may start, after which a newer version is in force.
+    pub(crate) start_deadline: Option<MonoTime>,
 }
 
 common_derives! { value:
@@ -92,6 +96,14 @@
         self.load.running < limit
     }
 
+    /// Whether the request is certain enough to start before a newer version is in force. A request
+    /// that is withdrawn at that time may run all the same: not every endpoint notices at once.
+    fn starts_in_time(&self, query: &PlacementQuery<'_>) -> bool {
+        let Some(start_deadline) = self.start_deadline else { return true };
+        let expected = self.expected_time(query.profile).mul_f64(self.health.slowdown());
+        query.now + expected.mul_f64(START_TIME_RESERVE) <= start_deadline
+    }
+
     fn expected_time(&self, profile: &RequestProfile) -> Duration {
         match self.timing {
             Some(timing) => timing.first_token_time(self.load, profile.prompt_tokens),
@@ -198,7 +210,7 @@
             return PlacementChoice::NoEndpoint;
         }
         let (suspended, open): (Vec<&Candidate<'c>>, Vec<_>) = untried
-            .filter(|candidate| candidate.has_capacity())
+            .filter(|candidate| candidate.has_capacity() && candidate.starts_in_time(query))
             .partition(|candidate| candidate.health.is_suspended(query.now));
         let eligible = if open.is_empty() { suspended } else { open };
         let (own_region, other_regions): (Vec<&Candidate<'_>>, Vec<_>) =
--- a/crates/celeryshed_dispatch/src/staging/picker.rs
+++ b/crates/celeryshed_dispatch/src/staging/picker.rs
@@ -13,7 +13,7 @@
 use celeryshed_base::{MonoTime, RegionName, common_derives};
 
 use super::PieceSet;
-use crate::pacing::inventory_interval;
+use crate::pacing::{LoadAudience, inventory_interval, message_lifetime};
 use crate::rendezvous::rendezvous;
 
 /// Maximum number of concurrent fetches of one sidecar.
@@ -27,15 +27,16 @@
 /// of the time that one copy takes over the origin's link.
 const ORIGIN_TURN_COPIES: f64 = 1.25;
 /// Number of pieces that all sidecars together fetch from the origin concurrently, in addition to
-/// those that its link carries until inventories arrive in other regions. It is small enough that the
+/// those that its link carries until inventories arrive. It is small enough that the
 /// first pieces arrive early and are passed on meanwhile.
 const CONCURRENT_ORIGIN_PIECES: usize = 16;
-/// Time without a report after which a sidecar is left out of the ranking. Sidecars that fetch the
-/// version report several times within this time.
-const REPORT_LIFETIME: Duration = Duration::from_millis(1200);
-/// Time after which the next sidecar of a region's ranking fetches a piece from another region, in
-/// addition to the time until inventories from there arrive.
-const REGION_TURN_DELAY: Duration = Duration::from_millis(800);
+/// Shortest time without a report after which a sidecar is left out of the ranking. Sidecars that
+/// fetch the version report several times within this time.
+const MIN_REPORT_LIFETIME: Duration = Duration::from_millis(1200);
+/// Fetches of one piece that a holder serves before it refuses further ones.
+const FETCHES_PER_HOLDER: usize = 4;
+/// Time after which the next sidecar of a region's ranking fetches a piece from another region.
+const REGION_TURN_DELAY: Duration = Duration::from_millis(900);
 /// Time for which a sidecar is not asked again for a piece after a failed fetch.
 const PEER_FAILURE_PAUSE: Duration = Duration::from_millis(400);
 /// Time for which the origin is not asked again for a piece after a failed fetch. It is short
@@ -106,8 +107,8 @@
 struct PeerPieces {
     region: RegionName,
     has_all_pieces: bool,
-    /// Time of its last report that it fetches the version.
-    heard_at: Option<MonoTime>,
+    /// Time until which its last report that it fetches the version counts.
+    heard_until: Option<MonoTime>,
     pieces: PieceSet,
 }
 
@@ -117,7 +118,7 @@
     }
 
     fn is_heard(&self, now: MonoTime) -> bool {
-        self.heard_at.is_some_and(|at| now - at < REPORT_LIFETIME)
+        self.heard_until.is_some_and(|until| now < until)
     }
 }
 
@@ -193,7 +194,7 @@
             let known = self.peers.entry(peer.address.clone()).or_insert_with(|| PeerPieces {
                 region: peer.region.clone(),
                 has_all_pieces: false,
-                heard_at: None,
+                heard_until: None,
                 pieces: PieceSet::default(),
             });
             known.has_all_pieces |= peer.has_all_pieces;
@@ -209,13 +210,14 @@
         peer: &SidecarPeer,
         pieces: &PieceSet,
     ) {
+        let lifetime = self.report_lifetime(peer.region == self.region);
         let known = self.peers.entry(peer.address.clone()).or_insert_with(|| PeerPieces {
             region: peer.region.clone(),
             has_all_pieces: peer.has_all_pieces,
-            heard_at: None,
+            heard_until: None,
             pieces: PieceSet::default(),
         });
-        known.heard_at = Some(heard_at);
+        known.heard_until = Some(heard_at + lifetime);
         known.pieces.union_with(pieces);
         self.record_known_pieces(now);
     }
@@ -244,6 +246,29 @@
         self.missing.remove(&piece);
     }
 
+    /// The sidecars that may not know yet that any of them can send a piece: all if it came from the
+    /// origin, those of the own region if it came from another one. They get an inventory at once.
+    ///
+    /// ```
+    /// # use celeryshed_base::{MonoTime, RegionName};
+    /// # use celeryshed_dispatch::{LoadAudience, PieceFetch, PiecePicker, PieceSource};
+    /// # let region = RegionName::try_from("north").unwrap();
+    /// # let copy = std::time::Duration::from_secs(3);
+    /// let picker = PiecePicker::new("10.0.0.1:7700", &region, 2, 0..4, copy, MonoTime::ZERO);
+    /// let fetch = PieceFetch { piece: 0, source: PieceSource::Origin };
+    /// assert_eq!(picker.uninformed(&fetch), LoadAudience::ALL);
+    /// ```
+    pub fn uninformed(&self, fetch: &PieceFetch) -> &'static [LoadAudience] {
+        match &fetch.source {
+            PieceSource::Origin => &LoadAudience::ALL,
+            PieceSource::Peer(address) => {
+                let source = self.peers.get(address);
+                let is_local = source.is_some_and(|peer| peer.region == self.region);
+                if is_local { &[] } else { &[LoadAudience::OwnRegion] }
+            }
+        }
+    }
+
     /// Records that a fetch failed, or that its piece did not match the digest.
     pub fn record_failure(&mut self, now: MonoTime, fetch: PieceFetch) {
         self.fetching.remove(&fetch.piece);
@@ -303,17 +328,22 @@
         Some(fetch)
     }
 
-    /// Time until an inventory of a sidecar of another region is sent again.
-    fn far_inventory_interval(&self) -> Duration {
+    /// Time for which a report of a sidecar counts.
+    fn report_lifetime(&self, is_local: bool) -> Duration {
+        MIN_REPORT_LIFETIME.max(message_lifetime(self.inventory_interval(is_local)))
+    }
+
+    /// Time until an inventory of a sidecar of the own region, or of another one, is sent again.
+    fn inventory_interval(&self, is_local: bool) -> Duration {
         let local_count = self.peers.values().filter(|peer| peer.region == self.region).count();
-        inventory_interval(self.peers.len() - local_count)
+        inventory_interval(if is_local { local_count } else { self.peers.len() - local_count })
     }
 
     /// Number of pieces that no sidecar is known to have and that may be fetched from the origin.
     /// Its link would idle if all of them had arrived before other regions learn so.
     fn origin_window(&self) -> usize {
         let piece_us = self.piece_transfer.as_micros().max(1);
-        let unreported = self.far_inventory_interval().as_micros() / piece_us;
+        let unreported = self.inventory_interval(true).as_micros() / piece_us;
         CONCURRENT_ORIGIN_PIECES + unreported as usize
     }
 
@@ -387,8 +417,7 @@
             return None;
         }
         let since = self.known_since.get(&piece)?;
-        let turn_delay = REGION_TURN_DELAY + self.far_inventory_interval();
-        let due = *since + turn_delay * self.rank(now, piece, local);
+        let due = *since + REGION_TURN_DELAY * self.rank(now, piece, local);
         if now < due {
             return None;
         }
@@ -396,7 +425,17 @@
     }
 
     /// A sidecar of this region that has the piece.
+    ///
+    /// As long as few sidecars have the piece, only as many others ask for it, chosen at random, as
+    /// the holders serve at a time.
     fn local_source(&self, now: MonoTime, random: u64, piece: u32) -> Option<PieceSource> {
+        let local = || self.peers.values().filter(|peer| peer.region == self.region);
+        let holder_count = local().filter(|peer| peer.has_piece(now, piece)).count();
+        let needer_count = 1 + local().count() - holder_count;
+        let lot = rendezvous(&self.own_address, random ^ u64::from(piece)) % needer_count as u64;
+        if lot >= (holder_count * FETCHES_PER_HOLDER) as u64 {
+            return None;
+        }
         self.least_used_holder(now, random, piece, |peer| peer.region == self.region)
     }
 
@@ -455,16 +494,14 @@
 
     /// Number of eligible sidecars before this one in the ranking for a piece.
     fn rank(&self, now: MonoTime, piece: u32, eligible: impl Fn(&PeerPieces) -> bool) -> u32 {
-        let reports_expected = now - self.started_at >= REPORT_LIFETIME;
+        let reports_expected = now - self.started_at >= self.report_lifetime(false);
         let salt = u64::from(piece) ^ (self.version << 32);
         let own = rendezvous(&self.own_address, salt);
         let before = self
             .peers
             .iter()
             .filter(|(_, peer)| eligible(peer) && !peer.has_all_pieces)
-            .filter(|(_, peer)| {
-                !reports_expected || peer.heard_at.is_some_and(|at| now - at < REPORT_LIFETIME)
-            })
+            .filter(|(_, peer)| !reports_expected || peer.is_heard(now))
             .filter(|(address, _)| rendezvous(address, salt) < own);
         before.count() as u32
     }
--- a/crates/celeryshed_dispatch/tests/staging.rs
+++ b/crates/celeryshed_dispatch/tests/staging.rs
@@ -21,7 +21,7 @@
     done_at: MonoTime,
 }
 
-#[derive(Default)]
+#[derive(Debug, Default)]
 struct DistributionResult {
     complete_at: Vec<Option<MonoTime>>,
     from_origin: u32,
@@ -378,3 +378,172 @@
     assert!(reloads[0] < at(500), "{reloads:?}");
     assert!(reloads[23] - reloads[0] > ms(2000) && reloads[23] < at(3000), "{reloads:?}");
 }
+
+/// Sidecars, regions and links of a distribution whose inventories arrive with a delay.
+struct DelayedFleet {
+    sidecars: usize,
+    regions: usize,
+    /// Time that one piece takes over the origin's link.
+    origin_piece_time: Duration,
+    /// Time that one piece takes over the link of an instance.
+    piece_time: Duration,
+    /// Whether inventories are sent at once after a piece of which the receivers may not know.
+    tells_at_once: bool,
+}
+
+/// Longest time that an upload waits; beyond it the fetch is refused.
+const MAX_UPLOAD_WAIT: Duration = Duration::from_millis(250);
+
+/// State of a simulated distribution.
+struct DelayedRun<'f> {
+    fleet: &'f DelayedFleet,
+    peers: Vec<SidecarPeer>,
+    pickers: Vec<PiecePicker>,
+    has: Vec<PieceSet>,
+    /// When each sidecar last sent inventories to its region and to all others.
+    told_at: Vec<[MonoTime; 2]>,
+    /// Whether a sidecar has pieces of which an audience may not know.
+    untold: Vec<[bool; 2]>,
+    links: BTreeMap<PieceSource, MonoTime>,
+    transfers: Vec<Transfer>,
+    result: DistributionResult,
+}
+
+impl DelayedFleet {
+    /// Simulates the distribution of a version, at most until `limit`.
+    fn distribute(&self, limit: Duration) -> DistributionResult {
+        let peer = |index: usize| SidecarPeer {
+            address: format!("10.{}.0.{index}:7000", index % self.regions),
+            region: region(&format!("region-{}", index % self.regions)),
+            has_all_pieces: false,
+        };
+        let peers: Vec<SidecarPeer> = (0..self.sidecars).map(peer).collect();
+        let copy_time = self.origin_piece_time * PIECES;
+        let picker = |own: &SidecarPeer| {
+            let pieces = 0..PIECES;
+            let mut picker =
+                PiecePicker::new(&own.address, &own.region, 2, pieces, copy_time, at(0));
+            let others = peers.iter().filter(|peer| peer.address != own.address);
+            picker.set_peers(at(0), &others.cloned().collect::<Vec<_>>());
+            picker
+        };
+        let mut run = DelayedRun {
+            fleet: self,
+            pickers: peers.iter().map(picker).collect(),
+            peers: peers.clone(),
+            has: vec![PieceSet::default(); self.sidecars],
+            told_at: (0..self.sidecars).map(|index| [at(index as u64 % 50); 2]).collect(),
+            untold: vec![[false; 2]; self.sidecars],
+            links: BTreeMap::new(),
+            transfers: Vec::new(),
+            result: DistributionResult {
+                complete_at: vec![None; self.sidecars],
+                ..Default::default()
+            },
+        };
+        let mut now = at(0);
+        while now.0 < limit && run.result.complete_at.iter().any(Option::is_none) {
+            run.send_inventories(now);
+            run.start_fetches(now);
+            now = now + TICK;
+            run.finish_transfers(now);
+        }
+        run.result
+    }
+}
+
+impl DelayedRun<'_> {
+    fn send_inventories(&mut self, now: MonoTime) {
+        let (count, regions) = (self.fleet.sidecars, self.fleet.regions);
+        for index in 0..count {
+            for (audience, is_near) in [(0, true), (1, false)] {
+                let receivers: Vec<usize> = (0..count)
+                    .filter(|other| *other != index)
+                    .filter(|other| (other % regions == index % regions) == is_near)
+                    .collect();
+                let is_due =
+                    now - self.told_at[index][audience] >= inventory_interval(receivers.len());
+                let is_urgent = self.fleet.tells_at_once && self.untold[index][audience];
+                if is_due || is_urgent {
+                    self.told_at[index][audience] = now;
+                    self.untold[index][audience] = false;
+                    for other in receivers {
+                        let (peer, pieces) = (&self.peers[index], &self.has[index]);
+                        self.pickers[other].record_peer_pieces(now, now, peer, pieces);
+                    }
+                }
+            }
+        }
+    }
+
+    fn start_fetches(&mut self, now: MonoTime) {
+        for index in 0..self.fleet.sidecars {
+            let random = now.0.as_micros() as u64 + index as u64;
+            let mut refused = Vec::new();
+            while let Some(fetch) = self.pickers[index].start_next_fetch(now, random) {
+                let link = self.links.entry(fetch.source.clone()).or_insert(now);
+                let transfer_time = match &fetch.source {
+                    PieceSource::Origin => {
+                        self.result.from_origin += 1;
+                        self.fleet.origin_piece_time
+                    }
+                    PieceSource::Peer(_) if *link - now > MAX_UPLOAD_WAIT => {
+                        refused.push(fetch);
+                        continue;
+                    }
+                    PieceSource::Peer(address) => {
+                        let source = self.peers.iter().find(|peer| peer.address == *address);
+                        let is_near = source.unwrap().region == self.peers[index].region;
+                        self.result.between_regions += u32::from(!is_near);
+                        self.fleet.piece_time
+                    }
+                };
+                *link = (*link).max(now) + transfer_time;
+                self.transfers.push(Transfer { to: index, fetch, done_at: *link });
+            }
+            for fetch in refused {
+                self.pickers[index].record_failure(now, fetch);
+            }
+        }
+    }
+
+    fn finish_transfers(&mut self, now: MonoTime) {
+        let (done, rest): (Vec<_>, Vec<_>) =
+            self.transfers.drain(..).partition(|transfer| transfer.done_at <= now);
+        self.transfers = rest;
+        for Transfer { to, fetch, .. } in done {
+            for audience in self.pickers[to].uninformed(&fetch) {
+                self.untold[to][usize::from(*audience == LoadAudience::OtherRegions)] = true;
+            }
+            self.pickers[to].record_fetched(fetch.piece);
+            self.has[to].insert(fetch.piece);
+            if self.pickers[to].missing().is_empty() && self.result.complete_at[to].is_none() {
+                self.result.complete_at[to] = Some(now);
+            }
+        }
+    }
+}
+
+/// Replays the distribution to a large fleet, whose inventories arrive late since each sidecar sends
+/// a bounded number of them. Guards against a link of the origin that idles until inventories
+/// arrive, and against all sidecars of a region that ask the first holder of a piece at once.
+#[test]
+fn distribution_is_not_delayed_by_late_inventories() {
+    let fleet = DelayedFleet {
+        sidecars: 80,
+        regions: 5,
+        origin_piece_time: Duration::from_millis(45),
+        piece_time: Duration::from_millis(27),
+        tells_at_once: true,
+    };
+    let origin_time = fleet.origin_piece_time * PIECES;
+    let last = |result: &DistributionResult| {
+        let complete = result.complete_at.iter().map(|at| at.map_or(Duration::MAX, |at| at.0));
+        complete.max().unwrap()
+    };
+    let result = fleet.distribute(origin_time * 3);
+    assert_eq!(result.from_origin, PIECES);
+    assert!(last(&result) < origin_time.mul_f64(1.3), "{:?}", last(&result));
+    let late = DelayedFleet { tells_at_once: false, ..fleet }.distribute(origin_time * 3);
+    assert!(last(&late) > last(&result), "{:?} {:?}", last(&late), last(&result));
+}
--- a/crates/celeryshed_stager/src/fetch_task.rs
+++ b/crates/celeryshed_stager/src/fetch_task.rs
@@ -12,6 +12,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
+use crate::endpoint_stage::EndpointStage;
 use crate::fetch::{FetchFailure, PieceFetcher};
 use crate::inventory_task::InventoryMap;
 use crate::piece_store::PieceStore;
@@ -38,6 +39,7 @@
     pub(crate) settings: Arc<SidecarSettings>,
     pub(crate) clock: ClockSource,
     pub(crate) platform: Arc<P>,
+    pub(crate) stage: Arc<EndpointStage<P>>,
     pub(crate) view: watch::Receiver<Arc<StageView>>,
     pub(crate) store: Arc<watch::Sender<PieceStore>>,
     /// The last inventories from each other sidecar, with the time of receipt.
@@ -138,7 +140,8 @@
             if let Ok(Some(bytes)) = self.platform.read_piece(manifest.model(), piece).await
                 && manifest.verifies(piece, &bytes)
             {
-                self.store.send_modify(|store| store.insert(manifest.version(), piece, bytes));
+                self.stage.record_found(manifest.version(), [piece]).await;
+                self.store.send_modify(|store| store.insert(manifest.version(), piece, bytes, &[]));
             }
         }
     }
@@ -169,12 +172,16 @@
         let mut picker =
             PiecePicker::new(&own, &region, version, missing, goal.origin_transfer, started);
         let mut fetches = JoinSet::new();
+        let mut writes = JoinSet::new();
         let mut corrupt_count = 0;
         let mut last_piece_at = started;
         let mut logged_at = started;
         let mut last_view: Option<Arc<StageView>> = None;
         self.inventories.mark_changed();
-        while !picker.missing().is_empty() {
+        let outcome = loop {
+            if picker.missing().is_empty() {
+                break FetchOutcome::Complete;
+            }
             let now = self.clock.now();
             self.update_peers(now, goal, &mut picker, &mut last_view);
             if now - logged_at >= PROGRESS_INTERVAL {
@@ -200,7 +207,14 @@
             match ended {
                 Some((fetch, Ok(bytes))) => {
                     picker.record_fetched(fetch.piece);
-                    self.store.send_modify(|store| store.insert(version, fetch.piece, bytes));
+                    let uninformed = picker.uninformed(&fetch);
+                    self.store.send_modify(|store| {
+                        store.insert(version, fetch.piece, bytes.clone(), uninformed);
+                    });
+                    let (stage, model) = (self.stage.clone(), goal.model.clone());
+                    writes.spawn(async move {
+                        stage.write_through(&model, version, fetch.piece, bytes).await;
+                    });
                     last_piece_at = self.clock.now();
                 }
                 Some((fetch, Err(failure))) => {
@@ -217,13 +231,15 @@
             if newer.is_some_and(|newer| {
                 stalled || !goal.target.is_worth_finishing(&newer, goal.origin_transfer)
             }) {
-                return FetchOutcome::GoalChanged;
+                break FetchOutcome::GoalChanged;
             }
             if corrupt_count >= MAX_CORRUPT_PIECES {
-                return FetchOutcome::ManifestDoubtful;
+                break FetchOutcome::ManifestDoubtful;
             }
-        }
-        FetchOutcome::Complete
+        };
+        // A write that is cut off may reach the endpoint later, among pieces of another version.
+        while writes.join_next().await.is_some() {}
+        outcome
     }
 
     /// Passes the other sidecars and their inventories to the picker, if they changed.
--- a/crates/celeryshed_stager/src/inventory_task.rs
+++ b/crates/celeryshed_stager/src/inventory_task.rs
@@ -8,7 +8,7 @@
 use celeryshed_dispatch::{LoadAudience, inventory_interval};
 use celeryshed_peering::{PeerMessage, PeerSocket, PieceInventory};
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep_until, timeout};
 
 use crate::piece_store::PieceStore;
 use crate::settings::SidecarSettings;
@@ -30,8 +30,8 @@
 
 /// Sends inventories to the sidecars of one audience while versions are collected.
 ///
-/// Sidecars of the own region get them more often: within a region, each piece is passed on many
-/// times, but it comes from another region only once.
+/// They are sent at once if a piece arrives that the audience may not know of, and otherwise at
+/// intervals that grow with the number of receivers: the others can fetch the piece elsewhere.
 pub(crate) struct InventoryTask {
     pub(crate) audience: LoadAudience,
     pub(crate) settings: Arc<SidecarSettings>,
@@ -43,8 +43,11 @@
 }
 
 impl InventoryTask {
-    pub(crate) async fn run(mut self) {
+    pub(crate) async fn run(self) {
+        let (mut changes, mut arrivals) = (self.store.clone(), self.store.clone());
         let mut changed_at: Option<MonoTime> = None;
+        let mut next_at = Instant::now();
+        let mut told_pieces = 0;
         loop {
             let now = self.clock.now();
             // A sidecar that lacks pieces keeps sending even if none arrive: the others leave a
@@ -52,26 +55,36 @@
             // down.
             let resending = changed_at.is_some_and(|at| now - at < RESEND_PERIOD)
                 || self.store.borrow().lacks_pieces();
-            let change = if resending {
-                timeout(INVENTORY_INTERVAL, self.store.changed()).await
-            } else {
-                Ok(self.store.changed().await)
+            let regular = async {
+                sleep_until(next_at).await;
+                if resending {
+                    timeout(INVENTORY_INTERVAL, changes.changed()).await
+                } else {
+                    Ok(changes.changed().await)
+                }
+            };
+            let is_unknown =
+                |store: &PieceStore| store.unknown_pieces(self.audience) != told_pieces;
+            let change = tokio::select! {
+                arrival = arrivals.wait_for(is_unknown) => Ok(arrival.map(|_| ())),
+                change = regular => change,
             };
             match change {
                 Ok(Ok(())) => changed_at = Some(self.clock.now()),
                 Ok(Err(_closed)) => return,
                 Err(_elapsed) => {}
             }
+            told_pieces = self.store.borrow().unknown_pieces(self.audience);
             let receiver_count = self.send_inventories();
-            sleep(inventory_interval(receiver_count)).await;
+            next_at = Instant::now() + inventory_interval(receiver_count);
         }
     }
 
     /// Sends the current inventories; returns the number of receivers.
-    fn send_inventories(&mut self) -> usize {
+    fn send_inventories(&self) -> usize {
         let now = self.clock.now();
         let receivers = self.receivers(now);
-        let store = self.store.borrow_and_update();
+        let store = self.store.borrow();
         for (manifest, pieces) in store.inventories() {
             let inventory = PieceInventory {
                 sidecar: self.settings.peer_address.to_string(),
--- a/crates/celeryshed_stager/src/lib.rs
+++ b/crates/celeryshed_stager/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`SidecarProcess`] starts the tasks. [`WeightPlatform`] is the interface to the endpoint and to
 //! the origin of weights.
 
+mod endpoint_stage;
 mod fetch;
 mod fetch_task;
 mod inventory_task;
--- a/crates/celeryshed_stager/src/piece_store.rs
+++ b/crates/celeryshed_stager/src/piece_store.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use celeryshed_base::common_derives;
-use celeryshed_dispatch::{PieceSet, StageManifest};
+use celeryshed_dispatch::{LoadAudience, PieceSet, StageManifest};
 
 common_derives! { value:
     /// The pieces of one version that were received and verified.
@@ -29,6 +29,8 @@
         at_endpoint: Option<u64>,
         /// Loaded version of each model, as last reported by the endpoint.
         loaded: BTreeMap<String, u64>,
+        /// Number of pieces that each audience was not known to have when they arrived.
+        unknown_pieces: BTreeMap<LoadAudience, u64>,
         /// Whether the endpoint was asked for its state since this process started.
         pub(crate) endpoint_asked: bool,
     }
@@ -59,13 +61,28 @@
         self.versions.remove(&version);
     }
 
-    /// Adds a verified piece of a version that is being collected.
-    pub(crate) fn insert(&mut self, version: u64, piece: u32, bytes: Bytes) {
+    /// Adds a verified piece of a version that is being collected. The `uninformed` audiences may
+    /// not know of any sidecar that has it.
+    pub(crate) fn insert(
+        &mut self,
+        version: u64,
+        piece: u32,
+        bytes: Bytes,
+        uninformed: &[LoadAudience],
+    ) {
+        for audience in uninformed {
+            *self.unknown_pieces.entry(*audience).or_default() += 1;
+        }
         if let Some(pieces) = self.versions.get_mut(&version) {
             pieces.in_memory.insert(piece, bytes);
         }
     }
 
+    /// Number of pieces so far that an audience was not known to have.
+    pub(crate) fn unknown_pieces(&self, audience: LoadAudience) -> u64 {
+        self.unknown_pieces.get(&audience).copied().unwrap_or_default()
+    }
+
     /// The manifest of a version that is or was collected.
     pub(crate) fn manifest(&self, version: u64) -> Option<&Arc<StageManifest>> {
         self.versions.get(&version).map(|pieces| &pieces.manifest)
--- a/crates/celeryshed_stager/src/process.rs
+++ b/crates/celeryshed_stager/src/process.rs
@@ -17,6 +17,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Mutex, watch};
 
+use crate::endpoint_stage::EndpointStage;
 use crate::fetch_task::FetchTask;
 use crate::inventory_task::{InventoryMap, InventoryTask};
 use crate::piece_store::PieceStore;
@@ -142,10 +143,12 @@
             let text = registry.render();
             async move { Response::new(Full::new(Bytes::from(text))) }
         }));
+        let stage = Arc::new(EndpointStage::new(platform.clone()));
         let fetch_task = FetchTask {
             settings: settings.clone(),
             clock,
             platform: platform.clone(),
+            stage: stage.clone(),
             view: view.clone(),
             store: piece_store.clone(),
             inventories: inventories_watch,
@@ -155,6 +158,7 @@
             settings: settings.clone(),
             clock,
             platform,
+            stage,
             view,
             store: piece_store,
             condition,
--- a/crates/celeryshed_stager/src/stage_task.rs
+++ b/crates/celeryshed_stager/src/stage_task.rs
@@ -1,17 +1,16 @@
 //! Brings the endpoint to the declared version: stores complete versions there and orders their
 //! load.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use celeryshed_base::{ClockSource, MonoTime};
 use celeryshed_dispatch::{ReloadSchedule, StageManifest};
 use celeryshed_observe::EventLine;
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
+use crate::endpoint_stage::EndpointStage;
 use crate::piece_store::PieceStore;
 use crate::platform::{EngineReport, ReloadReply, WeightPlatform};
 use crate::settings::SidecarSettings;
@@ -47,6 +46,7 @@
     pub(crate) settings: Arc<SidecarSettings>,
     pub(crate) clock: ClockSource,
     pub(crate) platform: Arc<P>,
+    pub(crate) stage: Arc<EndpointStage<P>>,
     pub(crate) view: watch::Receiver<Arc<StageView>>,
     pub(crate) store: Arc<watch::Sender<PieceStore>>,
     pub(crate) condition: watch::Sender<EndpointCondition>,
@@ -139,10 +139,13 @@
         let version = goal.target.version;
         let pieces = self.store.borrow().in_memory(version);
         let Some(manifest) = self.store.borrow().manifest(version).cloned() else { return };
-        if !self.write_pieces(goal, &pieces).await {
+        let mut stage = self.stage.reserve(version).await;
+        self.store.send_modify(PieceStore::record_staging);
+        if !stage.write(&goal.model, &pieces).await {
             sleep(BUSY_QUERY_INTERVAL).await;
             return;
         }
+        self.store.send_modify(|store| store.record_staged(version));
         let loaded = report.models.get(&goal.model).copied();
         if !self.wait_for_reload_time(goal, loaded).await {
             return;
@@ -153,32 +156,14 @@
                 return self.order_load(goal).await;
             }
             EventLine::new("staged_pieces_spoilt").field("count", damaged.len()).warn();
-            let mut replacements = pieces.clone();
-            replacements.retain(|piece, _| damaged.contains(piece));
-            if replacements.len() < damaged.len() {
+            if !damaged.iter().all(|piece| pieces.contains_key(piece)) {
                 // The pieces have left the memory and must be fetched again.
                 self.store.send_modify(|store| store.abandon(version));
                 return;
             }
-            self.write_pieces(goal, &replacements).await;
-        }
-    }
-
-    /// Stores pieces at the endpoint, and returns whether that succeeded.
-    async fn write_pieces(&self, goal: &StageGoal, pieces: &BTreeMap<u32, Bytes>) -> bool {
-        if pieces.is_empty() {
-            return true;
-        }
-        self.store.send_modify(PieceStore::record_staging);
-        for (piece, bytes) in pieces {
-            if let Err(error) = self.platform.write_piece(&goal.model, *piece, bytes.clone()).await
-            {
-                EventLine::new("stage_failed").field("piece", piece).field("error", error).warn();
-                return false;
-            }
+            stage.record_damaged(&damaged);
+            stage.write(&goal.model, &pieces).await;
         }
-        self.store.send_modify(|store| store.record_staged(goal.target.version));
-        true
     }
 
     /// Waits for the time at which this endpoint may reload, so that the endpoints of a service
