Answer what is accepted at a stop, decide again after a pause, return after an outage

Cause: a closing server dropped its listener with connections in the accept queue and closed new ones unread; after a pause of the process a request was sent on the decision from before, with the time limit of that moment; callers that were refused while nothing served were told to return after 0.6 to 1.8 s whatever their own limit, and found nothing again.

--- a/crates/celeryshed_dispatch/src/dispatcher.rs
+++ b/crates/celeryshed_dispatch/src/dispatcher.rs
@@ -481,11 +481,11 @@
                     }
                     decisions.push(DispatchDecision::Place { number, target, expected });
                 }
-                RequestDecision::Refuse(reason) => decisions.push(DispatchDecision::Refuse {
-                    number,
-                    reason,
-                    retry_after: retry_after(random ^ spread(number)),
-                }),
+                RequestDecision::Refuse(reason) => {
+                    let remaining = request.profile.deadline - now;
+                    let retry_after = retry_after(reason, remaining, random ^ spread(number));
+                    decisions.push(DispatchDecision::Refuse { number, reason, retry_after });
+                }
             }
         }
     }
--- a/crates/celeryshed_dispatch/src/health.rs
+++ b/crates/celeryshed_dispatch/src/health.rs
@@ -37,6 +37,8 @@
         Misdirected,
         /// The endpoint doesn't serve the requested version.
         OtherVersion,
+        /// This process was delayed after the decision for so long that it may no longer hold.
+        StaleDecision,
     }
 
     /// Why it is unknown whether a request ran.
@@ -114,7 +116,7 @@
             // These outcomes say nothing about the endpoint's health. A wrong version is corrected
             // by the next report of the sidecar.
             AttemptOutcome::Abandoned
-            | AttemptOutcome::NotRun(NotRunReason::OtherVersion)
+            | AttemptOutcome::NotRun(NotRunReason::OtherVersion | NotRunReason::StaleDecision)
             | AttemptOutcome::Unknown(UnknownReason::Outdated) => return,
             AttemptOutcome::Failed
             | AttemptOutcome::Unknown(UnknownReason::Malformed | UnknownReason::Reset) => {
--- a/crates/celeryshed_dispatch/src/refusal.rs
+++ b/crates/celeryshed_dispatch/src/refusal.rs
@@ -18,9 +18,13 @@
 /// Fraction of the time until its deadline that any request may wait.
 const MAX_WAIT_REMAINING_FRACTION: f64 = 0.3;
 /// Shortest delay between a refusal and the caller's retry.
-const MIN_RETRY_DELAY: Duration = Duration::from_millis(600);
-/// Range over which the delays of refused callers are spread.
-const RETRY_DELAY_SPREAD: Duration = Duration::from_millis(1200);
+const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Delays of callers that met a full queue, as fractions of the time until their deadline. They are
+/// spread so that those who are refused together don't return together.
+const QUEUE_RETRY_FRACTIONS: (f64, f64) = (0.12, 0.32);
+/// Delays of callers whose request no endpoint serves. Callers wait for at most a third of the time
+/// until their deadline.
+const OUTAGE_RETRY_FRACTIONS: (f64, f64) = (0.24, 0.33);
 
 common_derives! { value:
     /// Why a request was refused without being run.
@@ -63,14 +67,28 @@
     since + max_wait.min(remaining.mul_f64(MAX_WAIT_REMAINING_FRACTION))
 }
 
-/// The delay after which a refused caller should retry, between 0.6 and 1.8 seconds.
+/// The delay after which a refused caller should retry.
 ///
-/// `random` is a random number that spreads the delays.
+/// `remaining` is the time until the request's deadline, and `random` a random number that spreads
+/// the delays. A caller whose request no endpoint serves now returns later than one that met a full
+/// queue: endpoints that start or load weights take longer than a slot takes to become free.
 ///
 /// ```
-/// use celeryshed_dispatch::retry_after;
-/// assert!(retry_after(1) >= std::time::Duration::from_millis(600));
+/// use celeryshed_dispatch::{RefusalReason, retry_after};
+/// use std::time::Duration;
+/// let remaining = Duration::from_secs(6);
+/// let full = retry_after(RefusalReason::Overload, remaining, 0);
+/// assert!(full >= Duration::from_millis(600));
+/// assert!(retry_after(RefusalReason::NoEndpoint, remaining, 0) > full);
 /// ```
-pub fn retry_after(random: u64) -> Duration {
-    MIN_RETRY_DELAY + RETRY_DELAY_SPREAD.mul_f64((random % 1024) as f64 / 1024.0)
+pub fn retry_after(reason: RefusalReason, remaining: Duration, random: u64) -> Duration {
+    let (shortest, longest) = match reason {
+        RefusalReason::Overload
+        | RefusalReason::RetryBudget
+        | RefusalReason::CrashesEndpoints
+        | RefusalReason::TimeLimit => QUEUE_RETRY_FRACTIONS,
+        RefusalReason::NoEndpoint => OUTAGE_RETRY_FRACTIONS,
+    };
+    let position = (random % 1024) as f64 / 1024.0;
+    remaining.mul_f64(shortest + (longest - shortest) * position).max(MIN_RETRY_DELAY)
 }
--- a/crates/celeryshed_dispatch/src/retry.rs
+++ b/crates/celeryshed_dispatch/src/retry.rs
@@ -60,9 +60,9 @@
             AttemptOutcome::NotRun(reason) => {
                 self.not_run += 1;
                 if self.not_run <= MAX_NOT_RUN_RETRIES && self.may_have_run < max_attempts {
-                    return RetryVerdict::SendAgain {
-                        counted: reason != NotRunReason::Unreachable,
-                    };
+                    let reached_endpoint =
+                        !matches!(reason, NotRunReason::Unreachable | NotRunReason::StaleDecision);
+                    return RetryVerdict::SendAgain { counted: reached_endpoint };
                 }
             }
             AttemptOutcome::Served
--- a/crates/celeryshed_dispatch/tests/decisions.rs
+++ b/crates/celeryshed_dispatch/tests/decisions.rs
@@ -293,7 +293,8 @@
 
 #[test]
 fn retry_delays_are_spread_over_time() {
-    let delays: Vec<Duration> = (0..1024).map(retry_after).collect();
+    let delay = |random| retry_after(RefusalReason::Overload, Duration::from_secs(6), random);
+    let delays: Vec<Duration> = (0..1024).map(delay).collect();
     let shortest = delays.iter().min().copied().unwrap();
     let longest = delays.iter().max().copied().unwrap();
     assert!(longest - shortest >= Duration::from_secs(1), "{shortest:?} to {longest:?}");
--- a/crates/celeryshed_gateway/src/request/attempt.rs
+++ b/crates/celeryshed_gateway/src/request/attempt.rs
@@ -26,6 +26,9 @@
 
 /// Limit for opening a connection to an endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
+/// Longest time from the choice of an endpoint until the request is sent. A connection may take
+/// [`CONNECT_TIMEOUT`] of it to open.
+const MAX_DECISION_AGE: Duration = Duration::from_millis(500);
 /// Headers that apply to one connection only and are not forwarded.
 const CONNECTION_HEADERS: [HeaderName; 8] = [
     CONNECTION,
@@ -74,8 +77,11 @@
 #[derive(Debug)]
 pub(crate) struct AttemptPlan<'a> {
     pub(crate) target: &'a EndpointTarget,
-    /// Time that is left for the request; sent to the endpoint, which stops working afterwards.
-    pub(crate) time_limit: Duration,
+    /// When the endpoint was chosen.
+    pub(crate) decided_at: Instant,
+    /// When the answer is due; the endpoint is told the time until then and stops working
+    /// afterwards.
+    pub(crate) due_at: Instant,
     /// When the attempt ends as silent unless a first event or complete answer has arrived.
     pub(crate) give_up_at: Instant,
     /// When the attempt ends as outdated unless a first event or complete answer has arrived,
@@ -99,6 +105,12 @@
         Ok(connection) => connection,
         Err(_) => return AttemptReply::Ended(AttemptOutcome::NotRun(NotRunReason::Unreachable)),
     };
+    // The process may have been paused: meanwhile the endpoint may have begun to drain, or a newer
+    // version may be in force.
+    let is_version_in_force = plan.start_deadline.is_none_or(|at| Instant::now() < at);
+    if plan.decided_at.elapsed() > MAX_DECISION_AGE || !is_version_in_force {
+        return AttemptReply::Ended(AttemptOutcome::NotRun(NotRunReason::StaleDecision));
+    }
     let Some(outgoing) = outgoing_request(names, request, plan) else {
         return AttemptReply::Ended(AttemptOutcome::NotRun(NotRunReason::Unreachable));
     };
@@ -251,7 +263,7 @@
     for own in [&names.key, &names.team, &names.endpoint, &names.expect_version] {
         headers.remove(own);
     }
-    let limit = plan.time_limit.as_millis().to_string();
+    let limit = (plan.due_at - Instant::now()).as_millis().to_string();
     headers.insert(names.time_limit.clone(), limit.parse().ok()?);
     headers.insert(names.endpoint.clone(), plan.target.id.as_str().parse().ok()?);
     if let Some(team) = &request.team {
--- a/crates/celeryshed_gateway/src/request/handle.rs
+++ b/crates/celeryshed_gateway/src/request/handle.rs
@@ -6,8 +6,8 @@
 
 use celeryshed_base::MonoTime;
 use celeryshed_dispatch::{
-    AttemptHistory, AttemptOutcome, EndpointId, EndpointTarget, RefusalReason, RetryVerdict,
-    UnknownReason, retry_after,
+    AttemptHistory, AttemptOutcome, EndpointId, EndpointTarget, NotRunReason, RefusalReason,
+    RetryVerdict, UnknownReason, retry_after,
 };
 use celeryshed_observe::EventLine;
 use hyper::body::Incoming;
@@ -116,7 +116,7 @@
 impl RequestHandler {
     async fn run(mut self) -> Response<GatewayBody> {
         if self.context.dispatcher.is_quarantined(self.request.fingerprint).await {
-            return self.refuse(RefusalReason::CrashesEndpoints, retry_after(rand::random()));
+            return self.refuse_own(RefusalReason::CrashesEndpoints);
         }
         loop {
             let profile = self.request.profile.clone();
@@ -142,7 +142,9 @@
             let route = &self.request.route;
             let verdict = self.history.record(route.kind, route.max_attempts, outcome);
             self.log_attempt(&target, outcome, verdict);
-            self.tried.insert(target.id);
+            if outcome != AttemptOutcome::NotRun(NotRunReason::StaleDecision) {
+                self.tried.insert(target.id);
+            }
             if !self.may_retry(verdict).await {
                 return self.give_up(outcome);
             }
@@ -158,7 +160,8 @@
         let sent_at = Instant::now();
         let plan = AttemptPlan {
             target,
-            time_limit: self.due_at - sent_at,
+            decided_at: sent_at,
+            due_at: self.due_at,
             give_up_at: self.give_up_at(sent_at, expected),
             start_deadline: self.context.start_deadline(target),
             last_event: self.request.last_event,
@@ -211,13 +214,18 @@
 
     fn give_up(self, outcome: AttemptOutcome) -> Response<GatewayBody> {
         match self.history.final_verdict() {
-            RetryVerdict::RefuseNotRun => {
-                self.refuse(RefusalReason::RetryBudget, retry_after(rand::random()))
-            }
+            RetryVerdict::RefuseNotRun => self.refuse_own(RefusalReason::RetryBudget),
             _ => self.fail(outcome),
         }
     }
 
+    /// Refuses the request for a reason that the dispatcher doesn't know.
+    fn refuse_own(self, reason: RefusalReason) -> Response<GatewayBody> {
+        let remaining = self.request.profile.deadline - self.context.clock.now();
+        let delay = retry_after(reason, remaining, rand::random());
+        self.refuse(reason, delay)
+    }
+
     fn refuse(self, reason: RefusalReason, retry_after: Duration) -> Response<GatewayBody> {
         if self.history.may_have_run > 0 {
             return self.fail(AttemptOutcome::Unknown(UnknownReason::Reset));
--- a/crates/celeryshed_gateway/src/request/relay.rs
+++ b/crates/celeryshed_gateway/src/request/relay.rs
@@ -154,10 +154,10 @@
             return None;
         };
         let sent_at = Instant::now();
-        let time_limit = self.due_at - sent_at;
         let plan = AttemptPlan {
             target: &target,
-            time_limit,
+            decided_at: sent_at,
+            due_at: self.due_at,
             give_up_at: self.due_at,
             start_deadline: context.start_deadline(&target),
             last_event,
--- a/crates/celeryshed_gateway/tests/support/mod.rs
+++ b/crates/celeryshed_gateway/tests/support/mod.rs
@@ -1,6 +1,6 @@
 //! An entry on loopback addresses, with callers on raw sockets and scripted endpoints.
 
-#![allow(dead_code, reason = "each test file uses some of them")]
+#![allow(dead_code, unused_imports, reason = "each test file uses some of them")]
 
 mod endpoint;
 mod store;
--- a/crates/celeryshed_http/src/server.rs
+++ b/crates/celeryshed_http/src/server.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::FutureExt;
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -20,6 +21,9 @@
 /// Delay after a failed accept, for instance when no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Time that a new connection has to pass on a request although the server closes.
+const UNREAD_REQUEST_WAIT: Duration = Duration::from_millis(300);
+
 /// Limits of accepted connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ServerSettings {
@@ -66,7 +70,7 @@
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
-                _ = closing.wait_for(|closing| *closing) => return,
+                _ = closing.wait_for(|closing| *closing) => break,
             };
             match accepted {
                 Ok((stream, peer)) => {
@@ -75,6 +79,11 @@
                 Err(_transient) => sleep(ACCEPT_RETRY_DELAY).await,
             }
         }
+        // Connections in the accept queue were established before; dropping the listener would
+        // reset them, together with requests that their clients have sent.
+        while let Some(Ok((stream, peer))) = listener.accept().now_or_never() {
+            tokio::spawn(self.clone().serve(stream, peer, handler.clone()));
+        }
     }
 
     async fn serve<H, F, B>(self, stream: TcpStream, peer: SocketAddr, handler: H)
@@ -107,12 +116,14 @@
         let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
         let mut closing = self.closing.clone();
         let mut draining = false;
+        // A connection that was accepted last may carry a request that hasn't been read.
+        let unread_until = Instant::now() + UNREAD_REQUEST_WAIT;
         loop {
             let idle_check = next_idle_check(&activity, &self.settings);
             tokio::select! {
                 // An error needs no handling: hyper cancels the handlers of a connection that ends.
                 _ended = connection.as_mut() => break,
-                _ = closing.wait_for(|closing| *closing), if !draining => {
+                () = drain_start(&mut closing, &activity, unread_until), if !draining => {
                     draining = true;
                     connection.as_mut().graceful_shutdown();
                 }
@@ -128,6 +139,19 @@
     }
 }
 
+/// Waits until the server closes, and until a new connection has had time to pass on a request.
+async fn drain_start(
+    closing: &mut watch::Receiver<bool>,
+    activity: &RequestActivity,
+    unread_until: Instant,
+) {
+    // The sender is dropped only when the process ends.
+    let _ = closing.wait_for(|closing| *closing).await;
+    if !activity.has_begun() {
+        sleep_until(unread_until).await;
+    }
+}
+
 fn next_idle_check(
     activity: &RequestActivity,
     settings: &watch::Receiver<ServerSettings>,
@@ -157,6 +181,12 @@
 }
 
 impl RequestActivity {
+    /// Whether any request was read.
+    fn has_begun(&self) -> bool {
+        self.in_progress.load(Ordering::Relaxed) > 0
+            || self.last_response_ms.load(Ordering::Relaxed) > 0
+    }
+
     fn begin(&self) -> RequestGuard {
         self.in_progress.fetch_add(1, Ordering::Relaxed);
         RequestGuard(self.clone())
--- a/crates/celeryshed_peering/tests/list_sharing.rs
+++ b/crates/celeryshed_peering/tests/list_sharing.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use celeryshed_base::LogOffset;
-use celeryshed_dispatch::{ListedEndpoint, RoutingSnapshot};
+use celeryshed_dispatch::ListedEndpoint;
 use celeryshed_peering::{
     ControlBatch, ControlHandle, ControlScope, ControlSettings, ControlStore, ControlStream,
     DecodeError, OperatorRecord, ReadOutcome, RecordDecoder, StoreError, parse_control_query,
@@ -59,7 +59,7 @@
 
 impl RecordDecoder for BusyStore {
     fn operator(&self, _key: &str, _value: &[u8]) -> Result<OperatorRecord, DecodeError> {
-        Ok(OperatorRecord::Configuration(Box::new(RoutingSnapshot::default())))
+        Ok(OperatorRecord::Configuration(Box::default()))
     }
 
     fn endpoint(&self, key: &str, _value: &[u8]) -> Result<ListedEndpoint, DecodeError> {
