Send no request on an older version shortly before a newer one is due

Change: the target of a placement says until when the request may be sent, 0.45 s before it must have started; a request that is later is decided again. request_is_sent_well_before_newer_version_is_due.

--- a/crates/celeryshed_dispatch/src/dispatcher.rs
+++ b/crates/celeryshed_dispatch/src/dispatcher.rs
@@ -36,6 +36,10 @@
 /// older version are withdrawn. It covers the delay with which the declaration became known and the
 /// delay from the first token to the arrival of its event at the entry.
 const OLD_VERSION_START_MARGIN: Duration = Duration::from_millis(150);
+/// Time that a request may take from its arrival at an endpoint of an older version to its start. A
+/// request that is withdrawn later may run all the same: not every endpoint notices that its
+/// connection was closed.
+const OLD_VERSION_QUEUE_TIME: Duration = Duration::from_millis(450);
 
 common_derives! { value:
     /// Settings that an entry is started with.
@@ -61,6 +65,9 @@
         /// Time until which the request may start, after which a newer version is in force; `None`
         /// if no newer version is declared.
         pub start_deadline: Option<MonoTime>,
+        /// Time until which the request may be sent, so that it starts before a newer version is in
+        /// force; `None` if no newer version is declared.
+        pub send_deadline: Option<MonoTime>,
     }
 
     /// Decision on a waiting request.
@@ -591,7 +598,8 @@
         let start_deadline =
             model.zip(served).and_then(|(model, served)| self.start_deadline(model, served));
         let (id, address) = (id.clone(), endpoint.address.clone());
-        Some(EndpointTarget { id, address, version, start_deadline })
+        let send_deadline = start_deadline.map(|at| at - OLD_VERSION_QUEUE_TIME);
+        Some(EndpointTarget { id, address, version, start_deadline, send_deadline })
     }
 
     /// The endpoints that serve a request, and how many of them are compared.
--- a/crates/celeryshed_dispatch/tests/versions.rs
+++ b/crates/celeryshed_dispatch/tests/versions.rs
@@ -175,3 +175,18 @@
     let deadline = start_deadline(&mut dispatcher, at(4010), 2).expect("a start deadline");
     assert!(deadline > at(8000) && deadline < at(9000), "{deadline:?}");
 }
+
+/// Guards against a request that is placed in time, but sent so late, since the endpoint was slow to
+/// accept the connection, that it starts after the newer version is in force.
+#[test]
+fn request_is_sent_well_before_newer_version_is_due() {
+    let mut dispatcher = dispatcher();
+    add_endpoint(&mut dispatcher, "old", 1, endpoint("model", 1, Some(1)));
+    dispatcher.add_declared_version(at(0), MODEL, 2, Some(Duration::ZERO));
+    let decisions = submit(&mut dispatcher, at(7200), 1, stream(at(7200)));
+    let [celeryshed_dispatch::DispatchDecision::Place { target, .. }] = &decisions[..] else {
+        panic!("not placed: {decisions:?}");
+    };
+    let send_deadline = target.send_deadline.expect("a newer version is declared");
+    assert!(send_deadline > at(7200) && send_deadline <= at(7500), "{send_deadline:?}");
+}
--- a/crates/celeryshed_gateway/src/context.rs
+++ b/crates/celeryshed_gateway/src/context.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use celeryshed_base::ClockSource;
-use celeryshed_dispatch::{EndpointTarget, RoutingSnapshot};
+use celeryshed_base::{ClockSource, MonoTime};
+use celeryshed_dispatch::RoutingSnapshot;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -36,9 +36,9 @@
 }
 
 impl GatewayContext {
-    /// When an attempt at this endpoint ends unless its first event or answer has arrived; none if
-    /// no newer version is declared.
-    pub(crate) fn start_deadline(&self, target: &EndpointTarget) -> Option<Instant> {
-        target.start_deadline.map(|at| Instant::now() + (at - self.clock.now()))
+    /// The time of the runtime's clock that corresponds to a time of the process.
+    pub(crate) fn instant_of(&self, at: Option<MonoTime>) -> Option<Instant> {
+        let now = self.clock.now();
+        at.map(|at| Instant::now() + (at - now))
     }
 }
--- a/crates/celeryshed_gateway/src/request/attempt.rs
+++ b/crates/celeryshed_gateway/src/request/attempt.rs
@@ -88,6 +88,9 @@
     /// because a newer version than the endpoint's then takes effect; none if no such version is
     /// known.
     pub(crate) start_deadline: Option<Instant>,
+    /// When the request may no longer be sent, since it might start after a newer version is in
+    /// force; none if no such version is known.
+    pub(crate) send_deadline: Option<Instant>,
     /// Id of the event after which the stream resumes; none for a stream from its start.
     pub(crate) last_event: Option<u64>,
     /// Memory for answers that are not complete.
@@ -105,10 +108,10 @@
         Ok(connection) => connection,
         Err(_) => return AttemptReply::Ended(AttemptOutcome::NotRun(NotRunReason::Unreachable)),
     };
-    // The process may have been paused: meanwhile the endpoint may have begun to drain, or a newer
-    // version may be in force.
-    let is_version_in_force = plan.start_deadline.is_none_or(|at| Instant::now() < at);
-    if plan.decided_at.elapsed() > MAX_DECISION_AGE || !is_version_in_force {
+    // The process may have been paused, or the endpoint slow to accept the connection: meanwhile it
+    // may have begun to drain, or the request may no longer start before a newer version is in force.
+    let is_in_time = plan.send_deadline.is_none_or(|at| Instant::now() < at);
+    if plan.decided_at.elapsed() > MAX_DECISION_AGE || !is_in_time {
         return AttemptReply::Ended(AttemptOutcome::NotRun(NotRunReason::StaleDecision));
     }
     let Some(outgoing) = outgoing_request(names, request, plan) else {
--- a/crates/celeryshed_gateway/src/request/handle.rs
+++ b/crates/celeryshed_gateway/src/request/handle.rs
@@ -163,7 +163,8 @@
             decided_at: sent_at,
             due_at: self.due_at,
             give_up_at: self.give_up_at(sent_at, expected),
-            start_deadline: self.context.start_deadline(target),
+            start_deadline: self.context.instant_of(target.start_deadline),
+            send_deadline: self.context.instant_of(target.send_deadline),
             last_event: self.request.last_event,
             buffers: &self.context.buffers,
         };
--- a/crates/celeryshed_gateway/src/request/relay.rs
+++ b/crates/celeryshed_gateway/src/request/relay.rs
@@ -159,7 +159,8 @@
             decided_at: sent_at,
             due_at: self.due_at,
             give_up_at: self.due_at,
-            start_deadline: context.start_deadline(&target),
+            start_deadline: context.instant_of(target.start_deadline),
+            send_deadline: context.instant_of(target.send_deadline),
             last_event,
             buffers: &context.buffers,
         };
