Load the first version at a new endpoint although another is declared

Cause: the load task knew only declared versions, so an endpoint that started shortly before version 2 was declared kept the complete pieces of version 1 unloaded until those of version 2 had come. Change: the version that nobody declared is a goal too. first_version_is_loaded_although_another_is_declared fails before.

--- a/crates/celeryshed_stager/src/view.rs
+++ b/crates/celeryshed_stager/src/view.rs
@@ -13,8 +13,14 @@
 
 use crate::settings::SidecarSettings;
 
-/// Version of a model for which none was declared yet.
-const FIRST_VERSION: u64 = 1;
+/// Version of a model for which none was declared yet. Endpoints that start later still load it if
+/// its pieces arrive before those of a declared version.
+const FIRST_TARGET: VersionTarget = VersionTarget {
+    version: 1,
+    learned_at: MonoTime::ZERO,
+    due_at: MonoTime::ZERO,
+    declared_while_running: false,
+};
 
 common_derives! { value:
     /// A version that the endpoint should serve.
@@ -40,34 +46,28 @@
 }
 
 impl StageView {
-    /// The newest declared version of the endpoint's model, or [`FIRST_VERSION`]; `None` until the
+    /// The newest declared version of the endpoint's model, or [`FIRST_TARGET`]; `None` until the
     /// configuration names the model and an origin.
     pub(crate) fn goal(&self, settings: &SidecarSettings) -> Option<StageGoal> {
         let snapshot = self.snapshot.as_ref()?;
         let engine = snapshot.services.get(&settings.service)?.engine.as_ref()?;
         let model = engine.models.first()?.to_string();
         let origin = snapshot.services.values().find_map(|service| service.origin.as_ref())?;
-        let first = VersionTarget {
-            version: FIRST_VERSION,
-            learned_at: MonoTime::ZERO,
-            due_at: MonoTime::ZERO,
-            declared_while_running: false,
-        };
         let declared = self.versions.get(&model).and_then(|versions| versions.last());
-        let target = declared.copied().unwrap_or(first);
+        let target = declared.copied().unwrap_or(FIRST_TARGET);
         let origin_transfer = origin.transfer_time(engine.piece_count, engine.piece_bytes);
         let version_bytes = engine.piece_count as usize * engine.piece_bytes as usize;
         let origin = origin.address.clone();
         Some(StageGoal { model, target, origin, origin_transfer, version_bytes })
     }
 
-    /// The goal of serving a declared version that may not be the newest one.
+    /// The goal of serving a version that may not be the newest one; `None` if it isn't declared.
     pub(crate) fn goal_of(&self, settings: &SidecarSettings, version: u64) -> Option<StageGoal> {
         let newest = self.goal(settings)?;
         let declared = self.versions.get(&newest.model).into_iter().flatten();
-        let target = declared.copied().find(|target| target.version == version);
-        Some(StageGoal { target: target.unwrap_or(newest.target), ..newest })
-            .filter(|goal| goal.target.version == version)
+        let mut targets = declared.copied().chain([FIRST_TARGET]);
+        let target = targets.find(|target| target.version == version)?;
+        Some(StageGoal { target, ..newest })
     }
 
     /// When a declared version has to be in force; `None` if it isn't known.
--- a/crates/celeryshed_stager/tests/later_version.rs
+++ b/crates/celeryshed_stager/tests/later_version.rs
@@ -34,7 +34,7 @@
 #[tokio::test]
 async fn later_version_is_fetched_while_earlier_waits_and_loaded_alone() {
     let weights = FakeWeights::new(1, []);
-    let (_address, store) = start_listed_sidecar(&weights, 1, others_before);
+    let (_address, store) = start_listed_sidecar(&weights, &[1], others_before);
     sleep(Duration::from_millis(500)).await;
     store.declare(2);
     let fetched = || weights.fetched.lock().unwrap().len();
@@ -51,3 +51,19 @@
     assert_eq!(*weights.ordered.lock().unwrap(), [3]);
     assert_eq!(fetched(), 2 * PIECES as usize);
 }
+
+/// Guards against an endpoint without weights that waits for a version which was just declared,
+/// although the pieces of the one before it are complete: it could serve that one meanwhile.
+#[tokio::test]
+async fn first_version_is_loaded_although_another_is_declared() {
+    let weights = FakeWeights::starting();
+    let (_address, store) = start_listed_sidecar(&weights, &[], |_own| Vec::new());
+    while weights.fetched.lock().unwrap().len() < PIECES as usize {
+        sleep(Duration::from_millis(5)).await;
+    }
+    weights.hold_origin();
+    store.declare(2);
+    sleep(Duration::from_millis(300)).await;
+    weights.finish_start();
+    weights.wait_loaded(1).await;
+}
--- a/crates/celeryshed_stager/tests/support/mod.rs
+++ b/crates/celeryshed_stager/tests/support/mod.rs
@@ -4,7 +4,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -45,6 +45,10 @@
     pub(crate) fetched: Mutex<Vec<u32>>,
     /// Versions whose load was ordered, in the order of the orders.
     pub(crate) ordered: Mutex<Vec<u64>>,
+    /// Whether the engine is starting and doesn't reply.
+    is_starting: AtomicBool,
+    /// Whether the origin doesn't reply.
+    origin_held: AtomicBool,
 }
 
 impl FakeWeights {
@@ -57,6 +61,37 @@
         })
     }
 
+    /// An engine that doesn't reply before [`Self::finish_start`], and then serves nothing.
+    pub(crate) fn starting() -> Arc<Self> {
+        Arc::new(Self { is_starting: AtomicBool::new(true), ..Self::default() })
+    }
+
+    pub(crate) fn finish_start(&self) {
+        self.is_starting.store(false, Ordering::Relaxed);
+    }
+
+    /// From now on the origin doesn't reply.
+    pub(crate) fn hold_origin(&self) {
+        self.origin_held.store(true, Ordering::Relaxed);
+    }
+
+    fn check_started(&self) -> Result<(), WeightError> {
+        match self.is_starting.load(Ordering::Relaxed) {
+            true => Err(WeightError::Refused {
+                action: "the engine",
+                address: "fake".to_owned(),
+                status: 503,
+            }),
+            false => Ok(()),
+        }
+    }
+
+    async fn wait_for_origin(&self) {
+        while self.origin_held.load(Ordering::Relaxed) {
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     /// Waits until the engine serves `version`; panics after 8 seconds.
     pub(crate) async fn wait_loaded(&self, version: u64) {
         for _ in 0..400 {
@@ -71,6 +106,7 @@
 
 impl WeightPlatform for FakeWeights {
     async fn endpoint_report(&self) -> Result<EngineReport, WeightError> {
+        self.check_started()?;
         let models = self.loaded.lock().unwrap().clone();
         Ok(EngineReport { models, busy: false, queued: 0 })
     }
@@ -84,6 +120,7 @@
     }
 
     async fn write_piece(&self, _model: &str, piece: u32, bytes: Bytes) -> Result<(), WeightError> {
+        self.check_started()?;
         self.staged.lock().unwrap().insert(piece, bytes);
         Ok(())
     }
@@ -104,6 +141,7 @@
         _model: &str,
         version: u64,
     ) -> Result<RawManifest, WeightError> {
+        self.wait_for_origin().await;
         let digest = |piece| {
             let digest = Sha256::digest(piece_bytes(version, piece));
             digest.iter().map(|byte| format!("{byte:02x}")).collect()
@@ -118,6 +156,7 @@
         version: u64,
         piece: u32,
     ) -> Result<Bytes, WeightError> {
+        self.wait_for_origin().await;
         self.fetched.lock().unwrap().push(piece);
         Ok(piece_bytes(version, piece))
     }
@@ -256,14 +295,14 @@
 
 /// Starts a sidecar whose store declares `version`, and returns the address of its peer socket.
 pub(crate) fn start_sidecar(weights: &Arc<FakeWeights>, version: u64) -> SocketAddr {
-    start_listed_sidecar(weights, version, |_own| Vec::new()).0
+    start_listed_sidecar(weights, &[version], |_own| Vec::new()).0
 }
 
-/// Starts a sidecar whose store declares `version` and lists other endpoints. `others` gets the
+/// Starts a sidecar whose store has the versions `declared` and lists other endpoints. `others` gets the
 /// address of the own endpoint, and returns those of the others.
 pub(crate) fn start_listed_sidecar(
     weights: &Arc<FakeWeights>,
-    version: u64,
+    declared: &[u64],
     others: impl Fn(&str) -> Vec<String>,
 ) -> (SocketAddr, Arc<FakeStore>) {
     let ip = next_ip();
@@ -290,7 +329,7 @@
     };
     let mut endpoints = others(&settings.endpoint);
     endpoints.push(settings.endpoint.clone());
-    let (declared, _) = watch::channel(vec![version]);
+    let (declared, _) = watch::channel(declared.to_vec());
     let store = Arc::new(FakeStore { declared, endpoints });
     let (weights, fake) = (weights.clone(), store.clone());
     let peer_address = settings.peer_address;
