Forget old inventories; name the audience of repeated messages

Cause: found in the reading of the diff: inventories are kept by sidecar and version since two versions spread at once, and were never dropped; the name LoadAudience also stood for heartbeats and inventories. Change: inventories older than 30 s go when a new one is added; LoadAudience is PeerAudience, two variables of the picker have plain names.

--- a/crates/celeryshed_dispatch/src/dispatcher.rs
+++ b/crates/celeryshed_dispatch/src/dispatcher.rs
@@ -11,7 +11,7 @@
 use crate::endpoint::{EndpointHash, EndpointId, EndpointState, EndpointStatus, ListedEndpoint};
 use crate::health::{AttemptOutcome, HealthRecord, NotRunReason};
 use crate::load::{EndpointLoad, LoadReport, LoadScope, PeerLoad};
-use crate::pacing::LoadAudience;
+use crate::pacing::PeerAudience;
 use crate::peers::PeerAddress;
 use crate::placement::{
     Candidate, CandidatePool, ComparisonLimits, Distance, PlacementChoice, PlacementQuery,
@@ -145,7 +145,7 @@
     /// Time after the last report for which its load counts.
     lifetime: Duration,
     /// Whether the peer is in the own region.
-    audience: LoadAudience,
+    audience: PeerAudience,
     /// Whether the peer's load is included in the endpoint loads.
     load_included: bool,
 }
@@ -328,9 +328,9 @@
     pub fn apply_peer_load(&mut self, now: MonoTime, peer: &PeerAddress, report: &LoadReport) {
         let known_audience = self.peers.get(peer).map(|contact| contact.audience);
         let audience = match &report.zone {
-            Some(zone) if self.settings.is_in_own_region(zone) => LoadAudience::OwnRegion,
-            Some(_) => LoadAudience::OtherRegions,
-            None => known_audience.unwrap_or(LoadAudience::OtherRegions),
+            Some(zone) if self.settings.is_in_own_region(zone) => PeerAudience::OwnRegion,
+            Some(_) => PeerAudience::OtherRegions,
+            None => known_audience.unwrap_or(PeerAudience::OtherRegions),
         };
         let LoadReport { scope, loads, lifetime, .. } = report;
         let contact =
@@ -372,7 +372,7 @@
     /// Returns this entry's own load for a report to `audience`, and notes it as reported there.
     pub fn take_own_loads(
         &mut self,
-        audience: LoadAudience,
+        audience: PeerAudience,
         scope: LoadScope,
     ) -> BTreeMap<EndpointHash, PeerLoad> {
         let hashes = self.hashes.iter();
@@ -629,7 +629,7 @@
     }
 
     /// Time between two load reports from the same entry of `audience`.
-    fn load_interval(&self, now: MonoTime, audience: LoadAudience) -> Duration {
+    fn load_interval(&self, now: MonoTime, audience: PeerAudience) -> Duration {
         let members = self.peers.values().filter(|peer| peer.audience == audience);
         audience.load_interval(members.filter(|peer| peer.is_entry(now)).count())
     }
--- a/crates/celeryshed_dispatch/src/lib.rs
+++ b/crates/celeryshed_dispatch/src/lib.rs
@@ -37,7 +37,7 @@
 pub use health::{AttemptOutcome, HealthRecord, NotRunReason, UnknownReason};
 pub use load::{EndpointLoad, LoadReport, LoadScope, PeerLoad};
 pub use pacing::{
-    LoadAudience, heartbeat_interval, inventory_interval, load_lifetime, message_lifetime,
+    PeerAudience, heartbeat_interval, inventory_interval, load_lifetime, message_lifetime,
     status_interval,
 };
 pub use peers::PeerAddress;
--- a/crates/celeryshed_dispatch/src/load.rs
+++ b/crates/celeryshed_dispatch/src/load.rs
@@ -11,7 +11,7 @@
 use celeryshed_base::{AvailabilityZone, common_derives};
 
 use crate::endpoint::EndpointHash;
-use crate::pacing::LoadAudience;
+use crate::pacing::PeerAudience;
 use crate::peers::PeerAddress;
 
 common_derives! { value:
@@ -59,7 +59,7 @@
     pub struct EndpointLoad {
         own: PeerLoad,
         /// The own load as last reported to each audience.
-        last_reported: BTreeMap<LoadAudience, PeerLoad>,
+        last_reported: BTreeMap<PeerAudience, PeerLoad>,
         peers: BTreeMap<PeerAddress, PeerLoad>,
         peers_total: PeerLoad,
     }
@@ -106,7 +106,7 @@
     /// Returns the own load for a report to `audience`, and notes it as reported there.
     ///
     /// `None` if a report of this scope leaves the endpoint out.
-    pub fn take_report(&mut self, audience: LoadAudience, scope: LoadScope) -> Option<PeerLoad> {
+    pub fn take_report(&mut self, audience: PeerAudience, scope: LoadScope) -> Option<PeerLoad> {
         let reported = self.last_reported.insert(audience, self.own).unwrap_or_default();
         let is_needed = match scope {
             LoadScope::Changes => self.own != reported,
--- a/crates/celeryshed_dispatch/src/pacing.rs
+++ b/crates/celeryshed_dispatch/src/pacing.rs
@@ -35,9 +35,9 @@
 const MIN_LOAD_LIFETIME: Duration = Duration::from_millis(1500);
 
 common_derives! { value:
-    /// The receivers of a load report or of an inventory of pieces.
+    /// The receivers of a message that a process repeats, such as a load report.
     #[derive(Copy, PartialOrd, Ord)]
-    pub enum LoadAudience {
+    pub enum PeerAudience {
         /// Processes of the sender's region.
         OwnRegion,
         /// Processes of all other regions.
@@ -45,17 +45,17 @@
     }
 }
 
-impl LoadAudience {
+impl PeerAudience {
     /// Both audiences.
     pub const ALL: [Self; 2] = [Self::OwnRegion, Self::OtherRegions];
 
     /// Time between two load reports to `receivers` entries.
     ///
     /// ```
-    /// use celeryshed_dispatch::LoadAudience;
+    /// use celeryshed_dispatch::PeerAudience;
     /// use std::time::Duration;
-    /// assert_eq!(LoadAudience::OwnRegion.load_interval(2), Duration::from_millis(30));
-    /// assert!(LoadAudience::OtherRegions.load_interval(400) > Duration::from_secs(2));
+    /// assert_eq!(PeerAudience::OwnRegion.load_interval(2), Duration::from_millis(30));
+    /// assert!(PeerAudience::OtherRegions.load_interval(400) > Duration::from_secs(2));
     /// ```
     pub fn load_interval(self, receivers: usize) -> Duration {
         let per_entry = match self {
--- a/crates/celeryshed_dispatch/src/placement.rs
+++ b/crates/celeryshed_dispatch/src/placement.rs
@@ -15,7 +15,7 @@
 use crate::endpoint::EndpointId;
 use crate::health::HealthRecord;
 use crate::load::PeerLoad;
-use crate::pacing::LoadAudience;
+use crate::pacing::PeerAudience;
 use crate::rendezvous::rendezvous;
 use crate::request::RequestProfile;
 use crate::timing::{EngineTiming, plain_answer_time};
@@ -154,7 +154,7 @@
     /// `load_interval` the one between two load reports of an entry.
     pub(crate) fn new(
         slot_interval: Duration,
-        load_interval: impl Fn(LoadAudience) -> Duration,
+        load_interval: impl Fn(PeerAudience) -> Duration,
     ) -> Self {
         let limit = |audience| {
             // Reports are half an interval old on average.
@@ -162,8 +162,8 @@
             ((slot_interval.as_secs_f64() / mean_age) as usize).max(MIN_COMPARED)
         };
         Self {
-            own_region: limit(LoadAudience::OwnRegion),
-            other_regions: limit(LoadAudience::OtherRegions),
+            own_region: limit(PeerAudience::OwnRegion),
+            other_regions: limit(PeerAudience::OtherRegions),
         }
     }
 }
--- a/crates/celeryshed_dispatch/src/staging/picker.rs
+++ b/crates/celeryshed_dispatch/src/staging/picker.rs
@@ -13,7 +13,7 @@
 use celeryshed_base::{MonoTime, RegionName, common_derives};
 
 use super::PieceSet;
-use crate::pacing::{LoadAudience, inventory_interval, message_lifetime};
+use crate::pacing::{PeerAudience, inventory_interval, message_lifetime};
 use crate::rendezvous::rendezvous;
 
 /// Maximum number of concurrent fetches of one sidecar.
@@ -166,6 +166,7 @@
         now: MonoTime,
     ) -> Self {
         let missing: BTreeSet<u32> = missing.into_iter().collect();
+        // The origin's link matters only while most pieces are missing, the last one among them.
         let piece_count = missing.last().map_or(1, |last| last + 1);
         Self {
             own_address: own.to_owned(),
@@ -251,20 +252,20 @@
     ///
     /// ```
     /// # use celeryshed_base::{MonoTime, RegionName};
-    /// # use celeryshed_dispatch::{LoadAudience, PieceFetch, PiecePicker, PieceSource};
+    /// # use celeryshed_dispatch::{PeerAudience, PieceFetch, PiecePicker, PieceSource};
     /// # let region = RegionName::try_from("north").unwrap();
     /// # let copy = std::time::Duration::from_secs(3);
     /// let picker = PiecePicker::new("10.0.0.1:7700", &region, 2, 0..4, copy, MonoTime::ZERO);
     /// let fetch = PieceFetch { piece: 0, source: PieceSource::Origin };
-    /// assert_eq!(picker.uninformed(&fetch), LoadAudience::ALL);
+    /// assert_eq!(picker.uninformed(&fetch), PeerAudience::ALL);
     /// ```
-    pub fn uninformed(&self, fetch: &PieceFetch) -> &'static [LoadAudience] {
+    pub fn uninformed(&self, fetch: &PieceFetch) -> &'static [PeerAudience] {
         match &fetch.source {
-            PieceSource::Origin => &LoadAudience::ALL,
+            PieceSource::Origin => &PeerAudience::ALL,
             PieceSource::Peer(address) => {
                 let source = self.peers.get(address);
                 let is_local = source.is_some_and(|peer| peer.region == self.region);
-                if is_local { &[] } else { &[LoadAudience::OwnRegion] }
+                if is_local { &[] } else { &[PeerAudience::OwnRegion] }
             }
         }
     }
@@ -431,9 +432,9 @@
     fn local_source(&self, now: MonoTime, random: u64, piece: u32) -> Option<PieceSource> {
         let local = || self.peers.values().filter(|peer| peer.region == self.region);
         let holder_count = local().filter(|peer| peer.has_piece(now, piece)).count();
-        let needer_count = 1 + local().count() - holder_count;
-        let lot = rendezvous(&self.own_address, random ^ u64::from(piece)) % needer_count as u64;
-        if lot >= (holder_count * FETCHES_PER_HOLDER) as u64 {
+        let lacking_count = 1 + local().count() - holder_count;
+        let random_rank = rendezvous(&self.own_address, random ^ u64::from(piece));
+        if random_rank % lacking_count as u64 >= (holder_count * FETCHES_PER_HOLDER) as u64 {
             return None;
         }
         self.least_used_holder(now, random, piece, |peer| peer.region == self.region)
--- a/crates/celeryshed_dispatch/tests/staging.rs
+++ b/crates/celeryshed_dispatch/tests/staging.rs
@@ -513,7 +513,7 @@
         self.transfers = rest;
         for Transfer { to, fetch, .. } in done {
             for audience in self.pickers[to].uninformed(&fetch) {
-                self.untold[to][usize::from(*audience == LoadAudience::OtherRegions)] = true;
+                self.untold[to][usize::from(*audience == PeerAudience::OtherRegions)] = true;
             }
             self.pickers[to].record_fetched(fetch.piece);
             self.has[to].insert(fetch.piece);
--- a/crates/celeryshed_gateway/src/dispatcher_task.rs
+++ b/crates/celeryshed_gateway/src/dispatcher_task.rs
@@ -9,7 +9,7 @@
 use celeryshed_base::{AvailabilityZone, ClockSource, ServiceName};
 use celeryshed_dispatch::{
     AttemptOutcome, DispatchDecision, DispatcherSettings, EndpointId, EndpointStatus,
-    EndpointTarget, EntryDispatcher, LoadAudience, LoadScope, PeerAddress, RefusalReason,
+    EndpointTarget, EntryDispatcher, LoadScope, PeerAddress, PeerAudience, RefusalReason,
     RequestFingerprint, RequestNumber, RequestProfile, RoutingSnapshot,
 };
 use celeryshed_observe::EventLine;
@@ -35,7 +35,7 @@
 /// Which load report a message to other entries contains.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct LoadQuery {
-    pub(crate) audience: LoadAudience,
+    pub(crate) audience: PeerAudience,
     pub(crate) scope: LoadScope,
     /// Position up to which this entry has read the control records.
     pub(crate) position: ControlPosition,
--- a/crates/celeryshed_gateway/src/peer_task.rs
+++ b/crates/celeryshed_gateway/src/peer_task.rs
@@ -7,7 +7,7 @@
 
 use celeryshed_base::AvailabilityZone;
 use celeryshed_dispatch::{
-    DispatcherSettings, LoadAudience, LoadScope, PeerAddress, heartbeat_interval, load_lifetime,
+    DispatcherSettings, LoadScope, PeerAddress, PeerAudience, heartbeat_interval, load_lifetime,
     message_lifetime,
 };
 use celeryshed_peering::{ControlHandle, EntryHeartbeat, PeerMessage, PeerSocket};
@@ -58,7 +58,7 @@
 
     pub(crate) async fn run(self) {
         let task = Arc::new(self);
-        for audience in LoadAudience::ALL {
+        for audience in PeerAudience::ALL {
             let sender = task.clone();
             tokio::spawn(async move { sender.send_loads(audience).await });
             let sender = task.clone();
@@ -68,7 +68,7 @@
     }
 
     /// Sends the entries of `audience` load reports until the process ends.
-    async fn send_loads(&self, audience: LoadAudience) {
+    async fn send_loads(&self, audience: PeerAudience) {
         let mut whole_at: Option<Instant> = None;
         let mut sent_offset = self.control.position().operator;
         let mut position = self.control.watch_position();
@@ -101,17 +101,17 @@
 
     /// The audience of load reports that an entry belongs to. Entries of an unknown zone count as
     /// entries of another region.
-    fn audience_of(&self, zone: Option<&AvailabilityZone>) -> LoadAudience {
+    fn audience_of(&self, zone: Option<&AvailabilityZone>) -> PeerAudience {
         match zone {
-            Some(zone) if self.settings.is_in_own_region(zone) => LoadAudience::OwnRegion,
-            _ => LoadAudience::OtherRegions,
+            Some(zone) if self.settings.is_in_own_region(zone) => PeerAudience::OwnRegion,
+            _ => PeerAudience::OtherRegions,
         }
     }
 
     /// Addresses of the other entries of `audience`; forgets those that are gone.
-    fn entries_in(&self, audience: LoadAudience) -> Vec<String> {
+    fn entries_in(&self, audience: PeerAudience) -> Vec<String> {
         let mut entries = self.entries.lock().expect("no holder of the lock panics");
-        let far_interval = LoadAudience::OtherRegions.whole_load_interval(entries.len());
+        let far_interval = PeerAudience::OtherRegions.whole_load_interval(entries.len());
         let lifetime = MIN_ENTRY_LIFETIME.max(load_lifetime(far_interval));
         entries.retain(|_, entry| entry.heard_at.elapsed() < lifetime);
         let members =
@@ -127,11 +127,11 @@
             entries.entry(address.to_owned()).or_insert(EntryContact { heard_at, zone: None });
         entry.heard_at = heard_at;
         entry.zone = zone.or_else(|| entry.zone.take());
-        self.audience_of(entry.zone.as_ref()) == LoadAudience::OwnRegion
+        self.audience_of(entry.zone.as_ref()) == PeerAudience::OwnRegion
     }
 
     /// Sends heartbeats to the sidecars of `audience` until the process ends.
-    async fn send_heartbeats(&self, audience: LoadAudience) {
+    async fn send_heartbeats(&self, audience: PeerAudience) {
         let mut heartbeat_at: Option<Instant> = None;
         let mut known_sidecars: BTreeSet<String> = BTreeSet::new();
         let mut sent_offset = self.control.position().operator;
@@ -152,7 +152,7 @@
             let interval = heartbeat_interval(sidecars.len());
             let is_due = heartbeat_at.is_none_or(|at| at.elapsed() >= interval);
             // Sidecars read records from entries of their own region, as long as there is one.
-            let has_news = offset != sent_offset && audience == LoadAudience::OwnRegion;
+            let has_news = offset != sent_offset && audience == PeerAudience::OwnRegion;
             sent_offset = offset;
             if is_due || has_news {
                 heartbeat_at = Some(Instant::now());
@@ -167,7 +167,7 @@
 
     /// Addresses of the peer sockets of the sidecars in the regions of `audience`; a sidecar runs
     /// on the instance of each endpoint.
-    async fn sidecars_in(&self, audience: LoadAudience) -> BTreeSet<String> {
+    async fn sidecars_in(&self, audience: PeerAudience) -> BTreeSet<String> {
         let endpoints = self.dispatcher.listed_endpoints().await;
         let members = endpoints.iter().filter(|(_, zone)| self.audience_of(Some(zone)) == audience);
         let sidecars = members.filter_map(|(address, _)| {
--- a/crates/celeryshed_measure/src/overload/entry.rs
+++ b/crates/celeryshed_measure/src/overload/entry.rs
@@ -7,7 +7,7 @@
 use celeryshed_dispatch::{
     AttemptOutcome, BudgetLimits, DirectoryRecord, DispatchDecision, DispatcherSettings,
     EndpointHash, EndpointId, EndpointState, EndpointStatus, EntryDispatcher, ListedEndpoint,
-    LoadAudience, LoadReport, LoadScope, PeerAddress, PeerLoad, RequestNumber, RequestProfile,
+    LoadReport, LoadScope, PeerAddress, PeerAudience, PeerLoad, RequestNumber, RequestProfile,
     RouteKind, RoutingSnapshot, ServiceProfile, VersionDeadlines, load_lifetime, message_lifetime,
     status_interval,
 };
@@ -220,7 +220,7 @@
     pub(super) fn take_own_loads(&mut self, scope: LoadScope) -> BTreeMap<EndpointHash, PeerLoad> {
         match self.policy {
             PlacementPolicy::Product => {
-                self.dispatcher.take_own_loads(LoadAudience::OwnRegion, scope)
+                self.dispatcher.take_own_loads(PeerAudience::OwnRegion, scope)
             }
             _ => {
                 self.own_loads.iter().map(|(engine, load)| (engine_hash(*engine), *load)).collect()
@@ -238,7 +238,7 @@
     ) {
         match self.policy {
             PlacementPolicy::Product => {
-                let whole_interval = LoadAudience::OwnRegion.whole_load_interval(1);
+                let whole_interval = PeerAudience::OwnRegion.whole_load_interval(1);
                 let lifetime = load_lifetime(whole_interval);
                 let (loads, zone) = (loads.clone(), Some(self.dispatcher.zone().clone()));
                 let report = LoadReport { scope, loads, lifetime, zone };
--- a/crates/celeryshed_stager/src/inventory_task.rs
+++ b/crates/celeryshed_stager/src/inventory_task.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use celeryshed_base::{ClockSource, MonoTime};
-use celeryshed_dispatch::{LoadAudience, inventory_interval};
+use celeryshed_dispatch::{PeerAudience, inventory_interval};
 use celeryshed_peering::{PeerMessage, PeerSocket, PieceInventory};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until, timeout};
@@ -33,7 +33,7 @@
 /// They are sent at once if a piece arrives that the audience may not know of, and otherwise at
 /// intervals that grow with the number of receivers: the others can fetch the piece elsewhere.
 pub(crate) struct InventoryTask {
-    pub(crate) audience: LoadAudience,
+    pub(crate) audience: PeerAudience,
     pub(crate) settings: Arc<SidecarSettings>,
     pub(crate) clock: ClockSource,
     pub(crate) socket: Arc<PeerSocket>,
@@ -99,7 +99,7 @@
     }
 
     fn receivers(&self, now: MonoTime) -> BTreeSet<String> {
-        let in_own_region = self.audience == LoadAudience::OwnRegion;
+        let in_own_region = self.audience == PeerAudience::OwnRegion;
         let mut receivers: BTreeSet<String> =
             self.view.borrow().sidecars(now, &self.settings, in_own_region).into_iter().collect();
         // The inventory of a sidecar that just started may arrive before it is listed.
--- a/crates/celeryshed_stager/src/piece_store.rs
+++ b/crates/celeryshed_stager/src/piece_store.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use celeryshed_base::common_derives;
-use celeryshed_dispatch::{LoadAudience, PieceSet, StageManifest};
+use celeryshed_dispatch::{PeerAudience, PieceSet, StageManifest};
 
 common_derives! { value:
     /// The pieces of one version that were received and verified.
@@ -30,7 +30,7 @@
         /// Loaded version of each model, as last reported by the endpoint.
         loaded: BTreeMap<String, u64>,
         /// Number of pieces that each audience was not known to have when they arrived.
-        unknown_pieces: BTreeMap<LoadAudience, u64>,
+        unknown_pieces: BTreeMap<PeerAudience, u64>,
         /// Whether the endpoint was asked for its state since this process started.
         pub(crate) endpoint_asked: bool,
     }
@@ -68,7 +68,7 @@
         version: u64,
         piece: u32,
         bytes: Bytes,
-        uninformed: &[LoadAudience],
+        uninformed: &[PeerAudience],
     ) {
         for audience in uninformed {
             *self.unknown_pieces.entry(*audience).or_default() += 1;
@@ -79,7 +79,7 @@
     }
 
     /// Number of pieces so far that an audience was not known to have.
-    pub(crate) fn unknown_pieces(&self, audience: LoadAudience) -> u64 {
+    pub(crate) fn unknown_pieces(&self, audience: PeerAudience) -> u64 {
         self.unknown_pieces.get(&audience).copied().unwrap_or_default()
     }
 
--- a/crates/celeryshed_stager/src/process.rs
+++ b/crates/celeryshed_stager/src/process.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use celeryshed_base::ClockSource;
-use celeryshed_dispatch::{LoadAudience, UploadPacer};
+use celeryshed_dispatch::{PeerAudience, UploadPacer};
 use celeryshed_http::{ConnectionServer, ServerSettings};
 use celeryshed_observe::{EventLine, MetricsRegistry};
 use celeryshed_peering::{ControlHandle, ControlStore, PeerSocket, RecordDecoder, start_control};
@@ -109,7 +109,7 @@
         let (_closing, closing) = watch::channel(false);
         let server = ConnectionServer::new(server_settings, closing);
         let listener = listen("the piece service", settings.peer_address).await?;
-        for audience in LoadAudience::ALL {
+        for audience in PeerAudience::ALL {
             let inventory_task = InventoryTask {
                 audience,
                 settings: settings.clone(),
--- a/crates/celeryshed_stager/src/status_task.rs
+++ b/crates/celeryshed_stager/src/status_task.rs
@@ -15,6 +15,9 @@
 use crate::stage_task::EndpointCondition;
 use crate::view::StageView;
 
+/// Time after which an inventory is forgotten, so that those of former versions and sidecars don't
+/// add up.
+const INVENTORY_LIFETIME: Duration = Duration::from_secs(30);
 /// Delay after which a changed status is sent a second time, since datagrams may be lost.
 const REPEAT_DELAY: Duration = Duration::from_millis(60);
 /// Time without a heartbeat from an entry of the own region after which entries of other regions
@@ -64,10 +67,12 @@
                         let _ = entry_sender.send((heartbeat.entry, now + lifetime));
                     }
                     PeerMessage::Pieces(inventory) => {
-                        let received = (receiving.clock.now(), inventory);
+                        let now = receiving.clock.now();
+                        let key = (inventory.sidecar.clone(), inventory.version);
                         receiving.inventories.send_modify(|inventories| {
-                            let key = (received.1.sidecar.clone(), received.1.version);
-                            inventories.insert(key, received);
+                            if inventories.insert(key, (now, inventory)).is_none() {
+                                inventories.retain(|_, (at, _)| now - *at < INVENTORY_LIFETIME);
+                            }
                         });
                     }
                     PeerMessage::Load(_) | PeerMessage::Status(_) => {}
