--- a/crates/celeryshed_gateway/src/peer_task.rs
+++ b/crates/celeryshed_gateway/src/peer_task.rs
@@ -119,15 +119,13 @@
         members.map(|(address, _)| address.clone()).collect()
     }
 
-    /// Records that an entry is there, and returns whether it is known to be in the own region.
-    fn record_entry(&self, address: &str, zone: Option<AvailabilityZone>) -> bool {
+    fn record_entry(&self, address: &str, zone: Option<AvailabilityZone>) {
         let mut entries = self.entries.lock().expect("no holder of the lock panics");
         let heard_at = Instant::now();
         let entry =
             entries.entry(address.to_owned()).or_insert(EntryContact { heard_at, zone: None });
         entry.heard_at = heard_at;
         entry.zone = zone.or_else(|| entry.zone.take());
-        self.audience_of(entry.zone.as_ref()) == PeerAudience::OwnRegion
     }
 
     /// Sends heartbeats to the sidecars of `audience` until the process ends.
@@ -199,8 +197,8 @@
             match message {
                 PeerMessage::Load(load) => {
                     let peer = sender.to_string();
-                    let is_near = self.record_entry(&peer, load.zone.clone());
-                    self.control.report_peer_position(&peer, load.position, is_near);
+                    self.record_entry(&peer, load.zone.clone());
+                    self.control.report_peer_position(&peer, load.position);
                     self.dispatcher.apply_peer_load(PeerAddress(peer), load);
                 }
                 PeerMessage::Status(status) => {
--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -10,7 +10,7 @@
 use celeryshed_dispatch::{DirectoryRecord, EndpointId, ListedEndpoint, RoutingSnapshot};
 use celeryshed_observe::EventLine;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::fetch::{ControlQuery, ControlReply, ControlScope, fetch_control};
 use crate::log::{ControlLog, ControlPosition};
@@ -28,9 +28,6 @@
 /// Time after the start of a process with [`ControlScope::Weights`] until it reads the operators'
 /// records from the store, unless a peer has sent them before.
 const OPERATOR_FALLBACK_DELAY: Duration = Duration::from_secs(4);
-/// Fraction of the interval between two reads of the list of endpoints over which processes spread
-/// their reads. The first one to read passes the list on to the others of its region.
-const LIST_READ_SPREAD: f64 = 0.5;
 /// Pause after a failed fetch from a peer.
 const PEER_RETRY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -43,10 +40,9 @@
         /// the start and the operators' records only if no peer sends them; all later records
         /// come from peers.
         pub scope: ControlScope,
-        /// Age of the list of endpoints from which a newer one is fetched, from a peer of the own
-        /// region or from the store.
+        /// Pause between two reads of the list of endpoints.
         pub endpoints_interval: Duration,
-        /// Age of the list of endpoints beyond which a newer one is fetched from any peer.
+        /// Age of the list of endpoints beyond which a newer one is fetched from a peer.
         pub endpoints_max_age: Duration,
     }
 
@@ -78,7 +74,6 @@
 struct PeerPosition {
     peer: String,
     position: ControlPosition,
-    is_near: bool,
 }
 
 /// Messages to the control task.
@@ -111,14 +106,12 @@
 
 impl ControlHandle {
     /// Reports the position of a peer; if this process is behind, it may fetch records from there.
-    ///
-    /// `is_near` states whether the peer is in the own region.
-    pub fn report_peer_position(&self, peer: &str, position: ControlPosition, is_near: bool) {
+    pub fn report_peer_position(&self, peer: &str, position: ControlPosition) {
         if position.operator > self.position().operator
             || position.endpoints > self.position().endpoints
         {
             let peer = peer.to_owned();
-            let input = ControlInput::PeerPosition(PeerPosition { peer, position, is_near });
+            let input = ControlInput::PeerPosition(PeerPosition { peer, position });
             // The task ends only with the process.
             let _ = self.inputs.send(input);
         }
@@ -165,7 +158,6 @@
     let (events, event_stream) = mpsc::unbounded_channel();
     let (position, position_watch) = watch::channel(ControlPosition::default());
     let list_failed = Arc::new(Notify::new());
-    let (list_read_at, list_read_watch) = watch::channel(None);
     for stream in [ControlStream::Operator, ControlStream::Endpoints] {
         let reader = StoreReader {
             stream,
@@ -174,7 +166,6 @@
             inputs: inputs.clone(),
             position: position_watch.clone(),
             list_failed: list_failed.clone(),
-            list_read_at: list_read_watch.clone(),
         };
         tokio::spawn(reader.run());
     }
@@ -188,7 +179,7 @@
         endpoints: BTreeMap::new(),
         services: None,
         revision: None,
-        list_read_at,
+        list_read_at: None,
         store_failing: false,
         fetching: false,
         pending_peer: None,
@@ -218,7 +209,7 @@
     services: Option<KnownServices>,
     revision: Option<celeryshed_base::ConfigRevision>,
     /// When the known list of endpoints was read from the store, by this process or a peer.
-    list_read_at: watch::Sender<Option<Instant>>,
+    list_read_at: Option<Instant>,
     store_failing: bool,
     /// Whether a fetch from a peer is in progress.
     fetching: bool,
@@ -233,7 +224,7 @@
                 ControlInput::Batch { stream, batch } => {
                     self.store_answered();
                     if stream == ControlStream::Endpoints {
-                        self.list_read_at.send_replace(Some(Instant::now()));
+                        self.list_read_at = Some(Instant::now());
                     }
                     self.merge(stream, batch);
                 }
@@ -242,13 +233,7 @@
                     if let Some(catalog) = reply.take_services() {
                         self.apply_services(reply.position().operator, catalog);
                     }
-                    if let Some(read_at) = reply.list_read_at() {
-                        self.list_read_at.send_if_modified(|known| {
-                            let is_newer = known.is_none_or(|known| known < read_at);
-                            *known = (*known).max(Some(read_at));
-                            is_newer
-                        });
-                    }
+                    self.list_read_at = self.list_read_at.max(reply.list_read_at());
                     for (stream, batch) in reply.into_batches() {
                         self.merge(stream, batch);
                     }
@@ -270,7 +255,7 @@
 
     fn reply_to(&self, query: ControlQuery) -> ControlReply {
         let position = query.position;
-        let list_age = self.list_read_at.borrow().map(|at| at.elapsed());
+        let list_age = self.list_read_at.map(|at| at.elapsed());
         let reply = match (query.scope, &self.services) {
             (ControlScope::Weights, Some(known)) => {
                 let changed = known.changed_at >= position.operator;
@@ -404,18 +389,11 @@
     }
 
     /// Fetches records from a peer that is ahead, unless the store delivers them in time.
-    ///
-    /// While the store fails, a removal from the list may only mean that a registration expired
-    /// during the outage; this process then learns from the store itself when the outage ends.
     fn fetch_if_behind(&mut self, sender: PeerPosition) {
-        let PeerPosition { position, is_near, .. } = sender;
+        let position = sender.position;
         let known = self.log.position();
-        let max_age = if is_near && !self.store_failing {
-            self.settings.endpoints_interval
-        } else {
-            self.settings.endpoints_max_age
-        };
-        let stale = self.list_read_at.borrow().is_none_or(|at| at.elapsed() > max_age);
+        let max_age = self.settings.endpoints_max_age;
+        let stale = self.list_read_at.is_none_or(|at| at.elapsed() > max_age);
         let behind =
             position.operator > known.operator || (position.endpoints > known.endpoints && stale);
         if !behind {
@@ -475,8 +453,6 @@
     /// Notified when a read of the list of endpoints fails. The pending read of the operators'
     /// records may then wait on a dead connection, so it is cancelled and sent again.
     list_failed: Arc<Notify>,
-    /// When the known list of endpoints was read from the store, by this process or a peer.
-    list_read_at: watch::Receiver<Option<Instant>>,
 }
 
 impl<S: ControlStore> StoreReader<S> {
@@ -532,28 +508,7 @@
             if failed {
                 sleep(STORE_RETRY_PAUSE).await;
             } else if stream == ControlStream::Endpoints {
-                self.wait_for_old_list(Instant::now()).await;
-                // Peers may have sent later records meanwhile.
-                position = position.max(Some(self.position.borrow().endpoints));
-            }
-        }
-    }
-
-    /// Waits until the list of endpoints, which this process read at `own_read_at`, is so old that it
-    /// reads it again.
-    async fn wait_for_old_list(&mut self, own_read_at: Instant) {
-        let interval = self.settings.endpoints_interval;
-        let max_age = interval + interval.mul_f64(LIST_READ_SPREAD * rand::random::<f64>());
-        loop {
-            let read_at = *self.list_read_at.borrow_and_update();
-            // The control task may not have recorded the own read yet.
-            let due_at = read_at.map_or(own_read_at, |at| at.max(own_read_at)) + max_age;
-            if due_at <= Instant::now() {
-                return;
-            }
-            tokio::select! {
-                () = sleep_until(due_at) => {}
-                _ = self.list_read_at.changed() => {}
+                sleep(self.settings.endpoints_interval).await;
             }
         }
     }
--- a/crates/celeryshed_peering/tests/control.rs
+++ b/crates/celeryshed_peering/tests/control.rs
@@ -175,7 +175,7 @@
         log.merge(ControlStream::Operator, ControlBatch { records, end, is_snapshot: false });
         let position = log.position();
         let peer = serve_peer(log).await;
-        control.report_peer_position(&peer, position, false);
+        control.report_peer_position(&peer, position);
         let next = async {
             loop {
                 match events.recv().await {
@@ -420,7 +420,7 @@
         log.merge(ControlStream::Operator, batch);
         let position = log.position();
         let peer = serve_peer(log).await;
-        control.report_peer_position(&peer, position, false);
+        control.report_peer_position(&peer, position);
         loop {
             let event = timeout(Duration::from_secs(2), events.recv()).await.unwrap().unwrap();
             if let ControlEvent::ModelVersion { initial, .. } = event {
--- a/crates/celeryshed_stager/src/status_task.rs
+++ b/crates/celeryshed_stager/src/status_task.rs
@@ -56,11 +56,9 @@
                         let own_region_silent =
                             own_region_at.is_none_or(|at| at.elapsed() > OWN_REGION_TIMEOUT);
                         if in_own_region || own_region_silent {
-                            receiving.control.report_peer_position(
-                                &heartbeat.entry,
-                                heartbeat.position,
-                                false,
-                            );
+                            receiving
+                                .control
+                                .report_peer_position(&heartbeat.entry, heartbeat.position);
                         }
                         // The receiver lives as long as the process.
                         let lifetime = Duration::from_millis(heartbeat.lifetime_ms.into());
