Count a version's age from the latest read without it

Cause: the age of a record that isn't among the first was taken as zero when it was read, at entries and at the sidecars that fetch it from them. Peers correct a wrong age only if one of them learned in time. Ruled out: late withdrawals and queues (the request was sent when its entry believed 4.7 s to be left), a suspended clock. Change: ReadRecency keeps the time up to which all records have been read: the sending of the latest answered read, and the present while the process runs without gaps and reads are answered. A record is at most that old. Ages are passed on with fetched records, if the asking process says that it decodes them. The first poll after a failure doesn't wait, so that an outage is over once it is answered. version_declared logs age and source. Ruled out: taking the bound of the reads alone, which would make each version due 0.4 s early on average.

--- a/crates/celeryshed_gateway/src/dispatcher_task.rs
+++ b/crates/celeryshed_gateway/src/dispatcher_task.rs
@@ -347,10 +347,7 @@
                 self.dispatcher.set_configuration(&snapshot);
                 self.snapshot.send_replace(Some(snapshot));
             }
-            ControlEvent::ModelVersion { model, version, initial } => {
-                // An initial record is among the first that the process reads. It may have been
-                // written long before, so the age of its version is unknown.
-                let age = if initial { None } else { Some(Duration::ZERO) };
+            ControlEvent::ModelVersion { model, version, age, .. } => {
                 self.dispatcher.add_declared_version(now, &model, version, age);
             }
             ControlEvent::Endpoint(record) => {
--- a/crates/celeryshed_peering/src/fetch.rs
+++ b/crates/celeryshed_peering/src/fetch.rs
@@ -1,6 +1,7 @@
 //! Fetches control records from a peer. Sidecars prefer peers to the store; entries ask a peer if
 //! the store is slow or fails.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -49,6 +50,8 @@
         pub position: ControlPosition,
         /// Which records the sender needs.
         pub scope: ControlScope,
+        /// Whether the sender decodes the ages of declared versions.
+        pub with_ages: bool,
     }
 }
 
@@ -69,6 +72,11 @@
         position: ControlPosition,
         /// Milliseconds since the list of endpoints was read from the store; none if it never was.
         list_age_ms: Option<u64>,
+        /// Milliseconds since each declared version was written, by the record's key. Records whose
+        /// age is unknown are missing. None in replies to processes that didn't ask for ages, whose
+        /// build may not decode them.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        ages_ms: Option<BTreeMap<String, u64>>,
     }
 }
 
@@ -112,6 +120,7 @@
             services: None,
             position: log.position(),
             list_age_ms: None,
+            ages_ms: None,
         }
     }
 
@@ -133,6 +142,18 @@
         Self { list_age_ms: age.map(|age| age.as_millis() as u64), ..self }
     }
 
+    /// The reply with the ages of declared versions, by the record's key.
+    pub(crate) fn with_version_ages(self, ages: impl Iterator<Item = (String, Duration)>) -> Self {
+        let ages_ms = ages.map(|(key, age)| (key, age.as_millis() as u64)).collect();
+        Self { ages_ms: Some(ages_ms), ..self }
+    }
+
+    /// Ages of declared versions, by the record's key; `None` if the peer doesn't tell them.
+    pub(crate) fn version_ages(&self) -> Option<BTreeMap<String, Duration>> {
+        let ages = self.ages_ms.as_ref()?.iter();
+        Some(ages.map(|(key, age_ms)| (key.clone(), Duration::from_millis(*age_ms))).collect())
+    }
+
     /// When the list of endpoints was read from the store; `None` if it never was.
     pub(crate) fn list_read_at(&self) -> Option<Instant> {
         Instant::now().checked_sub(Duration::from_millis(self.list_age_ms?))
@@ -185,26 +206,29 @@
     }
     let mut position = ControlPosition::default();
     let mut scope = ControlScope::Everything;
+    let mut with_ages = false;
     for (key, value) in query.split('&').filter_map(|pair| pair.split_once('=')) {
         match key {
             "operator" => position.operator = LogOffset(value.parse().ok()?),
             "endpoints" => position.endpoints = LogOffset(value.parse().ok()?),
             "scope" if value == ControlScope::Weights.name() => scope = ControlScope::Weights,
+            "ages" => with_ages = value == "1",
             _ => {}
         }
     }
-    Some(ControlQuery { position, scope })
+    Some(ControlQuery { position, scope, with_ages })
 }
 
 /// Sends the query to the peer at `address`.
 pub async fn fetch_control(address: &str, query: ControlQuery) -> Result<ControlReply, FetchError> {
     let client = HttpClient::new(address, "application/msgpack");
-    let ControlQuery { position, scope } = query;
+    let ControlQuery { position, scope, with_ages } = query;
     let target = format!(
-        "{CONTROL_PATH}?operator={}&endpoints={}&scope={}",
+        "{CONTROL_PATH}?operator={}&endpoints={}&scope={}&ages={}",
         position.operator,
         position.endpoints,
-        scope.name()
+        scope.name(),
+        u8::from(with_ages)
     );
     let timeouts = CallTimeouts {
         connect: FETCH_TIMEOUT,
--- a/crates/celeryshed_peering/src/lib.rs
+++ b/crates/celeryshed_peering/src/lib.rs
@@ -7,6 +7,7 @@
 mod fetch;
 mod log;
 mod messages;
+mod recency;
 mod record;
 mod services;
 mod socket;
--- /dev/null
+++ b/crates/celeryshed_peering/src/recency.rs
@@ -0,0 +1,123 @@
+//! Bounds the age of the operators' records at the time they are read.
+//!
+//! A process that was paused, or that could not reach the store, reads a record long after it was
+//! written. All processes may be late together, so that no peer knows better. What is certain is the
+//! time up to which every earlier record has been read; a record that is read later is at most that
+//! old.
+
+use std::time::Duration;
+
+use celeryshed_base::{MonoTime, common_derives};
+
+use crate::record::ControlStream;
+
+/// Interval of calls to [`ReadRecency::record_tick`].
+pub(crate) const RECENCY_TICK: Duration = Duration::from_millis(100);
+/// Time between two ticks above which the process counts as paused in between.
+const MAX_TICK_GAP: Duration = Duration::from_millis(300);
+/// Time beyond the interval of reads within which the next read is answered, unless the store or the
+/// link to it has failed.
+const ANSWER_SLACK: Duration = Duration::from_millis(300);
+
+common_derives! { value:
+    /// Time up to which every operator record has been read.
+    ///
+    /// The long poll for new records proves nothing while it is unanswered. Answers to reads of the
+    /// list of endpoints, which are sent at intervals, show that the store could have answered it.
+    pub(crate) struct ReadRecency {
+        /// Interval at which the store is read.
+        interval: Duration,
+        /// When the latest answered read was sent that would have returned all earlier records.
+        verified_until: Option<MonoTime>,
+        /// Time up to which the poll would have returned new records; later than `verified_until`
+        /// while the process runs and reads are answered.
+        complete_until: Option<MonoTime>,
+        /// Time until which records count as complete as long as the process runs.
+        reachable_until: Option<MonoTime>,
+        /// Whether a read has failed since the operators' records were last read, so that none may
+        /// be pending.
+        poll_failed: bool,
+        ticked_at: MonoTime,
+        /// When the process last went on after a pause. Answers to earlier reads may have arrived
+        /// long before.
+        resumed_at: MonoTime,
+    }
+
+    /// Age of a record, and when it had that age.
+    #[derive(Copy)]
+    pub(crate) struct RecordAge {
+        age: Duration,
+        at: MonoTime,
+    }
+}
+
+impl ReadRecency {
+    /// Nothing has been read yet.
+    pub(crate) fn new(now: MonoTime, interval: Duration) -> Self {
+        Self {
+            interval,
+            verified_until: None,
+            complete_until: None,
+            reachable_until: None,
+            poll_failed: false,
+            ticked_at: now,
+            resumed_at: now,
+        }
+    }
+
+    /// Records that the process runs.
+    pub(crate) fn record_tick(&mut self, now: MonoTime) {
+        if now - self.ticked_at > MAX_TICK_GAP {
+            self.resumed_at = now;
+            self.reachable_until = None;
+        }
+        self.ticked_at = now;
+        if self.reachable_until.is_some_and(|until| now <= until) {
+            self.complete_until = Some(now);
+        }
+    }
+
+    /// Records an answer of the store to a read that was sent at `sent_at`.
+    pub(crate) fn record_answer(
+        &mut self,
+        now: MonoTime,
+        stream: ControlStream,
+        sent_at: MonoTime,
+    ) {
+        match stream {
+            ControlStream::Operator => self.poll_failed = false,
+            ControlStream::Endpoints if self.poll_failed => return,
+            ControlStream::Endpoints => {}
+        }
+        self.verified_until = self.verified_until.max(Some(sent_at));
+        self.complete_until = self.complete_until.max(self.verified_until);
+        if sent_at >= self.resumed_at {
+            self.reachable_until = Some(now + self.interval + ANSWER_SLACK);
+        }
+    }
+
+    /// Records that the store did not answer. It may have been out of reach since the latest read
+    /// that it answered was sent.
+    pub(crate) fn record_failure(&mut self) {
+        self.complete_until = self.verified_until;
+        self.reachable_until = None;
+        self.poll_failed = true;
+    }
+
+    /// Longest possible age of a record that has just been read; `None` if the store was never read
+    /// before.
+    pub(crate) fn max_age(&self, now: MonoTime) -> Option<Duration> {
+        self.complete_until.map(|until| now - until)
+    }
+}
+
+impl RecordAge {
+    pub(crate) fn new(now: MonoTime, age: Duration) -> Self {
+        Self { age, at: now }
+    }
+
+    /// The age at a later time.
+    pub(crate) fn at(self, now: MonoTime) -> Duration {
+        self.age + (now - self.at)
+    }
+}
--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -6,14 +6,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use celeryshed_base::{LogOffset, common_derives};
+use celeryshed_base::{ClockSource, LogOffset, MonoTime, common_derives};
 use celeryshed_dispatch::{DirectoryRecord, EndpointId, ListedEndpoint, RoutingSnapshot};
 use celeryshed_observe::EventLine;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
 
 use crate::fetch::{ControlQuery, ControlReply, ControlScope, fetch_control};
 use crate::log::{ControlLog, ControlPosition};
+use crate::recency::{RECENCY_TICK, ReadRecency, RecordAge};
 use crate::record::{ControlBatch, ControlRecord, ControlStream, OperatorRecord};
 use crate::services::ServiceCatalog;
 use crate::store::{ControlStore, ReadOutcome, RecordDecoder, StoreError};
@@ -59,6 +60,8 @@
             /// Whether the record was among the first ones that the process read, in which case the
             /// version may have been declared long ago.
             initial: bool,
+            /// Longest possible time since the declaration; none if it is unknown.
+            age: Option<Duration>,
         },
         /// An endpoint was added to the list, changed or removed.
         Endpoint(DirectoryRecord),
@@ -81,6 +84,8 @@
     Batch {
         stream: ControlStream,
         batch: ControlBatch,
+        /// When the read was sent.
+        sent_at: MonoTime,
     },
     PeerReply(ControlReply),
     /// A fetch from a peer failed or turned out to be unnecessary.
@@ -141,7 +146,7 @@
 
     /// Fetches the records that this process lacks from a peer whose position may be unknown.
     pub async fn fetch_from(&self, peer: &str) {
-        let query = ControlQuery { position: self.position(), scope: self.scope };
+        let query = ControlQuery { position: self.position(), scope: self.scope, with_ages: true };
         let input = fetch_input(peer, query).await;
         // The task ends only with the process.
         let _ = self.inputs.send(input);
@@ -154,6 +159,7 @@
     decoder: Arc<D>,
     settings: ControlSettings,
 ) -> (ControlHandle, mpsc::UnboundedReceiver<ControlEvent>) {
+    let clock = ClockSource::start();
     let (inputs, received) = mpsc::unbounded_channel();
     let (events, event_stream) = mpsc::unbounded_channel();
     let (position, position_watch) = watch::channel(ControlPosition::default());
@@ -165,6 +171,7 @@
             settings,
             inputs: inputs.clone(),
             position: position_watch.clone(),
+            clock,
             list_failed: list_failed.clone(),
         };
         tokio::spawn(reader.run());
@@ -183,6 +190,9 @@
         store_failing: false,
         fetching: false,
         pending_peer: None,
+        clock,
+        recency: ReadRecency::new(clock.now(), settings.endpoints_interval),
+        version_ages: BTreeMap::new(),
     };
     tokio::spawn(task.run(received));
     (ControlHandle { inputs, position: position_watch, scope: settings.scope }, event_stream)
@@ -197,6 +207,40 @@
     catalog: ServiceCatalog,
 }
 
+/// Where records come from, and what is known of the ages of declared versions among them.
+enum RecordSource {
+    Store {
+        /// Longest possible age of any record; none if the store was never read before.
+        max_age: Option<Duration>,
+    },
+    Peer {
+        /// Ages by the record's key; none if the peer's build doesn't tell them.
+        ages: Option<BTreeMap<String, Duration>>,
+    },
+}
+
+impl RecordSource {
+    /// Longest possible age of a declared version; `None` if it is unknown.
+    ///
+    /// `initial` tells whether the record is among the first that the process reads.
+    fn record_age(&self, key: &str, initial: bool) -> Option<Duration> {
+        match self {
+            Self::Store { .. } if initial => None,
+            Self::Store { max_age } => *max_age,
+            Self::Peer { ages: Some(ages) } => ages.get(key).copied(),
+            Self::Peer { ages: None } => (!initial).then_some(Duration::ZERO),
+        }
+    }
+
+    /// The source as written to logs.
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Store { .. } => "store",
+            Self::Peer { .. } => "peer",
+        }
+    }
+}
+
 struct ControlTask<D> {
     log: ControlLog,
     decoder: Arc<D>,
@@ -215,18 +259,35 @@
     fetching: bool,
     /// The last peer that was ahead of this process during a fetch from another peer.
     pending_peer: Option<PeerPosition>,
+    clock: ClockSource,
+    recency: ReadRecency,
+    /// Ages of declared versions by the record's key; those of unknown age are missing.
+    version_ages: BTreeMap<String, RecordAge>,
 }
 
 impl<D: RecordDecoder> ControlTask<D> {
     async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<ControlInput>) {
-        while let Some(input) = inputs.recv().await {
+        let mut ticks = interval(RECENCY_TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            let input = tokio::select! {
+                input = inputs.recv() => input,
+                _ = ticks.tick(), if self.settings.scope == ControlScope::Everything => {
+                    self.recency.record_tick(self.clock.now());
+                    continue;
+                }
+            };
+            let Some(input) = input else { return };
             match input {
-                ControlInput::Batch { stream, batch } => {
+                ControlInput::Batch { stream, batch, sent_at } => {
                     self.store_answered();
                     if stream == ControlStream::Endpoints {
                         self.list_read_at = Some(Instant::now());
                     }
-                    self.merge(stream, batch);
+                    let now = self.clock.now();
+                    let source = RecordSource::Store { max_age: self.recency.max_age(now) };
+                    self.merge(stream, batch, &source);
+                    self.recency.record_answer(now, stream, sent_at);
                 }
                 ControlInput::PeerReply(mut reply) => {
                     self.fetching = false;
@@ -234,8 +295,9 @@
                         self.apply_services(reply.position().operator, catalog);
                     }
                     self.list_read_at = self.list_read_at.max(reply.list_read_at());
+                    let source = RecordSource::Peer { ages: reply.version_ages() };
                     for (stream, batch) in reply.into_batches() {
-                        self.merge(stream, batch);
+                        self.merge(stream, batch, &source);
                     }
                     self.fetch_from_pending_peer();
                 }
@@ -267,23 +329,34 @@
                 ControlReply::changed_since(&self.log, position)
             }
         };
-        reply.with_list_age(list_age)
+        let reply = reply.with_list_age(list_age);
+        if !query.with_ages {
+            return reply;
+        }
+        let now = self.clock.now();
+        let ages = self.version_ages.iter();
+        reply.with_version_ages(ages.map(|(key, age)| (key.clone(), age.at(now))))
     }
 
-    fn merge(&mut self, stream: ControlStream, batch: ControlBatch) {
+    fn merge(&mut self, stream: ControlStream, batch: ControlBatch, source: &RecordSource) {
         // A peer without records replies with an empty batch. The first records that arrive after
         // such a batch may be old too, so the position decides and not the number of batches.
         let initial = self.log.position().operator == LogOffset::default();
         for record in self.log.merge(stream, batch) {
             match stream {
-                ControlStream::Operator => self.apply_operator_record(&record, initial),
+                ControlStream::Operator => self.apply_operator_record(&record, initial, source),
                 ControlStream::Endpoints => self.apply_endpoint_record(record),
             }
         }
         self.position.send_replace(self.log.position());
     }
 
-    fn apply_operator_record(&mut self, record: &ControlRecord, initial: bool) {
+    fn apply_operator_record(
+        &mut self,
+        record: &ControlRecord,
+        initial: bool,
+        source: &RecordSource,
+    ) {
         let Some(value) = &record.value else { return };
         match self.decoder.operator(&record.key, value) {
             Ok(OperatorRecord::Configuration(snapshot)) => {
@@ -301,12 +374,20 @@
                 self.emit(ControlEvent::Configuration(Arc::from(snapshot)));
             }
             Ok(OperatorRecord::ModelVersion { model, version }) => {
+                let age = source.record_age(&record.key, initial);
+                let known = age.map(|age| RecordAge::new(self.clock.now(), age));
+                match known {
+                    Some(known) => self.version_ages.insert(record.key.clone(), known),
+                    None => self.version_ages.remove(&record.key),
+                };
                 EventLine::new("version_declared")
                     .field("model", &model)
                     .field("version", version)
                     .field("offset", record.offset)
+                    .field("age_ms", format_args!("{:?}", age.map(|age| age.as_millis())))
+                    .field("source", source.name())
                     .info();
-                self.emit(ControlEvent::ModelVersion { model, version, initial });
+                self.emit(ControlEvent::ModelVersion { model, version, initial, age });
             }
             Ok(OperatorRecord::Other) => {}
             Err(error) => {
@@ -373,6 +454,7 @@
     }
 
     fn store_failed(&mut self, stream: ControlStream, error: &StoreError) {
+        self.recency.record_failure();
         if !std::mem::replace(&mut self.store_failing, true) {
             EventLine::new("store_lost")
                 .field("stream", format_args!("{stream:?}"))
@@ -416,7 +498,8 @@
                 }
             }
             let position = *latest.borrow();
-            let input = fetch_input(&peer, ControlQuery { position, scope }).await;
+            let query = ControlQuery { position, scope, with_ages: true };
+            let input = fetch_input(&peer, query).await;
             if matches!(input, ControlInput::NoPeerReply) {
                 sleep(PEER_RETRY_PAUSE).await;
             }
@@ -450,6 +533,7 @@
     settings: ControlSettings,
     inputs: mpsc::UnboundedSender<ControlInput>,
     position: watch::Receiver<ControlPosition>,
+    clock: ClockSource,
     /// Notified when a read of the list of endpoints fails. The pending read of the operators'
     /// records may then wait on a dead connection, so it is cancelled and sent again.
     list_failed: Arc<Notify>,
@@ -465,16 +549,22 @@
             }
         }
         let mut position: Option<LogOffset> = None;
+        // After a failure, the first read doesn't wait for new records: its answer shows that none
+        // is missing.
+        let mut is_verifying = false;
         loop {
+            let wait = if is_verifying { Duration::ZERO } else { poll_wait(self.stream) };
+            let sent_at = self.clock.now();
             let outcome = match position {
                 None => self.store.newest(self.stream).await.map(ReadOutcome::Records),
                 Some(from) => {
-                    let read = self.store.read(self.stream, from, poll_wait(self.stream));
+                    let read = self.store.read(self.stream, from, wait);
                     tokio::select! {
                         outcome = read => outcome,
                         () = self.list_failed.notified(),
                             if self.stream == ControlStream::Operator =>
                         {
+                            is_verifying = true;
                             sleep(STORE_RETRY_PAUSE).await;
                             continue;
                         }
@@ -485,7 +575,7 @@
             let input = match outcome {
                 Ok(ReadOutcome::Records(batch)) => {
                     position = Some(batch.end);
-                    ControlInput::Batch { stream, batch }
+                    ControlInput::Batch { stream, batch, sent_at }
                 }
                 Ok(ReadOutcome::Truncated) => {
                     EventLine::new("store_truncated")
@@ -502,6 +592,7 @@
                 }
             };
             let failed = matches!(input, ControlInput::StoreFailed { .. });
+            is_verifying = failed;
             if self.inputs.send(input).is_err() || (!failed && !keeps_reading) {
                 return;
             }
--- a/crates/celeryshed_peering/tests/control.rs
+++ b/crates/celeryshed_peering/tests/control.rs
@@ -306,7 +306,7 @@
 ) -> usize {
     let position =
         ControlPosition { operator: LogOffset(operator), endpoints: LogOffset(endpoints) };
-    control.answer_query(ControlQuery { position, scope }).await.unwrap().len()
+    control.answer_query(ControlQuery { position, scope, with_ages: false }).await.unwrap().len()
 }
 
 /// Guards against replies that fill a narrow link: with 1,680 routes published, 88 sidecars fetched
--- /dev/null
+++ b/crates/celeryshed_peering/tests/version_age.rs
@@ -0,0 +1,230 @@
+//! Ages of declared versions that become known late.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use bytes::Bytes;
+use celeryshed_base::LogOffset;
+use celeryshed_dispatch::ListedEndpoint;
+use celeryshed_peering::{
+    ControlBatch, ControlEvent, ControlHandle, ControlRecord, ControlScope, ControlSettings,
+    ControlStore, ControlStream, DecodeError, OperatorRecord, ReadOutcome, RecordDecoder,
+    StoreError, parse_control_query, start_control,
+};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, mpsc};
+use tokio::time::{advance, sleep, timeout};
+
+/// Interval of reads of the list of endpoints.
+const LIST_INTERVAL: Duration = Duration::from_millis(800);
+
+/// A store that answers polls for operators' records as soon as one is written.
+#[derive(Default)]
+struct PushStore {
+    written: Mutex<Vec<ControlRecord>>,
+    changed: Notify,
+    unreachable: Mutex<bool>,
+}
+
+impl PushStore {
+    fn declare(&self, version: u8) {
+        let mut written = self.written.lock().unwrap();
+        let offset = LogOffset(written.len() as u64);
+        let value = Some(Bytes::from(vec![version]));
+        written.push(ControlRecord { key: "version".to_owned(), offset, value });
+        self.changed.notify_waiters();
+    }
+
+    fn batch(&self, stream: ControlStream, from: LogOffset) -> ControlBatch {
+        let written = self.written.lock().unwrap();
+        let records = match stream {
+            ControlStream::Operator => written.iter().skip(from.0 as usize).cloned().collect(),
+            ControlStream::Endpoints => vec![],
+        };
+        ControlBatch { records, end: LogOffset(written.len() as u64), is_snapshot: false }
+    }
+
+    fn check(&self) -> Result<(), StoreError> {
+        if *self.unreachable.lock().unwrap() {
+            return Err(StoreError::Refused { address: "fake".to_owned(), status: 503 });
+        }
+        Ok(())
+    }
+}
+
+impl ControlStore for PushStore {
+    async fn newest(&self, stream: ControlStream) -> Result<ControlBatch, StoreError> {
+        self.check()?;
+        Ok(self.batch(stream, LogOffset(0)))
+    }
+
+    async fn read(
+        &self,
+        stream: ControlStream,
+        from: LogOffset,
+        wait: Duration,
+    ) -> Result<ReadOutcome, StoreError> {
+        self.check()?;
+        let changed = self.changed.notified();
+        if self.batch(stream, from).records.is_empty() {
+            // A poll ends with or without a record.
+            let _ = timeout(wait, changed).await;
+        }
+        self.check()?;
+        Ok(ReadOutcome::Records(self.batch(stream, from)))
+    }
+}
+
+struct VersionDecoder;
+
+impl RecordDecoder for VersionDecoder {
+    fn operator(&self, _key: &str, value: &[u8]) -> Result<OperatorRecord, DecodeError> {
+        Ok(OperatorRecord::ModelVersion { model: "m".to_owned(), version: u64::from(value[0]) })
+    }
+
+    fn endpoint(&self, key: &str, _value: &[u8]) -> Result<ListedEndpoint, DecodeError> {
+        Err(DecodeError { key: key.to_owned(), detail: "none in this test".to_owned() })
+    }
+}
+
+fn settings(scope: ControlScope) -> ControlSettings {
+    ControlSettings {
+        scope,
+        endpoints_interval: LIST_INTERVAL,
+        endpoints_max_age: Duration::from_secs(2),
+    }
+}
+
+/// A process that has read the declaration of version 1.
+async fn start_entry(
+    store: &Arc<PushStore>,
+) -> (ControlHandle, mpsc::UnboundedReceiver<ControlEvent>) {
+    store.declare(1);
+    let scope = ControlScope::Everything;
+    let (control, mut events) =
+        start_control(store.clone(), Arc::new(VersionDecoder), settings(scope));
+    assert_eq!(next_version(&mut events).await, (1, None));
+    sleep(Duration::from_secs(3)).await;
+    (control, events)
+}
+
+/// The next declared version and its age.
+async fn next_version(
+    events: &mut mpsc::UnboundedReceiver<ControlEvent>,
+) -> (u64, Option<Duration>) {
+    loop {
+        let event = timeout(Duration::from_secs(20), events.recv()).await.unwrap().unwrap();
+        if let ControlEvent::ModelVersion { version, age, .. } = event {
+            return (version, age);
+        }
+    }
+}
+
+/// Guards against a deadline that is counted from the end of a pause: with all entries paused during
+/// a declaration, requests started on the older version seconds after the newer one was due.
+#[tokio::test(start_paused = true)]
+async fn version_declared_during_a_pause_is_as_old_as_the_pause() {
+    let store = Arc::new(PushStore::default());
+    let (_control, mut events) = start_entry(&store).await;
+    store.declare(2);
+    let pause = Duration::from_millis(4600);
+    advance(pause).await;
+    let (version, age) = next_version(&mut events).await;
+    let age = age.expect("the store was read before");
+    assert_eq!(version, 2);
+    assert!(age >= pause && age < pause + LIST_INTERVAL, "{age:?}");
+}
+
+/// Guards against taking every version for an old one: endpoints need the whole time to load it.
+#[tokio::test(start_paused = true)]
+async fn version_that_is_read_at_once_is_new() {
+    let store = Arc::new(PushStore::default());
+    let (_control, mut events) = start_entry(&store).await;
+    for version in 2..6 {
+        store.declare(version);
+        let (read, age) = next_version(&mut events).await;
+        let age = age.expect("the store was read before");
+        assert_eq!(read, u64::from(version));
+        assert!(age <= Duration::from_millis(100), "{age:?}");
+        sleep(Duration::from_millis(1370)).await;
+    }
+}
+
+/// A pause in the past has no effect on versions that are declared after it.
+#[tokio::test(start_paused = true)]
+async fn version_declared_after_a_pause_is_new() {
+    let store = Arc::new(PushStore::default());
+    let (_control, mut events) = start_entry(&store).await;
+    advance(Duration::from_secs(5)).await;
+    sleep(LIST_INTERVAL * 2).await;
+    store.declare(2);
+    let (_, age) = next_version(&mut events).await;
+    let age = age.expect("the store was read before");
+    assert!(age <= Duration::from_millis(100), "{age:?}");
+}
+
+/// Guards against a deadline that is counted from the return of the store: nobody knows how long
+/// before a version was declared.
+#[tokio::test(start_paused = true)]
+async fn version_declared_out_of_reach_is_as_old_as_the_outage() {
+    let store = Arc::new(PushStore::default());
+    let (_control, mut events) = start_entry(&store).await;
+    *store.unreachable.lock().unwrap() = true;
+    let outage = Duration::from_secs(5);
+    sleep(outage).await;
+    store.declare(2);
+    *store.unreachable.lock().unwrap() = false;
+    let (_, age) = next_version(&mut events).await;
+    let age = age.expect("the store was read before");
+    assert!(age >= outage && age < outage + LIST_INTERVAL * 2, "{age:?}");
+}
+
+/// Guards against a sidecar that counts the age of a version from the time at which an entry sends
+/// the record, and so loads it after the entries have stopped using the older one.
+#[tokio::test]
+async fn age_is_passed_on_with_the_record() {
+    let store = Arc::new(PushStore::default());
+    store.declare(1);
+    let scope = ControlScope::Everything;
+    let (control, mut events) =
+        start_control(store.clone(), Arc::new(VersionDecoder), settings(scope));
+    assert_eq!(next_version(&mut events).await.0, 1);
+    let peer = serve_control(control.clone()).await;
+    let scope = ControlScope::Weights;
+    let unread = Arc::new(PushStore::default());
+    let (sidecar, mut sidecar_events) =
+        start_control(unread, Arc::new(VersionDecoder), settings(scope));
+    sidecar.fetch_from(&peer).await;
+    assert_eq!(next_version(&mut sidecar_events).await, (1, None));
+    store.declare(2);
+    assert_eq!(next_version(&mut events).await.0, 2);
+    let delay = Duration::from_millis(700);
+    sleep(delay).await;
+    sidecar.fetch_from(&peer).await;
+    let (version, age) = next_version(&mut sidecar_events).await;
+    let age = age.expect("the entry knows the age");
+    assert_eq!(version, 2);
+    assert!(age >= delay, "{age:?}");
+}
+
+/// Starts a server that answers queries with the records of `control`; returns its address.
+async fn serve_control(control: ControlHandle) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut request = [0; 1024];
+            let length = stream.read(&mut request).await.unwrap();
+            let text = String::from_utf8_lossy(&request[..length]).into_owned();
+            let query = parse_control_query(text.split(' ').nth(1).unwrap()).unwrap();
+            let body = control.answer_query(query).await.unwrap();
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+            stream.write_all(head.as_bytes()).await.unwrap();
+            stream.write_all(&body).await.unwrap();
+        }
+    });
+    address
+}
--- a/crates/celeryshed_stager/src/view.rs
+++ b/crates/celeryshed_stager/src/view.rs
@@ -183,15 +183,14 @@
 fn apply(view: &mut StageView, now: MonoTime, deadlines: VersionDeadlines, event: ControlEvent) {
     match event {
         ControlEvent::Configuration(snapshot) => view.snapshot = Some(snapshot),
-        ControlEvent::ModelVersion { model, version, initial } => {
-            // The age of a version that was declared before the start is unknown.
-            let due_at = deadlines.due_at(now, (!initial).then_some(Duration::ZERO));
+        ControlEvent::ModelVersion { model, version, initial, age } => {
+            let due_at = deadlines.due_at(now, age);
             let versions = view.versions.entry(model).or_default();
             if versions.last().is_none_or(|known| version > known.version) {
-                let declared_while_running = !initial;
+                let declared_while_running = !initial && age.is_some();
                 versions.push(VersionTarget {
                     version,
-                    learned_at: now,
+                    learned_at: now - age.unwrap_or_default(),
                     due_at,
                     declared_while_running,
                 });
