Reset connections whose request is withdrawn

The entry had withdrawn them before the deadline, but the link to the engine was cut; 40 ms later it was restored and delivered the request together with the close behind it.

Cause: dropping an HttpConnection ended it with FIN. TCP delivers the bytes before a FIN, however late; and hyper first wrote what was left of a request whose response had been dropped. Only a reset discards bytes that are held up. Class: an exchange that its sender considers over, while its peer may still receive it. It also acts on callers that disconnect, attempts given up as silent, abandoned streams, and timed-out calls to engines, store, origins and peers; all of them use HttpConnection.

Change: ExchangeStream sets SO_LINGER to zero before the close unless the response was read to its end (ResponseBody), and dropping an HttpConnection then aborts its driver. A complete exchange ends with FIN as before. Ruled out: setting the option at each send, which costs two system calls a request.

--- a/crates/celeryshed_gateway/src/request/attempt.rs
+++ b/crates/celeryshed_gateway/src/request/attempt.rs
@@ -8,9 +8,8 @@
 
 use bytes::{Bytes, BytesMut};
 use celeryshed_dispatch::{AttemptOutcome, EndpointTarget, NotRunReason, UnknownReason};
-use celeryshed_http::{HttpConnection, HttpError};
+use celeryshed_http::{HttpConnection, HttpError, ResponseBody};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
 use hyper::header::{
     CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, EXPECT, HeaderName, HeaderValue, TE, TRAILER,
     TRANSFER_ENCODING, UPGRADE,
@@ -56,9 +55,9 @@
     pub(crate) headers: HeaderMap,
     /// One or more whole events.
     pub(crate) first: Bytes,
-    pub(crate) body: Incoming,
+    pub(crate) body: ResponseBody,
     pub(crate) splitter: EventSplitter,
-    /// Closed when the stream is dropped.
+    /// Ended when the stream is dropped.
     _connection: HttpConnection,
 }
 
@@ -143,7 +142,7 @@
 struct StartedStream {
     head: Parts,
     first: Bytes,
-    body: Incoming,
+    body: ResponseBody,
     splitter: EventSplitter,
 }
 
@@ -187,7 +186,10 @@
 }
 
 /// Reads a body to its end.
-async fn read_whole(mut body: Incoming, mut lease: BufferLease) -> Result<Bytes, AttemptOutcome> {
+async fn read_whole(
+    mut body: ResponseBody,
+    mut lease: BufferLease,
+) -> Result<Bytes, AttemptOutcome> {
     let mut whole = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| AttemptOutcome::Unknown(UnknownReason::Reset))?;
--- a/crates/celeryshed_http/src/connection.rs
+++ b/crates/celeryshed_http/src/connection.rs
@@ -6,13 +6,15 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+use crate::exchange::{ExchangeState, ExchangeStream, ResponseBody};
+
 /// Why a call got no complete response.
 #[derive(Debug, thiserror::Error)]
 pub enum HttpError {
@@ -53,11 +55,15 @@
 /// Result of an HTTP call.
 pub(crate) type Result<T> = std::result::Result<T, HttpError>;
 
-/// An open connection that carries one request at a time; dropping it closes the connection.
+/// An open connection that carries one request at a time.
+///
+/// Dropping it closes the connection, or resets it while the response to a request is incomplete.
 #[derive(Debug)]
 pub struct HttpConnection {
     address: String,
     sender: SendRequest<Full<Bytes>>,
+    state: ExchangeState,
+    driver: AbortHandle,
 }
 
 impl HttpConnection {
@@ -81,17 +87,22 @@
             .map_err(|_elapsed| failed(io::ErrorKind::TimedOut.into()))?
             .map_err(failed)?;
         stream.set_nodelay(true).map_err(failed)?;
+        let state = ExchangeState::default();
+        let stream = ExchangeStream::new(stream, state.clone());
         let (sender, connection) = handshake(TokioIo::new(stream))
             .await
             .map_err(|source| HttpError::Exchange { address: address.to_owned(), source })?;
         // Errors of the connection reach the caller as errors of the request in progress.
-        tokio::spawn(connection);
-        Ok(Self { address: address.to_owned(), sender })
+        let driver = tokio::spawn(connection).abort_handle();
+        Ok(Self { address: address.to_owned(), sender, state, driver })
     }
 
     /// Sends a request and waits for the head of its response.
-    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
-        self.sender.send_request(request).await.map_err(|source| self.failure(source))
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<ResponseBody>> {
+        self.state.begin();
+        let response =
+            self.sender.send_request(request).await.map_err(|source| self.failure(source))?;
+        Ok(response.map(|incoming| ResponseBody::new(incoming, self.state.clone())))
     }
 
     /// Whether the connection is not closed; a request may still be in progress on it.
@@ -108,3 +119,12 @@
         HttpError::Exchange { address: self.address.clone(), source }
     }
 }
+
+impl Drop for HttpConnection {
+    fn drop(&mut self) {
+        // The driver would otherwise first write what is left of the request.
+        if self.state.is_incomplete() {
+            self.driver.abort();
+        }
+    }
+}
--- a/crates/celeryshed_http/src/lib.rs
+++ b/crates/celeryshed_http/src/lib.rs
@@ -7,8 +7,10 @@
 
 mod client;
 mod connection;
+mod exchange;
 mod server;
 
 pub use client::{CONNECT_TIMEOUT, CallTimeouts, HttpClient, HttpResponse};
 pub use connection::{HttpConnection, HttpError};
+pub use exchange::ResponseBody;
 pub use server::{ConnectionServer, ServerSettings};
