Count the time in which the machine is suspended

What callers may see: after a suspension of some seconds, requests run on an older version although a newer one is in force. The steady clock stands still meanwhile, so that a declared version counts as younger than it is.

Cause: ClockSource followed tokio's clock (CLOCK_MONOTONIC) alone. Peers correct the age, but not if all were suspended. Class: tokens that expire by the process's own clock: version deadlines, statuses, load reports, choices of an endpoint, and the time limit that is passed on.

Change: now() adds the time suspended since the start, CLOCK_BOOTTIME less CLOCK_MONOTONIC; both are real clocks, so that a paused test clock stays paused.

--- a/crates/celeryshed_gateway/src/context.rs
+++ b/crates/celeryshed_gateway/src/context.rs
@@ -2,10 +2,9 @@
 
 use std::sync::Arc;
 
-use celeryshed_base::{ClockSource, MonoTime};
+use celeryshed_base::ClockSource;
 use celeryshed_dispatch::RoutingSnapshot;
 use tokio::sync::watch;
-use tokio::time::Instant;
 
 use crate::dispatcher_task::DispatcherHandle;
 use crate::names::HeaderNames;
@@ -34,11 +33,3 @@
     /// Memory for answers that are not complete.
     pub(crate) buffers: BufferBudget,
 }
-
-impl GatewayContext {
-    /// The time of the runtime's clock that corresponds to a time of the process.
-    pub(crate) fn instant_of(&self, at: Option<MonoTime>) -> Option<Instant> {
-        let now = self.clock.now();
-        at.map(|at| Instant::now() + (at - now))
-    }
-}
--- a/crates/celeryshed_gateway/src/process.rs
+++ b/crates/celeryshed_gateway/src/process.rs
@@ -66,10 +66,19 @@
         settings: GatewaySettings,
         store: Arc<S>,
         decoder: Arc<D>,
+    ) -> Result<()> {
+        Self::run_with_clock(settings, ClockSource::start(), store, decoder).await
+    }
+
+    /// Runs an entry like [`EntryProcess::run`], on a given clock.
+    pub async fn run_with_clock<S: ControlStore, D: RecordDecoder>(
+        settings: GatewaySettings,
+        clock: ClockSource,
+        store: Arc<S>,
+        decoder: Arc<D>,
     ) -> Result<()> {
         let mut terminate = signal(SignalKind::terminate())?;
         let mut reload = signal(SignalKind::hangup())?;
-        let clock = ClockSource::start();
         let registry = MetricsRegistry::install();
         let (control, events) = start_control(store, decoder, settings.control);
         let (dispatcher, outputs) = start_dispatcher(settings.dispatcher.clone(), clock, events);
--- a/crates/celeryshed_gateway/src/request/attempt.rs
+++ b/crates/celeryshed_gateway/src/request/attempt.rs
@@ -4,9 +4,11 @@
 //! or still send a late answer to an earlier request there; the outcome of a request that must not
 //! run twice would then be unknown.
 
+use std::future::pending;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use celeryshed_base::{ClockSource, MonoTime};
 use celeryshed_dispatch::{AttemptOutcome, EndpointTarget, NotRunReason, UnknownReason};
 use celeryshed_http::{HttpConnection, HttpError, ResponseBody};
 use http_body_util::{BodyExt, Full};
@@ -76,20 +78,18 @@
 #[derive(Debug)]
 pub(crate) struct AttemptPlan<'a> {
     pub(crate) target: &'a EndpointTarget,
+    pub(crate) clock: ClockSource,
     /// When the endpoint was chosen.
-    pub(crate) decided_at: Instant,
-    /// When the answer is due; the endpoint is told the time until then and stops working
-    /// afterwards.
-    pub(crate) due_at: Instant,
+    pub(crate) decided_at: MonoTime,
     /// When the attempt ends as silent unless a first event or complete answer has arrived.
     pub(crate) give_up_at: Instant,
     /// When the attempt ends as outdated unless a first event or complete answer has arrived,
     /// because a newer version than the endpoint's then takes effect; none if no such version is
     /// known.
-    pub(crate) start_deadline: Option<Instant>,
+    pub(crate) start_deadline: Option<MonoTime>,
     /// When the request may no longer be sent, since it might start after a newer version is in
     /// force; none if no such version is known.
-    pub(crate) send_deadline: Option<Instant>,
+    pub(crate) send_deadline: Option<MonoTime>,
     /// Id of the event after which the stream resumes; none for a stream from its start.
     pub(crate) last_event: Option<u64>,
     /// Memory for answers that are not complete.
@@ -109,21 +109,30 @@
     };
     // The process may have been paused, or the endpoint slow to accept the connection: meanwhile it
     // may have begun to drain, or the request may no longer start before a newer version is in force.
-    let is_in_time = plan.send_deadline.is_none_or(|at| Instant::now() < at);
-    if plan.decided_at.elapsed() > MAX_DECISION_AGE || !is_in_time {
+    let now = plan.clock.now();
+    let is_in_time = plan.send_deadline.is_none_or(|at| now < at);
+    if now - plan.decided_at > MAX_DECISION_AGE || !is_in_time {
         return AttemptReply::Ended(AttemptOutcome::NotRun(NotRunReason::StaleDecision));
     }
     let Some(outgoing) = outgoing_request(names, request, plan) else {
         return AttemptReply::Ended(AttemptOutcome::NotRun(NotRunReason::Unreachable));
     };
     let exchange = exchange(names, request, plan, &mut connection, outgoing);
-    let (end_at, reason) = match plan.start_deadline {
-        Some(at) if at < plan.give_up_at => (at, UnknownReason::Outdated),
-        _ => (plan.give_up_at, UnknownReason::Silent),
+    let outdated = async {
+        match plan.start_deadline {
+            Some(at) => plan.clock.sleep_until(at).await,
+            None => pending().await,
+        }
+    };
+    let reply = tokio::select! {
+        reply = timeout_at(plan.give_up_at, exchange) => {
+            reply.unwrap_or(Err(AttemptOutcome::Unknown(UnknownReason::Silent)))
+        }
+        () = outdated => Err(AttemptOutcome::Unknown(UnknownReason::Outdated)),
     };
-    match timeout_at(end_at, exchange).await {
-        Ok(Ok(ExchangeReply::Whole(answer))) => AttemptReply::Whole(answer),
-        Ok(Ok(ExchangeReply::Stream(stream))) => {
+    match reply {
+        Ok(ExchangeReply::Whole(answer)) => AttemptReply::Whole(answer),
+        Ok(ExchangeReply::Stream(stream)) => {
             let StartedStream { head, first, body, splitter } = *stream;
             AttemptReply::Stream(Box::new(OpenStream {
                 status: head.status,
@@ -134,8 +143,7 @@
                 _connection: connection,
             }))
         }
-        Ok(Err(outcome)) => AttemptReply::Ended(outcome),
-        Err(_elapsed) => AttemptReply::Ended(AttemptOutcome::Unknown(reason)),
+        Err(outcome) => AttemptReply::Ended(outcome),
     }
 }
 
@@ -268,7 +276,7 @@
     for own in [&names.key, &names.team, &names.endpoint, &names.expect_version] {
         headers.remove(own);
     }
-    let limit = (plan.due_at - Instant::now()).as_millis().to_string();
+    let limit = (request.profile.deadline - plan.clock.now()).as_millis().to_string();
     headers.insert(names.time_limit.clone(), limit.parse().ok()?);
     headers.insert(names.endpoint.clone(), plan.target.id.as_str().parse().ok()?);
     if let Some(team) = &request.team {
--- a/crates/celeryshed_gateway/src/request/handle.rs
+++ b/crates/celeryshed_gateway/src/request/handle.rs
@@ -160,11 +160,11 @@
         let sent_at = Instant::now();
         let plan = AttemptPlan {
             target,
-            decided_at: sent_at,
-            due_at: self.due_at,
+            clock: self.context.clock,
+            decided_at: self.context.clock.now(),
             give_up_at: self.give_up_at(sent_at, expected),
-            start_deadline: self.context.instant_of(target.start_deadline),
-            send_deadline: self.context.instant_of(target.send_deadline),
+            start_deadline: target.start_deadline,
+            send_deadline: target.send_deadline,
             last_event: self.request.last_event,
             buffers: &self.context.buffers,
         };
--- a/crates/celeryshed_gateway/src/request/relay.rs
+++ b/crates/celeryshed_gateway/src/request/relay.rs
@@ -156,11 +156,11 @@
         let sent_at = Instant::now();
         let plan = AttemptPlan {
             target: &target,
-            decided_at: sent_at,
-            due_at: self.due_at,
+            clock: context.clock,
+            decided_at: context.clock.now(),
             give_up_at: self.due_at,
-            start_deadline: context.instant_of(target.start_deadline),
-            send_deadline: context.instant_of(target.send_deadline),
+            start_deadline: target.start_deadline,
+            send_deadline: target.send_deadline,
             last_event,
             buffers: &context.buffers,
         };
--- a/crates/celeryshed_gateway/tests/support/mod.rs
+++ b/crates/celeryshed_gateway/tests/support/mod.rs
@@ -10,7 +10,7 @@
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
-use celeryshed_base::{AvailabilityZone, ServiceName, TeamName};
+use celeryshed_base::{AvailabilityZone, ClockSource, ServiceName, TeamName};
 use celeryshed_dispatch::{
     BudgetLimits, DispatcherSettings, RouteKind, RouteRule, RoutingSnapshot, ServiceProfile,
     SplitTarget, SplitWeight, TeamProfile, VersionDeadlines,
@@ -144,6 +144,15 @@
     pub(crate) async fn start_with_deadline(
         store: Arc<FakeStore>,
         version_deadline: Duration,
+    ) -> Self {
+        Self::start_with_clock(store, version_deadline, ClockSource::start()).await
+    }
+
+    /// Like [`Self::start_with_deadline`], on a given clock.
+    pub(crate) async fn start_with_clock(
+        store: Arc<FakeStore>,
+        version_deadline: Duration,
+        clock: ClockSource,
     ) -> Self {
         let address_byte = NEXT_ADDRESS_BYTE.fetch_add(1, Ordering::Relaxed);
         let pid = std::process::id();
@@ -179,7 +188,9 @@
         let (callers, readiness) = (settings.caller_address, settings.readiness_address);
         let decoder = store.clone();
         let entry_store = store.clone();
-        tokio::spawn(async move { EntryProcess::run(settings, entry_store, decoder).await });
+        tokio::spawn(async move {
+            EntryProcess::run_with_clock(settings, clock, entry_store, decoder).await
+        });
         Self { callers, readiness, store }
     }
 
