Withdraw the resume of a stream whose caller disconnects

What callers may see: an endpoint works until its deadline on a stream that nobody reads, which takes a slot from others.

Cause: StreamRelay noticed a disconnect while it forwarded events, but not while it placed the stream again or waited for the first event of the endpoint that resumes it. Class: a request that outlives its caller. Plain requests and the first attempt of a stream end with their connection, which drops their future.

Change: the attempt to resume ends when the caller's side of the stream is closed. tests/resume.rs failed before ("the resume was not withdrawn" after 500 ms) and passes now, as do the other tests of celeryshed_gateway.

--- a/crates/celeryshed_gateway/src/request/relay.rs
+++ b/crates/celeryshed_gateway/src/request/relay.rs
@@ -70,10 +70,14 @@
             if reason == UnknownReason::Reset {
                 self.context.dispatcher.report_reset(&self.endpoint, self.request.fingerprint);
             }
-            match self.resume(reason).await {
+            let resumed = tokio::select! {
+                resumed = self.resume(reason) => resumed,
+                () = events.closed() => return,
+            };
+            match resumed {
                 Some(resumed) => self = resumed,
                 None => {
-                    // The caller may have disconnected during the attempt to resume.
+                    // The caller may disconnect at the same time.
                     let _ = events.send(Err(StreamBroken)).await;
                     return;
                 }
