Withdraw overdue requests once nothing may be sent on an older version

They were sent at 29.2 s, when the engine's machine lost power; their bytes arrived at 31.157 s, were withdrawn by a reset at 31.27 s (0.15 s before the version was due), and one engine began them at 31.43 s all the same.

Cause: nothing bounds the time between the sending of a request and its arrival, and the withdrawal came at the start deadline whatever was expected. Nothing is sent later than 0.6 s before a version is due because engines need time to begin, but a request that is held up arrives later than that. Class: a limit on sending that doesn't hold for what was sent before.

Change: the start deadline of a request is the send deadline, or the time in which it is certain to start if that is later (2.5 times what is expected at the endpoint, for answers that are no streams including their length), and at most 0.15 s before the version is due as before.

tests/versions.rs: overdue_request_is_withdrawn_at_the_send_deadline failed before (withdrawn at 7.85 s instead of 7.4 s) and passes now.

--- a/crates/celeryshed_dispatch/src/dispatcher.rs
+++ b/crates/celeryshed_dispatch/src/dispatcher.rs
@@ -15,6 +15,7 @@
 use crate::peers::PeerAddress;
 use crate::placement::{
     Candidate, CandidatePool, ComparisonLimits, Distance, PlacementChoice, PlacementQuery,
+    certain_start_time,
 };
 use crate::quarantine::RequestQuarantine;
 use crate::refusal::{RefusalReason, retry_after, wait_until};
@@ -62,8 +63,8 @@
         pub address: String,
         /// Model version that the endpoint must serve; `None` if any version is allowed.
         pub version: Option<u64>,
-        /// Time until which the request may start, after which a newer version is in force; `None`
-        /// if no newer version is declared.
+        /// Time at which the request is withdrawn unless it has started, since a newer version is soon
+        /// in force; `None` if no newer version is declared.
         pub start_deadline: Option<MonoTime>,
         /// Time until which the request may be sent, so that it starts before a newer version is in
         /// force; `None` if no newer version is declared.
@@ -548,7 +549,7 @@
         let until = wait_until(profile, request.queued_at);
         match pool.choose(&query) {
             PlacementChoice::Place { id, expected } => {
-                Some(match self.endpoint_target(now, profile, &id) {
+                Some(match self.endpoint_target(now, profile, &id, expected) {
                     Some(target) => RequestDecision::Place(target, expected),
                     None => RequestDecision::Refuse(RefusalReason::NoEndpoint),
                 })
@@ -587,21 +588,38 @@
         now: MonoTime,
         profile: &RequestProfile,
         id: &EndpointId,
+        expected: Duration,
     ) -> Option<EndpointTarget> {
         let endpoint = self.directory.get(now, id)?;
+        let record = self.records.get(id)?;
         let model = profile.model.as_deref();
         let due = model.and_then(|model| self.due_version(now, model));
-        let served = model
-            .and_then(|model| self.served_version(now, endpoint, self.records.get(id)?, model));
+        let served = model.and_then(|model| self.served_version(now, endpoint, record, model));
         // Require the version that the endpoint serves, which may be newer than the due one.
         let version = profile.version.or(due.and(served));
-        let start_deadline =
+        let latest_start =
             model.zip(served).and_then(|(model, served)| self.start_deadline(model, served));
         let (id, address) = (id.clone(), endpoint.address.clone());
-        let send_deadline = start_deadline.map(|at| at - OLD_VERSION_QUEUE_TIME);
+        let send_deadline = latest_start.map(|at| at - OLD_VERSION_QUEUE_TIME);
+        // An overdue request may be held up on the way, and arrive after any time.
+        let expected = expected + self.time_to_reply(profile, record);
+        let certain_start = now + certain_start_time(expected, &record.health);
+        let start_deadline = latest_start
+            .zip(send_deadline)
+            .map(|(latest, send)| latest.min(send.max(certain_start)));
         Some(EndpointTarget { id, address, version, start_deadline, send_deadline })
     }
 
+    /// Expected time from the first token of an answer to the first bytes that the entry receives.
+    fn time_to_reply(&self, profile: &RequestProfile, record: &EndpointRecord) -> Duration {
+        match self.timings.get(&profile.service) {
+            Some(timing) if !profile.kind.is_stream() => {
+                timing.answer_time(record.load.total().running, profile.answer_tokens)
+            }
+            _ => Duration::ZERO,
+        }
+    }
+
     /// The endpoints that serve a request, and how many of them are compared.
     fn candidate_pool<'d>(&'d self, now: MonoTime, profile: &RequestProfile) -> CandidatePool<'d> {
         let timing = self.timings.get(&profile.service).copied();
--- a/crates/celeryshed_dispatch/src/placement.rs
+++ b/crates/celeryshed_dispatch/src/placement.rs
@@ -100,8 +100,8 @@
     /// that is withdrawn at that time may run all the same: not every endpoint notices at once.
     fn starts_in_time(&self, query: &PlacementQuery<'_>) -> bool {
         let Some(start_deadline) = self.start_deadline else { return true };
-        let expected = self.expected_time(query.profile).mul_f64(self.health.slowdown());
-        query.now + expected.mul_f64(START_TIME_RESERVE) <= start_deadline
+        let expected = self.expected_time(query.profile);
+        query.now + certain_start_time(expected, self.health) <= start_deadline
     }
 
     fn expected_time(&self, profile: &RequestProfile) -> Duration {
@@ -232,6 +232,12 @@
     }
 }
 
+/// Time from its placement within which a request is certain to start, if the endpoint works and is
+/// reached; `expected` is the expected time to the first token.
+pub(crate) fn certain_start_time(expected: Duration, health: &HealthRecord) -> Duration {
+    expected.mul_f64(health.slowdown() * START_TIME_RESERVE)
+}
+
 /// A random sample of at most `limit` candidates.
 fn sample<'p, 'c>(
     mut candidates: Vec<&'p Candidate<'c>>,
--- a/crates/celeryshed_dispatch/tests/versions.rs
+++ b/crates/celeryshed_dispatch/tests/versions.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use celeryshed_dispatch::EndpointStatus;
+use celeryshed_dispatch::{EndpointStatus, RequestProfile, RouteKind};
 use std::time::Duration;
 use support::*;
 
@@ -190,3 +190,32 @@
     let send_deadline = target.send_deadline.expect("a newer version is declared");
     assert!(send_deadline > at(7200) && send_deadline <= at(7500), "{send_deadline:?}");
 }
+
+/// Guards against a request whose bytes are held up on the way: it is withdrawn when nothing may be
+/// sent any more, and not only once the newer version is nearly due, when it may have arrived at an
+/// endpoint that doesn't notice the withdrawal.
+#[test]
+fn overdue_request_is_withdrawn_at_the_send_deadline() {
+    let mut dispatcher = dispatcher();
+    add_endpoint(&mut dispatcher, "old", 1, endpoint("model", 1, Some(1)));
+    dispatcher.add_declared_version(at(0), MODEL, 2, Some(Duration::ZERO));
+    let mut deadlines = |now, number, kind| {
+        let profile = RequestProfile { kind, ..stream(now) };
+        match &submit(&mut dispatcher, now, number, profile)[..] {
+            [celeryshed_dispatch::DispatchDecision::Place { target, expected, .. }] => {
+                (target.start_deadline.unwrap(), target.send_deadline.unwrap(), *expected)
+            }
+            decisions => panic!("not placed: {decisions:?}"),
+        }
+    };
+    let events = RouteKind::Stream { resumable: true };
+    let (start_deadline, send_deadline, _) = deadlines(at(5000), 1, events);
+    assert_eq!(start_deadline, send_deadline);
+    // One that is sent shortly before has the time in which it is certain to start.
+    let (start_deadline, send_deadline, expected) = deadlines(at(7290), 2, events);
+    assert!(start_deadline > send_deadline, "{start_deadline:?}");
+    assert!(start_deadline < at(8000) && start_deadline - at(7290) >= expected * 2);
+    // Other answers arrive only once they are complete.
+    let (whole_answer, ..) = deadlines(at(7290), 3, RouteKind::Idempotent);
+    assert!(whole_answer > start_deadline, "{whole_answer:?}");
+}
