--- a/crates/celeryshed_gateway/src/request/relay.rs
+++ b/crates/celeryshed_gateway/src/request/relay.rs
@@ -70,10 +70,14 @@
             if reason == UnknownReason::Reset {
                 self.context.dispatcher.report_reset(&self.endpoint, self.request.fingerprint);
             }
-            match self.resume(reason).await {
+            let resumed = tokio::select! {
+                resumed = self.resume(reason) => resumed,
+                () = events.closed() => return,
+            };
+            match resumed {
                 Some(resumed) => self = resumed,
                 None => {
-                    // The caller may have disconnected during the attempt to resume.
+                    // The caller may disconnect at the same time.
                     let _ = events.send(Err(StreamBroken)).await;
                     return;
                 }
@@ -156,11 +160,11 @@
         let sent_at = Instant::now();
         let plan = AttemptPlan {
             target: &target,
-            decided_at: sent_at,
-            due_at: self.due_at,
+            clock: context.clock,
+            decided_at: context.clock.now(),
             give_up_at: self.due_at,
-            start_deadline: context.instant_of(target.start_deadline),
-            send_deadline: context.instant_of(target.send_deadline),
+            start_deadline: target.start_deadline,
+            send_deadline: target.send_deadline,
             last_event,
             buffers: &context.buffers,
         };
