Keep a mere limit of a version's age to the process that holds it

Cause: an entry that could not read the store for a while only knows that a version is not older than that. It told the limit to its peers as an age, where the longest counts, so that a version declared just before its return would have been due at once everywhere (read in the code, not played). Change: RecordAge tells a known age from a limit; a limit is replaced by the first age that a peer knows, and is never reported as one. Sidecars get it with its kind. Result: limit_of_an_age_counts_only_until_a_peer_knows_it is new (it needs the new call), version_age.rs tells both kinds apart; both pass, as do the tests of peering and dispatch.

--- a/crates/celeryshed_dispatch/src/dispatcher.rs
+++ b/crates/celeryshed_dispatch/src/dispatcher.rs
@@ -267,6 +267,22 @@
         }
     }
 
+    /// Limits the age of a version whose age is unknown, until another process reports it.
+    pub fn limit_version_age(
+        &mut self,
+        now: MonoTime,
+        model: &str,
+        version: u64,
+        max_age: Duration,
+    ) {
+        let due_at = self.settings.versions.due_at(now, Some(max_age));
+        let versions = self.versions.get_mut(model);
+        let known = versions.and_then(|versions| versions.get_mut(&version));
+        if let Some(known) = known.filter(|known| !known.age_known) {
+            known.due_at = due_at;
+        }
+    }
+
     /// Applies the age of a version that another process reported; the longest reported age counts.
     ///
     /// A version that is unknown here becomes known: the log keeps the newest declaration of a model
--- a/crates/celeryshed_dispatch/tests/versions.rs
+++ b/crates/celeryshed_dispatch/tests/versions.rs
@@ -72,6 +72,24 @@
     assert_eq!(placed(&submit(&mut dispatcher, at(3300), 3, stream(at(3300)))), Some("middle"));
 }
 
+/// Guards against an entry that could not read the store for a while and makes a new version due at
+/// once everywhere, because it can't rule out that the version is old.
+#[test]
+fn limit_of_an_age_counts_only_until_a_peer_knows_it() {
+    let mut dispatcher = dispatcher();
+    add_endpoint(&mut dispatcher, "old", 1, endpoint("model", 1, Some(1)));
+    dispatcher.add_declared_version(at(5000), MODEL, 2, None);
+    dispatcher.limit_version_age(at(5000), MODEL, 2, Duration::from_secs(4));
+    assert_eq!(placed(&submit(&mut dispatcher, at(8000), 1, stream(at(8000)))), Some("old"));
+    assert_eq!(placed(&submit(&mut dispatcher, at(8500), 2, stream(at(8500)))), None);
+    dispatcher.cancel(celeryshed_dispatch::RequestNumber(2));
+    assert_eq!(dispatcher.version_ages(at(8500)).count(), 0, "a limit is not reported");
+    dispatcher.apply_version_age(at(8600), MODEL, 2, Duration::from_millis(3700));
+    assert_eq!(placed(&submit(&mut dispatcher, at(8700), 3, stream(at(8700)))), Some("old"));
+    dispatcher.limit_version_age(at(8700), MODEL, 2, Duration::from_secs(8));
+    assert_eq!(placed(&submit(&mut dispatcher, at(8800), 4, stream(at(8800)))), Some("old"));
+}
+
 #[test]
 fn version_ages_give_longest_reported_age() {
     let mut dispatcher = dispatcher();
--- a/crates/celeryshed_gateway/src/dispatcher_task.rs
+++ b/crates/celeryshed_gateway/src/dispatcher_task.rs
@@ -14,8 +14,8 @@
 };
 use celeryshed_observe::EventLine;
 use celeryshed_peering::{
-    ControlEvent, ControlPosition, EntryStatus, KeyedLoad, RequestCrashes, SidecarStatus,
-    VersionAge,
+    ControlEvent, ControlPosition, EntryStatus, KeyedLoad, RecordAge, RequestCrashes,
+    SidecarStatus, VersionAge,
 };
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{MissedTickBehavior, interval};
@@ -348,7 +348,15 @@
                 self.snapshot.send_replace(Some(snapshot));
             }
             ControlEvent::ModelVersion { model, version, age, .. } => {
-                self.dispatcher.add_declared_version(now, &model, version, age);
+                let known = match age {
+                    RecordAge::Known(age) => Some(age),
+                    RecordAge::AtMost(_) | RecordAge::Unknown => None,
+                };
+                self.dispatcher.add_declared_version(now, &model, version, known);
+                // Other entries may know the age. A mere limit must not become theirs.
+                if let RecordAge::AtMost(limit) = age {
+                    self.dispatcher.limit_version_age(now, &model, version, limit);
+                }
             }
             ControlEvent::Endpoint(record) => {
                 let id = record.id.clone();
--- a/crates/celeryshed_peering/src/fetch.rs
+++ b/crates/celeryshed_peering/src/fetch.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 use crate::log::{ControlLog, ControlPosition};
+use crate::recency::RecordAge;
 use crate::record::{ControlBatch, ControlRecord, ControlStream};
 use crate::services::ServiceCatalog;
 
@@ -72,11 +73,17 @@
         position: ControlPosition,
         /// Milliseconds since the list of endpoints was read from the store; none if it never was.
         list_age_ms: Option<u64>,
-        /// Milliseconds since each declared version was written, by the record's key. Records whose
-        /// age is unknown are missing. None in replies to processes that didn't ask for ages, whose
-        /// build may not decode them.
+        /// Ages of declared versions by the record's key; those of unknown age are missing. None in
+        /// replies to processes that didn't ask for ages, whose build may not decode them.
         #[serde(default, skip_serializing_if = "Option::is_none")]
-        ages_ms: Option<BTreeMap<String, u64>>,
+        ages: Option<BTreeMap<String, FetchedAge>>,
+    }
+
+    /// A [`RecordAge`] as it is sent to a peer.
+    struct FetchedAge {
+        age_ms: u64,
+        /// Whether the age is known, and not only limited.
+        is_known: bool,
     }
 }
 
@@ -108,6 +115,23 @@
     }
 }
 
+/// Fails for an unknown age, which has no form on the wire.
+impl TryFrom<RecordAge> for FetchedAge {
+    type Error = ();
+
+    fn try_from(age: RecordAge) -> Result<Self, ()> {
+        let age_ms = age.limit().ok_or(())?.as_millis() as u64;
+        Ok(Self { age_ms, is_known: matches!(age, RecordAge::Known(_)) })
+    }
+}
+
+impl From<&FetchedAge> for RecordAge {
+    fn from(fetched: &FetchedAge) -> Self {
+        let age = Duration::from_millis(fetched.age_ms);
+        if fetched.is_known { Self::Known(age) } else { Self::AtMost(age) }
+    }
+}
+
 impl ControlReply {
     /// The reply for a peer with [`ControlScope::Everything`] that has read up to `position`.
     pub fn changed_since(log: &ControlLog, position: ControlPosition) -> Self {
@@ -120,7 +144,7 @@
             services: None,
             position: log.position(),
             list_age_ms: None,
-            ages_ms: None,
+            ages: None,
         }
     }
 
@@ -143,15 +167,15 @@
     }
 
     /// The reply with the ages of declared versions, by the record's key.
-    pub(crate) fn with_version_ages(self, ages: impl Iterator<Item = (String, Duration)>) -> Self {
-        let ages_ms = ages.map(|(key, age)| (key, age.as_millis() as u64)).collect();
-        Self { ages_ms: Some(ages_ms), ..self }
+    pub(crate) fn with_version_ages(self, ages: impl Iterator<Item = (String, RecordAge)>) -> Self {
+        let ages = ages.filter_map(|(key, age)| Some((key, FetchedAge::try_from(age).ok()?)));
+        Self { ages: Some(ages.collect()), ..self }
     }
 
     /// Ages of declared versions, by the record's key; `None` if the peer doesn't tell them.
-    pub(crate) fn version_ages(&self) -> Option<BTreeMap<String, Duration>> {
-        let ages = self.ages_ms.as_ref()?.iter();
-        Some(ages.map(|(key, age_ms)| (key.clone(), Duration::from_millis(*age_ms))).collect())
+    pub(crate) fn version_ages(&self) -> Option<BTreeMap<String, RecordAge>> {
+        let ages = self.ages.as_ref()?.iter();
+        Some(ages.map(|(key, age)| (key.clone(), RecordAge::from(age))).collect())
     }
 
     /// When the list of endpoints was read from the store; `None` if it never was.
--- a/crates/celeryshed_peering/src/lib.rs
+++ b/crates/celeryshed_peering/src/lib.rs
@@ -22,6 +22,7 @@
     EntryHeartbeat, EntryStatus, KeyedLoad, PeerMessage, PieceInventory, RequestCrashes,
     SidecarStatus, VersionAge,
 };
+pub use recency::RecordAge;
 pub use record::{ControlBatch, ControlRecord, ControlStream, OperatorRecord};
 pub use services::ServiceCatalog;
 pub use socket::PeerSocket;
--- a/crates/celeryshed_peering/src/recency.rs
+++ b/crates/celeryshed_peering/src/recency.rs
@@ -43,10 +43,21 @@
         resumed_at: MonoTime,
     }
 
-    /// Age of a record, and when it had that age.
+    /// What is known of the time since a record was written.
     #[derive(Copy)]
-    pub(crate) struct RecordAge {
-        age: Duration,
+    pub enum RecordAge {
+        /// The record was read shortly after it was written.
+        Known(Duration),
+        /// The record is not older than this; it may be much younger.
+        AtMost(Duration),
+        /// Nothing is known.
+        Unknown,
+    }
+
+    /// The age of a record at some time.
+    #[derive(Copy)]
+    pub(crate) struct AgeReading {
+        age: RecordAge,
         at: MonoTime,
     }
 }
@@ -104,20 +115,49 @@
         self.poll_failed = true;
     }
 
-    /// Longest possible age of a record that has just been read; `None` if the store was never read
-    /// before.
-    pub(crate) fn max_age(&self, now: MonoTime) -> Option<Duration> {
-        self.complete_until.map(|until| now - until)
+    /// Age of a record that has just been read.
+    pub(crate) fn record_age(&self, now: MonoTime) -> RecordAge {
+        match self.complete_until.map(|until| now - until) {
+            Some(age) if age <= MAX_TICK_GAP => RecordAge::Known(age),
+            Some(age) => RecordAge::AtMost(age),
+            None => RecordAge::Unknown,
+        }
     }
 }
 
 impl RecordAge {
-    pub(crate) fn new(now: MonoTime, age: Duration) -> Self {
+    /// The age, or the longest possible one; `None` if it is unknown.
+    ///
+    /// ```
+    /// use celeryshed_peering::RecordAge;
+    /// use std::time::Duration;
+    /// let second = Duration::from_secs(1);
+    /// assert_eq!(RecordAge::AtMost(second).limit(), Some(second));
+    /// assert_eq!(RecordAge::Unknown.limit(), None);
+    /// ```
+    pub fn limit(self) -> Option<Duration> {
+        match self {
+            Self::Known(age) | Self::AtMost(age) => Some(age),
+            Self::Unknown => None,
+        }
+    }
+
+    fn after(self, elapsed: Duration) -> Self {
+        match self {
+            Self::Known(age) => Self::Known(age + elapsed),
+            Self::AtMost(age) => Self::AtMost(age + elapsed),
+            Self::Unknown => Self::Unknown,
+        }
+    }
+}
+
+impl AgeReading {
+    pub(crate) fn new(now: MonoTime, age: RecordAge) -> Self {
         Self { age, at: now }
     }
 
     /// The age at a later time.
-    pub(crate) fn at(self, now: MonoTime) -> Duration {
-        self.age + (now - self.at)
+    pub(crate) fn age_at(self, now: MonoTime) -> RecordAge {
+        self.age.after(now - self.at)
     }
 }
--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -14,7 +14,7 @@
 
 use crate::fetch::{ControlQuery, ControlReply, ControlScope, fetch_control};
 use crate::log::{ControlLog, ControlPosition};
-use crate::recency::{RECENCY_TICK, ReadRecency, RecordAge};
+use crate::recency::{AgeReading, RECENCY_TICK, ReadRecency, RecordAge};
 use crate::record::{ControlBatch, ControlRecord, ControlStream, OperatorRecord};
 use crate::services::ServiceCatalog;
 use crate::store::{ControlStore, ReadOutcome, RecordDecoder, StoreError};
@@ -60,8 +60,8 @@
             /// Whether the record was among the first ones that the process read, in which case the
             /// version may have been declared long ago.
             initial: bool,
-            /// Longest possible time since the declaration; none if it is unknown.
-            age: Option<Duration>,
+            /// Time since the declaration.
+            age: RecordAge,
         },
         /// An endpoint was added to the list, changed or removed.
         Endpoint(DirectoryRecord),
@@ -210,25 +210,25 @@
 /// Where records come from, and what is known of the ages of declared versions among them.
 enum RecordSource {
     Store {
-        /// Longest possible age of any record; none if the store was never read before.
-        max_age: Option<Duration>,
+        /// Age of any record.
+        age: RecordAge,
     },
     Peer {
         /// Ages by the record's key; none if the peer's build doesn't tell them.
-        ages: Option<BTreeMap<String, Duration>>,
+        ages: Option<BTreeMap<String, RecordAge>>,
     },
 }
 
 impl RecordSource {
-    /// Longest possible age of a declared version; `None` if it is unknown.
-    ///
-    /// `initial` tells whether the record is among the first that the process reads.
-    fn record_age(&self, key: &str, initial: bool) -> Option<Duration> {
+    /// Age of a declared version. `initial` tells whether the record is among the first that the
+    /// process reads.
+    fn record_age(&self, key: &str, initial: bool) -> RecordAge {
         match self {
-            Self::Store { .. } if initial => None,
-            Self::Store { max_age } => *max_age,
-            Self::Peer { ages: Some(ages) } => ages.get(key).copied(),
-            Self::Peer { ages: None } => (!initial).then_some(Duration::ZERO),
+            Self::Store { .. } if initial => RecordAge::Unknown,
+            Self::Store { age } => *age,
+            Self::Peer { ages: Some(ages) } => ages.get(key).copied().unwrap_or(RecordAge::Unknown),
+            Self::Peer { ages: None } if initial => RecordAge::Unknown,
+            Self::Peer { ages: None } => RecordAge::Known(Duration::ZERO),
         }
     }
 
@@ -261,8 +261,8 @@
     pending_peer: Option<PeerPosition>,
     clock: ClockSource,
     recency: ReadRecency,
-    /// Ages of declared versions by the record's key; those of unknown age are missing.
-    version_ages: BTreeMap<String, RecordAge>,
+    /// Ages of declared versions by the record's key.
+    version_ages: BTreeMap<String, AgeReading>,
 }
 
 impl<D: RecordDecoder> ControlTask<D> {
@@ -285,7 +285,7 @@
                         self.list_read_at = Some(Instant::now());
                     }
                     let now = self.clock.now();
-                    let source = RecordSource::Store { max_age: self.recency.max_age(now) };
+                    let source = RecordSource::Store { age: self.recency.record_age(now) };
                     self.merge(stream, batch, &source);
                     self.recency.record_answer(now, stream, sent_at);
                 }
@@ -335,7 +335,7 @@
         }
         let now = self.clock.now();
         let ages = self.version_ages.iter();
-        reply.with_version_ages(ages.map(|(key, age)| (key.clone(), age.at(now))))
+        reply.with_version_ages(ages.map(|(key, reading)| (key.clone(), reading.age_at(now))))
     }
 
     fn merge(&mut self, stream: ControlStream, batch: ControlBatch, source: &RecordSource) {
@@ -375,16 +375,13 @@
             }
             Ok(OperatorRecord::ModelVersion { model, version }) => {
                 let age = source.record_age(&record.key, initial);
-                let known = age.map(|age| RecordAge::new(self.clock.now(), age));
-                match known {
-                    Some(known) => self.version_ages.insert(record.key.clone(), known),
-                    None => self.version_ages.remove(&record.key),
-                };
+                let reading = AgeReading::new(self.clock.now(), age);
+                self.version_ages.insert(record.key.clone(), reading);
                 EventLine::new("version_declared")
                     .field("model", &model)
                     .field("version", version)
                     .field("offset", record.offset)
-                    .field("age_ms", format_args!("{:?}", age.map(|age| age.as_millis())))
+                    .field("age", format_args!("{age:?}"))
                     .field("source", source.name())
                     .info();
                 self.emit(ControlEvent::ModelVersion { model, version, initial, age });
--- a/crates/celeryshed_peering/tests/version_age.rs
+++ b/crates/celeryshed_peering/tests/version_age.rs
@@ -9,8 +9,8 @@
 use celeryshed_dispatch::ListedEndpoint;
 use celeryshed_peering::{
     ControlBatch, ControlEvent, ControlHandle, ControlRecord, ControlScope, ControlSettings,
-    ControlStore, ControlStream, DecodeError, OperatorRecord, ReadOutcome, RecordDecoder,
-    StoreError, parse_control_query, start_control,
+    ControlStore, ControlStream, DecodeError, OperatorRecord, ReadOutcome, RecordAge,
+    RecordDecoder, StoreError, parse_control_query, start_control,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -105,15 +105,13 @@
     let scope = ControlScope::Everything;
     let (control, mut events) =
         start_control(store.clone(), Arc::new(VersionDecoder), settings(scope));
-    assert_eq!(next_version(&mut events).await, (1, None));
+    assert_eq!(next_version(&mut events).await, (1, RecordAge::Unknown));
     sleep(Duration::from_secs(3)).await;
     (control, events)
 }
 
 /// The next declared version and its age.
-async fn next_version(
-    events: &mut mpsc::UnboundedReceiver<ControlEvent>,
-) -> (u64, Option<Duration>) {
+async fn next_version(events: &mut mpsc::UnboundedReceiver<ControlEvent>) -> (u64, RecordAge) {
     loop {
         let event = timeout(Duration::from_secs(20), events.recv()).await.unwrap().unwrap();
         if let ControlEvent::ModelVersion { version, age, .. } = event {
@@ -132,8 +130,8 @@
     let pause = Duration::from_millis(4600);
     advance(pause).await;
     let (version, age) = next_version(&mut events).await;
-    let age = age.expect("the store was read before");
     assert_eq!(version, 2);
+    let RecordAge::AtMost(age) = age else { panic!("{age:?}") };
     assert!(age >= pause && age < pause + LIST_INTERVAL, "{age:?}");
 }
 
@@ -145,7 +143,7 @@
     for version in 2..6 {
         store.declare(version);
         let (read, age) = next_version(&mut events).await;
-        let age = age.expect("the store was read before");
+        let RecordAge::Known(age) = age else { panic!("{age:?}") };
         assert_eq!(read, u64::from(version));
         assert!(age <= Duration::from_millis(100), "{age:?}");
         sleep(Duration::from_millis(1370)).await;
@@ -161,7 +159,7 @@
     sleep(LIST_INTERVAL * 2).await;
     store.declare(2);
     let (_, age) = next_version(&mut events).await;
-    let age = age.expect("the store was read before");
+    let RecordAge::Known(age) = age else { panic!("{age:?}") };
     assert!(age <= Duration::from_millis(100), "{age:?}");
 }
 
@@ -177,7 +175,7 @@
     store.declare(2);
     *store.unreachable.lock().unwrap() = false;
     let (_, age) = next_version(&mut events).await;
-    let age = age.expect("the store was read before");
+    let RecordAge::AtMost(age) = age else { panic!("{age:?}") };
     assert!(age >= outage && age < outage + LIST_INTERVAL * 2, "{age:?}");
 }
 
@@ -197,15 +195,15 @@
     let (sidecar, mut sidecar_events) =
         start_control(unread, Arc::new(VersionDecoder), settings(scope));
     sidecar.fetch_from(&peer).await;
-    assert_eq!(next_version(&mut sidecar_events).await, (1, None));
+    assert_eq!(next_version(&mut sidecar_events).await, (1, RecordAge::Unknown));
     store.declare(2);
     assert_eq!(next_version(&mut events).await.0, 2);
     let delay = Duration::from_millis(700);
     sleep(delay).await;
     sidecar.fetch_from(&peer).await;
     let (version, age) = next_version(&mut sidecar_events).await;
-    let age = age.expect("the entry knows the age");
     assert_eq!(version, 2);
+    let age = age.limit().expect("the entry tells the age");
     assert!(age >= delay, "{age:?}");
 }
 
--- a/crates/celeryshed_stager/src/view.rs
+++ b/crates/celeryshed_stager/src/view.rs
@@ -8,7 +8,7 @@
 use celeryshed_dispatch::{
     EndpointDirectory, RoutingSnapshot, SidecarPeer, VersionDeadlines, VersionTarget,
 };
-use celeryshed_peering::ControlEvent;
+use celeryshed_peering::{ControlEvent, RecordAge};
 use tokio::sync::{mpsc, watch};
 
 use crate::settings::SidecarSettings;
@@ -184,13 +184,13 @@
     match event {
         ControlEvent::Configuration(snapshot) => view.snapshot = Some(snapshot),
         ControlEvent::ModelVersion { model, version, initial, age } => {
-            let due_at = deadlines.due_at(now, age);
+            let due_at = deadlines.due_at(now, age.limit());
             let versions = view.versions.entry(model).or_default();
             if versions.last().is_none_or(|known| version > known.version) {
-                let declared_while_running = !initial && age.is_some();
+                let declared_while_running = !initial && matches!(age, RecordAge::Known(_));
                 versions.push(VersionTarget {
                     version,
-                    learned_at: now - age.unwrap_or_default(),
+                    learned_at: now - age.limit().unwrap_or_default(),
                     due_at,
                     declared_while_running,
                 });
