Test that a restarted entry's records are of unknown age to sidecars

Cause: the entries knew that they didn't know the age, but the sidecars, which had run on, took the record that they fetched from them for new, and the entries took over their age. Result: the test fails if a missing age counts as zero.

--- a/crates/celeryshed_peering/tests/version_age.rs
+++ b/crates/celeryshed_peering/tests/version_age.rs
@@ -57,7 +57,10 @@
 impl ControlStore for PushStore {
     async fn newest(&self, stream: ControlStream) -> Result<ControlBatch, StoreError> {
         self.check()?;
-        Ok(self.batch(stream, LogOffset(0)))
+        let mut batch = self.batch(stream, LogOffset(0));
+        let newest = batch.records.pop();
+        batch.records = newest.into_iter().collect();
+        Ok(batch)
     }
 
     async fn read(
@@ -207,6 +210,30 @@
     assert!(age >= delay, "{age:?}");
 }
 
+/// Guards against a sidecar that takes a version for new when it fetches it from an entry which has
+/// just started and doesn't know its age: with all entries down during a declaration, the sidecars'
+/// age became that of the entries, and requests started on the older version after it was due.
+#[tokio::test]
+async fn version_from_a_restarted_entry_is_of_unknown_age() {
+    let store = Arc::new(PushStore::default());
+    store.declare(1);
+    let entry = |store: &Arc<PushStore>| {
+        start_control(store.clone(), Arc::new(VersionDecoder), settings(ControlScope::Everything))
+    };
+    let (before, mut events) = entry(&store);
+    assert_eq!(next_version(&mut events).await.0, 1);
+    let unread = Arc::new(PushStore::default());
+    let (sidecar, mut sidecar_events) =
+        start_control(unread, Arc::new(VersionDecoder), settings(ControlScope::Weights));
+    sidecar.fetch_from(&serve_control(before).await).await;
+    assert_eq!(next_version(&mut sidecar_events).await.0, 1);
+    store.declare(2);
+    let (restarted, mut events) = entry(&store);
+    assert_eq!(next_version(&mut events).await, (2, RecordAge::Unknown));
+    sidecar.fetch_from(&serve_control(restarted).await).await;
+    assert_eq!(next_version(&mut sidecar_events).await, (2, RecordAge::Unknown));
+}
+
 /// Starts a server that answers queries with the records of `control`; returns its address.
 async fn serve_control(control: ControlHandle) -> String {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
