Take in the review of version ages: limits are told, outages don't age, pauses do

Cause (a reader who hadn't seen the work; by reading and by runs of recency.rs alone): a version of limited age was told to nobody, so that an entry that restarted between two declarations missed it; a version declared after an outage of the store was as old as the outage at every entry, though nobody could have followed the store meanwhile and the deadline doesn't run; ticks hid pauses up to 0.3 s; the age told by a peer left out the transfer; a sidecar that can't know the age loaded at once. Change: a limit is reported after 3 s without a peer that knows the age; of an outage only the time until it was noticed counts; records belong to the tick before the latest; the delay of a reply is added; a process fetching from peers takes the tighter of the peer's limit and its own; sidecars keep the staggered schedule. Not mended, by the review: a poll whose answer is under way for long, ages reported by older builds, registrations kept 2.2 s after a failed read.

--- a/crates/celeryshed_dispatch/src/dispatcher.rs
+++ b/crates/celeryshed_dispatch/src/dispatcher.rs
@@ -31,6 +31,9 @@
 const MIN_ENTRY_COUNT: u32 = 3;
 /// Maximum number of declared versions stored for a model; the oldest are dropped.
 const MAX_VERSIONS_PER_MODEL: usize = 8;
+/// Time after which a limit of a version's age is reported like an age, unless a peer has reported
+/// one before. Only processes that were all late are left then.
+const LIMIT_REPORT_DELAY: Duration = Duration::from_secs(3);
 /// Time before a version's deadline at which endpoints of older versions get no more requests.
 const OLD_VERSION_PLACEMENT_MARGIN: Duration = Duration::from_millis(700);
 /// Time before a version's deadline at which requests that have not started at an endpoint of an
@@ -138,6 +141,16 @@
     due_at: MonoTime,
     /// Whether the time of the declaration is known, from this process or another one.
     age_known: bool,
+    /// When the age was limited; `None` if it is known or has no limit.
+    limited_at: Option<MonoTime>,
+}
+
+impl DeclaredVersion {
+    /// Whether other processes are told the age. A limit is told once the peers that know the age
+    /// have had time to tell it.
+    fn is_reported(&self, now: MonoTime) -> bool {
+        self.age_known || self.limited_at.is_some_and(|at| now - at >= LIMIT_REPORT_DELAY)
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -259,7 +272,7 @@
         age: Option<Duration>,
     ) {
         let due_at = self.settings.versions.due_at(now, age);
-        let declared = DeclaredVersion { due_at, age_known: age.is_some() };
+        let declared = DeclaredVersion { due_at, age_known: age.is_some(), limited_at: None };
         let known = self.versions.entry(model.to_owned()).or_default();
         known.entry(version).or_insert(declared);
         while known.len() > MAX_VERSIONS_PER_MODEL {
@@ -280,6 +293,7 @@
         let known = versions.and_then(|versions| versions.get_mut(&version));
         if let Some(known) = known.filter(|known| !known.age_known) {
             known.due_at = due_at;
+            known.limited_at = Some(now);
         }
     }
 
@@ -301,16 +315,18 @@
         }
     }
 
-    /// The declared versions of known age, as model, version and age.
+    /// The declared versions whose age is reported, as model, version and age.
     pub fn version_ages(&self, now: MonoTime) -> impl Iterator<Item = (&str, u64, Duration)> + '_ {
         let deadline = self.settings.versions.after_declaration;
         let declared = self.versions.iter().flat_map(|(model, versions)| {
             versions.iter().map(move |(version, known)| (model.as_str(), *version, known))
         });
-        declared.filter(|(.., known)| known.age_known).map(move |(model, version, known)| {
-            // Ages are capped at the deadline: a version that is due stays due.
-            (model, version, deadline.saturating_sub(known.due_at - now))
-        })
+        declared.filter(move |(.., known)| known.is_reported(now)).map(
+            move |(model, version, known)| {
+                // Ages are capped at the deadline: a version that is due stays due.
+                (model, version, deadline.saturating_sub(known.due_at - now))
+            },
+        )
     }
 
     /// Follows changes of the directory: drops the state of removed endpoints without requests in
--- a/crates/celeryshed_dispatch/src/staging/schedule.rs
+++ b/crates/celeryshed_dispatch/src/staging/schedule.rs
@@ -32,12 +32,13 @@
     pub struct VersionTarget {
         /// Version to load.
         pub version: u64,
-        /// Time of the declaration, or at which this process learned of it if its age is unknown.
+        /// Earliest possible time of the declaration, or the time at which this process learned of
+        /// it if its age is unknown.
         pub learned_at: MonoTime,
         /// Deadline by which the version must be in force.
         pub due_at: MonoTime,
-        /// Whether the version was declared while this process ran, and its age is known. Otherwise
-        /// all sidecars may already have its pieces.
+        /// Whether the version was declared while this process ran. Otherwise all sidecars may
+        /// already have its pieces.
         pub declared_while_running: bool,
     }
 
--- a/crates/celeryshed_peering/src/fetch.rs
+++ b/crates/celeryshed_peering/src/fetch.rs
@@ -115,13 +115,11 @@
     }
 }
 
-/// Fails for an unknown age, which has no form on the wire.
-impl TryFrom<RecordAge> for FetchedAge {
-    type Error = ();
-
-    fn try_from(age: RecordAge) -> Result<Self, ()> {
-        let age_ms = age.limit().ok_or(())?.as_millis() as u64;
-        Ok(Self { age_ms, is_known: matches!(age, RecordAge::Known(_)) })
+impl FetchedAge {
+    /// `None` for an unknown age, which isn't sent.
+    fn new(age: RecordAge) -> Option<Self> {
+        let age_ms = age.limit()?.as_millis() as u64;
+        Some(Self { age_ms, is_known: matches!(age, RecordAge::Known(_)) })
     }
 }
 
@@ -168,7 +166,7 @@
 
     /// The reply with the ages of declared versions, by the record's key.
     pub(crate) fn with_version_ages(self, ages: impl Iterator<Item = (String, RecordAge)>) -> Self {
-        let ages = ages.filter_map(|(key, age)| Some((key, FetchedAge::try_from(age).ok()?)));
+        let ages = ages.filter_map(|(key, age)| Some((key, FetchedAge::new(age)?)));
         Self { ages: Some(ages.collect()), ..self }
     }
 
--- a/crates/celeryshed_peering/src/recency.rs
+++ b/crates/celeryshed_peering/src/recency.rs
@@ -1,9 +1,11 @@
 //! Bounds the age of the operators' records at the time they are read.
 //!
-//! A process that was paused, or that could not reach the store, reads a record long after it was
-//! written. All processes may be late together, so that no peer knows better. What is certain is the
-//! time up to which every earlier record has been read; a record that is read later is at most that
-//! old.
+//! A process that was paused reads a record long after it was written. All processes may be late
+//! together, so that no peer knows better. What is certain is the time up to which every earlier
+//! record has been read; a record that is read later is at most that old.
+//!
+//! While the store is known to be out of reach, nobody can follow its records, and deadlines that
+//! they set don't run. Only the time until that was noticed counts.
 
 use std::time::Duration;
 
@@ -15,6 +17,8 @@
 pub(crate) const RECENCY_TICK: Duration = Duration::from_millis(100);
 /// Time between two ticks above which the process counts as paused in between.
 const MAX_TICK_GAP: Duration = Duration::from_millis(300);
+/// Longest age that counts as known: a record is assigned to the tick before the latest one.
+const MAX_KNOWN_AGE: Duration = Duration::from_millis(400);
 /// Time beyond the interval of reads within which the next read is answered, unless the store or the
 /// link to it has failed.
 const ANSWER_SLACK: Duration = Duration::from_millis(300);
@@ -23,7 +27,8 @@
     /// Time up to which every operator record has been read.
     ///
     /// The long poll for new records proves nothing while it is unanswered. Answers to reads of the
-    /// list of endpoints, which are sent at intervals, show that the store could have answered it.
+    /// list of endpoints, which are sent at intervals on another connection, make it likely that the
+    /// store could have answered it.
     pub(crate) struct ReadRecency {
         /// Interval at which the store is read.
         interval: Duration,
@@ -34,15 +39,22 @@
         complete_until: Option<MonoTime>,
         /// Time until which records count as complete as long as the process runs.
         reachable_until: Option<MonoTime>,
-        /// Whether a read has failed since the operators' records were last read, so that none may
-        /// be pending.
-        poll_failed: bool,
+        /// The failures since the operators' records were last read; none if no read failed.
+        outage: Option<StoreOutage>,
         ticked_at: MonoTime,
         /// When the process last went on after a pause. Answers to earlier reads may have arrived
         /// long before.
         resumed_at: MonoTime,
     }
 
+    /// Failures of reads in a row.
+    #[derive(Copy)]
+    struct StoreOutage {
+        /// Time from the latest answered read to the first failure.
+        unnoticed: Duration,
+        last_failure_at: MonoTime,
+    }
+
     /// What is known of the time since a record was written.
     #[derive(Copy)]
     pub enum RecordAge {
@@ -70,7 +82,7 @@
             verified_until: None,
             complete_until: None,
             reachable_until: None,
-            poll_failed: false,
+            outage: None,
             ticked_at: now,
             resumed_at: now,
         }
@@ -82,10 +94,11 @@
             self.resumed_at = now;
             self.reachable_until = None;
         }
-        self.ticked_at = now;
         if self.reachable_until.is_some_and(|until| now <= until) {
-            self.complete_until = Some(now);
+            // Records that arrived since the last tick may not be processed yet.
+            self.complete_until = self.complete_until.max(Some(self.ticked_at));
         }
+        self.ticked_at = now;
     }
 
     /// Records an answer of the store to a read that was sent at `sent_at`.
@@ -96,8 +109,11 @@
         sent_at: MonoTime,
     ) {
         match stream {
-            ControlStream::Operator => self.poll_failed = false,
-            ControlStream::Endpoints if self.poll_failed => return,
+            ControlStream::Operator => self.outage = None,
+            // No poll for operators' records is pending.
+            ControlStream::Endpoints if self.verified_until.is_none() || self.outage.is_some() => {
+                return;
+            }
             ControlStream::Endpoints => {}
         }
         self.verified_until = self.verified_until.max(Some(sent_at));
@@ -109,16 +125,24 @@
 
     /// Records that the store did not answer. It may have been out of reach since the latest read
     /// that it answered was sent.
-    pub(crate) fn record_failure(&mut self) {
-        self.complete_until = self.verified_until;
+    pub(crate) fn record_failure(&mut self, now: MonoTime) {
         self.reachable_until = None;
-        self.poll_failed = true;
+        self.complete_until = self.verified_until;
+        let unnoticed = match (self.outage, self.verified_until) {
+            (Some(outage), _) => outage.unnoticed,
+            (None, Some(verified)) => now - verified,
+            (None, None) => return,
+        };
+        self.outage = Some(StoreOutage { unnoticed, last_failure_at: now });
     }
 
     /// Age of a record that has just been read.
     pub(crate) fn record_age(&self, now: MonoTime) -> RecordAge {
+        if let Some(outage) = self.outage {
+            return RecordAge::AtMost(outage.unnoticed + (now - outage.last_failure_at));
+        }
         match self.complete_until.map(|until| now - until) {
-            Some(age) if age <= MAX_TICK_GAP => RecordAge::Known(age),
+            Some(age) if age <= MAX_KNOWN_AGE => RecordAge::Known(age),
             Some(age) => RecordAge::AtMost(age),
             None => RecordAge::Unknown,
         }
@@ -142,13 +166,23 @@
         }
     }
 
-    fn after(self, elapsed: Duration) -> Self {
+    /// The age after a further time.
+    pub(crate) fn after(self, elapsed: Duration) -> Self {
         match self {
             Self::Known(age) => Self::Known(age + elapsed),
             Self::AtMost(age) => Self::AtMost(age + elapsed),
             Self::Unknown => Self::Unknown,
         }
     }
+
+    /// The age of a record that was told by a peer and arrived `delay` after it was asked for, at
+    /// most.
+    pub(crate) fn delayed(self, delay: Duration) -> Self {
+        match self.after(delay) {
+            Self::Known(age) if delay > MAX_KNOWN_AGE => Self::AtMost(age),
+            age => age,
+        }
+    }
 }
 
 impl AgeReading {
--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -87,7 +87,11 @@
         /// When the read was sent.
         sent_at: MonoTime,
     },
-    PeerReply(ControlReply),
+    PeerReply {
+        reply: ControlReply,
+        /// When the query was sent.
+        sent_at: Instant,
+    },
     /// A fetch from a peer failed or turned out to be unnecessary.
     NoPeerReply,
     StoreFailed {
@@ -216,6 +220,10 @@
     Peer {
         /// Ages by the record's key; none if the peer's build doesn't tell them.
         ages: Option<BTreeMap<String, RecordAge>>,
+        /// Time since the peer was asked.
+        delay: Duration,
+        /// Age by the reads of this process itself.
+        own: RecordAge,
     },
 }
 
@@ -226,9 +234,22 @@
         match self {
             Self::Store { .. } if initial => RecordAge::Unknown,
             Self::Store { age } => *age,
-            Self::Peer { ages: Some(ages) } => ages.get(key).copied().unwrap_or(RecordAge::Unknown),
-            Self::Peer { ages: None } if initial => RecordAge::Unknown,
-            Self::Peer { ages: None } => RecordAge::Known(Duration::ZERO),
+            Self::Peer { ages, delay, own } => {
+                let told = ages.as_ref().and_then(|ages| ages.get(key));
+                let told = told.map_or(RecordAge::Unknown, |age| age.delayed(*delay));
+                match (told, own) {
+                    (RecordAge::Known(_), _) => told,
+                    _ if initial => told,
+                    (RecordAge::Unknown, RecordAge::Unknown) if ages.is_none() => {
+                        RecordAge::Known(Duration::ZERO)
+                    }
+                    // Each limit holds by itself.
+                    _ => match told.limit().into_iter().chain(own.limit()).min() {
+                        Some(limit) => RecordAge::AtMost(limit),
+                        None => RecordAge::Unknown,
+                    },
+                }
+            }
         }
     }
 
@@ -289,13 +310,17 @@
                     self.merge(stream, batch, &source);
                     self.recency.record_answer(now, stream, sent_at);
                 }
-                ControlInput::PeerReply(mut reply) => {
+                ControlInput::PeerReply { mut reply, sent_at } => {
                     self.fetching = false;
                     if let Some(catalog) = reply.take_services() {
                         self.apply_services(reply.position().operator, catalog);
                     }
                     self.list_read_at = self.list_read_at.max(reply.list_read_at());
-                    let source = RecordSource::Peer { ages: reply.version_ages() };
+                    let source = RecordSource::Peer {
+                        ages: reply.version_ages(),
+                        delay: sent_at.elapsed(),
+                        own: self.recency.record_age(self.clock.now()),
+                    };
                     for (stream, batch) in reply.into_batches() {
                         self.merge(stream, batch, &source);
                     }
@@ -451,7 +476,7 @@
     }
 
     fn store_failed(&mut self, stream: ControlStream, error: &StoreError) {
-        self.recency.record_failure();
+        self.recency.record_failure(self.clock.now());
         if !std::mem::replace(&mut self.store_failing, true) {
             EventLine::new("store_lost")
                 .field("stream", format_args!("{stream:?}"))
@@ -513,8 +538,9 @@
 
 /// Sends a query to a peer and turns the result into an input of the control task.
 async fn fetch_input(peer: &str, query: ControlQuery) -> ControlInput {
+    let sent_at = Instant::now();
     match fetch_control(peer, query).await {
-        Ok(reply) => ControlInput::PeerReply(reply),
+        Ok(reply) => ControlInput::PeerReply { reply, sent_at },
         Err(error) => {
             EventLine::new("relay_failed").field("peer", peer).field("error", error).warn();
             ControlInput::NoPeerReply
--- a/crates/celeryshed_stager/src/view.rs
+++ b/crates/celeryshed_stager/src/view.rs
@@ -1,6 +1,6 @@
 //! The configuration, versions and endpoints that a sidecar knows from control records.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -42,6 +42,8 @@
     pub(crate) snapshot: Option<Arc<RoutingSnapshot>>,
     /// Declared versions by model, in the order in which they became known.
     versions: BTreeMap<String, Vec<VersionTarget>>,
+    /// Models and versions of known age.
+    known_ages: BTreeSet<(String, u64)>,
     directory: EndpointDirectory,
 }
 
@@ -82,12 +84,13 @@
         versions.iter().find(|target| target.version > loaded).map(|target| target.due_at)
     }
 
-    /// The newest version of each model, if it was declared while this process ran.
+    /// The newest version of each model, if its age is known.
     pub(crate) fn versions_of_known_age(
         &self,
     ) -> impl Iterator<Item = (&String, &VersionTarget)> + '_ {
         let newest = self.versions.iter().filter_map(|(m, versions)| Some((m, versions.last()?)));
-        newest.filter(|(_, target)| target.declared_while_running)
+        newest
+            .filter(|(model, target)| self.known_ages.contains(&((*model).clone(), target.version)))
     }
 
     /// Addresses of all endpoints of the service.
@@ -184,13 +187,24 @@
     match event {
         ControlEvent::Configuration(snapshot) => view.snapshot = Some(snapshot),
         ControlEvent::ModelVersion { model, version, initial, age } => {
-            let due_at = deadlines.due_at(now, age.limit());
+            let limit = match age {
+                // Its sender was started after the declaration, as other entries may have been, to
+                // which the version is due this long after their start.
+                RecordAge::Unknown if !initial => {
+                    Some(deadlines.after_declaration.saturating_sub(deadlines.after_start))
+                }
+                age => age.limit(),
+            };
+            let due_at = deadlines.due_at(now, limit);
+            if matches!(age, RecordAge::Known(_)) {
+                view.known_ages.insert((model.clone(), version));
+            }
             let versions = view.versions.entry(model).or_default();
             if versions.last().is_none_or(|known| version > known.version) {
-                let declared_while_running = !initial && matches!(age, RecordAge::Known(_));
+                let declared_while_running = !initial;
                 versions.push(VersionTarget {
                     version,
-                    learned_at: now - age.limit().unwrap_or_default(),
+                    learned_at: now - limit.unwrap_or_default(),
                     due_at,
                     declared_while_running,
                 });
