Block parts of prompts that crash the endpoints that answer them

What callers saw: requests that share one part of their prompts crash each endpoint that begins to answer them.

Cause: blame by identity for a shared property. The request quarantine knows requests by a digest of the whole body, so requests that share one part and nothing else were never connected. A crash was confirmed only if the same entry happened to use the endpoint again within a second, and the requests were sent again at once, which crashed a second endpoint each.

Change: `PromptGuard`. The parts of the requests whose answers had not begun (or less than 0.2 s before) at a reset are suspects; a probe after the reset confirms the crash. Entries exchange crashes and what their answers say about the suspects, and each attributes the crashes to the part that most of them have in common, which then no longer count against other parts. Requests with a blocked part are refused at once, also after they waited; those sent and not begun are withdrawn. A block ends with an answer, with another explanation, or without requests; one entry lets single trials through. Crash reports are a message of their own, since a further field would make earlier builds drop the load report.

Ruled out: telling other entries the age of answers. Entries tell the verdict on each suspect instead.

--- a/crates/celeryshed_dispatch/src/dispatcher.rs
+++ b/crates/celeryshed_dispatch/src/dispatcher.rs
@@ -16,6 +16,7 @@
 use crate::placement::{
     Candidate, CandidatePool, ComparisonLimits, Distance, PlacementChoice, PlacementQuery,
 };
+use crate::prompt_guard::{PromptGuard, PromptPart};
 use crate::quarantine::RequestQuarantine;
 use crate::refusal::{RefusalReason, retry_after, wait_until};
 use crate::request::{RequestNumber, RequestProfile};
@@ -171,6 +172,7 @@
     queue: WaitingQueue,
     budget: RetryBudget,
     quarantine: RequestQuarantine,
+    prompt_guard: PromptGuard,
 }
 
 impl EntryDispatcher {
@@ -210,6 +212,7 @@
             queue: WaitingQueue::default(),
             budget,
             quarantine: RequestQuarantine::default(),
+            prompt_guard: PromptGuard::default(),
         }
     }
 
@@ -238,6 +241,35 @@
         &mut self.quarantine
     }
 
+    /// The guard against parts of prompts that crash endpoints.
+    pub fn prompt_guard(&self) -> &PromptGuard {
+        &self.prompt_guard
+    }
+
+    /// The guard against parts of prompts that crash endpoints, to record resets and answers.
+    pub fn prompt_guard_mut(&mut self) -> &mut PromptGuard {
+        &mut self.prompt_guard
+    }
+
+    /// Whether a request with `parts` must be refused because of one of them. Of the entries that are
+    /// heard, only the one with the lowest address tries blocked parts again.
+    pub fn refuses_parts(
+        &mut self,
+        now: MonoTime,
+        own_address: &PeerAddress,
+        parts: &[PromptPart],
+    ) -> bool {
+        let mut entries = self.peers.iter().filter(|(_, contact)| contact.is_entry(now));
+        let may_try = entries.all(|(address, _)| own_address < address);
+        self.prompt_guard.refuses(now, parts, may_try)
+    }
+
+    /// Records that an endpoint is unreachable.
+    pub fn record_unreachable(&mut self, now: MonoTime, id: &EndpointId) {
+        self.quarantine.record_unreachable(now, id);
+        self.prompt_guard.record_unreachable(now, id);
+    }
+
     /// Replaces the engine timings by those of a configuration.
     pub fn set_configuration(&mut self, snapshot: &RoutingSnapshot) {
         let engines = snapshot.services.iter().filter_map(|(name, service)| {
@@ -441,7 +473,7 @@
         outcome: AttemptOutcome,
     ) {
         if outcome == AttemptOutcome::NotRun(NotRunReason::Unreachable) {
-            self.quarantine.record_unreachable(now, id);
+            self.record_unreachable(now, id);
         }
         if let Some(record) = self.records.get_mut(id) {
             record.load.answered(unread_tokens);
--- a/crates/celeryshed_dispatch/src/health.rs
+++ b/crates/celeryshed_dispatch/src/health.rs
@@ -53,6 +53,8 @@
         /// The request was withdrawn because it might have started on a version that is no longer
         /// in force.
         Outdated,
+        /// The request was withdrawn because a part of it crashes endpoints.
+        Withdrawn,
     }
 
     /// How an attempt ended.
@@ -117,7 +119,7 @@
             // by the next report of the sidecar.
             AttemptOutcome::Abandoned
             | AttemptOutcome::NotRun(NotRunReason::OtherVersion | NotRunReason::StaleDecision)
-            | AttemptOutcome::Unknown(UnknownReason::Outdated) => return,
+            | AttemptOutcome::Unknown(UnknownReason::Outdated | UnknownReason::Withdrawn) => return,
             AttemptOutcome::Failed
             | AttemptOutcome::Unknown(UnknownReason::Malformed | UnknownReason::Reset) => {
                 self.update_failure_rate(now, 1.0);
--- a/crates/celeryshed_dispatch/src/lib.rs
+++ b/crates/celeryshed_dispatch/src/lib.rs
@@ -17,6 +17,7 @@
 mod pacing;
 mod peers;
 mod placement;
+mod prompt_guard;
 mod quarantine;
 mod refusal;
 mod rendezvous;
@@ -41,6 +42,9 @@
     status_interval,
 };
 pub use peers::PeerAddress;
+pub use prompt_guard::{
+    CrashNotice, GuardEvent, GuardReport, PartId, PromptGuard, PromptPart, Suspicion, shared_parts,
+};
 pub use quarantine::{RequestFingerprint, RequestQuarantine};
 pub use refusal::{RefusalReason, retry_after};
 pub use request::{RequestNumber, RequestProfile};
--- a/crates/celeryshed_gateway/src/context.rs
+++ b/crates/celeryshed_gateway/src/context.rs
@@ -1,9 +1,10 @@
 //! State that all request handlers share.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use celeryshed_base::{ClockSource, MonoTime};
-use celeryshed_dispatch::RoutingSnapshot;
+use celeryshed_dispatch::{PartId, PromptPart, RoutingSnapshot};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -30,6 +31,8 @@
     pub(crate) headers: HeaderNames,
     pub(crate) dispatcher: DispatcherHandle,
     pub(crate) snapshot: watch::Receiver<Option<Arc<RoutingSnapshot>>>,
+    /// Parts of prompts whose requests are refused.
+    pub(crate) blocked_parts: watch::Receiver<Arc<BTreeSet<PartId>>>,
     pub(crate) shutdown_phase: watch::Receiver<ShutdownPhase>,
     /// Memory for answers that are not complete.
     pub(crate) buffers: BufferBudget,
@@ -41,4 +44,21 @@
         let now = self.clock.now();
         at.map(|at| Instant::now() + (at - now))
     }
+
+    /// Whether one of the parts is blocked.
+    pub(crate) fn has_blocked(&self, parts: &[PromptPart]) -> bool {
+        let blocked = self.blocked_parts.borrow();
+        !blocked.is_empty() && parts.iter().any(|part| blocked.contains(&part.id))
+    }
+
+    /// Waits until one of the parts gets blocked.
+    pub(crate) async fn wait_blocked(&self, parts: &[PromptPart]) {
+        let mut watch = self.blocked_parts.clone();
+        let has_blocked =
+            |blocked: &Arc<BTreeSet<PartId>>| parts.iter().any(|part| blocked.contains(&part.id));
+        // The sender is dropped only when the process ends.
+        if parts.is_empty() || watch.wait_for(has_blocked).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
 }
--- a/crates/celeryshed_gateway/src/dispatcher_task.rs
+++ b/crates/celeryshed_gateway/src/dispatcher_task.rs
@@ -6,23 +6,31 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use celeryshed_base::{AvailabilityZone, ClockSource, ServiceName};
+use celeryshed_base::{AvailabilityZone, ClockSource, MonoTime, ServiceName};
 use celeryshed_dispatch::{
     AttemptOutcome, DispatchDecision, DispatcherSettings, EndpointId, EndpointStatus,
-    EndpointTarget, EntryDispatcher, LoadScope, PeerAddress, PeerAudience, RefusalReason,
-    RequestFingerprint, RequestNumber, RequestProfile, RoutingSnapshot,
+    EndpointTarget, EntryDispatcher, GuardEvent, LoadScope, PartId, PeerAddress, PeerAudience,
+    PromptPart, RefusalReason, RequestFingerprint, RequestNumber, RequestProfile, RoutingSnapshot,
 };
 use celeryshed_observe::EventLine;
 use celeryshed_peering::{
-    ControlEvent, ControlPosition, EntryStatus, KeyedLoad, RequestCrashes, SidecarStatus,
-    VersionAge,
+    ControlEvent, ControlPosition, CrashReport, EntryStatus, KeyedLoad, RequestCrashes,
+    SidecarStatus, VersionAge,
 };
+use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 /// Time between two attempts to dispatch waiting requests, in addition to those after each event.
 const DISPATCH_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Time from a reset until the endpoint is probed; one that crashed no longer listens then.
+const PROBE_DELAY: Duration = Duration::from_millis(5);
+/// Limit for opening the connection of a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(350);
+/// Longest time that a request waits for the result of a probe before it may be sent again.
+const MAX_PROBE_WAIT: Duration = Duration::from_millis(60);
+
 /// The dispatcher's answer to [`DispatcherHandle::place`].
 #[derive(Debug)]
 pub(crate) enum PlacementVerdict {
@@ -65,8 +73,24 @@
     Reset {
         id: EndpointId,
         request: RequestFingerprint,
+        /// Parts of the prompt, if the answer had not begun.
+        parts: Arc<[PromptPart]>,
+        /// Told once the connection to the endpoint has been tried again.
+        probed: oneshot::Sender<()>,
+    },
+    Probed {
+        id: EndpointId,
+        reachable: bool,
     },
     Served(RequestFingerprint),
+    PartsAnswered {
+        parts: Arc<[PromptPart]>,
+        begun_at: MonoTime,
+    },
+    RefusesParts {
+        parts: Arc<[PromptPart]>,
+        reply: oneshot::Sender<bool>,
+    },
     IsQuarantined {
         request: RequestFingerprint,
         reply: oneshot::Sender<bool>,
@@ -79,6 +103,13 @@
         peer: PeerAddress,
         load: EntryStatus,
     },
+    PeerCrashes(CrashReport),
+    CrashReport {
+        audience: PeerAudience,
+        /// Whether to report also if there is no news.
+        is_regular: bool,
+        reply: oneshot::Sender<Option<CrashReport>>,
+    },
     SidecarStatus(SidecarStatus),
     LoadReport {
         query: LoadQuery,
@@ -92,6 +123,8 @@
     fn is_peer_news(&self) -> bool {
         match self {
             Self::PeerLoad { .. }
+            | Self::PeerCrashes(_)
+            | Self::CrashReport { .. }
             | Self::SidecarStatus(_)
             | Self::LoadReport { .. }
             | Self::ListedEndpoints(_) => true,
@@ -100,7 +133,10 @@
             | Self::Answered { .. }
             | Self::Finish { .. }
             | Self::Reset { .. }
+            | Self::Probed { .. }
             | Self::Served(_)
+            | Self::PartsAnswered { .. }
+            | Self::RefusesParts { .. }
             | Self::IsQuarantined { .. }
             | Self::Retry { .. } => false,
         }
@@ -148,9 +184,62 @@
         answer.await.unwrap_or(false)
     }
 
-    /// Reports that the connection to an endpoint was reset while it worked on a request.
-    pub(crate) fn report_reset(&self, id: &EndpointId, request: RequestFingerprint) {
-        self.send(DispatcherCommand::Reset { id: id.clone(), request });
+    /// Reports that the connection to an endpoint was reset while it worked on a request, whose
+    /// `parts` are given if the answer had not begun. Waits until it is known whether the endpoint
+    /// crashed, but not for long.
+    pub(crate) async fn report_reset(
+        &self,
+        id: &EndpointId,
+        request: RequestFingerprint,
+        parts: Arc<[PromptPart]>,
+    ) {
+        let _ = timeout(MAX_PROBE_WAIT, self.report_end(id, request, parts)).await;
+    }
+
+    /// Reports an end of an answer that a crash of the endpoint may have caused. The result ends
+    /// once that is known.
+    pub(crate) fn report_end(
+        &self,
+        id: &EndpointId,
+        request: RequestFingerprint,
+        parts: Arc<[PromptPart]>,
+    ) -> oneshot::Receiver<()> {
+        let (probed, result) = oneshot::channel();
+        self.send(DispatcherCommand::Reset { id: id.clone(), request, parts, probed });
+        result
+    }
+
+    /// Reports that a request was answered, or that an endpoint went on for some time after it had
+    /// begun to answer at `begun_at`.
+    pub(crate) fn report_parts_answered(&self, parts: &Arc<[PromptPart]>, begun_at: MonoTime) {
+        if !parts.is_empty() {
+            let parts = parts.clone();
+            self.send(DispatcherCommand::PartsAnswered { parts, begun_at });
+        }
+    }
+
+    /// Whether a request with a blocked part must be refused; it isn't if it is let through as a
+    /// trial.
+    pub(crate) async fn refuses_parts(&self, parts: &Arc<[PromptPart]>) -> bool {
+        let (reply, answer) = oneshot::channel();
+        self.send(DispatcherCommand::RefusesParts { parts: parts.clone(), reply });
+        answer.await.unwrap_or(true)
+    }
+
+    /// Applies the crash report of another entry.
+    pub(crate) fn apply_peer_crashes(&self, report: CrashReport) {
+        self.send(DispatcherCommand::PeerCrashes(report));
+    }
+
+    /// This entry's crash report; `None` if there is nothing to report.
+    pub(crate) async fn crash_report(
+        &self,
+        audience: PeerAudience,
+        is_regular: bool,
+    ) -> Option<CrashReport> {
+        let (reply, answer) = oneshot::channel();
+        self.send(DispatcherCommand::CrashReport { audience, is_regular, reply });
+        answer.await.ok().flatten()
     }
 
     /// Reports that a request was answered completely.
@@ -252,17 +341,21 @@
     pub(crate) snapshot: watch::Receiver<Option<Arc<RoutingSnapshot>>>,
     /// Whether any endpoint is known.
     pub(crate) endpoints_known: watch::Receiver<bool>,
+    /// Parts of prompts whose requests are refused.
+    pub(crate) blocked_parts: watch::Receiver<Arc<BTreeSet<PartId>>>,
 }
 
 /// Starts the dispatcher task.
 pub(crate) fn start_dispatcher(
     settings: DispatcherSettings,
+    own_address: PeerAddress,
     clock: ClockSource,
     events: mpsc::UnboundedReceiver<ControlEvent>,
 ) -> (DispatcherHandle, DispatcherOutputs) {
     let (commands, command_receiver) = mpsc::unbounded_channel();
     let (snapshot, snapshot_watch) = watch::channel(None);
     let (endpoints_known, endpoints_watch) = watch::channel(false);
+    let (blocked_parts, blocked_watch) = watch::channel(Arc::default());
     let handle = DispatcherHandle { commands, next_number: Arc::default() };
     let task = DispatcherTask {
         dispatcher: EntryDispatcher::new(settings),
@@ -271,9 +364,16 @@
         snapshot,
         endpoints_known,
         waiters: BTreeMap::new(),
+        own_address,
+        blocked_parts,
+        probes: BTreeMap::new(),
     };
     tokio::spawn(task.run(command_receiver, events));
-    let outputs = DispatcherOutputs { snapshot: snapshot_watch, endpoints_known: endpoints_watch };
+    let outputs = DispatcherOutputs {
+        snapshot: snapshot_watch,
+        endpoints_known: endpoints_watch,
+        blocked_parts: blocked_watch,
+    };
     (handle, outputs)
 }
 
@@ -290,6 +390,11 @@
     snapshot: watch::Sender<Option<Arc<RoutingSnapshot>>>,
     endpoints_known: watch::Sender<bool>,
     waiters: BTreeMap<RequestNumber, Waiter>,
+    /// Address of the peer socket of this process.
+    own_address: PeerAddress,
+    blocked_parts: watch::Sender<Arc<BTreeSet<PartId>>>,
+    /// Endpoints that are being probed after a reset, and the requests that wait for the result.
+    probes: BTreeMap<EndpointId, Vec<oneshot::Sender<()>>>,
 }
 
 impl DispatcherTask {
@@ -334,6 +439,7 @@
                 _ = ticks.tick(), if self.dispatcher.has_waiting() => {}
                 else => return,
             }
+            self.publish_guard();
             if is_urgent && self.dispatcher.has_waiting() {
                 self.dispatch_waiting();
             }
@@ -390,8 +496,35 @@
             DispatcherCommand::Finish { id, unread_tokens, outcome } => {
                 self.dispatcher.record_end(now, &id, unread_tokens, outcome);
             }
-            DispatcherCommand::Reset { id, request } => {
+            DispatcherCommand::Reset { id, request, parts, probed } => {
                 self.dispatcher.quarantine_mut().record_reset(now, &id, request);
+                self.dispatcher.prompt_guard_mut().record_reset(now, &id, &parts);
+                self.probe(id, probed);
+            }
+            DispatcherCommand::Probed { id, reachable } => {
+                if !reachable {
+                    self.dispatcher.record_unreachable(now, &id);
+                }
+                // The blocked parts are published before the requests are sent again.
+                self.publish_guard();
+                for waiting in self.probes.remove(&id).unwrap_or_default() {
+                    let _ = waiting.send(());
+                }
+            }
+            DispatcherCommand::PartsAnswered { parts, begun_at } => {
+                self.dispatcher.prompt_guard_mut().record_answer(now, &parts, begun_at);
+            }
+            DispatcherCommand::RefusesParts { parts, reply } => {
+                let _ = reply.send(self.dispatcher.refuses_parts(now, &self.own_address, &parts));
+            }
+            DispatcherCommand::PeerCrashes(report) => {
+                self.dispatcher.prompt_guard_mut().apply_report(now, &(&report).into());
+            }
+            DispatcherCommand::CrashReport { audience, is_regular, reply } => {
+                let guard = self.dispatcher.prompt_guard_mut();
+                let is_due = is_regular || guard.has_news(audience);
+                let report = is_due.then(|| guard.report(now, audience)).flatten();
+                let _ = reply.send(report.as_ref().map(CrashReport::from));
             }
             DispatcherCommand::Served(request) => {
                 self.dispatcher.quarantine_mut().record_answer(now, request)
@@ -418,6 +551,48 @@
         }
     }
 
+    /// Tries to connect to an endpoint after a reset; one that has crashed refuses.
+    fn probe(&mut self, id: EndpointId, probed: oneshot::Sender<()>) {
+        if let Some(waiting) = self.probes.get_mut(&id) {
+            waiting.retain(|sender| !sender.is_closed());
+            waiting.push(probed);
+            return;
+        }
+        let endpoint = self.dispatcher.directory().get(self.clock.now(), &id);
+        let Some(address) = endpoint.map(|endpoint| endpoint.address.clone()) else { return };
+        self.probes.insert(id.clone(), vec![probed]);
+        let handle = self.handle.clone();
+        tokio::spawn(async move {
+            sleep(PROBE_DELAY).await;
+            let reachable = matches!(
+                timeout(PROBE_TIMEOUT, TcpStream::connect(&address)).await,
+                Ok(Ok(_connection))
+            );
+            handle.send(DispatcherCommand::Probed { id, reachable });
+        });
+    }
+
+    /// Logs what the guard against crashing prompts has found, and publishes the blocked parts.
+    fn publish_guard(&mut self) {
+        let guard = self.dispatcher.prompt_guard_mut();
+        let events = guard.take_events();
+        if events.is_empty() {
+            return;
+        }
+        for event in &events {
+            log_guard_event(event);
+        }
+        let blocked: BTreeSet<PartId> = guard.blocked_parts().collect();
+        metrics::gauge!("celeryshed_prompt_parts_blocked").set(blocked.len() as f64);
+        self.blocked_parts.send_if_modified(|old| {
+            let changed = **old != blocked;
+            if changed {
+                *old = Arc::new(blocked);
+            }
+            changed
+        });
+    }
+
     fn apply_version_ages(&mut self, versions: &[VersionAge]) {
         let now = self.clock.now();
         for version_age in versions {
@@ -515,3 +690,27 @@
         }
     }
 }
+
+fn log_guard_event(event: &GuardEvent) {
+    match event {
+        GuardEvent::Crashed { endpoint, suspects } => {
+            let suspects = suspects.iter();
+            let parts: Vec<String> = suspects
+                .map(|(part, suspicion)| format!("{:x}:{suspicion:?}", part.id.0))
+                .collect();
+            EventLine::new("endpoint_crashed")
+                .field("endpoint", endpoint)
+                .field("suspects", parts.join(","))
+                .warn();
+            metrics::counter!("celeryshed_endpoint_crashes_total").increment(1);
+        }
+        GuardEvent::Blocked { part, crashes } => EventLine::new("prompt_part_blocked")
+            .field("part", format_args!("{:x}", part.0))
+            .field("crashes", crashes)
+            .warn(),
+        GuardEvent::Released { part, answered } => EventLine::new("prompt_part_released")
+            .field("part", format_args!("{:x}", part.0))
+            .field("answered", answered)
+            .info(),
+    }
+}
--- a/crates/celeryshed_gateway/src/names.rs
+++ b/crates/celeryshed_gateway/src/names.rs
@@ -25,6 +25,9 @@
     pub model: HeaderName,
     /// Number of prompt tokens and maximum number of output tokens, separated by a comma.
     pub tokens: HeaderName,
+    /// Parts of the prompt in order, as `ID:TOKENS` items separated by commas; the last part belongs
+    /// to the request alone.
+    pub prompt_parts: HeaderName,
     /// Number of output tokens that the caller expects.
     pub length_hint: HeaderName,
     /// Version of the weights that the endpoint serves, in its answers.
--- a/crates/celeryshed_gateway/src/peer_task.rs
+++ b/crates/celeryshed_gateway/src/peer_task.rs
@@ -94,7 +94,10 @@
             };
             let Some(load) = self.dispatcher.load_report(query).await else { return };
             if !load.is_empty() {
-                self.socket.send(&PeerMessage::Load(load), entries);
+                self.socket.send(&PeerMessage::Load(load), &entries);
+            }
+            if let Some(report) = self.dispatcher.crash_report(audience, is_whole).await {
+                self.socket.send(&PeerMessage::Crashes(report), &entries);
             }
         }
     }
@@ -207,6 +210,7 @@
                     }
                     self.dispatcher.apply_sidecar_status(status);
                 }
+                PeerMessage::Crashes(report) => self.dispatcher.apply_peer_crashes(report),
                 PeerMessage::Hello(_) | PeerMessage::Pieces(_) => {}
             }
         }
--- a/crates/celeryshed_gateway/src/process.rs
+++ b/crates/celeryshed_gateway/src/process.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use celeryshed_base::ClockSource;
-use celeryshed_dispatch::{CallerLimits, RoutingSnapshot};
+use celeryshed_dispatch::{CallerLimits, PeerAddress, RoutingSnapshot};
 use celeryshed_http::{ConnectionServer, ServerSettings};
 use celeryshed_observe::{EventLine, MetricsRegistry};
 use celeryshed_peering::{
@@ -72,8 +72,10 @@
         let clock = ClockSource::start();
         let registry = MetricsRegistry::install();
         let (control, events) = start_control(store, decoder, settings.control);
-        let (dispatcher, outputs) = start_dispatcher(settings.dispatcher.clone(), clock, events);
-        let DispatcherOutputs { snapshot, endpoints_known } = outputs;
+        let own_address = PeerAddress(settings.peer_address.to_string());
+        let (dispatcher, outputs) =
+            start_dispatcher(settings.dispatcher.clone(), own_address, clock, events);
+        let DispatcherOutputs { snapshot, endpoints_known, blocked_parts } = outputs;
         let (shutdown_phase, shutdown_watch) = watch::channel(ShutdownPhase::Serving);
         let (closing, closing_watch) = watch::channel(false);
 
@@ -98,6 +100,7 @@
             headers: settings.headers.clone(),
             dispatcher,
             snapshot: snapshot.clone(),
+            blocked_parts,
             shutdown_phase: shutdown_watch.clone(),
             buffers: BufferBudget::new(settings.answer_memory_bytes),
         });
--- a/crates/celeryshed_gateway/src/request/handle.rs
+++ b/crates/celeryshed_gateway/src/request/handle.rs
@@ -66,6 +66,7 @@
                 tried: BTreeSet::new(),
                 server_error: None,
                 placement: None,
+                is_trial: false,
             }
             .run()
             .await
@@ -104,6 +105,9 @@
     server_error: Option<WholeAnswer>,
     /// Times of the last placement; none before the first one.
     placement: Option<PlacementTimes>,
+    /// Whether the request is let through to find out whether its blocked part still crashes
+    /// endpoints.
+    is_trial: bool,
 }
 
 /// When a request was placed on an endpoint, and the answer time expected there.
@@ -119,6 +123,9 @@
             return self.refuse_own(RefusalReason::CrashesEndpoints);
         }
         loop {
+            if self.is_blocked().await {
+                return self.refuse_own(RefusalReason::CrashesEndpoints);
+            }
             let profile = self.request.profile.clone();
             let verdict = self.context.dispatcher.place(profile, self.tried.clone()).await;
             let (target, expected, permit) = match verdict {
@@ -131,13 +138,19 @@
                     return self.refuse(reason, retry_after);
                 }
             };
+            // The part may have been blocked while the request waited for its endpoint.
+            if !self.is_trial && self.context.has_blocked(&self.request.parts) {
+                permit.finish(AttemptOutcome::Abandoned);
+                return self.refuse_own(RefusalReason::CrashesEndpoints);
+            }
             let outcome = match self.attempt(&target, expected, permit).await {
                 AttemptEnd::Answered(response) => return response,
                 AttemptEnd::Stream(stream, permit) => return self.stream(target, *stream, permit),
                 AttemptEnd::Ended(outcome) => outcome,
             };
             if outcome == AttemptOutcome::Unknown(UnknownReason::Reset) {
-                self.context.dispatcher.report_reset(&target.id, self.request.fingerprint);
+                let (request, parts) = (self.request.fingerprint, self.request.parts.clone());
+                self.context.dispatcher.report_reset(&target.id, request, parts).await;
             }
             let route = &self.request.route;
             let verdict = self.history.record(route.kind, route.max_attempts, outcome);
@@ -151,6 +164,19 @@
         }
     }
 
+    /// Whether a part of the request is blocked, and the request is no trial of it.
+    async fn is_blocked(&mut self) -> bool {
+        if !self.context.has_blocked(&self.request.parts) {
+            return false;
+        }
+        if self.is_trial {
+            return self.history.may_have_run > 0;
+        }
+        let refused = self.context.dispatcher.refuses_parts(&self.request.parts).await;
+        self.is_trial = !refused;
+        refused
+    }
+
     async fn attempt(
         &mut self,
         target: &EndpointTarget,
@@ -158,6 +184,7 @@
         mut permit: PlacementPermit,
     ) -> AttemptEnd {
         let sent_at = Instant::now();
+        let started_at = self.context.clock.now();
         let plan = AttemptPlan {
             target,
             decided_at: sent_at,
@@ -168,7 +195,15 @@
             last_event: self.request.last_event,
             buffers: &self.context.buffers,
         };
-        match send_attempt(&self.context.headers, &self.request, &plan).await {
+        let sending = send_attempt(&self.context.headers, &self.request, &plan);
+        let reply = tokio::select! {
+            reply = sending => reply,
+            // Withdraws the request before the endpoint begins to answer.
+            () = self.context.wait_blocked(&self.request.parts), if !self.is_trial => {
+                AttemptReply::Ended(AttemptOutcome::Unknown(UnknownReason::Withdrawn))
+            }
+        };
+        match reply {
             AttemptReply::Whole(answer) => {
                 permit.answered(expected, sent_at.elapsed());
                 if answer.status.is_server_error() {
@@ -178,6 +213,11 @@
                 }
                 permit.finish(AttemptOutcome::Served);
                 self.context.dispatcher.report_served(self.request.fingerprint);
+                // An endpoint may reject a request without working on its prompt.
+                if answer.status.is_success() {
+                    let parts = &self.request.parts;
+                    self.context.dispatcher.report_parts_answered(parts, started_at);
+                }
                 self.log_answered(Some(target), answer.status);
                 AttemptEnd::Answered(whole_response(answer))
             }
@@ -278,8 +318,10 @@
         *response.headers_mut() = end_to_end(&stream.headers);
         let mut request = self.request;
         request.profile.version = version;
+        let begun_at = self.context.clock.now();
         let relay = StreamRelay {
             context: self.context,
+            begun_at,
             request,
             stream: Box::new(stream),
             permit,
--- a/crates/celeryshed_gateway/src/request/parse.rs
+++ b/crates/celeryshed_gateway/src/request/parse.rs
@@ -1,11 +1,13 @@
 //! Reads and checks a caller's request.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use celeryshed_base::{MonoTime, ServiceName};
 use celeryshed_dispatch::{
-    RequestFingerprint, RequestProfile, RouteRule, RoutingSnapshot, is_caller_retry,
+    PromptPart, RequestFingerprint, RequestProfile, RouteRule, RoutingSnapshot, is_caller_retry,
+    shared_parts,
 };
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -34,6 +36,8 @@
     pub(crate) team: Option<String>,
     pub(crate) last_event: Option<u64>,
     pub(crate) fingerprint: RequestFingerprint,
+    /// Parts of the prompt that other requests may share.
+    pub(crate) parts: Arc<[PromptPart]>,
     pub(crate) profile: RequestProfile,
 }
 
@@ -69,6 +73,9 @@
         last_event: header_text(&head.headers, &names.last_event)
             .and_then(|id| id.trim().parse().ok()),
         fingerprint: RequestFingerprint::of(&target, team_name.as_deref().unwrap_or(""), &body),
+        parts: header_text(&head.headers, &names.prompt_parts)
+            .map_or_else(Vec::new, shared_parts)
+            .into(),
         method: head.method,
         target,
         headers: head.headers,
--- a/crates/celeryshed_gateway/src/request/relay.rs
+++ b/crates/celeryshed_gateway/src/request/relay.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use celeryshed_base::MonoTime;
 use celeryshed_dispatch::{
     AttemptHistory, AttemptOutcome, EndpointId, RetryVerdict, StallLimits, UnknownReason,
 };
@@ -20,6 +21,8 @@
 use crate::request::buffer::BufferExceeded;
 use crate::request::parse::CallerRequest;
 
+/// Time after its first event in which a stream that breaks off may have crashed its endpoint.
+const BEGINNING_TIME: Duration = Duration::from_millis(200);
 /// Number of event batches that may wait for a slow caller.
 pub(crate) const EVENT_BUFFER_LEN: usize = 16;
 
@@ -34,6 +37,8 @@
     pub(crate) tried: BTreeSet<EndpointId>,
     /// When the stream has to be complete.
     pub(crate) due_at: Instant,
+    /// When the first event of the current endpoint arrived.
+    pub(crate) begun_at: MonoTime,
 }
 
 enum RelayEnd {
@@ -55,6 +60,8 @@
             let reason = match end {
                 RelayEnd::Complete => {
                     self.context.dispatcher.report_served(self.request.fingerprint);
+                    let parts = &self.request.parts;
+                    self.context.dispatcher.report_parts_answered(parts, self.begun_at);
                     self.permit.finish(AttemptOutcome::Served);
                     return;
                 }
@@ -68,7 +75,10 @@
             };
             self.log("stream_broken");
             if reason == UnknownReason::Reset {
-                self.context.dispatcher.report_reset(&self.endpoint, self.request.fingerprint);
+                let parts =
+                    if self.is_beginning() { self.request.parts.clone() } else { Arc::default() };
+                let request = self.request.fingerprint;
+                self.context.dispatcher.report_reset(&self.endpoint, request, parts).await;
             }
             match self.resume(reason).await {
                 Some(resumed) => self = resumed,
@@ -86,6 +96,7 @@
 
     async fn forward(&mut self, events: &mpsc::Sender<Result<Bytes, StreamBroken>>) -> RelayEnd {
         let mut stalled_at = Instant::now() + self.stall_limit();
+        let mut is_reported = false;
         loop {
             let frame_deadline = stalled_at.min(self.due_at);
             let frame = tokio::select! {
@@ -116,9 +127,20 @@
                 return RelayEnd::CallerDisconnected;
             }
             stalled_at = Instant::now() + self.stall_limit();
+            if !is_reported && !self.is_beginning() {
+                is_reported = true;
+                let parts = &self.request.parts;
+                self.context.dispatcher.report_parts_answered(parts, self.begun_at);
+            }
         }
     }
 
+    /// Whether the first event arrived so recently that the endpoint may crash because of the
+    /// request.
+    fn is_beginning(&self) -> bool {
+        self.context.clock.now() - self.begun_at < BEGINNING_TIME
+    }
+
     /// Longest time until the next whole event.
     fn stall_limit(&self) -> Duration {
         let limits = StallLimits::from(&self.request.route);
@@ -144,6 +166,9 @@
             return None;
         }
         let context = self.context;
+        if context.has_blocked(&self.request.parts) {
+            return None;
+        }
         if !context.dispatcher.try_retry(&self.request.profile.service).await {
             return None;
         }
@@ -153,6 +178,9 @@
         let PlacementVerdict::Placed { target, expected, mut permit } = verdict else {
             return None;
         };
+        if context.has_blocked(&self.request.parts) {
+            return None;
+        }
         let sent_at = Instant::now();
         let plan = AttemptPlan {
             target: &target,
@@ -177,8 +205,10 @@
             .field("endpoint", &target.id)
             .field("after_event", last_event.unwrap_or_default())
             .info();
+        let begun_at = context.clock.now();
         Some(Self {
             context,
+            begun_at,
             request: self.request,
             stream,
             permit,
--- a/crates/celeryshed_gateway/tests/support/endpoint.rs
+++ b/crates/celeryshed_gateway/tests/support/endpoint.rs
@@ -17,6 +17,9 @@
     Pause(u64),
     /// Closes the connection with a reset.
     Reset,
+    /// Closes the connection with a reset, and the listening socket as well, if the request
+    /// contains this text.
+    CrashOn(&'static str),
     /// Keeps the connection open and silent until the entry closes it.
     Hang,
     /// Sends the same bytes again and again, with a pause of this many milliseconds between, until
@@ -57,10 +60,15 @@
         let address = listener.local_addr().unwrap();
         let requests: Arc<Mutex<Vec<RecordedRequest>>> = Arc::default();
         let recorded = requests.clone();
+        let (crash, mut crashed) = tokio::sync::mpsc::channel(1);
         tokio::spawn(async move {
             loop {
-                let Ok((stream, _)) = listener.accept().await else { return };
-                tokio::spawn(answer(stream, scripts.clone(), recorded.clone()));
+                let accepted = tokio::select! {
+                    accepted = listener.accept() => accepted,
+                    _ = crashed.recv() => return,
+                };
+                let Ok((stream, _)) = accepted else { return };
+                tokio::spawn(answer(stream, scripts.clone(), recorded.clone(), crash.clone()));
             }
         });
         Self { id: id.to_owned(), address, requests }
@@ -81,6 +89,7 @@
     mut stream: TcpStream,
     scripts: Vec<Vec<ScriptStep>>,
     requests: Arc<Mutex<Vec<RecordedRequest>>>,
+    crash: tokio::sync::mpsc::Sender<()>,
 ) {
     let Some(text) = read_request(&mut stream).await else { return };
     let recorded = RecordedRequest { text, closed_at: None, repeated_bytes: 0 };
@@ -109,6 +118,13 @@
                 stream.set_zero_linger().unwrap();
                 return;
             }
+            ScriptStep::CrashOn(text) => {
+                if requests.lock().unwrap()[index].text.contains(text) {
+                    let _ = crash.send(()).await;
+                    stream.set_zero_linger().unwrap();
+                    return;
+                }
+            }
             ScriptStep::Hang => {
                 let mut rest = [0; 64];
                 while matches!(stream.read(&mut rest).await, Ok(length) if length > 0) {}
--- a/crates/celeryshed_gateway/tests/support/mod.rs
+++ b/crates/celeryshed_gateway/tests/support/mod.rs
@@ -81,6 +81,7 @@
         not_run: own("x-not-run"),
         model: own("x-model"),
         tokens: own("x-tokens"),
+        prompt_parts: own("x-prompt-parts"),
         length_hint: own("x-length-hint"),
         version: own("x-version"),
         expect_version: own("x-expect-version"),
--- a/crates/celeryshed_peering/src/lib.rs
+++ b/crates/celeryshed_peering/src/lib.rs
@@ -18,8 +18,8 @@
 };
 pub use log::{ControlLog, ControlPosition};
 pub use messages::{
-    EntryHeartbeat, EntryStatus, KeyedLoad, PeerMessage, PieceInventory, RequestCrashes,
-    SidecarStatus, VersionAge,
+    CrashReport, EndpointCrash, EntryHeartbeat, EntryStatus, KeyedLoad, PeerMessage,
+    PieceInventory, RequestCrashes, SidecarStatus, SuspectPart, VersionAge,
 };
 pub use record::{ControlBatch, ControlRecord, ControlStream, OperatorRecord};
 pub use services::ServiceCatalog;
--- a/crates/celeryshed_peering/src/messages.rs
+++ b/crates/celeryshed_peering/src/messages.rs
@@ -5,7 +5,8 @@
 
 use celeryshed_base::{AvailabilityZone, RegionName, common_derives};
 use celeryshed_dispatch::{
-    EndpointHash, LoadReport, LoadScope, PeerLoad, PieceSet, RequestFingerprint,
+    CrashNotice, EndpointHash, GuardReport, LoadReport, LoadScope, PartId, PeerLoad, PieceSet,
+    PromptPart, RequestFingerprint, Suspicion,
 };
 
 use crate::log::ControlPosition;
@@ -104,6 +105,34 @@
         pub pieces: PieceSet,
     }
 
+    /// A part of a prompt.
+    pub struct SuspectPart {
+        /// Id of the part.
+        pub id: u64,
+        /// Number of parts before it in the prompt.
+        pub position: u8,
+    }
+
+    /// A crash of an endpoint.
+    pub struct EndpointCrash {
+        /// The endpoint's [`EndpointHash`].
+        pub endpoint: u32,
+        /// Milliseconds since the crash.
+        pub age_ms: u64,
+        /// Suspected parts of prompts of which no answer is known.
+        pub new: Vec<SuspectPart>,
+        /// Suspected parts that were answered before the crash.
+        pub answered: Vec<SuspectPart>,
+        /// Parts that were answered after the crash.
+        pub cleared: Vec<SuspectPart>,
+    }
+
+    /// The crashes that an entry knows of, sent to the other entries while the crashes count.
+    pub struct CrashReport {
+        /// The crashes.
+        pub crashes: Vec<EndpointCrash>,
+    }
+
     /// Content of a datagram.
     pub enum PeerMessage {
         /// From an entry to an entry.
@@ -114,6 +143,58 @@
         Status(SidecarStatus),
         /// From a sidecar to a sidecar.
         Pieces(PieceInventory),
+        /// From an entry to an entry; earlier builds skip it.
+        Crashes(CrashReport),
+    }
+}
+
+impl From<&CrashNotice> for EndpointCrash {
+    fn from(crash: &CrashNotice) -> Self {
+        let of = |wanted: Suspicion| {
+            let matching = crash.suspects.iter().filter(|(_, suspicion)| *suspicion == wanted);
+            let parts =
+                matching.map(|(part, _)| SuspectPart { id: part.id.0, position: part.position });
+            parts.collect()
+        };
+        Self {
+            endpoint: crash.endpoint.0,
+            age_ms: crash.age.as_millis() as u64,
+            new: of(Suspicion::New),
+            answered: of(Suspicion::Answered),
+            cleared: of(Suspicion::Cleared),
+        }
+    }
+}
+
+impl From<&EndpointCrash> for CrashNotice {
+    fn from(crash: &EndpointCrash) -> Self {
+        let groups = [
+            (&crash.new, Suspicion::New),
+            (&crash.answered, Suspicion::Answered),
+            (&crash.cleared, Suspicion::Cleared),
+        ];
+        let suspects = groups.into_iter().flat_map(|(parts, suspicion)| {
+            parts.iter().map(move |part| {
+                (PromptPart { id: PartId(part.id), position: part.position }, suspicion)
+            })
+        });
+        Self {
+            endpoint: EndpointHash(crash.endpoint),
+            age: Duration::from_millis(crash.age_ms),
+            suspects: suspects.collect(),
+        }
+    }
+}
+
+impl From<&GuardReport> for CrashReport {
+    fn from(report: &GuardReport) -> Self {
+        Self { crashes: report.crashes.iter().map(EndpointCrash::from).collect() }
+    }
+}
+
+impl From<&CrashReport> for GuardReport {
+    fn from(report: &CrashReport) -> Self {
+        Self { crashes: report.crashes.iter().map(CrashNotice::from).collect() }
     }
 }
 
--- a/crates/celeryshed_stager/src/status_task.rs
+++ b/crates/celeryshed_stager/src/status_task.rs
@@ -73,7 +73,7 @@
                             }
                         });
                     }
-                    PeerMessage::Load(_) | PeerMessage::Status(_) => {}
+                    PeerMessage::Load(_) | PeerMessage::Status(_) | PeerMessage::Crashes(_) => {}
                 }
             }
         });
