--- a/crates/celeryshed_gateway/src/request/relay.rs
+++ b/crates/celeryshed_gateway/src/request/relay.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use celeryshed_base::MonoTime;
 use celeryshed_dispatch::{
     AttemptHistory, AttemptOutcome, EndpointId, RetryVerdict, StallLimits, UnknownReason,
 };
@@ -15,11 +16,13 @@
 
 use crate::context::GatewayContext;
 use crate::dispatcher_task::{PlacementPermit, PlacementVerdict};
-use crate::request::attempt::{AttemptPlan, AttemptReply, OpenStream, send_attempt};
+use crate::request::attempt::{AttemptPlan, AttemptReply, OpenStream, is_framed, send_attempt};
 use crate::request::body::StreamBroken;
 use crate::request::buffer::BufferExceeded;
 use crate::request::parse::CallerRequest;
 
+/// Time after its first event in which a stream that breaks off may have crashed its endpoint.
+const BEGINNING_TIME: Duration = Duration::from_millis(200);
 /// Number of event batches that may wait for a slow caller.
 pub(crate) const EVENT_BUFFER_LEN: usize = 16;
 
@@ -34,6 +37,8 @@
     pub(crate) tried: BTreeSet<EndpointId>,
     /// When the stream has to be complete.
     pub(crate) due_at: Instant,
+    /// When the first event of the current endpoint arrived.
+    pub(crate) begun_at: MonoTime,
 }
 
 enum RelayEnd {
@@ -54,7 +59,15 @@
             let end = self.forward(&events).await;
             let reason = match end {
                 RelayEnd::Complete => {
-                    self.context.dispatcher.report_served(self.request.fingerprint);
+                    if is_framed(&self.stream.headers) || !self.is_beginning() {
+                        self.context.dispatcher.report_served(self.request.fingerprint);
+                        let parts = &self.request.parts;
+                        self.context.dispatcher.report_parts_answered(parts, self.begun_at);
+                    } else {
+                        let (request, parts) =
+                            (self.request.fingerprint, self.request.parts.clone());
+                        drop(self.context.dispatcher.report_end(&self.endpoint, request, parts));
+                    }
                     self.permit.finish(AttemptOutcome::Served);
                     return;
                 }
@@ -68,7 +81,10 @@
             };
             self.log("stream_broken");
             if reason == UnknownReason::Reset {
-                self.context.dispatcher.report_reset(&self.endpoint, self.request.fingerprint);
+                let parts =
+                    if self.is_beginning() { self.request.parts.clone() } else { Arc::default() };
+                let request = self.request.fingerprint;
+                self.context.dispatcher.report_reset(&self.endpoint, request, parts).await;
             }
             let resumed = tokio::select! {
                 resumed = self.resume(reason) => resumed,
@@ -90,6 +106,7 @@
 
     async fn forward(&mut self, events: &mpsc::Sender<Result<Bytes, StreamBroken>>) -> RelayEnd {
         let mut stalled_at = Instant::now() + self.stall_limit();
+        let mut is_reported = false;
         loop {
             let frame_deadline = stalled_at.min(self.due_at);
             let frame = tokio::select! {
@@ -101,7 +118,7 @@
                 Err(_elapsed) => return RelayEnd::Broken(UnknownReason::Silent),
                 Ok(Some(Err(_))) => return RelayEnd::Broken(UnknownReason::Reset),
                 Ok(None) if self.stream.splitter.has_partial_event() => {
-                    return RelayEnd::Broken(UnknownReason::Malformed);
+                    return RelayEnd::Broken(UnknownReason::Reset);
                 }
                 Ok(None) => return RelayEnd::Complete,
                 Ok(Some(Ok(frame))) => frame.into_data(),
@@ -120,9 +137,20 @@
                 return RelayEnd::CallerDisconnected;
             }
             stalled_at = Instant::now() + self.stall_limit();
+            if !is_reported && !self.is_beginning() {
+                is_reported = true;
+                let parts = &self.request.parts;
+                self.context.dispatcher.report_parts_answered(parts, self.begun_at);
+            }
         }
     }
 
+    /// Whether the first event arrived so recently that the endpoint may crash because of the
+    /// request.
+    fn is_beginning(&self) -> bool {
+        self.context.clock.now() - self.begun_at < BEGINNING_TIME
+    }
+
     /// Longest time until the next whole event.
     fn stall_limit(&self) -> Duration {
         let limits = StallLimits::from(&self.request.route);
@@ -148,6 +176,9 @@
             return None;
         }
         let context = self.context;
+        if context.has_blocked(&self.request.parts) {
+            return None;
+        }
         if !context.dispatcher.try_retry(&self.request.profile.service).await {
             return None;
         }
@@ -157,6 +188,9 @@
         let PlacementVerdict::Placed { target, expected, mut permit } = verdict else {
             return None;
         };
+        if context.has_blocked(&self.request.parts) {
+            return None;
+        }
         let sent_at = Instant::now();
         let plan = AttemptPlan {
             target: &target,
@@ -181,8 +215,10 @@
             .field("endpoint", &target.id)
             .field("after_event", last_event.unwrap_or_default())
             .info();
+        let begun_at = context.clock.now();
         Some(Self {
             context,
+            begun_at,
             request: self.request,
             stream,
             permit,
