--- a/crates/celeryshed_dispatch/src/dispatcher.rs
+++ b/crates/celeryshed_dispatch/src/dispatcher.rs
@@ -9,6 +9,10 @@
 use crate::deadline::VersionDeadlines;
 use crate::directory::EndpointDirectory;
 use crate::endpoint::{EndpointHash, EndpointId, EndpointState, EndpointStatus, ListedEndpoint};
+use crate::endpoint_access::{
+    EndpointAccess, EndpointStart, EndpointStatements, NoticeChange, NoticeLimits, ReopeningCause,
+};
+use crate::endpoint_notice::EndpointNotice;
 use crate::health::{AttemptOutcome, HealthRecord, NotRunReason};
 use crate::load::{EndpointLoad, LoadReport, LoadScope, PeerLoad};
 use crate::pacing::PeerAudience;
@@ -52,12 +56,18 @@
         pub budget: BudgetLimits,
         /// Deadlines by which new versions of a model must be in force.
         pub versions: VersionDeadlines,
+        /// Bounds on what endpoints state of themselves.
+        pub notices: NoticeLimits,
     }
 
     /// The endpoint that a request is sent to.
     pub struct EndpointTarget {
         /// Id of the endpoint.
         pub id: EndpointId,
+        /// Start of the endpoint in Unix milliseconds.
+        pub started_at_ms: u64,
+        /// Whether the endpoint has ended a pause and is to show that it accepts requests again.
+        pub is_trial: bool,
         /// Address as `IP:PORT`.
         pub address: String,
         /// Model version that the endpoint must serve; `None` if any version is allowed.
@@ -93,21 +103,34 @@
     }
 }
 
+impl EndpointTarget {
+    /// The start of the endpoint that the request is meant for.
+    pub fn start(&self) -> EndpointStart {
+        EndpointStart { id: self.id.clone(), started_at_ms: self.started_at_ms }
+    }
+}
+
 impl DispatcherSettings {
     /// Whether an availability zone belongs to the region of this entry; a zone without a region
     /// counts as its own region.
     ///
     /// ```
-    /// # use celeryshed_dispatch::{BudgetLimits, DispatcherSettings, VersionDeadlines};
+    /// # use celeryshed_dispatch::{BudgetLimits, DispatcherSettings, NoticeLimits, VersionDeadlines};
     /// # use celeryshed_base::AvailabilityZone;
     /// # use std::time::Duration;
     /// # let window = Duration::from_secs(10);
     /// # let budget = BudgetLimits { retry_percent: 20, retry_allowance: 100, window };
     /// # let (after_declaration, after_start) = (Duration::from_secs(8), Duration::ZERO);
     /// # let versions = VersionDeadlines { after_declaration, after_start };
+    /// # let notices = NoticeLimits { max_pause: Duration::from_secs(12) };
     /// let zone = |name| AvailabilityZone::try_from(name).unwrap();
-    /// let settings =
-    ///     DispatcherSettings { zone: zone("north-a"), regions: Default::default(), budget, versions };
+    /// let settings = DispatcherSettings {
+    ///     zone: zone("north-a"),
+    ///     regions: Default::default(),
+    ///     budget,
+    ///     versions,
+    ///     notices,
+    /// };
     /// assert!(settings.is_in_own_region(&zone("north-a")));
     /// assert!(!settings.is_in_own_region(&zone("south-a")));
     /// ```
@@ -163,6 +186,7 @@
     settings: DispatcherSettings,
     directory: EndpointDirectory,
     records: BTreeMap<EndpointId, EndpointRecord>,
+    statements: EndpointStatements,
     timings: BTreeMap<ServiceName, EngineTiming>,
     /// Declared versions by model.
     versions: BTreeMap<String, BTreeMap<u64, DeclaredVersion>>,
@@ -178,7 +202,7 @@
     ///
     /// ```
     /// # use celeryshed_dispatch::{BudgetLimits, DispatcherSettings, EntryDispatcher};
-    /// # use celeryshed_dispatch::VersionDeadlines;
+    /// # use celeryshed_dispatch::{NoticeLimits, VersionDeadlines};
     /// # use celeryshed_base::{AvailabilityZone, MonoTime};
     /// # use std::time::Duration;
     /// # let budget = BudgetLimits {
@@ -188,21 +212,25 @@
     /// # };
     /// # let (after_declaration, after_start) = (Duration::from_secs(8), Duration::ZERO);
     /// # let versions = VersionDeadlines { after_declaration, after_start };
+    /// # let notices = NoticeLimits { max_pause: Duration::from_secs(12) };
     /// let settings = DispatcherSettings {
     ///     zone: AvailabilityZone::try_from("north-a").unwrap(),
     ///     regions: Default::default(),
     ///     budget,
     ///     versions,
+    ///     notices,
     /// };
     /// let mut dispatcher = EntryDispatcher::new(settings);
     /// assert!(dispatcher.dispatch_waiting(MonoTime::ZERO, 0).is_empty());
     /// ```
     pub fn new(settings: DispatcherSettings) -> Self {
         let budget = RetryBudget::new(settings.budget);
+        let statements = EndpointStatements::new(settings.notices);
         Self {
             settings,
             directory: EndpointDirectory::default(),
             records: BTreeMap::new(),
+            statements,
             timings: BTreeMap::new(),
             versions: BTreeMap::new(),
             peers: BTreeMap::new(),
@@ -306,6 +334,7 @@
             .collect();
         self.records
             .retain(|id, record| start_times.contains_key(id) || record.load.own().running > 0);
+        self.statements.sync(now, &start_times);
         self.hashes = start_times.keys().map(|id| (EndpointHash::from(id), id.clone())).collect();
         for (id, started_at_ms) in start_times {
             let record = self.records.entry(id).or_default();
@@ -317,6 +346,42 @@
         }
     }
 
+    /// Applies what an endpoint stated of itself in an answer to a request that was placed on `start`.
+    pub fn apply_notice(
+        &mut self,
+        now: MonoTime,
+        start: &EndpointStart,
+        notice: EndpointNotice,
+    ) -> NoticeChange {
+        let listed = self.directory.get(now, &start.id);
+        if listed.is_some_and(|endpoint| endpoint.started_at_ms > start.started_at_ms) {
+            return NoticeChange::Unchanged;
+        }
+        self.statements.apply(now, start, notice)
+    }
+
+    /// Whether a placed request may still be sent: the endpoint has stated nothing to the contrary
+    /// since it was chosen.
+    pub fn may_send(&self, now: MonoTime, start: &EndpointStart) -> bool {
+        let access = self.statements.access(now, &start.id, start.started_at_ms);
+        matches!(access, EndpointAccess::Open | EndpointAccess::Trial { .. })
+    }
+
+    /// Records that an endpoint answered a request after its pause.
+    pub fn record_trial_answer(&mut self, now: MonoTime, start: &EndpointStart) {
+        self.statements.record_trial_answer(now, start);
+    }
+
+    /// Records the end of an attempt whose target was a trial.
+    pub fn end_trial(&mut self, start: &EndpointStart) {
+        self.statements.end_trial(start);
+    }
+
+    /// The endpoints that accept requests again since the last call, and why.
+    pub fn take_reopened(&mut self) -> Vec<(EndpointId, ReopeningCause)> {
+        self.statements.take_reopened()
+    }
+
     /// Replaces the status that a sidecar reported before; unknown endpoints are ignored.
     pub fn apply_status(&mut self, id: &EndpointId, status: EndpointStatus) {
         if let Some(record) = self.records.get_mut(id) {
@@ -482,7 +547,8 @@
         for (number, decision) in self.decide_requests(now, random, service) {
             let Some(request) = self.queue.remove(number) else { continue };
             match decision {
-                RequestDecision::Place(target, expected) => {
+                RequestDecision::Place(mut target, expected) => {
+                    target.is_trial = self.statements.start_trial(now, &target.start());
                     if let Some(record) = self.records.get_mut(&target.id) {
                         record.load.started(request.profile.prompt_tokens);
                     }
@@ -557,14 +623,18 @@
                 Some(RequestDecision::Refuse(RefusalReason::Overload))
             }
             PlacementChoice::Full => None,
-            // No endpoint serves the request. An endpoint that loads or starts takes longer than a
-            // first attempt may wait.
-            PlacementChoice::NoEndpoint
-                if !profile.caller_retry || !request.excluded.is_empty() || now >= until =>
-            {
-                Some(RequestDecision::Refuse(RefusalReason::NoEndpoint))
-            }
-            PlacementChoice::NoEndpoint => None,
+            PlacementChoice::NoEndpoint => match pool.reopens_at() {
+                Some(at) if at < until && request.excluded.is_empty() => None,
+                Some(at) => {
+                    Some(RequestDecision::Refuse(RefusalReason::Paused { ends_in: at - now }))
+                }
+                // No endpoint serves the request. An endpoint that loads or starts takes longer than
+                // a first attempt may wait.
+                None if !profile.caller_retry || !request.excluded.is_empty() || now >= until => {
+                    Some(RequestDecision::Refuse(RefusalReason::NoEndpoint))
+                }
+                None => None,
+            },
         }
     }
 
@@ -597,9 +667,16 @@
         let version = profile.version.or(due.and(served));
         let start_deadline =
             model.zip(served).and_then(|(model, served)| self.start_deadline(model, served));
-        let (id, address) = (id.clone(), endpoint.address.clone());
         let send_deadline = start_deadline.map(|at| at - OLD_VERSION_QUEUE_TIME);
-        Some(EndpointTarget { id, address, version, start_deadline, send_deadline })
+        Some(EndpointTarget {
+            id: id.clone(),
+            started_at_ms: endpoint.started_at_ms,
+            is_trial: false,
+            address: endpoint.address.clone(),
+            version,
+            start_deadline,
+            send_deadline,
+        })
     }
 
     /// The endpoints that serve a request, and how many of them are compared.
@@ -609,11 +686,21 @@
             let slot_interval = timing.slot_interval();
             ComparisonLimits::new(slot_interval, |audience| self.load_interval(now, audience))
         });
+        let mut reopens_at: Option<MonoTime> = None;
         let candidates = self.directory.endpoints(now).filter_map(|(id, endpoint)| {
             let record = self.records.get(id)?;
             if endpoint.service != profile.service || !self.serves(now, endpoint, record, profile) {
                 return None;
             }
+            let free_trials = match self.statements.access(now, id, endpoint.started_at_ms) {
+                EndpointAccess::Open => None,
+                EndpointAccess::Trial { free } => Some(free),
+                EndpointAccess::Paused { until } => {
+                    reopens_at = Some(reopens_at.map_or(until, |at| at.min(until)));
+                    return None;
+                }
+                EndpointAccess::Leaving => return None,
+            };
             Some(Candidate {
                 id,
                 slots: endpoint.slots,
@@ -621,11 +708,13 @@
                 health: &record.health,
                 distance: self.distance(&endpoint.zone),
                 timing,
+                free_trials,
                 closing_at: record.fresh_status(now).and_then(|status| status.closing_at),
                 start_deadline: self.served_start_deadline(now, endpoint, record, profile),
             })
         });
-        CandidatePool::new(candidates.collect(), limits)
+        let candidates = candidates.collect();
+        CandidatePool::new(candidates, limits, reopens_at)
     }
 
     /// Time between two load reports from the same entry of `audience`.
--- a/crates/celeryshed_dispatch/src/health.rs
+++ b/crates/celeryshed_dispatch/src/health.rs
@@ -37,7 +37,8 @@
         Misdirected,
         /// The endpoint doesn't serve the requested version.
         OtherVersion,
-        /// This process was delayed after the decision for so long that it may no longer hold.
+        /// The decision no longer holds, since the endpoint has closed, or may no longer hold, since
+        /// this process was delayed after it.
         StaleDecision,
     }
 
--- a/crates/celeryshed_dispatch/src/lib.rs
+++ b/crates/celeryshed_dispatch/src/lib.rs
@@ -12,6 +12,8 @@
 mod directory;
 mod dispatcher;
 mod endpoint;
+mod endpoint_access;
+mod endpoint_notice;
 mod health;
 mod load;
 mod pacing;
@@ -34,6 +36,8 @@
 pub use directory::{DirectoryRecord, EndpointDirectory};
 pub use dispatcher::{DispatchDecision, DispatcherSettings, EndpointTarget, EntryDispatcher};
 pub use endpoint::{EndpointHash, EndpointId, EndpointState, EndpointStatus, ListedEndpoint};
+pub use endpoint_access::{EndpointStart, NoticeChange, NoticeLimits, ReopeningCause};
+pub use endpoint_notice::{EndpointNotice, HeaderValues, LeavingMark, NoticeError, PauseLength};
 pub use health::{AttemptOutcome, HealthRecord, NotRunReason, UnknownReason};
 pub use load::{EndpointLoad, LoadReport, LoadScope, PeerLoad};
 pub use pacing::{
--- a/crates/celeryshed_dispatch/src/placement.rs
+++ b/crates/celeryshed_dispatch/src/placement.rs
@@ -56,6 +56,8 @@
     pub(crate) health: &'c HealthRecord,
     pub(crate) distance: Distance,
     pub(crate) timing: Option<EngineTiming>,
+    /// Requests that it accepts before it has answered one after a pause; `None` if any number.
+    pub(crate) free_trials: Option<u32>,
     pub(crate) closing_at: Option<MonoTime>,
     /// Time until which requests may start, after which a newer version is in force.
     pub(crate) start_deadline: Option<MonoTime>,
@@ -93,7 +95,7 @@
             Some(timing) => timing.slots().max(1) + EXTRA_ENGINE_REQUESTS,
             None => self.slots.max(1) * MAX_PLAIN_REQUESTS_PER_SLOT,
         };
-        self.load.running < limit
+        self.load.running < limit && self.free_trials != Some(0)
     }
 
     /// Whether the request is certain enough to start before a newer version is in force. A request
@@ -174,11 +176,21 @@
     candidates: Vec<Candidate<'c>>,
     /// `None` if all endpoints are compared.
     limits: Option<ComparisonLimits>,
+    reopens_at: Option<MonoTime>,
 }
 
 impl<'c> CandidatePool<'c> {
-    pub(crate) fn new(candidates: Vec<Candidate<'c>>, limits: Option<ComparisonLimits>) -> Self {
-        Self { candidates, limits }
+    pub(crate) fn new(
+        candidates: Vec<Candidate<'c>>,
+        limits: Option<ComparisonLimits>,
+        reopens_at: Option<MonoTime>,
+    ) -> Self {
+        Self { candidates, limits, reopens_at }
+    }
+
+    /// Earliest end of a pause of an endpoint that serves the request; `None` if none is paused.
+    pub(crate) fn reopens_at(&self) -> Option<MonoTime> {
+        self.reopens_at
     }
 
     /// Number of endpoints, also of those without a free slot.
@@ -190,6 +202,7 @@
     pub(crate) fn count_placement(&mut self, id: &EndpointId, prompt_tokens: u32) {
         for candidate in self.candidates.iter_mut().filter(|candidate| candidate.id == id) {
             candidate.load.running += 1;
+            candidate.free_trials = candidate.free_trials.map(|free| free.saturating_sub(1));
             candidate.load.unread_tokens += prompt_tokens;
         }
     }
--- a/crates/celeryshed_dispatch/src/refusal.rs
+++ b/crates/celeryshed_dispatch/src/refusal.rs
@@ -25,6 +25,9 @@
 /// Delays of callers whose request no endpoint serves. Callers wait for at most a third of the time
 /// until their deadline.
 const OUTAGE_RETRY_FRACTIONS: (f64, f64) = (0.24, 0.33);
+/// Longest time after the end of a pause at which a caller returns, as a fraction of the time until
+/// its deadline.
+const PAUSE_RETRY_SPREAD: f64 = 0.1;
 
 common_derives! { value:
     /// Why a request was refused without being run.
@@ -34,6 +37,11 @@
         Overload,
         /// No endpoint serves the service or model.
         NoEndpoint,
+        /// All endpoints that serve the service or model accept no requests of this entry.
+        Paused {
+            /// Time until the first of them accepts requests again.
+            ends_in: Duration,
+        },
         /// The retry budget is used up.
         RetryBudget,
         /// Requests with the same content crashed several endpoints.
@@ -49,6 +57,7 @@
         match self {
             Self::Overload => "overload",
             Self::NoEndpoint => "no_endpoint",
+            Self::Paused { .. } => "endpoints_paused",
             Self::RetryBudget => "retry_budget",
             Self::CrashesEndpoints => "crashes_endpoints",
             Self::TimeLimit => "time_limit",
@@ -71,7 +80,8 @@
 ///
 /// `remaining` is the time until the request's deadline, and `random` a random number that spreads
 /// the delays. A caller whose request no endpoint serves now returns later than one that met a full
-/// queue: endpoints that start or load weights take longer than a slot takes to become free.
+/// queue: endpoints that start or load weights take longer than a slot takes to become free. If the
+/// endpoints have paused, it returns soon after the end of the first pause, if it can wait so long.
 ///
 /// ```
 /// use celeryshed_dispatch::{RefusalReason, retry_after};
@@ -87,8 +97,15 @@
         | RefusalReason::RetryBudget
         | RefusalReason::CrashesEndpoints
         | RefusalReason::TimeLimit => QUEUE_RETRY_FRACTIONS,
-        RefusalReason::NoEndpoint => OUTAGE_RETRY_FRACTIONS,
+        RefusalReason::NoEndpoint | RefusalReason::Paused { .. } => OUTAGE_RETRY_FRACTIONS,
     };
     let position = (random % 1024) as f64 / 1024.0;
-    remaining.mul_f64(shortest + (longest - shortest) * position).max(MIN_RETRY_DELAY)
+    let delay = remaining.mul_f64(shortest + (longest - shortest) * position);
+    let delay = match reason {
+        RefusalReason::Paused { ends_in } => {
+            delay.min(ends_in + remaining.mul_f64(PAUSE_RETRY_SPREAD * position))
+        }
+        _ => delay,
+    };
+    delay.max(MIN_RETRY_DELAY)
 }
--- a/crates/celeryshed_dispatch/tests/support/mod.rs
+++ b/crates/celeryshed_dispatch/tests/support/mod.rs
@@ -10,6 +10,9 @@
 
 pub(crate) const MODEL: &str = "letters";
 
+/// Longest pause that an endpoint may ask for.
+pub(crate) const MAX_PAUSE: Duration = Duration::from_secs(12);
+
 pub(crate) fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
@@ -65,6 +68,7 @@
         regions,
         budget,
         versions,
+        notices: NoticeLimits { max_pause: MAX_PAUSE },
     });
     let mut snapshot = RoutingSnapshot::default();
     let engine = Some(engine_profile(16));
--- a/crates/celeryshed_gateway/src/dispatcher_task.rs
+++ b/crates/celeryshed_gateway/src/dispatcher_task.rs
@@ -8,18 +8,22 @@
 
 use celeryshed_base::{AvailabilityZone, ClockSource, ServiceName};
 use celeryshed_dispatch::{
-    AttemptOutcome, DispatchDecision, DispatcherSettings, EndpointId, EndpointStatus,
-    EndpointTarget, EntryDispatcher, LoadScope, PeerAddress, PeerAudience, RefusalReason,
-    RequestFingerprint, RequestNumber, RequestProfile, RoutingSnapshot,
+    AttemptOutcome, DispatchDecision, DispatcherSettings, EndpointId, EndpointNotice,
+    EndpointStart, EndpointStatus, EndpointTarget, EntryDispatcher, LoadScope, PeerAddress,
+    PeerAudience, RefusalReason, RequestFingerprint, RequestNumber, RequestProfile,
+    RoutingSnapshot,
 };
 use celeryshed_observe::EventLine;
 use celeryshed_peering::{
     ControlEvent, ControlPosition, EntryStatus, KeyedLoad, RequestCrashes, SidecarStatus,
     VersionAge,
 };
+use hyper::StatusCode;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{MissedTickBehavior, interval};
 
+use crate::notice_command::{NoticeCommand, log_reopened};
+
 /// Time between two attempts to dispatch waiting requests, in addition to those after each event.
 const DISPATCH_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -85,6 +89,7 @@
         reply: oneshot::Sender<EntryStatus>,
     },
     ListedEndpoints(oneshot::Sender<Vec<(String, AvailabilityZone)>>),
+    Notice(NoticeCommand),
 }
 
 impl DispatcherCommand {
@@ -95,6 +100,7 @@
             | Self::SidecarStatus(_)
             | Self::LoadReport { .. }
             | Self::ListedEndpoints(_) => true,
+            Self::Notice(command) => command.is_query(),
             Self::Place { .. }
             | Self::Cancel(_)
             | Self::Answered { .. }
@@ -112,6 +118,8 @@
 pub(crate) struct DispatcherHandle {
     commands: mpsc::UnboundedSender<DispatcherCommand>,
     next_number: Arc<AtomicU64>,
+    /// Number of notices of endpoints that were reported.
+    notice_count: Arc<AtomicU64>,
 }
 
 impl DispatcherHandle {
@@ -182,6 +190,10 @@
         answer.await.unwrap_or_default()
     }
 
+    fn notice_count(&self) -> u64 {
+        self.notice_count.load(Ordering::Acquire)
+    }
+
     fn send(&self, command: DispatcherCommand) {
         // The task ends only with the process.
         let _ = self.commands.send(command);
@@ -206,7 +218,11 @@
 #[derive(Debug)]
 pub(crate) struct PlacementPermit {
     dispatcher: DispatcherHandle,
-    id: EndpointId,
+    start: EndpointStart,
+    /// Whether the request is a trial after a pause of the endpoint.
+    is_trial: bool,
+    /// Notices that were applied when the request was placed.
+    notice_count: u64,
     /// Prompt tokens that the endpoint has not processed yet; zero after the first event or the
     /// answer.
     unread_tokens: u32,
@@ -218,8 +234,11 @@
     /// was sent.
     pub(crate) fn answered(&mut self, expected: Duration, measured: Duration) {
         let prompt_tokens = std::mem::take(&mut self.unread_tokens);
-        let id = self.id.clone();
+        let id = self.start.id.clone();
         self.dispatcher.send(DispatcherCommand::Answered { id, prompt_tokens, expected, measured });
+        if self.is_trial {
+            self.send(NoticeCommand::TrialAnswered(self.start.clone()));
+        }
     }
 
     /// Reports the end of the attempt and frees the slot.
@@ -229,14 +248,51 @@
 
     fn end(&mut self, outcome: AttemptOutcome) {
         if !std::mem::replace(&mut self.finished, true) {
+            if self.is_trial {
+                self.send(NoticeCommand::TrialEnded(self.start.clone()));
+            }
             let unread_tokens = self.unread_tokens;
             self.dispatcher.send(DispatcherCommand::Finish {
-                id: self.id.clone(),
+                id: self.start.id.clone(),
                 unread_tokens,
                 outcome,
             });
         }
     }
+
+    /// Reports what the endpoint stated of itself in an answer to the request.
+    pub(crate) fn report_notice(
+        &self,
+        notice: EndpointNotice,
+        status: StatusCode,
+        request_id: &str,
+    ) {
+        let (start, request_id) = (self.start.clone(), request_id.to_owned());
+        self.send(NoticeCommand::Stated { start, notice, status, request_id });
+        self.dispatcher.notice_count.fetch_add(1, Ordering::Release);
+    }
+
+    /// Whether the request may still be sent: no answer that was read since the request was placed
+    /// says that the endpoint accepts none.
+    pub(crate) async fn may_send(&self) -> bool {
+        let mut checked = self.notice_count;
+        loop {
+            let count = self.dispatcher.notice_count();
+            if count == checked {
+                return true;
+            }
+            checked = count;
+            let (reply, answer) = oneshot::channel();
+            self.send(NoticeCommand::MaySend { start: self.start.clone(), reply });
+            if !answer.await.unwrap_or(false) {
+                return false;
+            }
+        }
+    }
+
+    fn send(&self, command: NoticeCommand) {
+        self.dispatcher.send(DispatcherCommand::Notice(command));
+    }
 }
 
 impl Drop for PlacementPermit {
@@ -263,7 +319,8 @@
     let (commands, command_receiver) = mpsc::unbounded_channel();
     let (snapshot, snapshot_watch) = watch::channel(None);
     let (endpoints_known, endpoints_watch) = watch::channel(false);
-    let handle = DispatcherHandle { commands, next_number: Arc::default() };
+    let handle =
+        DispatcherHandle { commands, next_number: Arc::default(), notice_count: Arc::default() };
     let task = DispatcherTask {
         dispatcher: EntryDispatcher::new(settings),
         handle: handle.clone(),
@@ -271,6 +328,7 @@
         snapshot,
         endpoints_known,
         waiters: BTreeMap::new(),
+        notice_count: 0,
     };
     tokio::spawn(task.run(command_receiver, events));
     let outputs = DispatcherOutputs { snapshot: snapshot_watch, endpoints_known: endpoints_watch };
@@ -290,6 +348,8 @@
     snapshot: watch::Sender<Option<Arc<RoutingSnapshot>>>,
     endpoints_known: watch::Sender<bool>,
     waiters: BTreeMap<RequestNumber, Waiter>,
+    /// Notices of endpoints that were applied.
+    notice_count: u64,
 }
 
 impl DispatcherTask {
@@ -311,6 +371,7 @@
                         self.apply_event(event);
                     }
                     self.dispatcher.sync_directory(self.clock.now());
+                    log_reopened(&mut self.dispatcher);
                     let has_endpoints = self
                         .dispatcher
                         .directory()
@@ -325,11 +386,14 @@
                 }
                 Some(command) = commands.recv() => {
                     is_urgent = !command.is_peer_news();
+                    // Notices that are counted now are among the commands that are run below.
+                    let notice_count = self.handle.notice_count();
                     self.run_command(command);
                     while let Ok(command) = commands.try_recv() {
                         is_urgent |= !command.is_peer_news();
                         self.run_command(command);
                     }
+                    self.notice_count = notice_count;
                 }
                 _ = ticks.tick(), if self.dispatcher.has_waiting() => {}
                 else => return,
@@ -415,6 +479,7 @@
                     .map(|(_, endpoint)| (endpoint.address.clone(), endpoint.zone.clone()));
                 let _ = reply.send(endpoints.collect());
             }
+            DispatcherCommand::Notice(command) => command.run(&mut self.dispatcher, now),
         }
     }
 
@@ -498,7 +563,9 @@
                         self.waiters.get(&number).map_or(0, |waiter| waiter.prompt_tokens);
                     let permit = PlacementPermit {
                         dispatcher: self.handle.clone(),
-                        id: target.id.clone(),
+                        start: target.start(),
+                        is_trial: target.is_trial,
+                        notice_count: self.notice_count,
                         unread_tokens: prompt_tokens,
                         finished: false,
                     };
--- a/crates/celeryshed_gateway/src/lib.rs
+++ b/crates/celeryshed_gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod context;
 mod dispatcher_task;
 mod names;
+mod notice_command;
 mod peer_task;
 mod process;
 mod request;
--- a/crates/celeryshed_gateway/src/names.rs
+++ b/crates/celeryshed_gateway/src/names.rs
@@ -31,4 +31,8 @@
     pub version: HeaderName,
     /// Version of the weights that the endpoint must serve to run the request, set by the entry.
     pub expect_version: HeaderName,
+    /// `1` in the answers of an endpoint that accepts no new work until it is started again.
+    pub leaving: HeaderName,
+    /// Seconds for which an endpoint accepts no work of this entry, in its answers of status 503.
+    pub pause: HeaderName,
 }
--- a/crates/celeryshed_gateway/src/request/attempt.rs
+++ b/crates/celeryshed_gateway/src/request/attempt.rs
@@ -19,9 +19,11 @@
 use hyper::{HeaderMap, Request, StatusCode};
 use tokio::time::{Instant, timeout_at};
 
+use crate::dispatcher_task::PlacementPermit;
 use crate::names::HeaderNames;
 use crate::request::buffer::{BufferBudget, BufferLease};
 use crate::request::events::EventSplitter;
+use crate::request::notice::report_notices;
 use crate::request::parse::{CallerRequest, header_text};
 
 /// Limit for opening a connection to an endpoint.
@@ -95,6 +97,8 @@
     pub(crate) last_event: Option<u64>,
     /// Memory for answers that are not complete.
     pub(crate) buffers: &'a BufferBudget,
+    /// The slot at the endpoint.
+    pub(crate) permit: &'a PlacementPermit,
 }
 
 /// Sends a request to an endpoint, and waits for the complete answer or the first event.
@@ -114,6 +118,9 @@
     if plan.decided_at.elapsed() > MAX_DECISION_AGE || !is_in_time {
         return AttemptReply::Ended(AttemptOutcome::NotRun(NotRunReason::StaleDecision));
     }
+    if !plan.permit.may_send().await {
+        return AttemptReply::Ended(AttemptOutcome::NotRun(NotRunReason::StaleDecision));
+    }
     let Some(outgoing) = outgoing_request(names, request, plan) else {
         return AttemptReply::Ended(AttemptOutcome::NotRun(NotRunReason::Unreachable));
     };
@@ -161,6 +168,7 @@
 ) -> Result<ExchangeReply, AttemptOutcome> {
     let response = connection.send(outgoing).await.map_err(|error| exchange_failure(&error))?;
     let (head, mut body) = response.into_parts();
+    report_notices(names, request, plan, &head);
     check_head(names, request, plan, &head)?;
     if !request.route.kind.is_stream() || !head.status.is_success() {
         let body = read_whole(body, plan.buffers.lease()).await?;
--- a/crates/celeryshed_gateway/src/request/handle.rs
+++ b/crates/celeryshed_gateway/src/request/handle.rs
@@ -167,6 +167,7 @@
             send_deadline: self.context.instant_of(target.send_deadline),
             last_event: self.request.last_event,
             buffers: &self.context.buffers,
+            permit: &permit,
         };
         match send_attempt(&self.context.headers, &self.request, &plan).await {
             AttemptReply::Whole(answer) => {
--- a/crates/celeryshed_gateway/src/request/mod.rs
+++ b/crates/celeryshed_gateway/src/request/mod.rs
@@ -5,6 +5,7 @@
 mod buffer;
 mod events;
 mod handle;
+mod notice;
 mod parse;
 mod relay;
 mod replies;
--- a/crates/celeryshed_gateway/src/request/relay.rs
+++ b/crates/celeryshed_gateway/src/request/relay.rs
@@ -163,6 +163,7 @@
             send_deadline: context.instant_of(target.send_deadline),
             last_event,
             buffers: &context.buffers,
+            permit: &permit,
         };
         let reply = send_attempt(&context.headers, &self.request, &plan).await;
         let AttemptReply::Stream(stream) = reply else {
--- a/crates/celeryshed_gateway/tests/support/endpoint.rs
+++ b/crates/celeryshed_gateway/tests/support/endpoint.rs
@@ -28,6 +28,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct RecordedRequest {
     pub(crate) text: String,
+    pub(crate) received_at: Instant,
     /// When the entry closed the connection; set only during [`ScriptStep::Hang`] and
     /// [`ScriptStep::Repeat`].
     pub(crate) closed_at: Option<Instant>,
@@ -83,7 +84,8 @@
     requests: Arc<Mutex<Vec<RecordedRequest>>>,
 ) {
     let Some(text) = read_request(&mut stream).await else { return };
-    let recorded = RecordedRequest { text, closed_at: None, repeated_bytes: 0 };
+    let recorded =
+        RecordedRequest { text, received_at: Instant::now(), closed_at: None, repeated_bytes: 0 };
     let id = recorded.header("x-request").unwrap_or_default().to_owned();
     let index = {
         let mut requests = requests.lock().unwrap();
--- a/crates/celeryshed_gateway/tests/support/mod.rs
+++ b/crates/celeryshed_gateway/tests/support/mod.rs
@@ -12,8 +12,8 @@
 
 use celeryshed_base::{AvailabilityZone, ServiceName, TeamName};
 use celeryshed_dispatch::{
-    BudgetLimits, DispatcherSettings, RouteKind, RouteRule, RoutingSnapshot, ServiceProfile,
-    SplitTarget, SplitWeight, TeamProfile, VersionDeadlines,
+    BudgetLimits, DispatcherSettings, NoticeLimits, RouteKind, RouteRule, RoutingSnapshot,
+    ServiceProfile, SplitTarget, SplitWeight, TeamProfile, VersionDeadlines,
 };
 use celeryshed_gateway::{EntryProcess, GatewaySettings, HeaderNames};
 use celeryshed_peering::{ControlScope, ControlSettings};
@@ -64,6 +64,9 @@
 /// Memory of each entry for answers that are not complete.
 pub(crate) const ANSWER_MEMORY_BYTES: usize = 4_000_000;
 
+/// Longest pause that an endpoint may ask for.
+pub(crate) const MAX_PAUSE: Duration = Duration::from_secs(3);
+
 pub(crate) fn service(name: &str) -> ServiceName {
     ServiceName::try_from(name).unwrap()
 }
@@ -84,6 +87,8 @@
         length_hint: own("x-length-hint"),
         version: own("x-version"),
         expect_version: own("x-expect-version"),
+        leaving: own("x-leaving"),
+        pause: own("retry-after"),
     }
 }
 
@@ -168,7 +173,13 @@
             sidecar_port: 18082,
             grace_period: Duration::from_secs(8),
             answer_memory_bytes: ANSWER_MEMORY_BYTES,
-            dispatcher: DispatcherSettings { zone, regions: Default::default(), budget, versions },
+            dispatcher: DispatcherSettings {
+                zone,
+                regions: Default::default(),
+                budget,
+                versions,
+                notices: NoticeLimits { max_pause: MAX_PAUSE },
+            },
             control: ControlSettings {
                 scope: ControlScope::Everything,
                 endpoints_interval: Duration::from_millis(50),
--- a/crates/celeryshed_gateway/tests/support/store.rs
+++ b/crates/celeryshed_gateway/tests/support/store.rs
@@ -54,6 +54,16 @@
 
     /// Lists an endpoint with the given state.
     pub(crate) fn write(&self, endpoint: &ScriptedEndpoint, state: EndpointState) {
+        self.write_start(endpoint, state, 1);
+    }
+
+    /// Lists a start of an endpoint with the given state.
+    pub(crate) fn write_start(
+        &self,
+        endpoint: &ScriptedEndpoint,
+        state: EndpointState,
+        started_at_ms: u64,
+    ) {
         let listed = ListedEndpoint {
             service: service("shop"),
             address: endpoint.address.to_string(),
@@ -61,7 +71,7 @@
             slots: 4,
             state,
             models: BTreeMap::new(),
-            started_at_ms: 1,
+            started_at_ms,
         };
         let mut records = self.records.lock().unwrap();
         let name = format!("{}-{state:?}", endpoint.id);
--- a/crates/celeryshed_measure/src/overload/entry.rs
+++ b/crates/celeryshed_measure/src/overload/entry.rs
@@ -7,9 +7,9 @@
 use celeryshed_dispatch::{
     AttemptOutcome, BudgetLimits, DirectoryRecord, DispatchDecision, DispatcherSettings,
     EndpointHash, EndpointId, EndpointState, EndpointStatus, EntryDispatcher, ListedEndpoint,
-    LoadReport, LoadScope, PeerAddress, PeerAudience, PeerLoad, RequestNumber, RequestProfile,
-    RouteKind, RoutingSnapshot, ServiceProfile, VersionDeadlines, load_lifetime, message_lifetime,
-    status_interval,
+    LoadReport, LoadScope, NoticeLimits, PeerAddress, PeerAudience, PeerLoad, RequestNumber,
+    RequestProfile, RouteKind, RoutingSnapshot, ServiceProfile, VersionDeadlines, load_lifetime,
+    message_lifetime, status_interval,
 };
 use rand::Rng;
 use rand::rngs::StdRng;
@@ -83,6 +83,7 @@
                 after_declaration: Duration::from_secs(13),
                 after_start: Duration::ZERO,
             },
+            notices: NoticeLimits { max_pause: Duration::from_secs(12) },
         });
         let mut snapshot = RoutingSnapshot::default();
         let engine = Some(published_profile(MODEL_NAME));
