Log a pause of an endpoint once

Several requests in progress are refused with the same end of a pause, as seen in logs of the soak (five lines within 60 ms for one pause): the end moved by the time that each answer took. The latest end still counts; a line is written for a pause that is new or longer by over 0.1 s.

--- a/crates/celeryshed_dispatch/src/endpoint_access.rs
+++ b/crates/celeryshed_dispatch/src/endpoint_access.rs
@@ -16,6 +16,9 @@
 
 /// Requests that may be in progress after a pause at an endpoint that has answered none of them.
 const MAX_TRIAL_REQUESTS: u32 = 2;
+/// Difference up to which two ends stand for the same pause: several answers that state it take
+/// different times.
+const SAME_PAUSE_TOLERANCE: Duration = Duration::from_millis(100);
 /// Most statements that are kept of endpoints that are not listed.
 const MAX_UNLISTED_ENDPOINTS: usize = 1024;
 
@@ -137,10 +140,11 @@
                 let pause = statement
                     .pause
                     .get_or_insert(EndpointPause { until: MonoTime::ZERO, running_trials: 0 });
-                if pause.until >= until {
+                let known_until = pause.until;
+                pause.until = known_until.max(until);
+                if until <= known_until + SAME_PAUSE_TOLERANCE && known_until > now {
                     return NoticeChange::Unchanged;
                 }
-                pause.until = until;
                 NoticeChange::Paused { until, shortened }
             }
         }
--- a/crates/celeryshed_dispatch/tests/notices.rs
+++ b/crates/celeryshed_dispatch/tests/notices.rs
@@ -231,6 +231,20 @@
     assert_eq!(place_many(&mut dispatcher, 12_000, 2, 1), ["i-1"]);
 }
 
+/// Answers that state the same pause arrive one after the other: the latest end counts, and the change
+/// is reported once.
+#[test]
+fn repeated_pause_is_reported_once() {
+    let mut dispatcher = with_plain(&["i-1"]);
+    dispatcher.apply_notice(at(0), &start("i-1", 1), paused(ms(1000)));
+    let again = dispatcher.apply_notice(at(50), &start("i-1", 1), paused(ms(1000)));
+    assert_eq!(again, NoticeChange::Unchanged);
+    assert!(!dispatcher.may_send(at(1049), &start("i-1", 1)));
+    assert!(dispatcher.may_send(at(1050), &start("i-1", 1)));
+    let renewed = dispatcher.apply_notice(at(1051), &start("i-1", 1), paused(ms(20)));
+    assert_eq!(renewed, NoticeChange::Paused { until: at(1071), shortened: false });
+}
+
 /// A restarted endpoint has no pause.
 #[test]
 fn restart_ends_pause() {
