--- a/crates/celeryshed_gateway/src/request/handle.rs
+++ b/crates/celeryshed_gateway/src/request/handle.rs
@@ -194,6 +194,7 @@
             send_deadline: target.send_deadline,
             last_event: self.request.last_event,
             buffers: &self.context.buffers,
+            permit: &permit,
         };
         let sending = send_attempt(&self.context.headers, &self.request, &plan);
         let reply = tokio::select! {
--- a/crates/celeryshed_gateway/src/request/relay.rs
+++ b/crates/celeryshed_gateway/src/request/relay.rs
@@ -201,6 +201,7 @@
             send_deadline: target.send_deadline,
             last_event,
             buffers: &context.buffers,
+            permit: &permit,
         };
         let reply = send_attempt(&context.headers, &self.request, &plan).await;
         let AttemptReply::Stream(stream) = reply else {
