Say why records of older builds count as new

Cause: a newcomer reading the source of an age doesn't see why a peer without ages yields a known age of zero. Result: no code changed.

--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -240,6 +240,7 @@
                 match (told, own) {
                     (RecordAge::Known(_), _) => told,
                     _ if initial => told,
+                    // Peers of builds that tell no ages take records for new, too.
                     (RecordAge::Unknown, RecordAge::Unknown) if ages.is_none() => {
                         RecordAge::Known(Duration::ZERO)
                     }
