Count a connection's idle time from the end of its last response

A caller that sent a request right after a long stream, on the same connection, met a close without an answer, although no response had said Connection: close. Cause: idle time was counted from the last response head, so a stream longer than idle_timeout began the shutdown of its own connection. Change: a request is in progress until its body was sent, and idle time counts from there, or from the last byte written.

--- /dev/null
+++ b/crates/celeryshed_http/src/activity.rs
@@ -0,0 +1,164 @@
+//! Tracks what happens on an accepted connection.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+/// The requests on a connection, and when it was used last; clones share the state.
+#[derive(Clone, Debug)]
+pub(crate) struct ConnectionActivity(Arc<Mutex<ActivityState>>);
+
+#[derive(Clone, Copy, Debug)]
+struct ActivityState {
+    /// Requests whose response bodies haven't ended.
+    in_progress: usize,
+    has_begun: bool,
+    /// When the connection was opened, or the end of a response was last written to it.
+    last_used_at: Instant,
+}
+
+impl ConnectionActivity {
+    /// The activity of a connection that was just opened.
+    pub(crate) fn open() -> Self {
+        let last_used_at = Instant::now();
+        let state = ActivityState { in_progress: 0, has_begun: false, last_used_at };
+        Self(Arc::new(Mutex::new(state)))
+    }
+
+    /// Begins a request, which is in progress until the guard is dropped.
+    pub(crate) fn begin(&self) -> RequestGuard {
+        let mut state = self.state();
+        state.in_progress += 1;
+        state.has_begun = true;
+        RequestGuard(self.clone())
+    }
+
+    /// Whether any request was read.
+    pub(crate) fn has_begun(&self) -> bool {
+        self.state().has_begun
+    }
+
+    /// Time since the last response, zero while a request is in progress.
+    pub(crate) fn idle_for(&self) -> Duration {
+        let state = self.state();
+        if state.in_progress > 0 { Duration::ZERO } else { state.last_used_at.elapsed() }
+    }
+
+    fn written(&self) {
+        self.state().last_used_at = Instant::now();
+    }
+
+    fn state(&self) -> MutexGuard<'_, ActivityState> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A request in progress.
+#[derive(Debug)]
+pub(crate) struct RequestGuard(ConnectionActivity);
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        let mut state = self.0.state();
+        state.in_progress -= 1;
+        state.last_used_at = Instant::now();
+    }
+}
+
+/// Body of a response; its request is in progress until the body was sent.
+#[derive(Debug)]
+pub(crate) struct TrackedBody<B> {
+    body: B,
+    _guard: RequestGuard,
+}
+
+impl<B> TrackedBody<B> {
+    pub(crate) fn new(body: B, guard: RequestGuard) -> Self {
+        Self { body, _guard: guard }
+    }
+}
+
+impl<B: Body<Data = Bytes> + Unpin> Body for TrackedBody<B> {
+    type Data = Bytes;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, B::Error>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// A TCP stream that reports its use.
+#[derive(Debug)]
+pub(crate) struct TrackedStream {
+    stream: TcpStream,
+    activity: ConnectionActivity,
+}
+
+impl TrackedStream {
+    pub(crate) fn new(stream: TcpStream, activity: ConnectionActivity) -> Self {
+        Self { stream, activity }
+    }
+}
+
+impl AsyncRead for TrackedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for TrackedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let length = ready!(Pin::new(&mut self.stream).poll_write(context, buffer))?;
+        self.activity.written();
+        Poll::Ready(Ok(length))
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let length = ready!(Pin::new(&mut self.stream).poll_write_vectored(context, buffers))?;
+        self.activity.written();
+        Poll::Ready(Ok(length))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/crates/celeryshed_http/src/lib.rs
+++ b/crates/celeryshed_http/src/lib.rs
@@ -5,6 +5,7 @@
 //! repeatable calls to an address, and [`ConnectionServer`] accepts connections until it is told to
 //! drain.
 
+mod activity;
 mod client;
 mod connection;
 mod exchange;
--- a/crates/celeryshed_http/src/server.rs
+++ b/crates/celeryshed_http/src/server.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,6 +18,8 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until};
 
+use crate::activity::{ConnectionActivity, TrackedBody, TrackedStream};
+
 /// Delay after a failed accept, for instance when no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -29,8 +31,7 @@
 pub struct ServerSettings {
     /// Largest request head in bytes, at least 8 KiB; applies to new connections.
     pub max_head_bytes: usize,
-    /// Time after which an idle connection is closed; a response that is being sent is finished
-    /// first.
+    /// Time after which an idle connection is closed, counted from the end of its last response.
     pub idle_timeout: Duration,
 }
 
@@ -63,7 +64,7 @@
     where
         H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
         F: Future<Output = Response<B>> + Send + 'static,
-        B: Body<Data = Bytes> + Send + 'static,
+        B: Body<Data = Bytes> + Send + Unpin + 'static,
         B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     {
         let mut closing = self.closing.clone();
@@ -90,14 +91,14 @@
     where
         H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
         F: Future<Output = Response<B>> + Send + 'static,
-        B: Body<Data = Bytes> + Send + 'static,
+        B: Body<Data = Bytes> + Send + Unpin + 'static,
         B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     {
         // Nagle's algorithm would hold small stream events back until the peer acknowledges earlier
         // ones. If TCP_NODELAY can't be set, small events arrive later.
         let _ = stream.set_nodelay(true);
         self.open_count.fetch_add(1, Ordering::Relaxed);
-        let activity = RequestActivity::default();
+        let activity = ConnectionActivity::open();
         let settings = *self.settings.borrow();
         let service = {
             let activity = activity.clone();
@@ -106,14 +107,14 @@
                 let answer = handler(request, peer);
                 async move {
                     let response = answer.await;
-                    drop(guard);
-                    Ok::<_, Infallible>(response)
+                    Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, guard)))
                 }
             })
         };
         let mut builder = http1::Builder::new();
         builder.max_buf_size(settings.max_head_bytes.max(8 * 1024)).half_close(false);
-        let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+        let stream = TokioIo::new(TrackedStream::new(stream, activity.clone()));
+        let mut connection = pin!(builder.serve_connection(stream, service));
         let mut closing = self.closing.clone();
         let mut draining = false;
         // A connection that was accepted last may carry a request that hasn't been read.
@@ -142,7 +143,7 @@
 /// Waits until the server closes, and until a new connection has had time to pass on a request.
 async fn drain_start(
     closing: &mut watch::Receiver<bool>,
-    activity: &RequestActivity,
+    activity: &ConnectionActivity,
     unread_until: Instant,
 ) {
     // The sender is dropped only when the process ends.
@@ -153,60 +154,9 @@
 }
 
 fn next_idle_check(
-    activity: &RequestActivity,
+    activity: &ConnectionActivity,
     settings: &watch::Receiver<ServerSettings>,
 ) -> Instant {
     let timeout = settings.borrow().idle_timeout;
     Instant::now() + timeout.saturating_sub(activity.idle_for()).max(Duration::from_millis(100))
 }
-
-/// Tracks the requests on a connection that wait for their response head, and the time of the last
-/// response head.
-#[derive(Clone, Debug)]
-struct RequestActivity {
-    in_progress: Arc<AtomicUsize>,
-    opened_at: Instant,
-    /// Milliseconds from `opened_at` to the last response head.
-    last_response_ms: Arc<AtomicU64>,
-}
-
-impl Default for RequestActivity {
-    fn default() -> Self {
-        Self {
-            in_progress: Arc::default(),
-            opened_at: Instant::now(),
-            last_response_ms: Arc::default(),
-        }
-    }
-}
-
-impl RequestActivity {
-    /// Whether any request was read.
-    fn has_begun(&self) -> bool {
-        self.in_progress.load(Ordering::Relaxed) > 0
-            || self.last_response_ms.load(Ordering::Relaxed) > 0
-    }
-
-    fn begin(&self) -> RequestGuard {
-        self.in_progress.fetch_add(1, Ordering::Relaxed);
-        RequestGuard(self.clone())
-    }
-
-    fn idle_for(&self) -> Duration {
-        if self.in_progress.load(Ordering::Relaxed) > 0 {
-            return Duration::ZERO;
-        }
-        let last_response = Duration::from_millis(self.last_response_ms.load(Ordering::Relaxed));
-        self.opened_at.elapsed().saturating_sub(last_response)
-    }
-}
-
-struct RequestGuard(RequestActivity);
-
-impl Drop for RequestGuard {
-    fn drop(&mut self) {
-        let elapsed_ms = self.0.opened_at.elapsed().as_millis() as u64;
-        self.0.last_response_ms.store(elapsed_ms, Ordering::Relaxed);
-        self.0.in_progress.fetch_sub(1, Ordering::Relaxed);
-    }
-}
--- /dev/null
+++ b/crates/celeryshed_http/tests/idle.rs
@@ -0,0 +1,119 @@
+//! Connections that are closed because they are idle, and those that aren't.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use celeryshed_http::{ConnectionServer, ServerSettings};
+use futures::stream;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::Response;
+use hyper::body::Frame;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, timeout};
+
+const IDLE_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time that a streamed response takes.
+const STREAM_TIME: Duration = Duration::from_millis(1600);
+const EVENT_COUNT: u32 = 16;
+
+type AnswerBody = UnsyncBoxBody<Bytes, Infallible>;
+
+/// A running server; it closes when this is dropped.
+struct RunningServer {
+    address: SocketAddr,
+    _settings: watch::Sender<ServerSettings>,
+    _closing: watch::Sender<bool>,
+}
+
+fn limits(idle_timeout: Duration) -> ServerSettings {
+    ServerSettings { max_head_bytes: 8192, idle_timeout }
+}
+
+/// Starts a server that streams its answers at `/stream`, and answers at once elsewhere.
+async fn start_server(idle_timeout: Duration) -> RunningServer {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (settings, settings_watch) = watch::channel(limits(idle_timeout));
+    let (closing, closing_watch) = watch::channel(false);
+    let server = ConnectionServer::new(settings_watch, closing_watch);
+    tokio::spawn(server.run(listener, |request, _peer| async move {
+        let is_stream = request.uri().path() == "/stream";
+        Response::new(if is_stream { streamed_body() } else { whole_body() })
+    }));
+    RunningServer { address, _settings: settings, _closing: closing }
+}
+
+fn whole_body() -> AnswerBody {
+    Full::new(Bytes::from("whole")).boxed_unsync()
+}
+
+fn streamed_body() -> AnswerBody {
+    let events = stream::unfold(0, |index| async move {
+        if index == EVENT_COUNT {
+            return None;
+        }
+        sleep(STREAM_TIME / EVENT_COUNT).await;
+        Some((Ok(Frame::data(Bytes::from("event"))), index + 1))
+    });
+    StreamBody::new(Box::pin(events)).boxed_unsync()
+}
+
+/// Sends a request and reads its answer, up to `end`.
+async fn call(stream: &mut TcpStream, path: &str, end: &str) -> String {
+    let request = format!("GET {path} HTTP/1.1\r\nHost: a\r\n\r\n");
+    // If the server has closed the connection, the answer is empty.
+    let _ = stream.write_all(request.as_bytes()).await;
+    read_until(stream, end).await
+}
+
+/// Reads until `end`, or until the connection ends.
+async fn read_until(stream: &mut TcpStream, end: &str) -> String {
+    let mut text = String::new();
+    let mut buffer = [0; 4096];
+    while !text.ends_with(end) {
+        let read = timeout(Duration::from_secs(5), stream.read(&mut buffer)).await.unwrap();
+        let Ok(length @ 1..) = read else { break };
+        text.push_str(std::str::from_utf8(&buffer[..length]).unwrap());
+    }
+    text
+}
+
+/// Time until the server closes a connection on which nothing is sent.
+async fn time_to_close(stream: &mut TcpStream) -> Duration {
+    let started_at = Instant::now();
+    assert_eq!(read_until(stream, "more").await, "");
+    started_at.elapsed()
+}
+
+/// Guards against requests that meet the close of a connection that was in use until just before:
+/// idle time was counted from the head of the last response, so that a stream longer than the
+/// limit ended with a close that the caller hadn't been told of.
+#[tokio::test]
+async fn connection_is_open_after_long_stream() {
+    let server = start_server(IDLE_TIMEOUT).await;
+    for pause in [Duration::ZERO, IDLE_TIMEOUT / 2] {
+        let mut stream = TcpStream::connect(server.address).await.unwrap();
+        let streamed = call(&mut stream, "/stream", "0\r\n\r\n").await;
+        assert!(!streamed.to_ascii_lowercase().contains("connection: close"), "{streamed}");
+        sleep(pause).await;
+        let next = call(&mut stream, "/", "whole").await;
+        assert!(next.starts_with("HTTP/1.1 200"), "after a pause of {pause:?}: {next:?}");
+    }
+}
+
+/// Idle connections are still closed after the limit: unused ones and used ones.
+#[tokio::test]
+async fn idle_connection_is_closed_after_limit() {
+    let server = start_server(IDLE_TIMEOUT).await;
+    let mut unused = TcpStream::connect(server.address).await.unwrap();
+    let mut used = TcpStream::connect(server.address).await.unwrap();
+    assert!(call(&mut used, "/", "whole").await.starts_with("HTTP/1.1 200"));
+    for elapsed in [time_to_close(&mut unused).await, time_to_close(&mut used).await] {
+        assert!(elapsed < IDLE_TIMEOUT * 3, "closed after {elapsed:?}");
+    }
+}
