Don't close an idle connection while a request arrives on it

A request that arrived in parts, for instance over a lossy link, was reset if the idle time of its connection ended between two parts. Cause: only whole request heads ended the idle time, and the check could run before bytes that had arrived were read. Change: the first byte of a request ends the idle time, and the connection is polled before its idle time is checked.

--- a/crates/celeryshed_http/src/activity.rs
+++ b/crates/celeryshed_http/src/activity.rs
@@ -21,6 +21,8 @@
     /// Requests whose response bodies haven't ended.
     in_progress: usize,
     has_begun: bool,
+    /// When the first byte of the next request arrived, until its head is complete.
+    head_begun_at: Option<Instant>,
     /// When the connection was opened, or the end of a response was last written to it.
     last_used_at: Instant,
 }
@@ -29,7 +31,8 @@
     /// The activity of a connection that was just opened.
     pub(crate) fn open() -> Self {
         let last_used_at = Instant::now();
-        let state = ActivityState { in_progress: 0, has_begun: false, last_used_at };
+        let state =
+            ActivityState { in_progress: 0, has_begun: false, head_begun_at: None, last_used_at };
         Self(Arc::new(Mutex::new(state)))
     }
 
@@ -38,6 +41,7 @@
         let mut state = self.state();
         state.in_progress += 1;
         state.has_begun = true;
+        state.head_begun_at = None;
         RequestGuard(self.clone())
     }
 
@@ -46,10 +50,21 @@
         self.state().has_begun
     }
 
-    /// Time since the last response, zero while a request is in progress.
+    /// Time since the connection was last used, zero while a request is in progress. An incomplete
+    /// request head is a use from its first byte on.
     pub(crate) fn idle_for(&self) -> Duration {
         let state = self.state();
-        if state.in_progress > 0 { Duration::ZERO } else { state.last_used_at.elapsed() }
+        if state.in_progress > 0 {
+            return Duration::ZERO;
+        }
+        state.head_begun_at.unwrap_or(state.last_used_at).elapsed()
+    }
+
+    fn received(&self) {
+        let mut state = self.state();
+        if state.in_progress == 0 {
+            state.head_begun_at.get_or_insert_with(Instant::now);
+        }
     }
 
     fn written(&self) {
@@ -125,7 +140,12 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let filled = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        if buffer.filled().len() > filled {
+            self.activity.received();
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
--- a/crates/celeryshed_http/src/server.rs
+++ b/crates/celeryshed_http/src/server.rs
@@ -122,6 +122,8 @@
         loop {
             let idle_check = next_idle_check(&activity, &self.settings);
             tokio::select! {
+                // A request that has arrived is read before the connection may be closed.
+                biased;
                 // An error needs no handling: hyper cancels the handlers of a connection that ends.
                 _ended = connection.as_mut() => break,
                 () = drain_start(&mut closing, &activity, unread_until), if !draining => {
--- a/crates/celeryshed_http/tests/idle.rs
+++ b/crates/celeryshed_http/tests/idle.rs
@@ -117,3 +117,19 @@
         assert!(elapsed < IDLE_TIMEOUT * 3, "closed after {elapsed:?}");
     }
 }
+
+/// Guards against requests that are cut off because the idle time of their connection ends while
+/// they arrive.
+#[tokio::test]
+async fn request_that_arrives_in_parts_is_answered() {
+    let server = start_server(IDLE_TIMEOUT).await;
+    let mut stream = TcpStream::connect(server.address).await.unwrap();
+    assert!(call(&mut stream, "/", "whole").await.starts_with("HTTP/1.1 200"));
+    sleep(IDLE_TIMEOUT * 3 / 4).await;
+    stream.write_all(b"GET / HTTP/1.1\r\n").await.unwrap();
+    sleep(IDLE_TIMEOUT / 2).await;
+    // The connection may be reset if the server doesn't wait for the rest.
+    let _ = stream.write_all(b"Host: a\r\n\r\n").await;
+    let answer = read_until(&mut stream, "whole").await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
+}
