Answer requests that reach kept connections while the server closes

During a planned stop, a request on a connection that had been used before met a close that no response had announced: right after a stream whose head was sent before the stop, while its parts arrived, or just as the connections were closed. Cause: closing ended every used connection at once, or with its response in progress. Change: a closing server keeps a connection for 0.3 s after its last use, and each response from then on says Connection: close.

--- a/crates/celeryshed_http/src/activity.rs
+++ b/crates/celeryshed_http/src/activity.rs
@@ -4,7 +4,6 @@
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
-use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
@@ -20,7 +19,6 @@
 struct ActivityState {
     /// Requests whose response bodies haven't ended.
     in_progress: usize,
-    has_begun: bool,
     /// When the first byte of the next request arrived, until its head is complete.
     head_begun_at: Option<Instant>,
     /// When the connection was opened, or the end of a response was last written to it.
@@ -31,8 +29,7 @@
     /// The activity of a connection that was just opened.
     pub(crate) fn open() -> Self {
         let last_used_at = Instant::now();
-        let state =
-            ActivityState { in_progress: 0, has_begun: false, head_begun_at: None, last_used_at };
+        let state = ActivityState { in_progress: 0, head_begun_at: None, last_used_at };
         Self(Arc::new(Mutex::new(state)))
     }
 
@@ -40,24 +37,15 @@
     pub(crate) fn begin(&self) -> RequestGuard {
         let mut state = self.state();
         state.in_progress += 1;
-        state.has_begun = true;
         state.head_begun_at = None;
         RequestGuard(self.clone())
     }
 
-    /// Whether any request was read.
-    pub(crate) fn has_begun(&self) -> bool {
-        self.state().has_begun
-    }
-
-    /// Time since the connection was last used, zero while a request is in progress. An incomplete
-    /// request head is a use from its first byte on.
-    pub(crate) fn idle_for(&self) -> Duration {
+    /// When the connection was last used; `None` while a request is in progress. An incomplete request
+    /// head is a use from its first byte on.
+    pub(crate) fn idle_since(&self) -> Option<Instant> {
         let state = self.state();
-        if state.in_progress > 0 {
-            return Duration::ZERO;
-        }
-        state.head_begun_at.unwrap_or(state.last_used_at).elapsed()
+        (state.in_progress == 0).then(|| state.head_begun_at.unwrap_or(state.last_used_at))
     }
 
     fn received(&self) {
--- a/crates/celeryshed_http/src/server.rs
+++ b/crates/celeryshed_http/src/server.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use futures::FutureExt;
 use hyper::body::{Body, Incoming};
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
@@ -23,7 +24,8 @@
 /// Delay after a failed accept, for instance when no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Time that a new connection has to pass on a request although the server closes.
+/// Time that an idle connection has to pass on a request although the server closes. Its caller may
+/// have sent one before it learns of the close.
 const UNREAD_REQUEST_WAIT: Duration = Duration::from_millis(300);
 
 /// Limits of accepted connections.
@@ -47,7 +49,7 @@
 
 impl ConnectionServer {
     /// A server that follows changes of `settings`. Once `closing` is true, it accepts no more
-    /// connections and closes each open one after its request in progress.
+    /// connections, and closes each open one after its next response, or when it is idle.
     pub fn new(settings: watch::Receiver<ServerSettings>, closing: watch::Receiver<bool>) -> Self {
         Self { settings, closing, open_count: Arc::default() }
     }
@@ -102,11 +104,18 @@
         let settings = *self.settings.borrow();
         let service = {
             let activity = activity.clone();
+            let closing = self.closing.clone();
             service_fn(move |request| {
                 let guard = activity.begin();
                 let answer = handler(request, peer);
+                let closing = closing.clone();
                 async move {
-                    let response = answer.await;
+                    let mut response = answer.await;
+                    if *closing.borrow() {
+                        response
+                            .headers_mut()
+                            .insert(CONNECTION, HeaderValue::from_static("close"));
+                    }
                     Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, guard)))
                 }
             })
@@ -116,22 +125,23 @@
         let stream = TokioIo::new(TrackedStream::new(stream, activity.clone()));
         let mut connection = pin!(builder.serve_connection(stream, service));
         let mut closing = self.closing.clone();
+        let mut closing_since = None;
         let mut draining = false;
-        // A connection that was accepted last may carry a request that hasn't been read.
-        let unread_until = Instant::now() + UNREAD_REQUEST_WAIT;
         loop {
-            let idle_check = next_idle_check(&activity, &self.settings);
+            let idle_end = self.idle_end(&activity, closing_since);
             tokio::select! {
                 // A request that has arrived is read before the connection may be closed.
                 biased;
                 // An error needs no handling: hyper cancels the handlers of a connection that ends.
                 _ended = connection.as_mut() => break,
-                () = drain_start(&mut closing, &activity, unread_until), if !draining => {
-                    draining = true;
-                    connection.as_mut().graceful_shutdown();
+                // The sender is dropped only when the process ends.
+                _ = closing.wait_for(|closing| *closing), if closing_since.is_none() => {
+                    closing_since = Some(Instant::now());
                 }
-                () = sleep_until(idle_check), if !draining => {
-                    if activity.idle_for() >= self.settings.borrow().idle_timeout {
+                () = sleep_until(idle_end), if !draining => {
+                    if activity.idle_since().is_some()
+                        && self.idle_end(&activity, closing_since) <= Instant::now()
+                    {
                         draining = true;
                         connection.as_mut().graceful_shutdown();
                     }
@@ -140,25 +150,13 @@
         }
         self.open_count.fetch_sub(1, Ordering::Relaxed);
     }
-}
 
-/// Waits until the server closes, and until a new connection has had time to pass on a request.
-async fn drain_start(
-    closing: &mut watch::Receiver<bool>,
-    activity: &ConnectionActivity,
-    unread_until: Instant,
-) {
-    // The sender is dropped only when the process ends.
-    let _ = closing.wait_for(|closing| *closing).await;
-    if !activity.has_begun() {
-        sleep_until(unread_until).await;
+    /// When a connection has been idle for too long, unless it is used before.
+    fn idle_end(&self, activity: &ConnectionActivity, closing_since: Option<Instant>) -> Instant {
+        let idle_since = activity.idle_since().unwrap_or_else(Instant::now);
+        match closing_since {
+            Some(closing_since) => idle_since.max(closing_since) + UNREAD_REQUEST_WAIT,
+            None => idle_since + self.settings.borrow().idle_timeout,
+        }
     }
 }
-
-fn next_idle_check(
-    activity: &ConnectionActivity,
-    settings: &watch::Receiver<ServerSettings>,
-) -> Instant {
-    let timeout = settings.borrow().idle_timeout;
-    Instant::now() + timeout.saturating_sub(activity.idle_for()).max(Duration::from_millis(100))
-}
