Apply a shorter idle limit only after the former one has passed

A configuration that shortens idle_timeout_ms closed connections whose callers, not knowing of it yet, went on using them within the former limit; their next request met the close. Cause: idle checks used the limit at the time of the check, for idle periods that began before. Change: a longer limit that was replaced applies for as long as it is, then the new one; a longer limit applies at once. Before: shortened_limit_spares_callers_that_know_the_former_one: idle since before the change: "" shortened_limit_applies_after_former_one: idle.rs:165: assertion failed, the request wasn't answered Result: both pass, and the shorter limit is in force after the former one.

--- a/crates/celeryshed_http/src/lib.rs
+++ b/crates/celeryshed_http/src/lib.rs
@@ -9,6 +9,7 @@
 mod client;
 mod connection;
 mod exchange;
+mod idle_limit;
 mod server;
 
 pub use client::{CONNECT_TIMEOUT, CallTimeouts, HttpClient, HttpResponse};
--- a/crates/celeryshed_http/src/server.rs
+++ b/crates/celeryshed_http/src/server.rs
@@ -3,8 +3,8 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::pin::pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,6 +20,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::activity::{ConnectionActivity, TrackedBody, TrackedStream};
+use crate::idle_limit::IdleLimit;
 
 /// Delay after a failed accept, for instance when no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -33,7 +34,8 @@
 pub struct ServerSettings {
     /// Largest request head in bytes, at least 8 KiB; applies to new connections.
     pub max_head_bytes: usize,
-    /// Time after which an idle connection is closed, counted from the end of its last response.
+    /// Time after which an idle connection is closed, counted from the end of its last response. A
+    /// shorter time applies once the former one has passed since the change.
     pub idle_timeout: Duration,
 }
 
@@ -45,13 +47,15 @@
     settings: watch::Receiver<ServerSettings>,
     closing: watch::Receiver<bool>,
     open_count: Arc<AtomicUsize>,
+    idle_limit: Arc<Mutex<IdleLimit>>,
 }
 
 impl ConnectionServer {
     /// A server that follows changes of `settings`. Once `closing` is true, it accepts no more
     /// connections, and closes each open one after its next response, or when it is idle.
     pub fn new(settings: watch::Receiver<ServerSettings>, closing: watch::Receiver<bool>) -> Self {
-        Self { settings, closing, open_count: Arc::default() }
+        let idle_limit = Arc::new(Mutex::new(IdleLimit::new(settings.borrow().idle_timeout)));
+        Self { settings, closing, open_count: Arc::default(), idle_limit }
     }
 
     /// Number of connections that are open, over all clones of this server.
@@ -70,9 +74,14 @@
         B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     {
         let mut closing = self.closing.clone();
+        let mut settings = self.settings.clone();
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
+                Ok(()) = settings.changed() => {
+                    self.update_idle_limit();
+                    continue;
+                }
                 _ = closing.wait_for(|closing| *closing) => break,
             };
             match accepted {
@@ -156,7 +165,15 @@
         let idle_since = activity.idle_since().unwrap_or_else(Instant::now);
         match closing_since {
             Some(closing_since) => idle_since.max(closing_since) + UNREAD_REQUEST_WAIT,
-            None => idle_since + self.settings.borrow().idle_timeout,
+            None => idle_since + self.update_idle_limit(),
         }
     }
+
+    /// Applies the settings to the limit for idle connections, and returns it.
+    fn update_idle_limit(&self) -> Duration {
+        let now = Instant::now();
+        let mut idle_limit = self.idle_limit.lock().unwrap_or_else(PoisonError::into_inner);
+        idle_limit.replace(self.settings.borrow().idle_timeout, now);
+        idle_limit.at(now)
+    }
 }
--- a/crates/celeryshed_http/tests/idle.rs
+++ b/crates/celeryshed_http/tests/idle.rs
@@ -17,16 +17,18 @@
 use tokio::time::{Instant, sleep, timeout};
 
 const IDLE_TIMEOUT: Duration = Duration::from_millis(800);
+/// A limit that replaces [`IDLE_TIMEOUT`].
+const SHORT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time that a streamed response takes.
 const STREAM_TIME: Duration = Duration::from_millis(1600);
 const EVENT_COUNT: u32 = 16;
 
 type AnswerBody = UnsyncBoxBody<Bytes, Infallible>;
 
-/// A running server; it closes when this is dropped.
+/// A running server and the settings that it follows; it closes when this is dropped.
 struct RunningServer {
     address: SocketAddr,
-    _settings: watch::Sender<ServerSettings>,
+    settings: watch::Sender<ServerSettings>,
     _closing: watch::Sender<bool>,
 }
 
@@ -45,7 +47,7 @@
         let is_stream = request.uri().path() == "/stream";
         Response::new(if is_stream { streamed_body() } else { whole_body() })
     }));
-    RunningServer { address, _settings: settings, _closing: closing }
+    RunningServer { address, settings, _closing: closing }
 }
 
 fn whole_body() -> AnswerBody {
@@ -133,3 +135,49 @@
     let answer = read_until(&mut stream, "whole").await;
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
 }
+
+/// Guards against requests that meet a close because the limit was shortened: callers that don't
+/// know of it yet use connections that have been idle for most of the former limit.
+#[tokio::test]
+async fn shortened_limit_spares_callers_that_know_the_former_one() {
+    let server = start_server(IDLE_TIMEOUT).await;
+    let mut before = TcpStream::connect(server.address).await.unwrap();
+    let mut after = TcpStream::connect(server.address).await.unwrap();
+    sleep(IDLE_TIMEOUT * 3 / 4).await;
+    assert!(call(&mut before, "/", "whole").await.starts_with("HTTP/1.1 200"));
+    server.settings.send_replace(limits(SHORT_TIMEOUT));
+    sleep(SHORT_TIMEOUT / 2).await;
+    assert!(call(&mut after, "/", "whole").await.starts_with("HTTP/1.1 200"));
+    sleep(IDLE_TIMEOUT * 3 / 4).await;
+    for (stream, period) in [(&mut before, "before"), (&mut after, "after")] {
+        let next = call(stream, "/", "whole").await;
+        assert!(next.starts_with("HTTP/1.1 200"), "idle since {period} the change: {next:?}");
+    }
+}
+
+/// A shortened limit applies once the former one has passed, to new connections and to old ones.
+#[tokio::test]
+async fn shortened_limit_applies_after_former_one() {
+    let server = start_server(IDLE_TIMEOUT).await;
+    let mut old = TcpStream::connect(server.address).await.unwrap();
+    server.settings.send_replace(limits(SHORT_TIMEOUT));
+    sleep(IDLE_TIMEOUT * 3 / 4).await;
+    assert!(call(&mut old, "/", "whole").await.starts_with("HTTP/1.1 200"));
+    sleep(IDLE_TIMEOUT / 4).await;
+    let mut new = TcpStream::connect(server.address).await.unwrap();
+    for elapsed in [time_to_close(&mut old).await, time_to_close(&mut new).await] {
+        assert!(elapsed < IDLE_TIMEOUT * 3 / 4, "closed after {elapsed:?}");
+    }
+}
+
+/// A longer limit applies to connections that are already idle.
+#[tokio::test]
+async fn lengthened_limit_applies_at_once() {
+    let server = start_server(SHORT_TIMEOUT).await;
+    let mut stream = TcpStream::connect(server.address).await.unwrap();
+    assert!(call(&mut stream, "/", "whole").await.starts_with("HTTP/1.1 200"));
+    server.settings.send_replace(limits(IDLE_TIMEOUT));
+    sleep(SHORT_TIMEOUT * 2).await;
+    let next = call(&mut stream, "/", "whole").await;
+    assert!(next.starts_with("HTTP/1.1 200"), "{next:?}");
+}
