Answer a request head that is never complete with 408

A connection whose first request stopped within its head stayed open without end and unanswered, and kept a stopping process from draining; on a used connection the caller met a close that promised nothing. Cause: hyper's graceful shutdown waits for a request that has begun. Change: once the idle limit has passed since its first byte (0.3 s while the server closes), the head is answered with 408, which says that the request hasn't run. Before, in unfinished_request_head_is_answered_with_408: idle.rs:81: called `Result::unwrap()` on an `Err` value: Elapsed(()) Result: the test passes, as do the other tests of the crate.

--- a/crates/celeryshed_http/src/activity.rs
+++ b/crates/celeryshed_http/src/activity.rs
@@ -48,6 +48,11 @@
         (state.in_progress == 0).then(|| state.head_begun_at.unwrap_or(state.last_used_at))
     }
 
+    /// Whether the next request has arrived in part.
+    pub(crate) fn has_unfinished_head(&self) -> bool {
+        self.state().head_begun_at.is_some()
+    }
+
     fn received(&self) {
         let mut state = self.state();
         if state.in_progress == 0 {
--- a/crates/celeryshed_http/src/server.rs
+++ b/crates/celeryshed_http/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::pin::pin;
+use std::pin::Pin;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -15,9 +15,10 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::activity::{ConnectionActivity, TrackedBody, TrackedStream};
 use crate::idle_limit::IdleLimit;
@@ -29,6 +30,9 @@
 /// have sent one before it learns of the close.
 const UNREAD_REQUEST_WAIT: Duration = Duration::from_millis(300);
 
+const UNFINISHED_HEAD_RESPONSE: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
 /// Limits of accepted connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ServerSettings {
@@ -132,30 +136,35 @@
         let mut builder = http1::Builder::new();
         builder.max_buf_size(settings.max_head_bytes.max(8 * 1024)).half_close(false);
         let stream = TokioIo::new(TrackedStream::new(stream, activity.clone()));
-        let mut connection = pin!(builder.serve_connection(stream, service));
+        let mut connection = builder.serve_connection(stream, service);
         let mut closing = self.closing.clone();
         let mut closing_since = None;
         let mut draining = false;
-        loop {
+        let is_rejected = loop {
             let idle_end = self.idle_end(&activity, closing_since);
             tokio::select! {
                 // A request that has arrived is read before the connection may be closed.
                 biased;
                 // An error needs no handling: hyper cancels the handlers of a connection that ends.
-                _ended = connection.as_mut() => break,
+                _ended = &mut connection => break false,
                 // The sender is dropped only when the process ends.
                 _ = closing.wait_for(|closing| *closing), if closing_since.is_none() => {
                     closing_since = Some(Instant::now());
                 }
-                () = sleep_until(idle_end), if !draining => {
-                    if activity.idle_since().is_some()
-                        && self.idle_end(&activity, closing_since) <= Instant::now()
-                    {
-                        draining = true;
-                        connection.as_mut().graceful_shutdown();
-                    }
-                }
+                () = sleep_until(idle_end), if !draining => {}
+            }
+            let is_idle = activity.idle_since().is_some();
+            if draining || !is_idle || Instant::now() < self.idle_end(&activity, closing_since) {
+                continue;
             }
+            if activity.has_unfinished_head() {
+                break true;
+            }
+            draining = true;
+            Pin::new(&mut connection).graceful_shutdown();
+        };
+        if is_rejected {
+            reject_unfinished_head(connection.into_parts().io.into_inner()).await;
         }
         self.open_count.fetch_sub(1, Ordering::Relaxed);
     }
@@ -177,3 +186,13 @@
         idle_limit.at(now)
     }
 }
+
+/// Tells a caller that its request, of which only a part has arrived, hasn't run.
+async fn reject_unfinished_head(mut stream: TrackedStream) {
+    let rejected = async {
+        stream.write_all(UNFINISHED_HEAD_RESPONSE).await?;
+        stream.shutdown().await
+    };
+    // The connection is closed next, whether or not the caller has received the response.
+    let _ = timeout(UNREAD_REQUEST_WAIT, rejected).await;
+}
--- a/crates/celeryshed_http/tests/idle.rs
+++ b/crates/celeryshed_http/tests/idle.rs
@@ -181,3 +181,21 @@
     let next = call(&mut stream, "/", "whole").await;
     assert!(next.starts_with("HTTP/1.1 200"), "{next:?}");
 }
+
+/// Guards against connections that stay open without end, and unanswered, because the head of their
+/// first request is never complete.
+#[tokio::test]
+async fn unfinished_request_head_is_answered_with_408() {
+    let server = start_server(IDLE_TIMEOUT).await;
+    let mut unused = TcpStream::connect(server.address).await.unwrap();
+    let mut used = TcpStream::connect(server.address).await.unwrap();
+    assert!(call(&mut used, "/", "whole").await.starts_with("HTTP/1.1 200"));
+    for stream in [&mut unused, &mut used] {
+        stream.write_all(b"GET / HTTP/1.1\r\n").await.unwrap();
+    }
+    for stream in [&mut unused, &mut used] {
+        let answer = read_until(stream, "more").await;
+        assert!(answer.starts_with("HTTP/1.1 408"), "{answer:?}");
+        assert!(answer.contains("connection: close"), "{answer}");
+    }
+}
