Answer requests whose handler panics

A panic while a request was handled closed its connection without an answer, and the connection counted as open for ever, so that a stop waited for the end of the grace period. Cause: the panic ended the task of the connection. Change: the panic is caught and answered with 500 and Connection: close; the count follows the task by a guard. Bodies of responses need Default.

--- a/crates/celeryshed_gateway/src/request/body.rs
+++ b/crates/celeryshed_gateway/src/request/body.rs
@@ -29,6 +29,12 @@
     }
 }
 
+impl Default for GatewayBody {
+    fn default() -> Self {
+        Self::whole("")
+    }
+}
+
 impl Body for GatewayBody {
     type Data = Bytes;
     type Error = StreamBroken;
--- a/crates/celeryshed_http/src/server.rs
+++ b/crates/celeryshed_http/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -13,7 +14,7 @@
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -69,12 +70,12 @@
 
     /// Accepts connections until `closing` is true, and serves each in a task of its own.
     ///
-    /// The call returns while open connections are still being drained.
+    /// A request whose handler panics is answered with 500. The call returns while open connections are still being drained.
     pub async fn run<H, F, B>(self, listener: TcpListener, handler: H)
     where
         H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
         F: Future<Output = Response<B>> + Send + 'static,
-        B: Body<Data = Bytes> + Send + Unpin + 'static,
+        B: Body<Data = Bytes> + Default + Send + Unpin + 'static,
         B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     {
         let mut closing = self.closing.clone();
@@ -106,13 +107,13 @@
     where
         H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
         F: Future<Output = Response<B>> + Send + 'static,
-        B: Body<Data = Bytes> + Send + Unpin + 'static,
+        B: Body<Data = Bytes> + Default + Send + Unpin + 'static,
         B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     {
         // Nagle's algorithm would hold small stream events back until the peer acknowledges earlier
         // ones. If TCP_NODELAY can't be set, small events arrive later.
         let _ = stream.set_nodelay(true);
-        self.open_count.fetch_add(1, Ordering::Relaxed);
+        let _open = OpenGuard::new(self.open_count.clone());
         let activity = ConnectionActivity::open();
         let settings = *self.settings.borrow();
         let service = {
@@ -120,11 +121,13 @@
             let closing = self.closing.clone();
             service_fn(move |request| {
                 let guard = activity.begin();
-                let answer = handler(request, peer);
+                let answer = AssertUnwindSafe(handler(request, peer)).catch_unwind();
                 let closing = closing.clone();
                 async move {
-                    let mut response = answer.await;
-                    if *closing.borrow() {
+                    let answer = answer.await;
+                    let has_panicked = answer.is_err();
+                    let mut response = answer.unwrap_or_else(|_panic| failed_response());
+                    if has_panicked || *closing.borrow() {
                         response
                             .headers_mut()
                             .insert(CONNECTION, HeaderValue::from_static("close"));
@@ -166,7 +169,6 @@
         if is_rejected {
             reject_unfinished_head(connection.into_parts().io.into_inner()).await;
         }
-        self.open_count.fetch_sub(1, Ordering::Relaxed);
     }
 
     /// When a connection has been idle for too long, unless it is used before.
@@ -187,6 +189,29 @@
     }
 }
 
+/// Counts a connection as open until it is dropped.
+struct OpenGuard(Arc<AtomicUsize>);
+
+impl OpenGuard {
+    fn new(open_count: Arc<AtomicUsize>) -> Self {
+        open_count.fetch_add(1, Ordering::Relaxed);
+        Self(open_count)
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Response to a request whose handler panicked; the request may have run.
+fn failed_response<B: Default>() -> Response<B> {
+    let mut response = Response::new(B::default());
+    *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+    response
+}
+
 /// Tells a caller that its request, of which only a part has arrived, hasn't run.
 async fn reject_unfinished_head(mut stream: TrackedStream) {
     let rejected = async {
--- a/crates/celeryshed_http/tests/closing.rs
+++ b/crates/celeryshed_http/tests/closing.rs
@@ -6,7 +6,8 @@
 use bytes::Bytes;
 use celeryshed_http::{ConnectionServer, ServerSettings};
 use futures::stream;
-use http_body_util::{Full, StreamBody};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::Frame;
 use hyper::{Response, StatusCode};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -96,7 +97,8 @@
             }
             Some((Ok::<_, Infallible>(Frame::data(Bytes::from("event"))), index + 1))
         });
-        Response::new(StreamBody::new(Box::pin(events)))
+        let body: UnsyncBoxBody<_, _> = StreamBody::new(events).boxed_unsync();
+        Response::new(body)
     }));
     TcpStream::connect(address).await.unwrap()
 }
