Receive a request's body before it is denied

A request that was denied from its head (no route, unknown key, shutdown) or for a body above the limit lost its answer if the body was still being sent: the caller's write failed with a broken pipe. Cause: the connection was closed with unread bytes, which resets it. Change: the server receives what the handler left of the body, for at most 1 s, before it sends the response; after that the response says Connection: close.

--- a/crates/celeryshed_gateway/src/process.rs
+++ b/crates/celeryshed_gateway/src/process.rs
@@ -7,12 +7,11 @@
 
 use celeryshed_base::ClockSource;
 use celeryshed_dispatch::{CallerLimits, PeerAddress, RoutingSnapshot};
-use celeryshed_http::{ConnectionServer, ServerSettings};
+use celeryshed_http::{ConnectionServer, RequestBody, ServerSettings};
 use celeryshed_observe::{EventLine, MetricsRegistry};
 use celeryshed_peering::{
     ControlHandle, ControlStore, PeerSocket, RecordDecoder, parse_control_query, start_control,
 };
-use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -197,7 +196,10 @@
     }
 }
 
-async fn answer_peer(control: ControlHandle, request: Request<Incoming>) -> Response<GatewayBody> {
+async fn answer_peer(
+    control: ControlHandle,
+    request: Request<RequestBody>,
+) -> Response<GatewayBody> {
     let target = request.uri().path_and_query().map_or("", |target| target.as_str());
     let Some(query) = parse_control_query(target) else {
         return status_response(StatusCode::NOT_FOUND);
--- a/crates/celeryshed_gateway/src/request/handle.rs
+++ b/crates/celeryshed_gateway/src/request/handle.rs
@@ -9,8 +9,8 @@
     AttemptHistory, AttemptOutcome, EndpointId, EndpointTarget, NotRunReason, RefusalReason,
     RetryVerdict, UnknownReason, retry_after,
 };
+use celeryshed_http::RequestBody;
 use celeryshed_observe::EventLine;
-use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use tokio::sync::mpsc;
@@ -41,7 +41,7 @@
 /// Answers one request of a caller.
 pub(crate) async fn handle_request(
     context: Arc<GatewayContext>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Response<GatewayBody> {
     let arrived_at = context.clock.now();
     if *context.shutdown_phase.borrow() == ShutdownPhase::Refusing {
--- a/crates/celeryshed_gateway/src/request/parse.rs
+++ b/crates/celeryshed_gateway/src/request/parse.rs
@@ -9,8 +9,8 @@
     PromptPart, RequestFingerprint, RequestProfile, RouteRule, RoutingSnapshot, is_caller_retry,
     shared_parts,
 };
+use celeryshed_http::RequestBody;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request};
@@ -46,7 +46,7 @@
     names: &HeaderNames,
     snapshot: &RoutingSnapshot,
     arrived_at: MonoTime,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Result<CallerRequest, OwnReply> {
     let (head, body) = request.into_parts();
     let host = host_of(&head).ok_or(OwnReply::Malformed)?;
--- a/crates/celeryshed_http/src/lib.rs
+++ b/crates/celeryshed_http/src/lib.rs
@@ -10,9 +10,11 @@
 mod connection;
 mod exchange;
 mod idle_limit;
+mod request_body;
 mod server;
 
 pub use client::{CONNECT_TIMEOUT, CallTimeouts, HttpClient, HttpResponse};
 pub use connection::{HttpConnection, HttpError};
 pub use exchange::ResponseBody;
+pub use request_body::RequestBody;
 pub use server::{ConnectionServer, ServerSettings};
--- a/crates/celeryshed_http/src/server.rs
+++ b/crates/celeryshed_http/src/server.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use futures::FutureExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -23,6 +23,7 @@
 
 use crate::activity::{ConnectionActivity, TrackedBody, TrackedStream};
 use crate::idle_limit::IdleLimit;
+use crate::request_body::RequestBody;
 
 /// Delay after a failed accept, for instance when no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -31,6 +32,9 @@
 /// have sent one before it learns of the close.
 const UNREAD_REQUEST_WAIT: Duration = Duration::from_millis(300);
 
+/// Time to receive what a handler has left of a request's body, before its response is sent.
+const UNREAD_BODY_WAIT: Duration = Duration::from_secs(1);
+
 const UNFINISHED_HEAD_RESPONSE: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
@@ -73,7 +77,7 @@
     /// A request whose handler panics is answered with 500. The call returns while open connections are still being drained.
     pub async fn run<H, F, B>(self, listener: TcpListener, handler: H)
     where
-        H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
+        H: Fn(Request<RequestBody>, SocketAddr) -> F + Clone + Send + 'static,
         F: Future<Output = Response<B>> + Send + 'static,
         B: Body<Data = Bytes> + Default + Send + Unpin + 'static,
         B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
@@ -105,7 +109,7 @@
 
     async fn serve<H, F, B>(self, stream: TcpStream, peer: SocketAddr, handler: H)
     where
-        H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
+        H: Fn(Request<RequestBody>, SocketAddr) -> F + Clone + Send + 'static,
         F: Future<Output = Response<B>> + Send + 'static,
         B: Body<Data = Bytes> + Default + Send + Unpin + 'static,
         B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
@@ -121,13 +125,17 @@
             let closing = self.closing.clone();
             service_fn(move |request| {
                 let guard = activity.begin();
+                let (request, unread) = RequestBody::track(request);
                 let answer = AssertUnwindSafe(handler(request, peer)).catch_unwind();
                 let closing = closing.clone();
                 async move {
                     let answer = answer.await;
                     let has_panicked = answer.is_err();
                     let mut response = answer.unwrap_or_else(|_panic| failed_response());
-                    if has_panicked || *closing.borrow() {
+                    // A response that is sent before its request has arrived may be lost, because
+                    // closing a connection with unread bytes resets it.
+                    let has_unread = timeout(UNREAD_BODY_WAIT, unread.discard()).await.is_err();
+                    if has_panicked || has_unread || *closing.borrow() {
                         response
                             .headers_mut()
                             .insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/celeryshed_stager/src/pieces.rs
+++ b/crates/celeryshed_stager/src/pieces.rs
@@ -6,9 +6,9 @@
 use bytes::Bytes;
 use celeryshed_base::{ClockSource, common_derives};
 use celeryshed_dispatch::UploadPacer;
+use celeryshed_http::RequestBody;
 use celeryshed_peering::{ControlHandle, parse_control_query};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use tokio::sync::{Mutex, watch};
 use tokio::time::sleep;
@@ -64,7 +64,7 @@
 }
 
 impl<P: WeightPlatform> PieceServer<P> {
-    pub(crate) async fn serve(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    pub(crate) async fn serve(&self, request: Request<RequestBody>) -> Response<Full<Bytes>> {
         let target = request.uri().path_and_query().map_or("", |target| target.as_str());
         if let Some(query) = parse_control_query(target) {
             return match self.control.answer_query(query).await {
