Answer a request whose body is late with 408 instead of 400

A request whose body took longer than 5 s to arrive, for instance over a link that was held up, was lost: its caller got 400, after which nobody sends a request again, although it hadn't run. Cause: a late body counted as an invalid one. Change: it is answered with 408, which promises that the request hasn't run.

--- a/crates/celeryshed_gateway/src/request/parse.rs
+++ b/crates/celeryshed_gateway/src/request/parse.rs
@@ -62,7 +62,8 @@
     let body = match timeout(BODY_TIMEOUT, limited.collect()).await {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(OwnReply::BodyTooLarge),
-        Ok(Err(_)) | Err(_) => return Err(OwnReply::Malformed),
+        Ok(Err(_)) => return Err(OwnReply::Malformed),
+        Err(_elapsed) => return Err(OwnReply::BodyTimeout),
     };
     let target = head.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
     let team_name = team.as_ref().map(|team| team.name.to_string());
--- a/crates/celeryshed_gateway/src/request/replies.rs
+++ b/crates/celeryshed_gateway/src/request/replies.rs
@@ -16,8 +16,10 @@
     NoRoute,
     /// The caller's key is missing or unknown.
     UnknownKey,
-    /// The request has no host, or its body was not received completely.
+    /// The request has no host, or its body is invalid.
     Malformed,
+    /// The body was not received in time; the request has not run.
+    BodyTimeout,
     /// The body exceeds the configured limit.
     BodyTooLarge,
     /// The request has not run; the caller may send it again after `retry_after`.
@@ -35,6 +37,7 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::Malformed => StatusCode::BAD_REQUEST,
+            Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::MayHaveRun => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -47,6 +50,7 @@
             Self::NoRoute => "no route takes this host and path",
             Self::UnknownKey => "the key is missing or unknown",
             Self::Malformed => "the request can't be read",
+            Self::BodyTimeout => "the body was not received in time; the request has not run",
             Self::BodyTooLarge => "the body is larger than the configuration allows",
             Self::NotRun { .. } => "no endpoint has room; the request has not run",
             Self::MayHaveRun => "the endpoint gave no whole answer; the request may have run",
--- a/crates/celeryshed_gateway/tests/unread_bodies.rs
+++ b/crates/celeryshed_gateway/tests/unread_bodies.rs
@@ -50,3 +50,17 @@
 async fn request_that_is_too_large_is_answered_after_its_body() {
     check_denied("/read/a", "key-1", 12 * 1024 * 1024, 413).await;
 }
+
+/// Guards against requests that are lost because their body arrives slowly: 400 tells the caller
+/// not to send the request again, although it hasn't run.
+#[tokio::test]
+async fn request_with_slow_body_may_be_sent_again() {
+    let endpoint = ScriptedEndpoint::start("i-1", vec![vec![ScriptStep::Hang]]).await;
+    let entry = Deployment::start(&[&endpoint]).await;
+    let text = request("POST", "/book/a", "r1", "x-limit-ms: 60000\r\n", "whole body");
+    let stream = entry.connect(&text[..text.len() - 5]).await;
+    let answer = timeout(Duration::from_secs(10), read_answer(stream)).await.unwrap();
+    assert_eq!(answer.status(), 408, "{:?}", answer.text);
+    assert_eq!(answer.header("connection"), Some("close"), "{:?}", answer.text);
+    assert_eq!(endpoint.count(), 0);
+}
