Log and count why connections end

On call, a caller's reset couldn't be told from an idle close, a broken stream or a disconnect: nothing was logged when the server closed a connection, or when one ended with a request on it. Connections that end as expected are neither logged nor counted.

--- a/crates/celeryshed_http/src/lib.rs
+++ b/crates/celeryshed_http/src/lib.rs
@@ -8,6 +8,7 @@
 mod activity;
 mod client;
 mod connection;
+mod end;
 mod exchange;
 mod idle_limit;
 mod request_body;
--- a/crates/celeryshed_http/src/server.rs
+++ b/crates/celeryshed_http/src/server.rs
@@ -22,6 +22,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::activity::{ConnectionActivity, TrackedBody, TrackedStream};
+use crate::end::EndReason;
 use crate::idle_limit::IdleLimit;
 use crate::request_body::RequestBody;
 
@@ -131,6 +132,9 @@
                 async move {
                     let answer = answer.await;
                     let has_panicked = answer.is_err();
+                    if has_panicked {
+                        EndReason::HandlerPanicked.report(peer);
+                    }
                     let mut response = answer.unwrap_or_else(|_panic| failed_response());
                     // A response that is sent before its request has arrived may be lost, because
                     // closing a connection with unread bytes resets it.
@@ -151,13 +155,17 @@
         let mut closing = self.closing.clone();
         let mut closing_since = None;
         let mut draining = false;
-        let is_rejected = loop {
+        let end_reason = loop {
             let idle_end = self.idle_end(&activity, closing_since);
             tokio::select! {
                 // A request that has arrived is read before the connection may be closed.
                 biased;
-                // An error needs no handling: hyper cancels the handlers of a connection that ends.
-                _ended = &mut connection => break false,
+                // An error needs no other handling: hyper cancels the handlers of a connection that
+                // ends.
+                ended = &mut connection => {
+                    let in_progress = activity.idle_since().is_none();
+                    break EndReason::of(ended.as_ref().err(), in_progress);
+                }
                 // The sender is dropped only when the process ends.
                 _ = closing.wait_for(|closing| *closing), if closing_since.is_none() => {
                     closing_since = Some(Instant::now());
@@ -169,12 +177,17 @@
                 continue;
             }
             if activity.has_unfinished_head() {
-                break true;
+                break Some(EndReason::UnfinishedHead);
             }
             draining = true;
+            let reason = closing_since.map_or(EndReason::Idle, |_since| EndReason::Closing);
+            reason.report(peer);
             Pin::new(&mut connection).graceful_shutdown();
         };
-        if is_rejected {
+        if let Some(reason) = end_reason {
+            reason.report(peer);
+        }
+        if end_reason == Some(EndReason::UnfinishedHead) {
             reject_unfinished_head(connection.into_parts().io.into_inner()).await;
         }
     }
