Don't count a connection as idle while its caller receives a response

A caller that received a large answer slowly met a close without notice on its next request. Cause: idle time ran while the server waited for room in the connection, as nothing was written; the shutdown then began behind the response. Change: a blocked write counts as a use.

--- a/crates/celeryshed_http/src/activity.rs
+++ b/crates/celeryshed_http/src/activity.rs
@@ -23,13 +23,20 @@
     head_begun_at: Option<Instant>,
     /// When the connection was opened, or the end of a response was last written to it.
     last_used_at: Instant,
+    /// Whether a response waits for its caller to receive the part before.
+    is_write_blocked: bool,
 }
 
 impl ConnectionActivity {
     /// The activity of a connection that was just opened.
     pub(crate) fn open() -> Self {
         let last_used_at = Instant::now();
-        let state = ActivityState { in_progress: 0, head_begun_at: None, last_used_at };
+        let state = ActivityState {
+            in_progress: 0,
+            head_begun_at: None,
+            last_used_at,
+            is_write_blocked: false,
+        };
         Self(Arc::new(Mutex::new(state)))
     }
 
@@ -41,11 +48,12 @@
         RequestGuard(self.clone())
     }
 
-    /// When the connection was last used; `None` while a request is in progress. An incomplete request
-    /// head is a use from its first byte on.
+    /// When the connection was last used; `None` while a request is in progress, or its response is
+    /// being received. An incomplete request head is a use from its first byte on.
     pub(crate) fn idle_since(&self) -> Option<Instant> {
         let state = self.state();
-        (state.in_progress == 0).then(|| state.head_begun_at.unwrap_or(state.last_used_at))
+        (state.in_progress == 0 && !state.is_write_blocked)
+            .then(|| state.head_begun_at.unwrap_or(state.last_used_at))
     }
 
     /// Whether the next request has arrived in part.
@@ -60,8 +68,12 @@
         }
     }
 
-    fn written(&self) {
-        self.state().last_used_at = Instant::now();
+    fn written<T>(&self, written: &Poll<T>) {
+        let mut state = self.state();
+        state.is_write_blocked = written.is_pending();
+        if written.is_ready() {
+            state.last_used_at = Instant::now();
+        }
     }
 
     fn state(&self) -> MutexGuard<'_, ActivityState> {
@@ -148,9 +160,9 @@
         context: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let length = ready!(Pin::new(&mut self.stream).poll_write(context, buffer))?;
-        self.activity.written();
-        Poll::Ready(Ok(length))
+        let written = Pin::new(&mut self.stream).poll_write(context, buffer);
+        self.activity.written(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -158,9 +170,9 @@
         context: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let length = ready!(Pin::new(&mut self.stream).poll_write_vectored(context, buffers))?;
-        self.activity.written();
-        Poll::Ready(Ok(length))
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
+        self.activity.written(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/celeryshed_http/tests/idle.rs
+++ b/crates/celeryshed_http/tests/idle.rs
@@ -22,6 +22,7 @@
 /// Time that a streamed response takes.
 const STREAM_TIME: Duration = Duration::from_millis(1600);
 const EVENT_COUNT: u32 = 16;
+const LARGE_BODY_BYTES: usize = 20_000_000;
 
 type AnswerBody = UnsyncBoxBody<Bytes, Infallible>;
 
@@ -36,7 +37,8 @@
     ServerSettings { max_head_bytes: 8192, idle_timeout }
 }
 
-/// Starts a server that streams its answers at `/stream`, and answers at once elsewhere.
+/// Starts a server that streams its answers at `/stream`, and answers at once elsewhere; its answer
+/// at `/large` doesn't fit into the buffers of a connection.
 async fn start_server(idle_timeout: Duration) -> RunningServer {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
@@ -44,8 +46,11 @@
     let (closing, closing_watch) = watch::channel(false);
     let server = ConnectionServer::new(settings_watch, closing_watch);
     tokio::spawn(server.run(listener, |request, _peer| async move {
-        let is_stream = request.uri().path() == "/stream";
-        Response::new(if is_stream { streamed_body() } else { whole_body() })
+        Response::new(match request.uri().path() {
+            "/stream" => streamed_body(),
+            "/large" => large_body(),
+            _ => whole_body(),
+        })
     }));
     RunningServer { address, settings, _closing: closing }
 }
@@ -54,6 +59,12 @@
     Full::new(Bytes::from("whole")).boxed_unsync()
 }
 
+fn large_body() -> AnswerBody {
+    let mut text = "x".repeat(LARGE_BODY_BYTES);
+    text.push_str("end");
+    Full::new(Bytes::from(text)).boxed_unsync()
+}
+
 fn streamed_body() -> AnswerBody {
     let events = stream::unfold(0, |index| async move {
         if index == EVENT_COUNT {
@@ -76,7 +87,7 @@
 /// Reads until `end`, or until the connection ends.
 async fn read_until(stream: &mut TcpStream, end: &str) -> String {
     let mut text = String::new();
-    let mut buffer = [0; 4096];
+    let mut buffer = vec![0; 65536];
     while !text.ends_with(end) {
         let read = timeout(Duration::from_secs(5), stream.read(&mut buffer)).await.unwrap();
         let Ok(length @ 1..) = read else { break };
@@ -199,3 +210,17 @@
         assert!(answer.contains("connection: close"), "{answer}");
     }
 }
+
+/// Guards against requests that meet a close after a caller has received its last answer slowly: the
+/// connection counted as idle while the server waited for the caller.
+#[tokio::test]
+async fn connection_is_open_after_slowly_received_answer() {
+    let server = start_server(IDLE_TIMEOUT).await;
+    let mut stream = TcpStream::connect(server.address).await.unwrap();
+    stream.write_all(b"GET /large HTTP/1.1\r\nHost: a\r\n\r\n").await.unwrap();
+    sleep(IDLE_TIMEOUT * 3 / 2).await;
+    let large = read_until(&mut stream, "end").await;
+    assert!(large.len() > LARGE_BODY_BYTES, "{} bytes", large.len());
+    let next = call(&mut stream, "/", "whole").await;
+    assert!(next.starts_with("HTTP/1.1 200"), "{next:?}");
+}
