Keep the idle limit of connections at 300 ms or more

With an idle limit of zero, or one shorter than a request needs to arrive, the server closed each connection before it read its first request. Change: the limit is at least the time that a closing server gives to requests. Before, in request_is_answered_although_limit_is_zero: panicked at crates/celeryshed_http/tests/idle.rs:236:5: "" Result: the test passes, as do the other tests of the crate.

--- a/crates/celeryshed_http/src/server.rs
+++ b/crates/celeryshed_http/src/server.rs
@@ -29,8 +29,8 @@
 /// Delay after a failed accept, for instance when no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Time that an idle connection has to pass on a request although the server closes. Its caller may
-/// have sent one before it learns of the close.
+/// Time that an idle connection has at least to pass on a request, also while the server closes. Its
+/// caller may have sent one before it learns of the close.
 const UNREAD_REQUEST_WAIT: Duration = Duration::from_millis(300);
 
 /// Time to receive what a handler has left of a request's body, before its response is sent.
@@ -45,7 +45,7 @@
     /// Largest request head in bytes, at least 8 KiB; applies to new connections.
     pub max_head_bytes: usize,
     /// Time after which an idle connection is closed, counted from the end of its last response. A
-    /// shorter time applies once the former one has passed since the change.
+    /// shorter time applies once the former one has passed since the change. At least 300 ms.
     pub idle_timeout: Duration,
 }
 
@@ -206,7 +206,7 @@
         let now = Instant::now();
         let mut idle_limit = self.idle_limit.lock().unwrap_or_else(PoisonError::into_inner);
         idle_limit.replace(self.settings.borrow().idle_timeout, now);
-        idle_limit.at(now)
+        idle_limit.at(now).max(UNREAD_REQUEST_WAIT)
     }
 }
 
--- a/crates/celeryshed_http/tests/idle.rs
+++ b/crates/celeryshed_http/tests/idle.rs
@@ -224,3 +224,15 @@
     let next = call(&mut stream, "/", "whole").await;
     assert!(next.starts_with("HTTP/1.1 200"), "{next:?}");
 }
+
+/// Guards against servers that close each connection before its first request is read, or spin,
+/// because the limit is zero.
+#[tokio::test]
+async fn request_is_answered_although_limit_is_zero() {
+    let server = start_server(Duration::ZERO).await;
+    let mut stream = TcpStream::connect(server.address).await.unwrap();
+    sleep(Duration::from_millis(50)).await;
+    let answer = call(&mut stream, "/", "whole").await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
+    assert!(time_to_close(&mut stream).await < IDLE_TIMEOUT);
+}
