--- a/crates/celeryshed_gateway/src/request/parse.rs
+++ b/crates/celeryshed_gateway/src/request/parse.rs
@@ -9,8 +9,8 @@
     PromptPart, RequestFingerprint, RequestProfile, RouteRule, RoutingSnapshot, is_caller_retry,
     shared_parts,
 };
+use celeryshed_http::RequestBody;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request};
@@ -46,7 +46,7 @@
     names: &HeaderNames,
     snapshot: &RoutingSnapshot,
     arrived_at: MonoTime,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Result<CallerRequest, OwnReply> {
     let (head, body) = request.into_parts();
     let host = host_of(&head).ok_or(OwnReply::Malformed)?;
@@ -62,7 +62,8 @@
     let body = match timeout(BODY_TIMEOUT, limited.collect()).await {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(OwnReply::BodyTooLarge),
-        Ok(Err(_)) | Err(_) => return Err(OwnReply::Malformed),
+        Ok(Err(_)) => return Err(OwnReply::Malformed),
+        Err(_elapsed) => return Err(OwnReply::BodyTimeout),
     };
     let target = head.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
     let team_name = team.as_ref().map(|team| team.name.to_string());
--- a/crates/celeryshed_http/src/lib.rs
+++ b/crates/celeryshed_http/src/lib.rs
@@ -5,12 +5,17 @@
 //! repeatable calls to an address, and [`ConnectionServer`] accepts connections until it is told to
 //! drain.
 
+mod activity;
 mod client;
 mod connection;
+mod end;
 mod exchange;
+mod idle_limit;
+mod request_body;
 mod server;
 
 pub use client::{CONNECT_TIMEOUT, CallTimeouts, HttpClient, HttpResponse};
 pub use connection::{HttpConnection, HttpError};
 pub use exchange::ResponseBody;
+pub use request_body::RequestBody;
 pub use server::{ConnectionServer, ServerSettings};
--- a/crates/celeryshed_http/src/server.rs
+++ b/crates/celeryshed_http/src/server.rs
@@ -2,35 +2,50 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::pin::pin;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::panic::AssertUnwindSafe;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures::FutureExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+use crate::activity::{ConnectionActivity, TrackedBody, TrackedStream};
+use crate::end::EndReason;
+use crate::idle_limit::IdleLimit;
+use crate::request_body::RequestBody;
 
 /// Delay after a failed accept, for instance when no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Time that a new connection has to pass on a request although the server closes.
+/// Time that an idle connection has at least to pass on a request, also while the server closes. Its
+/// caller may have sent one before it learns of the close.
 const UNREAD_REQUEST_WAIT: Duration = Duration::from_millis(300);
 
+/// Time to receive what a handler has left of a request's body, before its response is sent.
+const UNREAD_BODY_WAIT: Duration = Duration::from_secs(1);
+
+const UNFINISHED_HEAD_RESPONSE: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
 /// Limits of accepted connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ServerSettings {
     /// Largest request head in bytes, at least 8 KiB; applies to new connections.
     pub max_head_bytes: usize,
-    /// Time after which an idle connection is closed; a response that is being sent is finished
-    /// first.
+    /// Time after which an idle connection is closed, counted from the end of its last response. A
+    /// shorter time applies once the former one has passed since the change. At least 300 ms.
     pub idle_timeout: Duration,
 }
 
@@ -42,13 +57,15 @@
     settings: watch::Receiver<ServerSettings>,
     closing: watch::Receiver<bool>,
     open_count: Arc<AtomicUsize>,
+    idle_limit: Arc<Mutex<IdleLimit>>,
 }
 
 impl ConnectionServer {
     /// A server that follows changes of `settings`. Once `closing` is true, it accepts no more
-    /// connections and closes each open one after its request in progress.
+    /// connections, and closes each open one after its next response, or when it is idle.
     pub fn new(settings: watch::Receiver<ServerSettings>, closing: watch::Receiver<bool>) -> Self {
-        Self { settings, closing, open_count: Arc::default() }
+        let idle_limit = Arc::new(Mutex::new(IdleLimit::new(settings.borrow().idle_timeout)));
+        Self { settings, closing, open_count: Arc::default(), idle_limit }
     }
 
     /// Number of connections that are open, over all clones of this server.
@@ -58,18 +75,23 @@
 
     /// Accepts connections until `closing` is true, and serves each in a task of its own.
     ///
-    /// The call returns while open connections are still being drained.
+    /// A request whose handler panics is answered with 500. The call returns while open connections are still being drained.
     pub async fn run<H, F, B>(self, listener: TcpListener, handler: H)
     where
-        H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
+        H: Fn(Request<RequestBody>, SocketAddr) -> F + Clone + Send + 'static,
         F: Future<Output = Response<B>> + Send + 'static,
-        B: Body<Data = Bytes> + Send + 'static,
+        B: Body<Data = Bytes> + Default + Send + Unpin + 'static,
         B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     {
         let mut closing = self.closing.clone();
+        let mut settings = self.settings.clone();
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
+                Ok(()) = settings.changed() => {
+                    self.update_idle_limit();
+                    continue;
+                }
                 _ = closing.wait_for(|closing| *closing) => break,
             };
             match accepted {
@@ -88,125 +110,135 @@
 
     async fn serve<H, F, B>(self, stream: TcpStream, peer: SocketAddr, handler: H)
     where
-        H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
+        H: Fn(Request<RequestBody>, SocketAddr) -> F + Clone + Send + 'static,
         F: Future<Output = Response<B>> + Send + 'static,
-        B: Body<Data = Bytes> + Send + 'static,
+        B: Body<Data = Bytes> + Default + Send + Unpin + 'static,
         B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     {
         // Nagle's algorithm would hold small stream events back until the peer acknowledges earlier
         // ones. If TCP_NODELAY can't be set, small events arrive later.
         let _ = stream.set_nodelay(true);
-        self.open_count.fetch_add(1, Ordering::Relaxed);
-        let activity = RequestActivity::default();
+        let _open = OpenGuard::new(self.open_count.clone());
+        let activity = ConnectionActivity::open();
         let settings = *self.settings.borrow();
         let service = {
             let activity = activity.clone();
+            let closing = self.closing.clone();
             service_fn(move |request| {
                 let guard = activity.begin();
-                let answer = handler(request, peer);
+                let (request, unread) = RequestBody::track(request);
+                let answer = AssertUnwindSafe(handler(request, peer)).catch_unwind();
+                let closing = closing.clone();
                 async move {
-                    let response = answer.await;
-                    drop(guard);
-                    Ok::<_, Infallible>(response)
+                    let answer = answer.await;
+                    let has_panicked = answer.is_err();
+                    if has_panicked {
+                        EndReason::HandlerPanicked.report(peer);
+                    }
+                    let mut response = answer.unwrap_or_else(|_panic| failed_response());
+                    // A response that is sent before its request has arrived may be lost, because
+                    // closing a connection with unread bytes resets it.
+                    let has_unread = timeout(UNREAD_BODY_WAIT, unread.discard()).await.is_err();
+                    if has_panicked || has_unread || *closing.borrow() {
+                        response
+                            .headers_mut()
+                            .insert(CONNECTION, HeaderValue::from_static("close"));
+                    }
+                    Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, guard)))
                 }
             })
         };
         let mut builder = http1::Builder::new();
         builder.max_buf_size(settings.max_head_bytes.max(8 * 1024)).half_close(false);
-        let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+        let stream = TokioIo::new(TrackedStream::new(stream, activity.clone()));
+        let mut connection = builder.serve_connection(stream, service);
         let mut closing = self.closing.clone();
+        let mut closing_since = None;
         let mut draining = false;
-        // A connection that was accepted last may carry a request that hasn't been read.
-        let unread_until = Instant::now() + UNREAD_REQUEST_WAIT;
-        loop {
-            let idle_check = next_idle_check(&activity, &self.settings);
+        let end_reason = loop {
+            let idle_end = self.idle_end(&activity, closing_since);
             tokio::select! {
-                // An error needs no handling: hyper cancels the handlers of a connection that ends.
-                _ended = connection.as_mut() => break,
-                () = drain_start(&mut closing, &activity, unread_until), if !draining => {
-                    draining = true;
-                    connection.as_mut().graceful_shutdown();
+                // A request that has arrived is read before the connection may be closed.
+                biased;
+                // An error needs no other handling: hyper cancels the handlers of a connection that
+                // ends.
+                ended = &mut connection => {
+                    let in_progress = activity.idle_since().is_none();
+                    break EndReason::of(ended.as_ref().err(), in_progress);
                 }
-                () = sleep_until(idle_check), if !draining => {
-                    if activity.idle_for() >= self.settings.borrow().idle_timeout {
-                        draining = true;
-                        connection.as_mut().graceful_shutdown();
-                    }
+                // The sender is dropped only when the process ends.
+                _ = closing.wait_for(|closing| *closing), if closing_since.is_none() => {
+                    closing_since = Some(Instant::now());
                 }
+                () = sleep_until(idle_end), if !draining => {}
+            }
+            let is_idle = activity.idle_since().is_some();
+            if draining || !is_idle || Instant::now() < self.idle_end(&activity, closing_since) {
+                continue;
             }
+            if activity.has_unfinished_head() {
+                break Some(EndReason::UnfinishedHead);
+            }
+            draining = true;
+            let reason = closing_since.map_or(EndReason::Idle, |_since| EndReason::Closing);
+            reason.report(peer);
+            Pin::new(&mut connection).graceful_shutdown();
+        };
+        if let Some(reason) = end_reason {
+            reason.report(peer);
+        }
+        if end_reason == Some(EndReason::UnfinishedHead) {
+            reject_unfinished_head(connection.into_parts().io.into_inner()).await;
         }
-        self.open_count.fetch_sub(1, Ordering::Relaxed);
     }
-}
 
-/// Waits until the server closes, and until a new connection has had time to pass on a request.
-async fn drain_start(
-    closing: &mut watch::Receiver<bool>,
-    activity: &RequestActivity,
-    unread_until: Instant,
-) {
-    // The sender is dropped only when the process ends.
-    let _ = closing.wait_for(|closing| *closing).await;
-    if !activity.has_begun() {
-        sleep_until(unread_until).await;
+    /// When a connection has been idle for too long, unless it is used before.
+    fn idle_end(&self, activity: &ConnectionActivity, closing_since: Option<Instant>) -> Instant {
+        let idle_since = activity.idle_since().unwrap_or_else(Instant::now);
+        match closing_since {
+            Some(closing_since) => idle_since.max(closing_since) + UNREAD_REQUEST_WAIT,
+            None => idle_since + self.update_idle_limit(),
+        }
     }
-}
-
-fn next_idle_check(
-    activity: &RequestActivity,
-    settings: &watch::Receiver<ServerSettings>,
-) -> Instant {
-    let timeout = settings.borrow().idle_timeout;
-    Instant::now() + timeout.saturating_sub(activity.idle_for()).max(Duration::from_millis(100))
-}
 
-/// Tracks the requests on a connection that wait for their response head, and the time of the last
-/// response head.
-#[derive(Clone, Debug)]
-struct RequestActivity {
-    in_progress: Arc<AtomicUsize>,
-    opened_at: Instant,
-    /// Milliseconds from `opened_at` to the last response head.
-    last_response_ms: Arc<AtomicU64>,
-}
-
-impl Default for RequestActivity {
-    fn default() -> Self {
-        Self {
-            in_progress: Arc::default(),
-            opened_at: Instant::now(),
-            last_response_ms: Arc::default(),
-        }
+    /// Applies the settings to the limit for idle connections, and returns it.
+    fn update_idle_limit(&self) -> Duration {
+        let now = Instant::now();
+        let mut idle_limit = self.idle_limit.lock().unwrap_or_else(PoisonError::into_inner);
+        idle_limit.replace(self.settings.borrow().idle_timeout, now);
+        idle_limit.at(now).max(UNREAD_REQUEST_WAIT)
     }
 }
 
-impl RequestActivity {
-    /// Whether any request was read.
-    fn has_begun(&self) -> bool {
-        self.in_progress.load(Ordering::Relaxed) > 0
-            || self.last_response_ms.load(Ordering::Relaxed) > 0
-    }
+/// Counts a connection as open until it is dropped.
+struct OpenGuard(Arc<AtomicUsize>);
 
-    fn begin(&self) -> RequestGuard {
-        self.in_progress.fetch_add(1, Ordering::Relaxed);
-        RequestGuard(self.clone())
+impl OpenGuard {
+    fn new(open_count: Arc<AtomicUsize>) -> Self {
+        open_count.fetch_add(1, Ordering::Relaxed);
+        Self(open_count)
     }
+}
 
-    fn idle_for(&self) -> Duration {
-        if self.in_progress.load(Ordering::Relaxed) > 0 {
-            return Duration::ZERO;
-        }
-        let last_response = Duration::from_millis(self.last_response_ms.load(Ordering::Relaxed));
-        self.opened_at.elapsed().saturating_sub(last_response)
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
-struct RequestGuard(RequestActivity);
+/// Response to a request whose handler panicked; the request may have run.
+fn failed_response<B: Default>() -> Response<B> {
+    let mut response = Response::new(B::default());
+    *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+    response
+}
 
-impl Drop for RequestGuard {
-    fn drop(&mut self) {
-        let elapsed_ms = self.0.opened_at.elapsed().as_millis() as u64;
-        self.0.last_response_ms.store(elapsed_ms, Ordering::Relaxed);
-        self.0.in_progress.fetch_sub(1, Ordering::Relaxed);
-    }
+/// Tells a caller that its request, of which only a part has arrived, hasn't run.
+async fn reject_unfinished_head(mut stream: TrackedStream) {
+    let rejected = async {
+        stream.write_all(UNFINISHED_HEAD_RESPONSE).await?;
+        stream.shutdown().await
+    };
+    // The connection is closed next, whether or not the caller has received the response.
+    let _ = timeout(UNREAD_REQUEST_WAIT, rejected).await;
 }
