Keep a silent stream that can't be resumed until its time limit

Callers of streams that may not be resumed saw their connection break off after 2 to 2.4 s without an event, although the endpoint was sound and would have gone on. Cause: `StallLimits::give_up_after` took the silence for the caller's patience and ended the stream. Change: the limit is gone; such a stream ends with its endpoint, its time limit or its caller, also if bytes arrive that complete no event.

--- a/crates/celeryshed_gateway/src/request/relay.rs
+++ b/crates/celeryshed_gateway/src/request/relay.rs
@@ -105,7 +105,7 @@
     }
 
     async fn forward(&mut self, events: &mpsc::Sender<Result<Bytes, StreamBroken>>) -> RelayEnd {
-        let mut stalled_at = Instant::now() + self.stall_limit();
+        let mut stalled_at = self.stalled_at();
         let mut is_reported = false;
         loop {
             let frame_deadline = stalled_at.min(self.due_at);
@@ -127,6 +127,7 @@
             let complete_events = match self.stream.splitter.push(data) {
                 Ok(Some(complete_events)) => complete_events,
                 // Bytes that complete no event are no progress.
+                Ok(None) if Instant::now() >= self.due_at => return RelayEnd::TimedOut,
                 Ok(None) if Instant::now() >= stalled_at => {
                     return RelayEnd::Broken(UnknownReason::Silent);
                 }
@@ -136,7 +137,7 @@
             if events.send(Ok(complete_events)).await.is_err() {
                 return RelayEnd::CallerDisconnected;
             }
-            stalled_at = Instant::now() + self.stall_limit();
+            stalled_at = self.stalled_at();
             if !is_reported && !self.is_beginning() {
                 is_reported = true;
                 let parts = &self.request.parts;
@@ -151,14 +152,16 @@
         self.context.clock.now() - self.begun_at < BEGINNING_TIME
     }
 
-    /// Longest time until the next whole event.
-    fn stall_limit(&self) -> Duration {
-        let limits = StallLimits::from(&self.request.route);
+    /// When the stream is resumed elsewhere unless a whole event has arrived.
+    fn stalled_at(&self) -> Instant {
         let route = &self.request.route;
         let may_resume = route.kind.is_retryable()
             && self.stream.splitter.last_id().is_some()
             && self.history.may_have_run + 1 < route.max_attempts;
-        if may_resume { limits.resume_after } else { limits.give_up_after }
+        if !may_resume {
+            return self.due_at;
+        }
+        Instant::now() + StallLimits::from(route).resume_after
     }
 
     /// Resumes the stream at another endpoint; `None` if no event with an id has arrived, the route
