Keep a silent stream until another endpoint has resumed it

Callers saw a stream break off although its endpoint had only paused for 1.4 s: after 0.9 s of silence `StreamRelay` dropped the endpoint's connection and slot, and then asked for retry budget, placement and the first event of another endpoint. When one of them said no, the stream ended there. Change: the silent stream is read on during the search (`StreamRelay::search`), and whichever endpoint sends the next whole event keeps it; the other connection is closed. Without another endpoint the stream waits until its time limit, and searches again after twice the time. A second attempt that may have been sent counts for `max_attempts`, and one in progress goes on if the silent endpoint breaks meanwhile. The dispatcher learns of the silence when it begins. `failover_failed` and `celeryshed_failovers_failed_total` give the reason for which no endpoint took a stream over.

--- a/crates/celeryshed_dispatch/src/dispatcher.rs
+++ b/crates/celeryshed_dispatch/src/dispatcher.rs
@@ -13,7 +13,7 @@
     EndpointAccess, EndpointStart, EndpointStatements, NoticeChange, NoticeLimits, ReopeningCause,
 };
 use crate::endpoint_notice::EndpointNotice;
-use crate::health::{AttemptOutcome, HealthRecord, NotRunReason};
+use crate::health::{AttemptOutcome, HealthRecord, NotRunReason, UnknownReason};
 use crate::load::{EndpointLoad, LoadReport, LoadScope, PeerLoad};
 use crate::pacing::PeerAudience;
 use crate::peers::PeerAddress;
@@ -580,6 +580,13 @@
         }
     }
 
+    /// Records that an endpoint sends nothing for an attempt that goes on.
+    pub fn record_silence(&mut self, now: MonoTime, id: &EndpointId) {
+        if let Some(record) = self.records.get_mut(id) {
+            record.health.record(now, AttemptOutcome::Unknown(UnknownReason::Silent));
+        }
+    }
+
     /// Whether any request waits.
     pub fn has_waiting(&self) -> bool {
         !self.queue.is_empty()
--- a/crates/celeryshed_gateway/src/dispatcher_task.rs
+++ b/crates/celeryshed_gateway/src/dispatcher_task.rs
@@ -74,6 +74,9 @@
         unread_tokens: u32,
         outcome: AttemptOutcome,
     },
+    Silent {
+        id: EndpointId,
+    },
     Reset {
         id: EndpointId,
         request: RequestFingerprint,
@@ -138,6 +141,7 @@
             | Self::Cancel(_)
             | Self::Answered { .. }
             | Self::Finish { .. }
+            | Self::Silent { .. }
             | Self::Reset { .. }
             | Self::Probed { .. }
             | Self::Served(_)
@@ -192,6 +196,11 @@
         answer.await.unwrap_or(false)
     }
 
+    /// Reports that an endpoint sends nothing for a request that goes on.
+    pub(crate) fn report_silence(&self, id: &EndpointId) {
+        self.send(DispatcherCommand::Silent { id: id.clone() });
+    }
+
     /// Reports that the connection to an endpoint was reset while it worked on a request, whose
     /// `parts` are given if the answer had not begun. Waits until it is known whether the endpoint
     /// crashed, but not for long.
@@ -565,6 +574,7 @@
             DispatcherCommand::Finish { id, unread_tokens, outcome } => {
                 self.dispatcher.record_end(now, &id, unread_tokens, outcome);
             }
+            DispatcherCommand::Silent { id } => self.dispatcher.record_silence(now, &id),
             DispatcherCommand::Reset { id, request, parts, probed } => {
                 self.dispatcher.quarantine_mut().record_reset(now, &id, request);
                 self.dispatcher.prompt_guard_mut().record_reset(now, &id, &parts);
--- a/crates/celeryshed_gateway/src/request/attempt.rs
+++ b/crates/celeryshed_gateway/src/request/attempt.rs
@@ -65,6 +65,23 @@
     _connection: HttpConnection,
 }
 
+impl OpenStream {
+    /// The next whole events, or `None` at the end of the stream. Dropping the future loses no
+    /// bytes.
+    pub(crate) async fn next_events(&mut self) -> Result<Option<Bytes>, UnknownReason> {
+        while let Some(frame) = self.body.frame().await {
+            let frame = frame.map_err(|_| UnknownReason::Reset)?;
+            let Ok(data) = frame.into_data() else { continue };
+            let complete_events =
+                self.splitter.push(data).map_err(|_exceeded| UnknownReason::Malformed)?;
+            if complete_events.is_some() {
+                return Ok(complete_events);
+            }
+        }
+        if self.splitter.has_partial_event() { Err(UnknownReason::Reset) } else { Ok(None) }
+    }
+}
+
 /// Whether the end of an answer with these headers shows that it is complete. Otherwise, the answer
 /// ends with its connection, also if the endpoint crashes.
 pub(crate) fn is_framed(headers: &HeaderMap) -> bool {
--- /dev/null
+++ b/crates/celeryshed_gateway/src/request/failover.rs
@@ -0,0 +1,151 @@
+//! Finds another endpoint for a request whose endpoint is silent or has failed.
+
+use std::collections::BTreeSet;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use celeryshed_dispatch::{AttemptOutcome, EndpointId, EndpointTarget, RefusalReason};
+use celeryshed_observe::EventLine;
+use tokio::time::Instant;
+
+use crate::context::GatewayContext;
+use crate::dispatcher_task::{PlacementPermit, PlacementVerdict};
+use crate::request::attempt::{AttemptPlan, AttemptReply, OpenStream, send_attempt};
+use crate::request::parse::CallerRequest;
+
+/// Why no other endpoint takes over a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum FailoverObstacle {
+    /// The route allows no further attempt.
+    AttemptsUsed,
+    /// No event with an id has arrived, after which the stream could be resumed.
+    NoEventId,
+    /// A part of the request crashes endpoints.
+    BlockedPart,
+    /// The retry budget is used up.
+    RetryBudget,
+    /// The request was not placed.
+    Refused(RefusalReason),
+    /// The attempt at the other endpoint ended without an answer that can be forwarded.
+    Attempt(AttemptOutcome),
+}
+
+impl FailoverObstacle {
+    /// The obstacle as written to logs and metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Self::AttemptsUsed => "attempts_used",
+            Self::NoEventId => "no_event_id",
+            Self::BlockedPart => "crashes_endpoints",
+            Self::RetryBudget => "retry_budget",
+            Self::Refused(reason) => reason.name(),
+            Self::Attempt(AttemptOutcome::NotRun(_)) => "attempt_not_run",
+            Self::Attempt(_) => "attempt_failed",
+        }
+    }
+
+    /// Logs and counts the obstacle. `endpoint` is the one that still has the request, or had it
+    /// last.
+    pub(crate) fn report(self, request: &CallerRequest, endpoint: &EndpointId) {
+        EventLine::new("failover_failed")
+            .field("id", &request.request_id)
+            .field("endpoint", endpoint)
+            .field("reason", self.name())
+            .info();
+        metrics::counter!("celeryshed_failovers_failed_total", "reason" => self.name())
+            .increment(1);
+    }
+}
+
+/// A slot at an endpoint.
+#[derive(Debug)]
+pub(crate) struct PlacedRequest {
+    pub(crate) target: EndpointTarget,
+    /// Expected time to the first event or the answer.
+    pub(crate) expected: Duration,
+    pub(crate) permit: PlacementPermit,
+}
+
+/// Reserves a slot at an endpoint that is not in `tried`, and counts the retry.
+pub(crate) async fn place_failover(
+    context: &GatewayContext,
+    request: &CallerRequest,
+    tried: BTreeSet<EndpointId>,
+) -> Result<PlacedRequest, FailoverObstacle> {
+    if context.has_blocked(&request.parts) {
+        return Err(FailoverObstacle::BlockedPart);
+    }
+    if !context.dispatcher.try_retry(&request.profile.service).await {
+        return Err(FailoverObstacle::RetryBudget);
+    }
+    match context.dispatcher.place(request.profile.clone(), tried).await {
+        PlacementVerdict::Refused { reason, .. } => Err(FailoverObstacle::Refused(reason)),
+        // The part may have been blocked while the request waited for its endpoint.
+        PlacementVerdict::Placed { .. } if context.has_blocked(&request.parts) => {
+            Err(FailoverObstacle::BlockedPart)
+        }
+        PlacementVerdict::Placed { target, expected, permit } => {
+            Ok(PlacedRequest { target, expected, permit })
+        }
+    }
+}
+
+/// A stream that another endpoint has resumed.
+#[derive(Debug)]
+pub(crate) struct ResumedStream {
+    pub(crate) endpoint: EndpointId,
+    pub(crate) stream: Box<OpenStream>,
+    pub(crate) permit: PlacementPermit,
+}
+
+/// Where and until when a stream may be resumed.
+#[derive(Debug)]
+pub(crate) struct ResumePlan<'a> {
+    pub(crate) context: &'a GatewayContext,
+    pub(crate) request: &'a CallerRequest,
+    /// Endpoints that don't get the stream.
+    pub(crate) tried: BTreeSet<EndpointId>,
+    /// Id of the event after which the stream resumes.
+    pub(crate) last_event: u64,
+    /// When the stream has to be complete.
+    pub(crate) due_at: Instant,
+    /// Set once the request may have been sent.
+    pub(crate) is_sent: &'a AtomicBool,
+}
+
+/// Resumes a stream at another endpoint, and waits for its first event there.
+pub(crate) async fn resume_elsewhere(
+    resume: ResumePlan<'_>,
+) -> Result<ResumedStream, FailoverObstacle> {
+    let ResumePlan { context, request, .. } = resume;
+    let placed = place_failover(context, request, resume.tried).await?;
+    let PlacedRequest { target, expected, mut permit } = placed;
+    resume.is_sent.store(true, Ordering::Relaxed);
+    let sent_at = Instant::now();
+    let plan = AttemptPlan {
+        target: &target,
+        clock: context.clock,
+        decided_at: context.clock.now(),
+        give_up_at: resume.due_at,
+        start_deadline: target.start_deadline,
+        send_deadline: target.send_deadline,
+        last_event: Some(resume.last_event),
+        buffers: &context.buffers,
+        permit: &permit,
+    };
+    let outcome = match send_attempt(&context.headers, request, &plan).await {
+        AttemptReply::Stream(stream) => {
+            permit.answered(expected, sent_at.elapsed());
+            EventLine::new("stream_resumed")
+                .field("id", &request.request_id)
+                .field("endpoint", &target.id)
+                .field("after_event", resume.last_event)
+                .info();
+            return Ok(ResumedStream { endpoint: target.id, stream, permit });
+        }
+        AttemptReply::Whole(_) => AttemptOutcome::Abandoned,
+        AttemptReply::Ended(outcome) => outcome,
+    };
+    permit.finish(outcome);
+    Err(FailoverObstacle::Attempt(outcome))
+}
--- a/crates/celeryshed_gateway/src/request/mod.rs
+++ b/crates/celeryshed_gateway/src/request/mod.rs
@@ -4,6 +4,7 @@
 mod body;
 mod buffer;
 mod events;
+mod failover;
 mod handle;
 mod notice;
 mod parse;
--- a/crates/celeryshed_gateway/src/request/relay.rs
+++ b/crates/celeryshed_gateway/src/request/relay.rs
@@ -1,7 +1,10 @@
-//! Forwards a stream to its caller, and resumes it at another endpoint if it breaks off.
+//! Forwards a stream to its caller, and resumes it at another endpoint if it breaks off or falls
+//! silent. A silent stream is kept until another endpoint has resumed it.
 
 use std::collections::BTreeSet;
+use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,15 +13,15 @@
     AttemptHistory, AttemptOutcome, EndpointId, RetryVerdict, StallLimits, UnknownReason,
 };
 use celeryshed_observe::EventLine;
-use http_body_util::BodyExt;
+use tokio::select;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until};
 
 use crate::context::GatewayContext;
-use crate::dispatcher_task::{PlacementPermit, PlacementVerdict};
-use crate::request::attempt::{AttemptPlan, AttemptReply, OpenStream, is_framed, send_attempt};
+use crate::dispatcher_task::PlacementPermit;
+use crate::request::attempt::{OpenStream, is_framed};
 use crate::request::body::StreamBroken;
-use crate::request::buffer::BufferExceeded;
+use crate::request::failover::{FailoverObstacle, ResumePlan, ResumedStream, resume_elsewhere};
 use crate::request::parse::CallerRequest;
 
 /// Time after its first event in which a stream that breaks off may have crashed its endpoint.
@@ -45,48 +48,55 @@
     Complete,
     CallerDisconnected,
     TimedOut,
-    Broken(UnknownReason),
+    Broken {
+        reason: UnknownReason,
+        /// Whether the break has been logged and reported to the dispatcher.
+        is_reported: bool,
+    },
+}
+
+impl RelayEnd {
+    fn broken(reason: UnknownReason) -> Self {
+        Self::Broken { reason, is_reported: false }
+    }
+}
+
+enum StreamStep {
+    /// The next events, of the same endpoint or of one that has resumed the stream.
+    Events(Bytes),
+    /// The endpoint is silent, and no other one has resumed the stream.
+    Silent(FailoverObstacle),
+    Ended(RelayEnd),
 }
 
 impl StreamRelay {
-    /// Forwards events until the stream is complete, can't be resumed, times out, or the caller
-    /// disconnects.
+    /// Forwards events until the stream is complete, breaks off and can't be resumed, times out, or
+    /// the caller disconnects.
     pub(crate) async fn run(mut self, events: mpsc::Sender<Result<Bytes, StreamBroken>>) {
         if events.send(Ok(std::mem::take(&mut self.stream.first))).await.is_err() {
             return;
         }
         loop {
-            let end = self.forward(&events).await;
-            let reason = match end {
-                RelayEnd::Complete => {
-                    if is_framed(&self.stream.headers) || !self.is_beginning() {
-                        self.context.dispatcher.report_served(self.request.fingerprint);
-                        let parts = &self.request.parts;
-                        self.context.dispatcher.report_parts_answered(parts, self.begun_at);
-                    } else {
-                        let (request, parts) =
-                            (self.request.fingerprint, self.request.parts.clone());
-                        drop(self.context.dispatcher.report_end(&self.endpoint, request, parts));
-                    }
-                    self.permit.finish(AttemptOutcome::Served);
-                    return;
-                }
+            let (reason, is_reported) = match self.forward(&events).await {
+                RelayEnd::Complete => return self.finish(),
                 RelayEnd::CallerDisconnected => return,
                 RelayEnd::TimedOut => {
                     self.log("stream_timed_out");
                     let _ = events.send(Err(StreamBroken)).await;
                     return;
                 }
-                RelayEnd::Broken(reason) => reason,
+                RelayEnd::Broken { reason, is_reported } => (reason, is_reported),
             };
-            self.log("stream_broken");
-            if reason == UnknownReason::Reset {
+            if !is_reported {
+                self.log("stream_broken");
+            }
+            if reason == UnknownReason::Reset && !is_reported {
                 let parts =
                     if self.is_beginning() { self.request.parts.clone() } else { Arc::default() };
                 let request = self.request.fingerprint;
                 self.context.dispatcher.report_reset(&self.endpoint, request, parts).await;
             }
-            let resumed = tokio::select! {
+            let resumed = select! {
                 resumed = self.resume(reason) => resumed,
                 () = events.closed() => return,
             };
@@ -104,40 +114,58 @@
         }
     }
 
+    /// Reports the end of a complete stream.
+    fn finish(self) {
+        let (request, parts) = (self.request.fingerprint, &self.request.parts);
+        if is_framed(&self.stream.headers) || !self.is_beginning() {
+            self.context.dispatcher.report_served(request);
+            self.context.dispatcher.report_parts_answered(parts, self.begun_at);
+        } else {
+            drop(self.context.dispatcher.report_end(&self.endpoint, request, parts.clone()));
+        }
+        self.permit.finish(AttemptOutcome::Served);
+    }
+
     async fn forward(&mut self, events: &mpsc::Sender<Result<Bytes, StreamBroken>>) -> RelayEnd {
-        let mut stalled_at = self.stalled_at();
+        let due_at = self.due_at;
+        let mut patience = StallLimits::from(&self.request.route).resume_after;
+        let mut stalled_at = Instant::now() + patience;
         let mut is_reported = false;
         loop {
-            let frame_deadline = stalled_at.min(self.due_at);
-            let frame = tokio::select! {
-                frame = timeout_at(frame_deadline, self.stream.body.frame()) => frame,
+            let next = select! {
+                biased;
+                next = self.stream.next_events() => match next {
+                    Ok(Some(complete_events)) => StreamStep::Events(complete_events),
+                    Ok(None) => return RelayEnd::Complete,
+                    Err(reason) => return RelayEnd::broken(reason),
+                },
                 () = events.closed() => return RelayEnd::CallerDisconnected,
-            };
-            let data = match frame {
-                Err(_elapsed) if Instant::now() >= self.due_at => return RelayEnd::TimedOut,
-                Err(_elapsed) => return RelayEnd::Broken(UnknownReason::Silent),
-                Ok(Some(Err(_))) => return RelayEnd::Broken(UnknownReason::Reset),
-                Ok(None) if self.stream.splitter.has_partial_event() => {
-                    return RelayEnd::Broken(UnknownReason::Reset);
+                () = sleep_until(stalled_at.min(due_at)) => {
+                    if Instant::now() >= due_at {
+                        return RelayEnd::TimedOut;
+                    }
+                    self.context.dispatcher.report_silence(&self.endpoint);
+                    select! {
+                        end = self.search() => end,
+                        () = events.closed() => return RelayEnd::CallerDisconnected,
+                        () = sleep_until(due_at) => return RelayEnd::TimedOut,
+                    }
                 }
-                Ok(None) => return RelayEnd::Complete,
-                Ok(Some(Ok(frame))) => frame.into_data(),
             };
-            let Ok(data) = data else { continue };
-            let complete_events = match self.stream.splitter.push(data) {
-                Ok(Some(complete_events)) => complete_events,
-                // Bytes that complete no event are no progress.
-                Ok(None) if Instant::now() >= self.due_at => return RelayEnd::TimedOut,
-                Ok(None) if Instant::now() >= stalled_at => {
-                    return RelayEnd::Broken(UnknownReason::Silent);
+            match next {
+                StreamStep::Events(complete_events) => {
+                    if events.send(Ok(complete_events)).await.is_err() {
+                        return RelayEnd::CallerDisconnected;
+                    }
+                    patience = StallLimits::from(&self.request.route).resume_after;
                 }
-                Ok(None) => continue,
-                Err(BufferExceeded) => return RelayEnd::Broken(UnknownReason::Malformed),
-            };
-            if events.send(Ok(complete_events)).await.is_err() {
-                return RelayEnd::CallerDisconnected;
+                StreamStep::Silent(obstacle) => {
+                    obstacle.report(&self.request, &self.endpoint);
+                    patience *= 2;
+                }
+                StreamStep::Ended(end) => return end,
             }
-            stalled_at = self.stalled_at();
+            stalled_at = Instant::now() + patience;
             if !is_reported && !self.is_beginning() {
                 is_reported = true;
                 let parts = &self.request.parts;
@@ -152,85 +180,129 @@
         self.context.clock.now() - self.begun_at < BEGINNING_TIME
     }
 
-    /// When the stream is resumed elsewhere unless a whole event has arrived.
-    fn stalled_at(&self) -> Instant {
+    /// Asks another endpoint to resume the stream while the silent endpoint may still go on.
+    /// Whichever sends the next whole event keeps the stream.
+    async fn search(&mut self) -> StreamStep {
         let route = &self.request.route;
-        let may_resume = route.kind.is_retryable()
-            && self.stream.splitter.last_id().is_some()
-            && self.history.may_have_run + 1 < route.max_attempts;
+        let may_resume =
+            route.kind.is_retryable() && self.history.may_have_run + 1 < route.max_attempts;
         if !may_resume {
-            return self.due_at;
+            return StreamStep::Silent(FailoverObstacle::AttemptsUsed);
+        }
+        let Some(last_event) = self.stream.splitter.last_id() else {
+            return StreamStep::Silent(FailoverObstacle::NoEventId);
+        };
+        let is_sent = AtomicBool::new(false);
+        let mut tried = self.tried.clone();
+        tried.insert(self.endpoint.clone());
+        let mut broken = None;
+        let resumed = {
+            let mut resuming = pin!(resume_elsewhere(ResumePlan {
+                context: &self.context,
+                request: &self.request,
+                tried,
+                last_event,
+                due_at: self.due_at,
+                is_sent: &is_sent,
+            }));
+            loop {
+                select! {
+                    biased;
+                    next = self.stream.next_events(), if broken.is_none() => {
+                        let is_sent = is_sent.load(Ordering::Relaxed);
+                        match next {
+                            Err(reason) if is_sent => {
+                                self.log("stream_broken");
+                                if reason == UnknownReason::Reset {
+                                    let request = self.request.fingerprint;
+                                    let dispatcher = &self.context.dispatcher;
+                                    let parts = Arc::default();
+                                    drop(dispatcher.report_end(&self.endpoint, request, parts));
+                                }
+                                broken = Some(reason);
+                            }
+                            Err(reason) => return StreamStep::Ended(RelayEnd::broken(reason)),
+                            Ok(next) => {
+                                self.history.may_have_run += u32::from(is_sent);
+                                return match next {
+                                    Some(complete_events) => StreamStep::Events(complete_events),
+                                    None => StreamStep::Ended(RelayEnd::Complete),
+                                };
+                            }
+                        }
+                    }
+                    resumed = &mut resuming => break resumed,
+                }
+            }
+        };
+        match resumed {
+            Ok(resumed) => StreamStep::Events(self.switch_to(resumed, broken)),
+            Err(obstacle) => {
+                if let FailoverObstacle::Attempt(outcome) = obstacle {
+                    let route = &self.request.route;
+                    self.history.record(route.kind, route.max_attempts, outcome);
+                }
+                match broken {
+                    Some(reason) => {
+                        StreamStep::Ended(RelayEnd::Broken { reason, is_reported: true })
+                    }
+                    None => StreamStep::Silent(obstacle),
+                }
+            }
         }
-        Instant::now() + StallLimits::from(route).resume_after
     }
 
-    /// Resumes the stream at another endpoint; `None` if no event with an id has arrived, the route
-    /// or the retry budget allows no retry, or no endpoint accepts the stream.
+    /// Goes on with the stream of another endpoint, and returns its first events. The connection to
+    /// the former endpoint is closed.
+    fn switch_to(&mut self, resumed: ResumedStream, broken: Option<UnknownReason>) -> Bytes {
+        let outcome = broken.map_or(AttemptOutcome::Abandoned, AttemptOutcome::Unknown);
+        let route = &self.request.route;
+        self.history.record(route.kind, route.max_attempts, outcome);
+        let former = std::mem::replace(&mut self.endpoint, resumed.endpoint);
+        self.tried.insert(former);
+        std::mem::replace(&mut self.permit, resumed.permit).finish(outcome);
+        self.stream = resumed.stream;
+        self.begun_at = self.context.clock.now();
+        std::mem::take(&mut self.stream.first)
+    }
+
+    /// Resumes a broken stream at another endpoint; `None` if no event with an id has arrived, the
+    /// route or the retry budget allows no retry, or no endpoint accepts the stream.
     async fn resume(mut self, reason: UnknownReason) -> Option<Self> {
         let outcome = AttemptOutcome::Unknown(reason);
-        let verdict =
-            self.history.record(self.request.route.kind, self.request.route.max_attempts, outcome);
+        let route = &self.request.route;
+        let verdict = self.history.record(route.kind, route.max_attempts, outcome);
         self.permit.finish(outcome);
         // Closes the connection to the failed endpoint before the endpoint that resumes the stream
         // starts to work.
         let last_event = self.stream.splitter.last_id();
         drop(self.stream);
-        if !matches!(verdict, RetryVerdict::SendAgain { .. }) || last_event.is_none() {
-            return None;
-        }
-        let context = self.context;
-        if context.has_blocked(&self.request.parts) {
-            return None;
-        }
-        if !context.dispatcher.try_retry(&self.request.profile.service).await {
-            return None;
-        }
-        self.tried.insert(self.endpoint);
-        let profile = self.request.profile.clone();
-        let verdict = context.dispatcher.place(profile, self.tried.clone()).await;
-        let PlacementVerdict::Placed { target, expected, mut permit } = verdict else {
-            return None;
-        };
-        if context.has_blocked(&self.request.parts) {
-            return None;
-        }
-        let sent_at = Instant::now();
-        let plan = AttemptPlan {
-            target: &target,
-            clock: context.clock,
-            decided_at: context.clock.now(),
-            give_up_at: self.due_at,
-            start_deadline: target.start_deadline,
-            send_deadline: target.send_deadline,
-            last_event,
-            buffers: &context.buffers,
-            permit: &permit,
-        };
-        let reply = send_attempt(&context.headers, &self.request, &plan).await;
-        let AttemptReply::Stream(stream) = reply else {
-            if let AttemptReply::Ended(outcome) = reply {
-                permit.finish(outcome);
+        self.tried.insert(self.endpoint.clone());
+        let resumed = match (verdict, last_event) {
+            (RetryVerdict::SendAgain { .. }, Some(last_event)) => {
+                resume_elsewhere(ResumePlan {
+                    context: &self.context,
+                    request: &self.request,
+                    tried: self.tried.clone(),
+                    last_event,
+                    due_at: self.due_at,
+                    is_sent: &AtomicBool::new(false),
+                })
+                .await
             }
-            return None;
+            (RetryVerdict::SendAgain { .. }, None) => Err(FailoverObstacle::NoEventId),
+            _ => Err(FailoverObstacle::AttemptsUsed),
         };
-        permit.answered(expected, sent_at.elapsed());
-        EventLine::new("stream_resumed")
-            .field("id", &self.request.request_id)
-            .field("endpoint", &target.id)
-            .field("after_event", last_event.unwrap_or_default())
-            .info();
-        let begun_at = context.clock.now();
-        Some(Self {
-            context,
-            begun_at,
-            request: self.request,
-            stream,
-            permit,
-            endpoint: target.id,
-            history: self.history,
-            tried: self.tried,
-            due_at: self.due_at,
-        })
+        match resumed {
+            Ok(ResumedStream { endpoint, stream, permit }) => {
+                let begun_at = self.context.clock.now();
+                Some(Self { endpoint, stream, permit, begun_at, ..self })
+            }
+            Err(obstacle) => {
+                obstacle.report(&self.request, &self.endpoint);
+                None
+            }
+        }
     }
 
     fn log(&self, event: &str) {
--- a/crates/celeryshed_gateway/tests/support/mod.rs
+++ b/crates/celeryshed_gateway/tests/support/mod.rs
@@ -160,16 +160,33 @@
         version_deadline: Duration,
         clock: ClockSource,
     ) -> Self {
-        let address_byte = NEXT_ADDRESS_BYTE.fetch_add(1, Ordering::Relaxed);
-        let pid = std::process::id();
-        let ip = format!("127.{}.{}.{}", 1 + pid % 250, 1 + (pid / 250) % 250, address_byte);
-        let address = |port: u16| format!("{ip}:{port}").parse().unwrap();
-        let zone = AvailabilityZone::try_from("north-a").unwrap();
         let budget = BudgetLimits {
             retry_percent: 20,
             retry_allowance: 100,
             window: Duration::from_secs(10),
         };
+        Self::start_with_limits(store, version_deadline, clock, budget).await
+    }
+
+    /// Starts an entry on the given store whose retry budget is empty.
+    pub(crate) async fn start_without_retries(store: Arc<FakeStore>) -> Self {
+        let budget =
+            BudgetLimits { retry_percent: 0, retry_allowance: 0, window: Duration::from_secs(10) };
+        let clock = ClockSource::start();
+        Self::start_with_limits(store, Duration::from_secs(8), clock, budget).await
+    }
+
+    async fn start_with_limits(
+        store: Arc<FakeStore>,
+        version_deadline: Duration,
+        clock: ClockSource,
+        budget: BudgetLimits,
+    ) -> Self {
+        let address_byte = NEXT_ADDRESS_BYTE.fetch_add(1, Ordering::Relaxed);
+        let pid = std::process::id();
+        let ip = format!("127.{}.{}.{}", 1 + pid % 250, 1 + (pid / 250) % 250, address_byte);
+        let address = |port: u16| format!("{ip}:{port}").parse().unwrap();
+        let zone = AvailabilityZone::try_from("north-a").unwrap();
         let versions = VersionDeadlines {
             after_declaration: version_deadline,
             after_start: Duration::from_secs(3),
