--- a/crates/celeryshed_gateway/src/request/mod.rs
+++ b/crates/celeryshed_gateway/src/request/mod.rs
@@ -4,9 +4,11 @@
 mod body;
 mod buffer;
 mod events;
+mod failover;
 mod handle;
 mod notice;
 mod parse;
+mod placed;
 mod relay;
 mod replies;
 
