Add positions of a log whose store may be restored

Offsets alone are no order once the platform's store comes back from an older copy and gives out offsets again. LogPosition orders records by the era of the store first, and its encoded form is one integer in the same order that equals the offset in the first era. Nothing uses it yet; no change in behavior.

--- a/crates/celeryshed_base/src/lib.rs
+++ b/crates/celeryshed_base/src/lib.rs
@@ -8,6 +8,7 @@
 mod digest;
 mod ids;
 mod names;
+mod position;
 mod units;
 
 pub use clock::{ClockSource, MonoTime, UnixMillis};
@@ -17,4 +18,5 @@
     AdapterName, AvailabilityZone, InstanceName, ModelName, NameError, RegionName, ServiceName,
     TeamName, VersionName,
 };
+pub use position::{LogPosition, PositionError, StoreEra};
 pub use units::{ByteCount, ConfigRevision, FenceNumber, LogOffset, TokenCount, TokenRate};
--- a/crates/celeryshed_base/src/units.rs
+++ b/crates/celeryshed_base/src/units.rs
@@ -46,7 +46,7 @@
     ConfigRevision
 );
 unit!(
-    /// Position of a record in one stream of the log, from 0.
+    /// Offset of a record in one stream of the log, from 0.
     LogOffset
 );
 unit!(
