Order control records by position instead of offset

Control records, batch ends, relayed messages, queries, records of the directory and the change positions of keys are LogPositions now, so that a plain offset doesn't compile where an order is meant. Log lines name the field position. Tests of peering, adapter and dispatch pass unchanged but for the type.

--- a/crates/celeryshed_dispatch/src/directory.rs
+++ b/crates/celeryshed_dispatch/src/directory.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use celeryshed_base::{LogOffset, MonoTime, common_derives};
+use celeryshed_base::{LogPosition, MonoTime, common_derives};
 
 use crate::endpoint::{EndpointId, ListedEndpoint};
 
@@ -16,7 +16,7 @@
         /// The endpoint that the record is about.
         pub id: EndpointId,
         /// Position of the record in the log.
-        pub offset: LogOffset,
+        pub position: LogPosition,
         /// State of the endpoint; `None` if it was removed or its record is unusable.
         pub endpoint: Option<ListedEndpoint>,
     }
@@ -24,7 +24,7 @@
 
 #[derive(Clone, Debug)]
 struct StoredRecord {
-    offset: LogOffset,
+    position: LogPosition,
     endpoint: Option<ListedEndpoint>,
     /// When the removal takes effect unless the endpoint registers again; `None` without a removal.
     removal_at: Option<MonoTime>,
@@ -62,19 +62,19 @@
 
     /// Applies a record, and returns whether it is newer than the stored one of the same endpoint.
     pub fn apply(&mut self, now: MonoTime, record: DirectoryRecord) -> bool {
-        let DirectoryRecord { id, offset, endpoint } = record;
+        let DirectoryRecord { id, position, endpoint } = record;
         let endpoint = endpoint.filter(|endpoint| !self.is_superseded(endpoint));
         let stored = self.records.get(&id);
-        if stored.is_some_and(|stored| stored.offset >= offset) {
+        if stored.is_some_and(|stored| stored.position >= position) {
             return false;
         }
         let known = stored.and_then(|stored| stored.endpoint.clone());
         let grace = self.recovered_at.map(|at| at + REGISTRATION_GRACE).filter(|due| *due > now);
         let record = match (endpoint, known, grace) {
             (None, Some(known), Some(due)) => {
-                StoredRecord { offset, endpoint: Some(known), removal_at: Some(due) }
+                StoredRecord { position, endpoint: Some(known), removal_at: Some(due) }
             }
-            (endpoint, _, _) => StoredRecord { offset, endpoint, removal_at: None },
+            (endpoint, _, _) => StoredRecord { position, endpoint, removal_at: None },
         };
         if let Some(endpoint) = &record.endpoint {
             self.remove_predecessors(&endpoint.address, endpoint.started_at_ms);
--- a/crates/celeryshed_dispatch/tests/support/mod.rs
+++ b/crates/celeryshed_dispatch/tests/support/mod.rs
@@ -5,7 +5,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use celeryshed_base::{AvailabilityZone, LogOffset, ModelName, MonoTime, RegionName, ServiceName};
+use celeryshed_base::{
+    AvailabilityZone, LogOffset, LogPosition, ModelName, MonoTime, RegionName, ServiceName,
+    StoreEra,
+};
 use celeryshed_dispatch::*;
 
 pub(crate) const MODEL: &str = "letters";
@@ -91,7 +94,8 @@
 }
 
 pub(crate) fn record(id: &str, offset: u64, endpoint: Option<ListedEndpoint>) -> DirectoryRecord {
-    DirectoryRecord { id: EndpointId::from(id), offset: LogOffset(offset), endpoint }
+    let position = LogPosition::new(StoreEra::default(), LogOffset(offset)).unwrap();
+    DirectoryRecord { id: EndpointId::from(id), position, endpoint }
 }
 
 /// Adds an endpoint to the dispatcher's directory with a record at `offset`.
--- a/crates/celeryshed_gateway/tests/support/store.rs
+++ b/crates/celeryshed_gateway/tests/support/store.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use celeryshed_base::{AvailabilityZone, LogOffset};
+use celeryshed_base::{AvailabilityZone, LogOffset, LogPosition, StoreEra};
 use celeryshed_dispatch::{EndpointState, ListedEndpoint, RoutingSnapshot};
 use celeryshed_peering::{
     ControlBatch, ControlRecord, ControlStore, ControlStream, DecodeError, OperatorRecord,
@@ -17,6 +17,11 @@
 
 use super::{ScriptedEndpoint, service};
 
+/// Position of an offset before any restore of the store.
+fn at(offset: u64) -> LogPosition {
+    LogPosition::new(StoreEra::default(), LogOffset(offset)).unwrap()
+}
+
 #[derive(Default)]
 struct StoredRecords {
     operator: Vec<ControlRecord>,
@@ -41,9 +46,9 @@
         let mut records = self.records.lock().unwrap();
         let name = format!("configuration-{}", snapshot.revision);
         records.snapshots.insert(name.clone(), snapshot);
-        let offset = LogOffset(records.operator.len() as u64);
+        let position = at(records.operator.len() as u64);
         let value = Some(Bytes::from(name));
-        records.operator.push(ControlRecord { key: "configuration".to_owned(), offset, value });
+        records.operator.push(ControlRecord { key: "configuration".to_owned(), position, value });
         self.changed.notify_waiters();
     }
 
@@ -76,9 +81,9 @@
         let mut records = self.records.lock().unwrap();
         let name = format!("{}-{state:?}", endpoint.id);
         records.listed.insert(name.clone(), listed);
-        let offset = LogOffset(records.endpoints.len() as u64);
+        let position = at(records.endpoints.len() as u64);
         let value = Some(Bytes::from(name));
-        records.endpoints.push(ControlRecord { key: endpoint.id.clone(), offset, value });
+        records.endpoints.push(ControlRecord { key: endpoint.id.clone(), position, value });
     }
 
     /// Lists an endpoint as ready, with the version of a model that it serves.
@@ -95,17 +100,17 @@
         let mut records = self.records.lock().unwrap();
         let name = format!("version-{model}-{version}");
         records.versions.insert(name.clone(), (model.to_owned(), version));
-        let offset = LogOffset(records.operator.len() as u64);
+        let position = at(records.operator.len() as u64);
         let value = Some(Bytes::from(name));
-        records.operator.push(ControlRecord { key: format!("version-{model}"), offset, value });
+        records.operator.push(ControlRecord { key: format!("version-{model}"), position, value });
         self.changed.notify_waiters();
     }
 
     /// Removes an endpoint from the list.
     pub(crate) fn remove(&self, endpoint: &ScriptedEndpoint) {
         let mut records = self.records.lock().unwrap();
-        let offset = LogOffset(records.endpoints.len() as u64);
-        records.endpoints.push(ControlRecord { key: endpoint.id.clone(), offset, value: None });
+        let position = at(records.endpoints.len() as u64);
+        records.endpoints.push(ControlRecord { key: endpoint.id.clone(), position, value: None });
     }
 
     /// Sets whether all calls are refused from now on.
@@ -113,14 +118,14 @@
         self.failing.store(failing, Ordering::Relaxed);
     }
 
-    fn batch(&self, stream: ControlStream, from: LogOffset) -> ControlBatch {
+    fn batch(&self, stream: ControlStream, from: LogPosition) -> ControlBatch {
         let records = self.records.lock().unwrap();
         let all = match stream {
             ControlStream::Operator => &records.operator,
             ControlStream::Endpoints => &records.endpoints,
         };
-        let end = LogOffset(all.len() as u64);
-        let records = all.iter().filter(|record| record.offset >= from).cloned().collect();
+        let end = at(all.len() as u64);
+        let records = all.iter().filter(|record| record.position >= from).cloned().collect();
         ControlBatch { records, end, is_snapshot: false }
     }
 
@@ -135,7 +140,7 @@
 impl ControlStore for FakeStore {
     async fn newest(&self, stream: ControlStream) -> Result<ControlBatch, StoreError> {
         self.check()?;
-        let mut batch = self.batch(stream, LogOffset(0));
+        let mut batch = self.batch(stream, at(0));
         batch.is_snapshot = true;
         let mut newest = BTreeMap::new();
         for record in batch.records {
@@ -148,7 +153,7 @@
     async fn read(
         &self,
         stream: ControlStream,
-        from: LogOffset,
+        from: LogPosition,
         wait: Duration,
     ) -> Result<ReadOutcome, StoreError> {
         let changed = self.changed.notified();
--- a/crates/celeryshed_measure/src/overload/entry.rs
+++ b/crates/celeryshed_measure/src/overload/entry.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use celeryshed_base::{AvailabilityZone, LogOffset, MonoTime, RegionName, ServiceName};
+use celeryshed_base::{AvailabilityZone, LogPosition, MonoTime, RegionName, ServiceName};
 use celeryshed_dispatch::{
     AttemptOutcome, BudgetLimits, DirectoryRecord, DispatchDecision, DispatcherSettings,
     EndpointHash, EndpointId, EndpointState, EndpointStatus, EntryDispatcher, ListedEndpoint,
@@ -99,9 +99,9 @@
                 models: BTreeMap::from([(MODEL_NAME.to_owned(), 1)]),
                 started_at_ms: 1,
             };
-            let offset = LogOffset(engine as u64 + 1);
+            let position = LogPosition::default().next();
             let record =
-                DirectoryRecord { id: engine_id(engine), offset, endpoint: Some(endpoint) };
+                DirectoryRecord { id: engine_id(engine), position, endpoint: Some(endpoint) };
             dispatcher.directory_mut().apply(MonoTime::ZERO, record);
         }
         dispatcher.sync_directory(MonoTime::ZERO);
--- a/crates/celeryshed_peering/src/fetch.rs
+++ b/crates/celeryshed_peering/src/fetch.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use celeryshed_base::{LogOffset, common_derives};
+use celeryshed_base::{LogPosition, common_derives};
 use celeryshed_http::{CallTimeouts, HttpClient, HttpError};
 use hyper::{Method, StatusCode};
 use serde_bytes::ByteBuf;
@@ -60,7 +60,7 @@
     /// A [`ControlRecord`] as it is sent to a peer.
     struct FetchedRecord {
         key: String,
-        offset: u64,
+        position: LogPosition,
         value: Option<ByteBuf>,
     }
 
@@ -104,14 +104,14 @@
 impl From<ControlRecord> for FetchedRecord {
     fn from(record: ControlRecord) -> Self {
         let value = record.value.map(|value| ByteBuf::from(value.to_vec()));
-        Self { key: record.key, offset: record.offset.0, value }
+        Self { key: record.key, position: record.position, value }
     }
 }
 
 impl From<FetchedRecord> for ControlRecord {
     fn from(record: FetchedRecord) -> Self {
         let value = record.value.map(|value| Bytes::from(value.into_vec()));
-        Self { key: record.key, offset: LogOffset(record.offset), value }
+        Self { key: record.key, position: record.position, value }
     }
 }
 
@@ -212,12 +212,12 @@
 }
 
 /// Parses a request target such as `/control?operator=4&endpoints=9&scope=weights`; none if the
-/// target has another path or an invalid offset.
+/// target has another path or an invalid position.
 ///
 /// ```
 /// use celeryshed_peering::{ControlScope, parse_control_query};
 /// let query = parse_control_query("/control?operator=4&endpoints=9&scope=weights").unwrap();
-/// assert_eq!(query.position.endpoints.0, 9);
+/// assert_eq!(u64::from(query.position.endpoints), 9);
 /// assert_eq!(query.scope, ControlScope::Weights);
 /// assert!(parse_control_query("/other").is_none());
 /// ```
@@ -231,8 +231,8 @@
     let mut with_ages = false;
     for (key, value) in query.split('&').filter_map(|pair| pair.split_once('=')) {
         match key {
-            "operator" => position.operator = LogOffset(value.parse().ok()?),
-            "endpoints" => position.endpoints = LogOffset(value.parse().ok()?),
+            "operator" => position.operator = parse_position(value)?,
+            "endpoints" => position.endpoints = parse_position(value)?,
             "scope" if value == ControlScope::Weights.name() => scope = ControlScope::Weights,
             "ages" => with_ages = value == "1",
             _ => {}
@@ -241,14 +241,19 @@
     Some(ControlQuery { position, scope, with_ages })
 }
 
+/// Parses an encoded position; none if the text is no integer or encodes none.
+fn parse_position(text: &str) -> Option<LogPosition> {
+    text.parse::<u64>().ok()?.try_into().ok()
+}
+
 /// Sends the query to the peer at `address`.
 pub async fn fetch_control(address: &str, query: ControlQuery) -> Result<ControlReply, FetchError> {
     let client = HttpClient::new(address, "application/msgpack");
     let ControlQuery { position, scope, with_ages } = query;
     let target = format!(
         "{CONTROL_PATH}?operator={}&endpoints={}&scope={}&ages={}",
-        position.operator,
-        position.endpoints,
+        u64::from(position.operator),
+        u64::from(position.endpoints),
         scope.name(),
         u8::from(with_ages)
     );
--- a/crates/celeryshed_peering/src/log.rs
+++ b/crates/celeryshed_peering/src/log.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use celeryshed_base::LogOffset;
+use celeryshed_base::LogPosition;
 use celeryshed_base::common_derives;
 use serde::{Deserialize, Serialize};
 
@@ -11,31 +11,32 @@
 /// Position up to which a process has read each of the two streams.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ControlPosition {
-    /// Offset after the last record read from the stream of operators.
-    pub operator: LogOffset,
-    /// Offset after the last record read from the list of endpoints.
-    pub endpoints: LogOffset,
+    /// Position after the last record read from the stream of operators.
+    pub operator: LogPosition,
+    /// Position after the last record read from the list of endpoints.
+    pub endpoints: LogPosition,
 }
 
 common_derives! { value:
     /// The newest record of each key, for both streams.
     ///
     /// ```
-    /// use celeryshed_base::LogOffset;
+    /// use celeryshed_base::{LogOffset, LogPosition, StoreEra};
     /// use celeryshed_peering::{ControlBatch, ControlLog, ControlRecord, ControlStream};
+    /// let at = |offset| LogPosition::new(StoreEra::default(), LogOffset(offset)).unwrap();
     /// let mut log = ControlLog::default();
-    /// let record = ControlRecord { key: "a".into(), offset: LogOffset(3), value: None };
-    /// let batch = ControlBatch { records: vec![record], end: LogOffset(4), is_snapshot: false };
+    /// let record = ControlRecord { key: "a".into(), position: at(3), value: None };
+    /// let batch = ControlBatch { records: vec![record], end: at(4), is_snapshot: false };
     /// assert_eq!(log.merge(ControlStream::Operator, batch).len(), 1);
-    /// assert_eq!(log.position().operator, LogOffset(4));
+    /// assert_eq!(log.position().operator, at(4));
     /// ```
     #[derive(Default)]
     pub struct ControlLog {
         operator: BTreeMap<String, ControlRecord>,
         endpoints: BTreeMap<String, ControlRecord>,
-        /// Offset at which the content of a key last changed, if known. Most records of endpoints
+        /// Position at which the content of a key last changed, if known. Most records of endpoints
         /// repeat the previous content.
-        changed_at: BTreeMap<(ControlStream, String), LogOffset>,
+        changed_at: BTreeMap<(ControlStream, String), LogPosition>,
         position: ControlPosition,
     }
 }
@@ -46,9 +47,9 @@
         self.position
     }
 
-    /// Merges a batch and returns its new records, ordered by offset.
+    /// Merges a batch and returns its new records, ordered by position.
     ///
-    /// For each key, the record with the highest offset wins, so batches may arrive twice, late or
+    /// For each key, the record with the highest position wins, so batches may arrive twice, late or
     /// from several sources. A snapshot also deletes the keys that it doesn't list, unless their
     /// records are newer than the snapshot.
     pub fn merge(&mut self, stream: ControlStream, batch: ControlBatch) -> Vec<ControlRecord> {
@@ -56,11 +57,11 @@
         if batch.is_snapshot {
             records.extend(self.deletions(stream, &records, batch.end));
         }
-        records.sort_by_key(|record| record.offset);
+        records.sort_by_key(|record| record.position);
         let known = self.stream_mut(stream);
         let mut new_records = Vec::new();
         for record in records {
-            if known.get(&record.key).is_none_or(|old| old.offset < record.offset) {
+            if known.get(&record.key).is_none_or(|old| old.position < record.position) {
                 known.insert(record.key.clone(), record.clone());
                 new_records.push(record);
             }
@@ -73,29 +74,30 @@
         new_records
     }
 
-    /// Sets the offset at which the content of `key` last changed. It is lower than the offset of
+    /// Sets the position at which the content of `key` last changed. It is lower than the position of
     /// the key's newest record if that record repeats earlier content.
     ///
     /// ```
-    /// use celeryshed_base::LogOffset;
+    /// use celeryshed_base::{LogOffset, LogPosition, StoreEra};
     /// use celeryshed_peering::{ControlBatch, ControlLog, ControlRecord, ControlStream};
+    /// let at = |offset| LogPosition::new(StoreEra::default(), LogOffset(offset)).unwrap();
     /// let mut log = ControlLog::default();
-    /// let record = ControlRecord { key: "a".into(), offset: LogOffset(7), value: None };
-    /// let batch = ControlBatch { records: vec![record], end: LogOffset(8), is_snapshot: false };
+    /// let record = ControlRecord { key: "a".into(), position: at(7), value: None };
+    /// let batch = ControlBatch { records: vec![record], end: at(8), is_snapshot: false };
     /// log.merge(ControlStream::Endpoints, batch);
-    /// log.set_changed_at(ControlStream::Endpoints, "a", LogOffset(2));
-    /// assert!(log.changed_since(ControlStream::Endpoints, LogOffset(3)).records.is_empty());
+    /// log.set_changed_at(ControlStream::Endpoints, "a", at(2));
+    /// assert!(log.changed_since(ControlStream::Endpoints, at(3)).records.is_empty());
     /// ```
-    pub fn set_changed_at(&mut self, stream: ControlStream, key: &str, offset: LogOffset) {
-        self.changed_at.insert((stream, key.to_owned()), offset);
+    pub fn set_changed_at(&mut self, stream: ControlStream, key: &str, position: LogPosition) {
+        self.changed_at.insert((stream, key.to_owned()), position);
     }
 
-    /// The newest record of each key whose content changed at the offset `from` or later.
-    pub fn changed_since(&self, stream: ControlStream, from: LogOffset) -> ControlBatch {
+    /// The newest record of each key whose content changed at the position `from` or later.
+    pub fn changed_since(&self, stream: ControlStream, from: LogPosition) -> ControlBatch {
         let known = self.stream(stream);
         let changed = |record: &&ControlRecord| {
             let changed_at = self.changed_at.get(&(stream, record.key.clone()));
-            *changed_at.unwrap_or(&record.offset) >= from
+            *changed_at.unwrap_or(&record.position) >= from
         };
         let records = known.values().filter(changed).cloned().collect();
         let end = match stream {
@@ -115,16 +117,16 @@
         &self,
         stream: ControlStream,
         listed: &[ControlRecord],
-        end: LogOffset,
+        end: LogPosition,
     ) -> Vec<ControlRecord> {
         let known = self.stream(stream).values();
         known
-            .filter(|record| record.value.is_some() && record.offset < end)
+            .filter(|record| record.value.is_some() && record.position < end)
             .filter(|record| !listed.iter().any(|other| other.key == record.key))
             .map(|record| ControlRecord {
                 key: record.key.clone(),
                 // Later than the record to delete, and earlier than the records after the snapshot.
-                offset: record.offset.next(),
+                position: record.position.next(),
                 value: None,
             })
             .collect()
--- a/crates/celeryshed_peering/src/record.rs
+++ b/crates/celeryshed_peering/src/record.rs
@@ -1,7 +1,7 @@
 //! Records of the platform's store.
 
 use bytes::Bytes;
-use celeryshed_base::{LogOffset, common_derives};
+use celeryshed_base::{LogPosition, common_derives};
 use celeryshed_dispatch::RoutingSnapshot;
 
 common_derives! { index:
@@ -19,8 +19,8 @@
     pub struct ControlRecord {
         /// Key within the stream.
         pub key: String,
-        /// Offset in the stream's log.
-        pub offset: LogOffset,
+        /// Position in the stream's log.
+        pub position: LogPosition,
         /// Undecoded value; none if the key was deleted.
         pub value: Option<Bytes>,
     }
@@ -29,8 +29,8 @@
     pub struct ControlBatch {
         /// Records in any order.
         pub records: Vec<ControlRecord>,
-        /// Offset after the last record that the batch covers.
-        pub end: LogOffset,
+        /// Position after the last record that the batch covers.
+        pub end: LogPosition,
         /// Whether `records` holds the newest record of every key; keys left out were deleted.
         pub is_snapshot: bool,
     }
--- a/crates/celeryshed_peering/src/store.rs
+++ b/crates/celeryshed_peering/src/store.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use celeryshed_base::LogOffset;
+use celeryshed_base::LogPosition;
 use celeryshed_dispatch::ListedEndpoint;
 
 use crate::record::{ControlBatch, ControlStream, OperatorRecord};
@@ -41,9 +41,9 @@
 /// Result of a successful call of [`ControlStore::read`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ReadOutcome {
-    /// Records from the requested offset on; may be empty.
+    /// Records from the requested position on; may be empty.
     Records(ControlBatch),
-    /// The store no longer keeps records at the requested offset; the caller has to start over
+    /// The store no longer keeps records at the requested position; the caller has to start over
     /// with [`ControlStore::newest`].
     Truncated,
 }
@@ -56,11 +56,11 @@
         stream: ControlStream,
     ) -> impl Future<Output = Result<ControlBatch, StoreError>> + Send;
 
-    /// Reads the records from the offset `from` on; waits up to `wait` if there is none yet.
+    /// Reads the records from the position `from` on; waits up to `wait` if there is none yet.
     fn read(
         &self,
         stream: ControlStream,
-        from: LogOffset,
+        from: LogPosition,
         wait: Duration,
     ) -> impl Future<Output = Result<ReadOutcome, StoreError>> + Send;
 }
--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use celeryshed_base::{ClockSource, LogOffset, MonoTime, common_derives};
+use celeryshed_base::{ClockSource, LogPosition, MonoTime, common_derives};
 use celeryshed_dispatch::{DirectoryRecord, EndpointId, ListedEndpoint, RoutingSnapshot};
 use celeryshed_observe::EventLine;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
@@ -145,7 +145,7 @@
 
     /// Whether the process has read any operator record.
     pub fn has_operator_records(&self) -> bool {
-        self.position().operator > LogOffset::default()
+        !self.position().operator.is_start()
     }
 
     /// Fetches the records that this process lacks from a peer whose position may be unknown.
@@ -206,8 +206,8 @@
 struct KnownServices {
     /// Key of the configuration's record; none if a peer sent the services.
     key: Option<String>,
-    /// Offset of the record with which the services last changed.
-    changed_at: LogOffset,
+    /// Position of the record with which the services last changed.
+    changed_at: LogPosition,
     catalog: ServiceCatalog,
 }
 
@@ -270,8 +270,8 @@
     events: mpsc::UnboundedSender<ControlEvent>,
     position: watch::Sender<ControlPosition>,
     inputs: mpsc::UnboundedSender<ControlInput>,
-    /// The endpoint last emitted for each key, with the offset of its last change.
-    endpoints: BTreeMap<String, (LogOffset, Option<ListedEndpoint>)>,
+    /// The endpoint last emitted for each key, with the position of its last change.
+    endpoints: BTreeMap<String, (LogPosition, Option<ListedEndpoint>)>,
     services: Option<KnownServices>,
     revision: Option<celeryshed_base::ConfigRevision>,
     /// When the known list of endpoints was read from the store, by this process or a peer.
@@ -367,7 +367,7 @@
     fn merge(&mut self, stream: ControlStream, batch: ControlBatch, source: &RecordSource) {
         // A peer without records replies with an empty batch. The first records that arrive after
         // such a batch may be old too, so the position decides and not the number of batches.
-        let initial = self.log.position().operator == LogOffset::default();
+        let initial = self.log.position().operator.is_start();
         for record in self.log.merge(stream, batch) {
             match stream {
                 ControlStream::Operator => self.apply_operator_record(&record, initial, source),
@@ -388,7 +388,7 @@
             Ok(OperatorRecord::Configuration(snapshot)) => {
                 let line = EventLine::new("configuration_read")
                     .field("revision", snapshot.revision)
-                    .field("offset", record.offset);
+                    .field("position", record.position);
                 if self.revision.is_some_and(|revision| snapshot.revision <= revision) {
                     line.field("outcome", "older_than_in_force").warn();
                     return;
@@ -396,7 +396,7 @@
                 line.field("outcome", "in_force").info();
                 self.revision = Some(snapshot.revision);
                 let catalog = ServiceCatalog::from(&*snapshot);
-                self.set_services(Some(&record.key), record.offset, catalog);
+                self.set_services(Some(&record.key), record.position, catalog);
                 self.emit(ControlEvent::Configuration(Arc::from(snapshot)));
             }
             Ok(OperatorRecord::ModelVersion { model, version }) => {
@@ -406,7 +406,7 @@
                 EventLine::new("version_declared")
                     .field("model", &model)
                     .field("version", version)
-                    .field("offset", record.offset)
+                    .field("position", record.position)
                     .field("age", format_args!("{age:?}"))
                     .field("source", source.name())
                     .info();
@@ -415,28 +415,28 @@
             Ok(OperatorRecord::Other) => {}
             Err(error) => {
                 EventLine::new("record_unusable")
-                    .field("offset", record.offset)
+                    .field("position", record.position)
                     .field("error", error)
                     .warn();
             }
         }
     }
 
-    /// Applies the services sent by a peer that has read the operators' records up to `offset`.
-    fn apply_services(&mut self, offset: LogOffset, catalog: ServiceCatalog) {
+    /// Applies the services sent by a peer that has read the operators' records up to `position`.
+    fn apply_services(&mut self, position: LogPosition, catalog: ServiceCatalog) {
         let revision = catalog.revision();
         if self.revision.is_some_and(|known| revision <= known) {
             return;
         }
         EventLine::new("services_learnt").field("revision", revision).info();
         self.revision = Some(revision);
-        self.set_services(None, offset, catalog.clone());
+        self.set_services(None, position, catalog.clone());
         self.emit(ControlEvent::Configuration(Arc::new(catalog.into())));
     }
 
-    fn set_services(&mut self, key: Option<&str>, offset: LogOffset, catalog: ServiceCatalog) {
+    fn set_services(&mut self, key: Option<&str>, position: LogPosition, catalog: ServiceCatalog) {
         let same = self.services.as_ref().filter(|known| known.catalog.has_same_services(&catalog));
-        let changed_at = same.map_or(offset, |known| known.changed_at);
+        let changed_at = same.map_or(position, |known| known.changed_at);
         let key = key.map(str::to_owned);
         self.services = Some(KnownServices { key, changed_at, catalog });
     }
@@ -448,7 +448,7 @@
             Some(Ok(endpoint)) => Some(endpoint),
             Some(Err(error)) => {
                 EventLine::new("record_unusable")
-                    .field("offset", record.offset)
+                    .field("position", record.position)
                     .field("error", error)
                     .warn();
                 None
@@ -463,10 +463,14 @@
             self.log.set_changed_at(ControlStream::Endpoints, &record.key, *changed_at);
             return;
         }
-        self.endpoints.insert(record.key.clone(), (record.offset, endpoint.clone()));
-        self.log.set_changed_at(ControlStream::Endpoints, &record.key, record.offset);
+        self.endpoints.insert(record.key.clone(), (record.position, endpoint.clone()));
+        self.log.set_changed_at(ControlStream::Endpoints, &record.key, record.position);
         let id = EndpointId::from(record.key.as_str());
-        self.emit(ControlEvent::Endpoint(DirectoryRecord { id, offset: record.offset, endpoint }));
+        self.emit(ControlEvent::Endpoint(DirectoryRecord {
+            id,
+            position: record.position,
+            endpoint,
+        }));
     }
 
     fn store_answered(&mut self) {
@@ -567,12 +571,12 @@
     async fn run(mut self) {
         let keeps_reading = self.settings.scope == ControlScope::Everything;
         if !keeps_reading && self.stream == ControlStream::Operator {
-            let arrival = self.position.wait_for(|known| known.operator > LogOffset::default());
+            let arrival = self.position.wait_for(|known| !known.operator.is_start());
             if timeout(OPERATOR_FALLBACK_DELAY, arrival).await.is_ok() {
                 return;
             }
         }
-        let mut position: Option<LogOffset> = None;
+        let mut position: Option<LogPosition> = None;
         // After a failure, the first read doesn't wait for new records: its answer shows that none
         // is missing.
         let mut is_verifying = false;
--- a/crates/celeryshed_peering/tests/control.rs
+++ b/crates/celeryshed_peering/tests/control.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use celeryshed_base::{AvailabilityZone, ConfigRevision, LogOffset, ServiceName};
+use celeryshed_base::{
+    AvailabilityZone, ConfigRevision, LogOffset, LogPosition, ServiceName, StoreEra,
+};
 use celeryshed_dispatch::{
     EndpointState, EngineProfile, ListedEndpoint, RoutingSnapshot, ServiceProfile,
 };
@@ -21,9 +23,14 @@
 use tokio::net::TcpListener;
 use tokio::time::{sleep, timeout};
 
+/// Position of an offset before any restore of the store.
+fn at(offset: u64) -> LogPosition {
+    LogPosition::new(StoreEra::default(), LogOffset(offset)).unwrap()
+}
+
 fn record(key: u8, offset: u64, value: Option<u8>) -> ControlRecord {
     let value = value.map(|value| Bytes::from(vec![value]));
-    ControlRecord { key: format!("k{key}"), offset: LogOffset(offset), value }
+    ControlRecord { key: format!("k{key}"), position: at(offset), value }
 }
 
 fn state(log: &ControlLog) -> BTreeMap<String, Option<Bytes>> {
@@ -44,7 +51,7 @@
         if records.is_empty() {
             return TestResult::discard();
         }
-        let end = LogOffset(records.len() as u64);
+        let end = at(records.len() as u64);
         let mut in_order = ControlLog::default();
         let whole = ControlBatch { records: records.clone(), end, is_snapshot: false };
         in_order.merge(ControlStream::Endpoints, whole.clone());
@@ -52,7 +59,7 @@
         for draw in order {
             let from = usize::from(draw) % records.len();
             let part = records[from..].iter().take(3).cloned().collect();
-            let batch = ControlBatch { records: part, end: LogOffset(0), is_snapshot: false };
+            let batch = ControlBatch { records: part, end: at(0), is_snapshot: false };
             shuffled.merge(ControlStream::Endpoints, batch);
         }
         shuffled.merge(ControlStream::Endpoints, whole);
@@ -67,19 +74,16 @@
 fn snapshot_deletes_older_keys_that_it_does_not_list() {
     let mut log = ControlLog::default();
     let records = vec![record(1, 0, Some(1)), record(2, 1, Some(1)), record(3, 9, Some(1))];
-    log.merge(
-        ControlStream::Endpoints,
-        ControlBatch { records, end: LogOffset(10), is_snapshot: false },
-    );
+    log.merge(ControlStream::Endpoints, ControlBatch { records, end: at(10), is_snapshot: false });
     let newest = vec![record(1, 5, Some(2))];
-    let batch = ControlBatch { records: newest, end: LogOffset(6), is_snapshot: true };
+    let batch = ControlBatch { records: newest, end: at(6), is_snapshot: true };
     let merged = log.merge(ControlStream::Endpoints, batch);
     assert_eq!(merged.len(), 2, "{merged:?}");
     let remaining = state(&log);
     assert_eq!(remaining["k1"], Some(Bytes::from_static(&[2])));
     assert_eq!(remaining["k2"], None);
     assert_eq!(remaining["k3"], Some(Bytes::from_static(&[1])));
-    assert_eq!(log.position().endpoints, LogOffset(10), "positions never go back");
+    assert_eq!(log.position().endpoints, at(10), "positions never go back");
 }
 
 /// A store without records, which a test can make unavailable.
@@ -100,13 +104,13 @@
 impl ControlStore for LostStore {
     async fn newest(&self, _stream: ControlStream) -> Result<ControlBatch, StoreError> {
         self.check()?;
-        Ok(ControlBatch { records: vec![], end: LogOffset(0), is_snapshot: true })
+        Ok(ControlBatch { records: vec![], end: at(0), is_snapshot: true })
     }
 
     async fn read(
         &self,
         _stream: ControlStream,
-        from: LogOffset,
+        from: LogPosition,
         wait: Duration,
     ) -> Result<ReadOutcome, StoreError> {
         self.check()?;
@@ -171,7 +175,7 @@
     for (revision, offset, expected) in [(7, 3, true), (6, 4, false), (9, 5, true)] {
         let mut log = ControlLog::default();
         let records = vec![record(1, offset, Some(revision))];
-        let end = LogOffset(offset + 1);
+        let end = at(offset + 1);
         log.merge(ControlStream::Operator, ControlBatch { records, end, is_snapshot: false });
         let position = log.position();
         let peer = serve_peer(log).await;
@@ -273,7 +277,7 @@
     async fn read(
         &self,
         stream: ControlStream,
-        _from: LogOffset,
+        _from: LogPosition,
         _wait: Duration,
     ) -> Result<ReadOutcome, StoreError> {
         Ok(ReadOutcome::Records(self.next(stream).await))
@@ -283,15 +287,14 @@
 fn batch(records: Vec<(u8, u64, Vec<u8>)>, end: u64) -> ControlBatch {
     let records = records.into_iter().map(|(key, offset, value)| ControlRecord {
         key: format!("k{key}"),
-        offset: LogOffset(offset),
+        position: at(offset),
         value: Some(Bytes::from(value)),
     });
-    ControlBatch { records: records.collect(), end: LogOffset(end), is_snapshot: false }
+    ControlBatch { records: records.collect(), end: at(end), is_snapshot: false }
 }
 
 async fn wait_for_position(control: &ControlHandle, endpoints: u64, operator: u64) {
-    while control.position().endpoints < LogOffset(endpoints)
-        || control.position().operator < LogOffset(operator)
+    while control.position().endpoints < at(endpoints) || control.position().operator < at(operator)
     {
         sleep(Duration::from_millis(5)).await;
     }
@@ -304,8 +307,7 @@
     endpoints: u64,
     scope: ControlScope,
 ) -> usize {
-    let position =
-        ControlPosition { operator: LogOffset(operator), endpoints: LogOffset(endpoints) };
+    let position = ControlPosition { operator: at(operator), endpoints: at(endpoints) };
     control.answer_query(ControlQuery { position, scope, with_ages: false }).await.unwrap().len()
 }
 
@@ -415,7 +417,7 @@
         let mut log = ControlLog::default();
         let mut written = record(1, offset, Some(version));
         written.key = "version".to_owned();
-        let end = LogOffset(offset + 1);
+        let end = at(offset + 1);
         let batch = ControlBatch { records: vec![written], end, is_snapshot: false };
         log.merge(ControlStream::Operator, batch);
         let position = log.position();
--- a/crates/celeryshed_peering/tests/version_age.rs
+++ b/crates/celeryshed_peering/tests/version_age.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use celeryshed_base::LogOffset;
+use celeryshed_base::{LogOffset, LogPosition, StoreEra};
 use celeryshed_dispatch::ListedEndpoint;
 use celeryshed_peering::{
     ControlBatch, ControlEvent, ControlHandle, ControlRecord, ControlScope, ControlSettings,
@@ -20,6 +20,11 @@
 /// Interval of reads of the list of endpoints.
 const LIST_INTERVAL: Duration = Duration::from_millis(800);
 
+/// Position of an offset before any restore of the store.
+fn at(offset: u64) -> LogPosition {
+    LogPosition::new(StoreEra::default(), LogOffset(offset)).unwrap()
+}
+
 /// A store that answers polls for operators' records as soon as one is written.
 #[derive(Default)]
 struct PushStore {
@@ -31,19 +36,21 @@
 impl PushStore {
     fn declare(&self, version: u8) {
         let mut written = self.written.lock().unwrap();
-        let offset = LogOffset(written.len() as u64);
+        let position = at(written.len() as u64);
         let value = Some(Bytes::from(vec![version]));
-        written.push(ControlRecord { key: "version".to_owned(), offset, value });
+        written.push(ControlRecord { key: "version".to_owned(), position, value });
         self.changed.notify_waiters();
     }
 
-    fn batch(&self, stream: ControlStream, from: LogOffset) -> ControlBatch {
+    fn batch(&self, stream: ControlStream, from: LogPosition) -> ControlBatch {
         let written = self.written.lock().unwrap();
         let records = match stream {
-            ControlStream::Operator => written.iter().skip(from.0 as usize).cloned().collect(),
+            ControlStream::Operator => {
+                written.iter().skip(from.offset().0 as usize).cloned().collect()
+            }
             ControlStream::Endpoints => vec![],
         };
-        ControlBatch { records, end: LogOffset(written.len() as u64), is_snapshot: false }
+        ControlBatch { records, end: at(written.len() as u64), is_snapshot: false }
     }
 
     fn check(&self) -> Result<(), StoreError> {
@@ -57,7 +64,7 @@
 impl ControlStore for PushStore {
     async fn newest(&self, stream: ControlStream) -> Result<ControlBatch, StoreError> {
         self.check()?;
-        let mut batch = self.batch(stream, LogOffset(0));
+        let mut batch = self.batch(stream, at(0));
         let newest = batch.records.pop();
         batch.records = newest.into_iter().collect();
         Ok(batch)
@@ -66,7 +73,7 @@
     async fn read(
         &self,
         stream: ControlStream,
-        from: LogOffset,
+        from: LogPosition,
         wait: Duration,
     ) -> Result<ReadOutcome, StoreError> {
         self.check()?;
--- a/crates/celeryshed_stager/tests/support/mod.rs
+++ b/crates/celeryshed_stager/tests/support/mod.rs
@@ -9,7 +9,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use celeryshed_base::{AvailabilityZone, ConfigRevision, LogOffset, ModelName, ServiceName};
+use celeryshed_base::{
+    AvailabilityZone, ConfigRevision, LogOffset, LogPosition, ModelName, ServiceName, StoreEra,
+};
 use celeryshed_dispatch::{
     EndpointState, EngineProfile, ListedEndpoint, OriginProfile, RoutingSnapshot, ServiceProfile,
     VersionDeadlines,
@@ -162,6 +164,11 @@
     }
 }
 
+/// Position of an offset before any restore of the store.
+fn at(offset: u64) -> LogPosition {
+    LogPosition::new(StoreEra::default(), LogOffset(offset)).unwrap()
+}
+
 /// A store with a configuration and a list of endpoints. The operator may declare further versions.
 pub(crate) struct FakeStore {
     /// Declared versions, oldest first.
@@ -183,7 +190,7 @@
         let records = std::iter::once(configuration).chain(versions).enumerate();
         let record = |(offset, (key, value))| ControlRecord {
             key,
-            offset: LogOffset(offset as u64),
+            position: at(offset as u64),
             value: Some(value),
         };
         records.map(record).collect()
@@ -192,7 +199,7 @@
     fn endpoint_records(&self) -> Vec<ControlRecord> {
         let records = self.endpoints.iter().enumerate().map(|(index, address)| ControlRecord {
             key: format!("i-{index}"),
-            offset: LogOffset(index as u64),
+            position: at(index as u64),
             value: Some(Bytes::from(address.clone())),
         });
         records.collect()
@@ -203,7 +210,7 @@
             ControlStream::Operator => self.operator_records(),
             ControlStream::Endpoints => self.endpoint_records(),
         };
-        let end = LogOffset(records.len() as u64);
+        let end = at(records.len() as u64);
         ControlBatch { records, end, is_snapshot: true }
     }
 }
@@ -214,7 +221,9 @@
         if stream == ControlStream::Operator {
             // Only the newest record of each key is kept.
             let newest = batch.records.len() - 1;
-            batch.records.retain(|record| record.offset.0 == 0 || record.offset.0 == newest as u64);
+            batch
+                .records
+                .retain(|record| record.position == at(0) || record.position == at(newest as u64));
         }
         Ok(batch)
     }
@@ -222,14 +231,14 @@
     async fn read(
         &self,
         stream: ControlStream,
-        from: LogOffset,
+        from: LogPosition,
         wait: Duration,
     ) -> Result<ReadOutcome, StoreError> {
         let mut declared = self.declared.subscribe();
         // A read without new records ends after the wait.
-        let _ = timeout(wait, declared.wait_for(|all| all.len() as u64 >= from.0)).await;
+        let _ = timeout(wait, declared.wait_for(|all| all.len() as u64 >= from.offset().0)).await;
         let mut batch = self.batch(stream);
-        batch.records.retain(|record| record.offset >= from);
+        batch.records.retain(|record| record.position >= from);
         batch.is_snapshot = false;
         Ok(ReadOutcome::Records(batch))
     }
