Order control records by the era of the store

Callers were answered by configurations seconds to minutes old after the platform's store came back from a copy: the store gives out offsets again, and whatever was written again at a lower offset counted as old, at entries and between peers, until the log had passed the old position. Records in between were skipped silently, and nothing read Store-Era.

An answer of a newer era makes both readers start over, so a poll sent to the store of before is given up. Revisions and versions never go back: a process that knows a higher one than the copy keeps its bytes in place of the restored record, at a position with an advance, so that peers who have read the copy fetch them, until the operator writes again. A version that is declared again keeps its age; one that only peers know isn't dated by own reads.

--- a/crates/celeryshed_base/src/position.rs
+++ b/crates/celeryshed_base/src/position.rs
@@ -125,6 +125,19 @@
         self.offset == LogOffset::default() && self.advance == 0
     }
 
+    /// Whether this is the last position before an era, whatever its advance. Records there stand
+    /// for what a restore took back.
+    ///
+    /// ```
+    /// use celeryshed_base::{LogPosition, StoreEra};
+    /// let era = StoreEra::try_from(1).unwrap();
+    /// assert!(LogPosition::before(era).with_advance(2).is_before_era());
+    /// assert!(!LogPosition::default().is_before_era());
+    /// ```
+    pub fn is_before_era(self) -> bool {
+        self.offset.0 == MAX_OFFSET
+    }
+
     /// The position of the next offset.
     #[must_use]
     pub fn next(self) -> Self {
--- a/crates/celeryshed_peering/src/lib.rs
+++ b/crates/celeryshed_peering/src/lib.rs
@@ -4,6 +4,7 @@
 //! A platform adapter implements [`ControlStore`] and [`RecordDecoder`]. [`ControlLog`] keeps the
 //! newest record of each key and merges batches from any source in any order.
 
+mod admission;
 mod fetch;
 mod log;
 mod messages;
@@ -14,6 +15,7 @@
 mod store;
 mod task;
 
+pub use admission::{Admission, NewestValues};
 pub use fetch::{
     ControlQuery, ControlReply, ControlScope, FetchError, fetch_control, parse_control_query,
 };
--- a/crates/celeryshed_peering/src/log.rs
+++ b/crates/celeryshed_peering/src/log.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use bytes::Bytes;
 use celeryshed_base::LogPosition;
 use celeryshed_base::common_derives;
 use serde::{Deserialize, Serialize};
@@ -42,7 +43,8 @@
 }
 
 impl ControlLog {
-    /// Position up to which the records are known.
+    /// Position up to which the records are known. The operators' position has the sum of the
+    /// advances of their records.
     pub fn position(&self) -> ControlPosition {
         self.position
     }
@@ -51,7 +53,8 @@
     ///
     /// For each key, the record with the highest position wins, so batches may arrive twice, late or
     /// from several sources. A snapshot also deletes the keys that it doesn't list, unless their
-    /// records are newer than the snapshot.
+    /// records are newer than the snapshot. The first snapshot after a restore of the store is newer
+    /// than all records of earlier eras.
     pub fn merge(&mut self, stream: ControlStream, batch: ControlBatch) -> Vec<ControlRecord> {
         let mut records = batch.records;
         if batch.is_snapshot {
@@ -71,9 +74,44 @@
             ControlStream::Endpoints => &mut self.position.endpoints,
         };
         *position = batch.end.max(*position);
+        self.raise_advance();
         new_records
     }
 
+    /// Replaces the value of an operators' record with a newer one that a restore of the store took
+    /// back. The record keeps its position, with the given advance, so that peers who know only the
+    /// restored record fetch it, and the operators' next record replaces it.
+    ///
+    /// ```
+    /// use bytes::Bytes;
+    /// use celeryshed_base::{LogOffset, LogPosition, StoreEra};
+    /// use celeryshed_peering::{ControlBatch, ControlLog, ControlRecord, ControlStream};
+    /// let era = StoreEra::try_from(1).unwrap();
+    /// let at = |offset| LogPosition::new(era, LogOffset(offset)).unwrap();
+    /// let mut log = ControlLog::default();
+    /// let record = ControlRecord { key: "a".into(), position: at(3), value: None };
+    /// let batch = ControlBatch { records: vec![record], end: at(6), is_snapshot: true };
+    /// log.merge(ControlStream::Operator, batch);
+    /// log.retain_value("a", Bytes::from_static(b"newer"), 2);
+    /// assert_eq!(log.changed_since(ControlStream::Operator, at(6)).records.len(), 1);
+    /// assert_eq!(log.position().operator, at(6).with_advance(2));
+    /// ```
+    pub fn retain_value(&mut self, key: &str, value: Bytes, advance: u64) {
+        if let Some(record) = self.operator.get_mut(key) {
+            record.position = record.position.with_advance(advance);
+            record.value = Some(value);
+        }
+        self.raise_advance();
+    }
+
+    /// Raises the advance of the operators' position to that of their records. Sidecars know a
+    /// higher one, as they don't hold the records.
+    fn raise_advance(&mut self) {
+        let advance = self.operator.values().map(|record| record.position.advance()).sum();
+        let position = &mut self.position.operator;
+        *position = position.with_advance(advance).max(*position);
+    }
+
     /// Sets the position at which the content of `key` last changed. It is lower than the position of
     /// the key's newest record if that record repeats earlier content.
     ///
@@ -92,18 +130,19 @@
         self.changed_at.insert((stream, key.to_owned()), position);
     }
 
-    /// The newest record of each key whose content changed at the position `from` or later.
+    /// The newest record of each key whose content changed at the position `from` or later, or that
+    /// a process at this position may hold as the restored store does.
     pub fn changed_since(&self, stream: ControlStream, from: LogPosition) -> ControlBatch {
         let known = self.stream(stream);
-        let changed = |record: &&ControlRecord| {
-            let changed_at = self.changed_at.get(&(stream, record.key.clone()));
-            *changed_at.unwrap_or(&record.position) >= from
-        };
-        let records = known.values().filter(changed).cloned().collect();
         let end = match stream {
             ControlStream::Operator => self.position.operator,
             ControlStream::Endpoints => self.position.endpoints,
         };
+        let changed = |record: &&ControlRecord| {
+            let changed_at = self.changed_at.get(&(stream, record.key.clone()));
+            is_unread(*changed_at.unwrap_or(&record.position), from, end)
+        };
+        let records = known.values().filter(changed).cloned().collect();
         ControlBatch { records, end, is_snapshot: false }
     }
 
@@ -126,7 +165,11 @@
             .map(|record| ControlRecord {
                 key: record.key.clone(),
                 // Later than the record to delete, and earlier than the records after the snapshot.
-                position: record.position.next(),
+                position: if record.position.era() < end.era() {
+                    LogPosition::before(end.era())
+                } else {
+                    record.position.next()
+                },
                 value: None,
             })
             .collect()
@@ -146,3 +189,11 @@
         }
     }
 }
+
+/// Whether a process that has read up to `from` may lack a change at `changed_at`, which the owner of
+/// a log that ends at `end` knows.
+pub(crate) fn is_unread(changed_at: LogPosition, from: LogPosition, end: LogPosition) -> bool {
+    // The next record has this offset too, and no advance.
+    changed_at >= from.with_advance(0)
+        || (changed_at.advance() > 0 && from.advance() < end.advance())
+}
--- a/crates/celeryshed_peering/src/store.rs
+++ b/crates/celeryshed_peering/src/store.rs
@@ -46,6 +46,9 @@
     /// The store no longer keeps records at the requested position; the caller has to start over
     /// with [`ControlStore::newest`].
     Truncated,
+    /// The store was restored from a copy between the requested position and the answer, so its
+    /// offsets don't compare; the caller has to start over with [`ControlStore::newest`].
+    Restored,
 }
 
 /// Access to the platform's store.
--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -6,14 +6,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use celeryshed_base::{ClockSource, LogPosition, MonoTime, common_derives};
+use celeryshed_base::{ClockSource, LogPosition, MonoTime, StoreEra, common_derives};
 use celeryshed_dispatch::{DirectoryRecord, EndpointId, ListedEndpoint, RoutingSnapshot};
 use celeryshed_observe::EventLine;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
 
+use crate::admission::{Admission, NewestValues};
 use crate::fetch::{ControlQuery, ControlReply, ControlScope, fetch_control};
-use crate::log::{ControlLog, ControlPosition};
+use crate::log::{ControlLog, ControlPosition, is_unread};
 use crate::recency::{AgeReading, RECENCY_TICK, ReadRecency, RecordAge};
 use crate::record::{ControlBatch, ControlRecord, ControlStream, OperatorRecord};
 use crate::services::ServiceCatalog;
@@ -168,6 +169,7 @@
     let (events, event_stream) = mpsc::unbounded_channel();
     let (position, position_watch) = watch::channel(ControlPosition::default());
     let list_failed = Arc::new(Notify::new());
+    let (era, _) = watch::channel(StoreEra::default());
     for stream in [ControlStream::Operator, ControlStream::Endpoints] {
         let reader = StoreReader {
             stream,
@@ -177,6 +179,7 @@
             position: position_watch.clone(),
             clock,
             list_failed: list_failed.clone(),
+            era: era.clone(),
         };
         tokio::spawn(reader.run());
     }
@@ -190,6 +193,7 @@
         endpoints: BTreeMap::new(),
         services: None,
         revision: None,
+        newest_values: NewestValues::default(),
         list_read_at: None,
         store_failing: false,
         fetching: false,
@@ -228,18 +232,20 @@
 }
 
 impl RecordSource {
-    /// Age of a declared version. `initial` tells whether the record is among the first that the
-    /// process reads.
-    fn record_age(&self, key: &str, initial: bool) -> RecordAge {
+    /// Age of the declared version in a record. `initial` tells whether the record is among the first
+    /// that the process reads.
+    fn record_age(&self, record: &ControlRecord, initial: bool) -> RecordAge {
         match self {
             Self::Store { .. } if initial => RecordAge::Unknown,
             Self::Store { age } => *age,
             Self::Peer { ages, delay, own } => {
-                let told = ages.as_ref().and_then(|ages| ages.get(key));
+                let told = ages.as_ref().and_then(|ages| ages.get(&record.key));
                 let told = told.map_or(RecordAge::Unknown, |age| age.delayed(*delay));
+                // Reads of the restored store don't show records that the restore took back.
+                let is_lost = record.position.advance() > 0;
                 match (told, own) {
                     (RecordAge::Known(_), _) => told,
-                    _ if initial => told,
+                    _ if initial || is_lost => told,
                     // Peers of builds that tell no ages take records for new, too.
                     (RecordAge::Unknown, RecordAge::Unknown) if ages.is_none() => {
                         RecordAge::Known(Duration::ZERO)
@@ -274,6 +280,8 @@
     endpoints: BTreeMap<String, (LogPosition, Option<ListedEndpoint>)>,
     services: Option<KnownServices>,
     revision: Option<celeryshed_base::ConfigRevision>,
+    /// The newest configuration and declared versions.
+    newest_values: NewestValues,
     /// When the known list of endpoints was read from the store, by this process or a peer.
     list_read_at: Option<Instant>,
     store_failing: bool,
@@ -346,7 +354,8 @@
         let list_age = self.list_read_at.map(|at| at.elapsed());
         let reply = match (query.scope, &self.services) {
             (ControlScope::Weights, Some(known)) => {
-                let changed = known.changed_at >= position.operator;
+                let end = self.log.position().operator;
+                let changed = is_unread(known.changed_at, position.operator, end);
                 let services = changed.then(|| known.catalog.clone());
                 let key = known.key.as_deref();
                 ControlReply::for_weights(&self.log, position, key, services)
@@ -368,22 +377,46 @@
         // A peer without records replies with an empty batch. The first records that arrive after
         // such a batch may be old too, so the position decides and not the number of batches.
         let initial = self.log.position().operator.is_start();
+        self.note_restore(batch.end.era(), source);
         for record in self.log.merge(stream, batch) {
             match stream {
-                ControlStream::Operator => self.apply_operator_record(&record, initial, source),
+                ControlStream::Operator => match &record.value {
+                    Some(value) => self.apply_operator_record(&record, value, initial, source),
+                    None if record.position.is_before_era() => {
+                        self.newest_values.admit(&mut self.log, &record, 0);
+                    }
+                    None => {}
+                },
                 ControlStream::Endpoints => self.apply_endpoint_record(record),
             }
         }
         self.position.send_replace(self.log.position());
     }
 
+    /// Logs and counts a restore of the store that `era` shows for the first time.
+    fn note_restore(&self, era: StoreEra, source: &RecordSource) {
+        let held = self.log.position();
+        let old = held.operator.era().max(held.endpoints.era());
+        if era <= old || held == ControlPosition::default() {
+            return;
+        }
+        metrics::counter!("celeryshed_store_restores_total").increment(1);
+        EventLine::new("store_restored")
+            .field("old", old)
+            .field("new", era)
+            .field("operator", held.operator)
+            .field("endpoints", held.endpoints)
+            .field("source", source.name())
+            .warn();
+    }
+
     fn apply_operator_record(
         &mut self,
         record: &ControlRecord,
+        value: &Bytes,
         initial: bool,
         source: &RecordSource,
     ) {
-        let Some(value) = &record.value else { return };
         match self.decoder.operator(&record.key, value) {
             Ok(OperatorRecord::Configuration(snapshot)) => {
                 let line = EventLine::new("configuration_read")
@@ -391,16 +424,27 @@
                     .field("position", record.position);
                 if self.revision.is_some_and(|revision| snapshot.revision <= revision) {
                     line.field("outcome", "older_than_in_force").warn();
+                    self.newest_values.admit(&mut self.log, record, snapshot.revision.0);
+                    self.move_services(&record.key);
                     return;
                 }
                 line.field("outcome", "in_force").info();
                 self.revision = Some(snapshot.revision);
+                self.newest_values.admit(&mut self.log, record, snapshot.revision.0);
                 let catalog = ServiceCatalog::from(&*snapshot);
                 self.set_services(Some(&record.key), record.position, catalog);
                 self.emit(ControlEvent::Configuration(Arc::from(snapshot)));
             }
             Ok(OperatorRecord::ModelVersion { model, version }) => {
-                let age = source.record_age(&record.key, initial);
+                if self.newest_values.admit(&mut self.log, record, version) != Admission::Newer {
+                    EventLine::new("version_ignored")
+                        .field("model", &model)
+                        .field("version", version)
+                        .field("position", record.position)
+                        .info();
+                    return;
+                }
+                let age = source.record_age(record, initial);
                 let reading = AgeReading::new(self.clock.now(), age);
                 self.version_ages.insert(record.key.clone(), reading);
                 EventLine::new("version_declared")
@@ -435,12 +479,30 @@
     }
 
     fn set_services(&mut self, key: Option<&str>, position: LogPosition, catalog: ServiceCatalog) {
-        let same = self.services.as_ref().filter(|known| known.catalog.has_same_services(&catalog));
+        let same = self.services.as_ref().filter(|known| {
+            // Peers may have read other services from the restored store since.
+            let is_restored = known.changed_at.era() < position.era();
+            known.catalog.has_same_services(&catalog)
+                && !is_restored
+                && known.changed_at.advance() == 0
+        });
         let changed_at = same.map_or(position, |known| known.changed_at);
         let key = key.map(str::to_owned);
         self.services = Some(KnownServices { key, changed_at, catalog });
     }
 
+    /// Moves the known services to the position at which the log holds their configuration.
+    fn move_services(&mut self, key: &str) {
+        let mut records = self.log.records(ControlStream::Operator);
+        let position = records.find(|record| record.key == key).map(|record| record.position);
+        let of_record = |known: &&KnownServices| known.key.as_deref() == Some(key);
+        let catalog = self.services.as_ref().filter(of_record).map(|known| known.catalog.clone());
+        drop(records);
+        if let (Some(position), Some(catalog)) = (position, catalog) {
+            self.set_services(Some(key), position, catalog);
+        }
+    }
+
     fn apply_endpoint_record(&mut self, record: ControlRecord) {
         let decoded =
             record.value.as_deref().map(|value| self.decoder.endpoint(&record.key, value));
@@ -565,6 +627,8 @@
     /// Notified when a read of the list of endpoints fails. The pending read of the operators'
     /// records may then wait on a dead connection, so it is cancelled and sent again.
     list_failed: Arc<Notify>,
+    /// The latest era in an answer to either reader.
+    era: watch::Sender<StoreEra>,
 }
 
 impl<S: ControlStore> StoreReader<S> {
@@ -580,6 +644,7 @@
         // After a failure, the first read doesn't wait for new records: its answer shows that none
         // is missing.
         let mut is_verifying = false;
+        let mut latest_era = self.era.subscribe();
         loop {
             let wait = if is_verifying { Duration::ZERO } else { poll_wait(self.stream) };
             let sent_at = self.clock.now();
@@ -596,12 +661,35 @@
                             sleep(STORE_RETRY_PAUSE).await;
                             continue;
                         }
+                        // A poll that was sent to the store of before may never be answered.
+                        () = wait_for_era_after(&mut latest_era, from.era()) => {
+                            position = None;
+                            continue;
+                        }
                     }
                 }
             };
             let stream = self.stream;
             let input = match outcome {
+                Ok(ReadOutcome::Records(batch))
+                    if position.is_some_and(|from| from.era() != batch.end.era()) =>
+                {
+                    self.note_era(batch.end.era());
+                    position = None;
+                    continue;
+                }
+                Ok(ReadOutcome::Restored) => {
+                    position = None;
+                    continue;
+                }
+                Ok(ReadOutcome::Records(batch)) if batch.end.era() < *self.era.borrow() => {
+                    // The answer was under way during the restore.
+                    position = None;
+                    sleep(STORE_RETRY_PAUSE).await;
+                    continue;
+                }
                 Ok(ReadOutcome::Records(batch)) => {
+                    self.note_era(batch.end.era());
                     position = Some(batch.end);
                     ControlInput::Batch { stream, batch, sent_at }
                 }
@@ -633,6 +721,25 @@
     }
 }
 
+impl<S> StoreReader<S> {
+    /// Makes the other reader start over if its position is of an earlier era.
+    fn note_era(&self, era: StoreEra) {
+        self.era.send_if_modified(|latest| {
+            let is_newer = era > *latest;
+            *latest = era.max(*latest);
+            is_newer
+        });
+    }
+}
+
+/// Returns when an answer of the store has shown an era after `era`.
+async fn wait_for_era_after(latest: &mut watch::Receiver<StoreEra>, era: StoreEra) {
+    if latest.wait_for(|latest| *latest > era).await.is_err() {
+        // The readers own the senders.
+        std::future::pending().await
+    }
+}
+
 fn poll_wait(stream: ControlStream) -> Duration {
     match stream {
         ControlStream::Operator => OPERATOR_POLL_WAIT,
