Relay endpoints again that a restore of the store lists unchanged

Sidecars kept an endpoint as they had learnt it before a restore of the store, for example at an address of a later start, when the process that they asked had missed that change: the restored record changed nothing there, so its change position stayed in the era of before and the endpoint wasn't sent. An unchanged record of a new era now counts as changed at its position, so each peer gets the list once after a restore. No event is emitted for it.

The test failed before:

peer_learns_restored_endpoint_that_its_source_already_knew left: ["10.0.0.2:80"] right: ["10.0.0.2:80", "10.0.0.1:80"]

--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -518,15 +518,21 @@
             None => None,
         };
         let known = self.endpoints.get(&record.key);
-        if let Some((changed_at, known)) = known
-            && *known == endpoint
-        {
+        let is_unchanged = known.is_some_and(|(_, known)| *known == endpoint);
+        let changed_at = match known {
             // Endpoints write an unchanged record at intervals to show that they are alive.
-            self.log.set_changed_at(ControlStream::Endpoints, &record.key, *changed_at);
+            Some((changed_at, _)) if is_unchanged && changed_at.era() == record.position.era() => {
+                *changed_at
+            }
+            // After a restore, peers may hold a change that was taken back and that this process
+            // has missed.
+            _ => record.position,
+        };
+        self.log.set_changed_at(ControlStream::Endpoints, &record.key, changed_at);
+        self.endpoints.insert(record.key.clone(), (changed_at, endpoint.clone()));
+        if is_unchanged {
             return;
         }
-        self.endpoints.insert(record.key.clone(), (record.position, endpoint.clone()));
-        self.log.set_changed_at(ControlStream::Endpoints, &record.key, record.position);
         let id = EndpointId::from(record.key.as_str());
         self.emit(ControlEvent::Endpoint(DirectoryRecord {
             id,
--- a/crates/celeryshed_peering/tests/restored_store.rs
+++ b/crates/celeryshed_peering/tests/restored_store.rs
@@ -28,6 +28,7 @@
     era: u64,
     /// Key and value; offsets count from 0.
     operator: Vec<(&'static str, u8)>,
+    endpoints: Vec<(&'static str, u8)>,
 }
 
 /// A store that can be restored from a copy.
@@ -43,11 +44,17 @@
         self.written.notify_waiters();
     }
 
-    /// Goes back to the first `kept` records. Polls that are waiting are never answered.
+    /// Lists an endpoint at an address that ends with `address`.
+    fn list(&self, key: &'static str, address: u8) {
+        self.log.lock().unwrap().endpoints.push((key, address));
+    }
+
+    /// Goes back to the first `kept` records of each stream. Polls that are waiting are never answered.
     fn restore(&self, kept: usize) {
         let mut log = self.log.lock().unwrap();
         log.era += 1;
         log.operator.truncate(kept);
+        log.endpoints.truncate(kept);
     }
 
     /// The records of a stream from an offset on.
@@ -59,7 +66,7 @@
         };
         let records = match stream {
             ControlStream::Operator => &log.operator[..],
-            ControlStream::Endpoints => &[],
+            ControlStream::Endpoints => &log.endpoints[..],
         };
         let listed = records.iter().enumerate().skip(from.0 as usize);
         let listed = listed.map(|(offset, (key, value))| ControlRecord {
@@ -121,10 +128,10 @@
         Ok(OperatorRecord::Configuration(Box::new(snapshot)))
     }
 
-    fn endpoint(&self, _key: &str, _value: &[u8]) -> Result<ListedEndpoint, DecodeError> {
+    fn endpoint(&self, _key: &str, value: &[u8]) -> Result<ListedEndpoint, DecodeError> {
         Ok(ListedEndpoint {
             service: ServiceName::try_from("letters").unwrap(),
-            address: "10.0.0.1:80".to_owned(),
+            address: format!("10.0.0.{}:80", value[0]),
             zone: AvailabilityZone::try_from("north-a").unwrap(),
             slots: 1,
             state: EndpointState::Ready,
@@ -141,6 +148,8 @@
     /// The configurations and versions that the process has taken up.
     revisions: Vec<u64>,
     versions: Vec<(String, u64, RecordAge)>,
+    /// Addresses of listed endpoints.
+    addresses: Vec<String>,
 }
 
 impl TestProcess {
@@ -148,10 +157,10 @@
         let settings = ControlSettings {
             scope,
             endpoints_interval: LIST_INTERVAL,
-            endpoints_max_age: Duration::from_secs(2),
+            endpoints_max_age: LIST_INTERVAL,
         };
         let (control, events) = start_control(store.clone(), Arc::new(NumberDecoder), settings);
-        Self { control, events, revisions: vec![], versions: vec![] }
+        Self { control, events, revisions: vec![], versions: vec![], addresses: vec![] }
     }
 
     /// Receives events for some time.
@@ -163,7 +172,10 @@
                 ControlEvent::ModelVersion { model, version, age, .. } => {
                     self.versions.push((model, version, age));
                 }
-                _ => {}
+                ControlEvent::Endpoint(record) => {
+                    self.addresses.extend(record.endpoint.map(|endpoint| endpoint.address));
+                }
+                ControlEvent::StoreAnswered | ControlEvent::StoreFailed => {}
             }
         }
     }
@@ -329,3 +341,26 @@
     entry.run_for(Duration::from_millis(300)).await;
     assert!(entry.control.has_operator_records());
 }
+
+/// Guards against an endpoint that stays as a peer saw it before the restore: the peer's source has
+/// missed that change, so the restored record changes nothing there.
+#[tokio::test]
+async fn peer_learns_restored_endpoint_that_its_source_already_knew() {
+    let [store, ahead] = [(); 2].map(|()| Arc::new(RestorableStore::default()));
+    for store in [&store, &ahead] {
+        store.list("e", 1);
+    }
+    ahead.list("e", 2);
+    let mut source = TestProcess::start(&store, ControlScope::Everything);
+    let mut informed = TestProcess::start(&ahead, ControlScope::Everything);
+    informed.run_for(Duration::from_millis(300)).await;
+    let unread = Arc::new(RestorableStore::default());
+    let mut sidecar = TestProcess::start(&unread, ControlScope::Weights);
+    sidecar.run_for(Duration::from_millis(300)).await;
+    sidecar.hear(&informed).await;
+    assert_eq!(sidecar.addresses, ["10.0.0.2:80"]);
+    store.restore(1);
+    source.run_for(Duration::from_millis(500)).await;
+    sidecar.hear(&source).await;
+    assert_eq!(sidecar.addresses, ["10.0.0.2:80", "10.0.0.1:80"]);
+}
