Send plain offsets to processes that order records by offset

During an update from the landing before, a process of the old build that fetched records from one of the new build got positions of the store's era, 2^50 and more where the store has been restored once. From then on all that it read from the store itself, at plain offsets, seemed older, so its callers would be answered by an old configuration as soon as no process of the new build told it news, as after a roll-back. Queries now say that their sender knows eras; others get offsets, counted from their own offset in the current era.

The test failed before:

peer_that_knows_only_offsets_gets_offsets left: ([], ) right: ([1], 2)

All tests of celeryshed_peering and celeryshed_base pass. Datagrams still tell positions with eras, so old builds ask more often during the update, and get what they lack.

--- a/crates/celeryshed_base/src/position.rs
+++ b/crates/celeryshed_base/src/position.rs
@@ -138,6 +138,24 @@
         self.offset.0 == MAX_OFFSET
     }
 
+    /// The same offset in the first era.
+    ///
+    /// ```
+    /// use celeryshed_base::{LogOffset, LogPosition, StoreEra};
+    /// let position = LogPosition::new(StoreEra::try_from(2).unwrap(), LogOffset(7)).unwrap();
+    /// assert_eq!(u64::from(position.without_era()), 7);
+    /// ```
+    #[must_use]
+    pub fn without_era(self) -> Self {
+        Self { era: StoreEra::default(), advance: 0, ..self }
+    }
+
+    /// The same offset in the era of another position, with the other's advance.
+    #[must_use]
+    pub fn in_era_of(self, other: Self) -> Self {
+        Self { offset: self.offset, ..other }
+    }
+
     /// The position of the next offset.
     #[must_use]
     pub fn next(self) -> Self {
--- a/crates/celeryshed_peering/src/fetch.rs
+++ b/crates/celeryshed_peering/src/fetch.rs
@@ -53,6 +53,8 @@
         pub scope: ControlScope,
         /// Whether the sender decodes the ages of declared versions.
         pub with_ages: bool,
+        /// Whether the sender orders records by era, and not by offset only.
+        pub with_eras: bool,
     }
 }
 
@@ -181,6 +183,20 @@
         Instant::now().checked_sub(Duration::from_millis(self.list_age_ms?))
     }
 
+    /// The reply to a process that orders records by offset only: its own reads of the store must not
+    /// seem older than what peers send.
+    pub(crate) fn without_eras(mut self) -> Self {
+        for records in [&mut self.operator, &mut self.endpoints] {
+            records.retain(|record| !record.position.is_before_era());
+            for record in records {
+                record.position = record.position.without_era();
+            }
+        }
+        self.position.operator = self.position.operator.without_era();
+        self.position.endpoints = self.position.endpoints.without_era();
+        self
+    }
+
     /// Encodes the reply for the wire.
     pub fn encode(&self) -> Bytes {
         // Encoding fails only for types that this struct doesn't contain.
@@ -229,16 +245,18 @@
     let mut position = ControlPosition::default();
     let mut scope = ControlScope::Everything;
     let mut with_ages = false;
+    let mut with_eras = false;
     for (key, value) in query.split('&').filter_map(|pair| pair.split_once('=')) {
         match key {
             "operator" => position.operator = parse_position(value)?,
             "endpoints" => position.endpoints = parse_position(value)?,
             "scope" if value == ControlScope::Weights.name() => scope = ControlScope::Weights,
             "ages" => with_ages = value == "1",
+            "eras" => with_eras = value == "1",
             _ => {}
         }
     }
-    Some(ControlQuery { position, scope, with_ages })
+    Some(ControlQuery { position, scope, with_ages, with_eras })
 }
 
 /// Parses an encoded position; none if the text is no integer or encodes none.
@@ -249,13 +267,14 @@
 /// Sends the query to the peer at `address`.
 pub async fn fetch_control(address: &str, query: ControlQuery) -> Result<ControlReply, FetchError> {
     let client = HttpClient::new(address, "application/msgpack");
-    let ControlQuery { position, scope, with_ages } = query;
+    let ControlQuery { position, scope, with_ages, with_eras } = query;
     let target = format!(
-        "{CONTROL_PATH}?operator={}&endpoints={}&scope={}&ages={}",
+        "{CONTROL_PATH}?operator={}&endpoints={}&scope={}&ages={}&eras={}",
         u64::from(position.operator),
         u64::from(position.endpoints),
         scope.name(),
-        u8::from(with_ages)
+        u8::from(with_ages),
+        u8::from(with_eras)
     );
     let timeouts = CallTimeouts {
         connect: FETCH_TIMEOUT,
--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -151,7 +151,12 @@
 
     /// Fetches the records that this process lacks from a peer whose position may be unknown.
     pub async fn fetch_from(&self, peer: &str) {
-        let query = ControlQuery { position: self.position(), scope: self.scope, with_ages: true };
+        let query = ControlQuery {
+            position: self.position(),
+            scope: self.scope,
+            with_ages: true,
+            with_eras: true,
+        };
         let input = fetch_input(peer, query).await;
         // The task ends only with the process.
         let _ = self.inputs.send(input);
@@ -350,6 +355,18 @@
     }
 
     fn reply_to(&self, query: ControlQuery) -> ControlReply {
+        if query.with_eras {
+            return self.reply_by_era(query);
+        }
+        let end = self.log.position();
+        let position = ControlPosition {
+            operator: query.position.operator.in_era_of(end.operator),
+            endpoints: query.position.endpoints.in_era_of(end.endpoints),
+        };
+        self.reply_by_era(ControlQuery { position, ..query }).without_eras()
+    }
+
+    fn reply_by_era(&self, query: ControlQuery) -> ControlReply {
         let position = query.position;
         let list_age = self.list_read_at.map(|at| at.elapsed());
         let reply = match (query.scope, &self.services) {
@@ -593,7 +610,7 @@
                 }
             }
             let position = *latest.borrow();
-            let query = ControlQuery { position, scope, with_ages: true };
+            let query = ControlQuery { position, scope, with_ages: true, with_eras: true };
             let input = fetch_input(&peer, query).await;
             if matches!(input, ControlInput::NoPeerReply) {
                 sleep(PEER_RETRY_PAUSE).await;
--- a/crates/celeryshed_peering/tests/control.rs
+++ b/crates/celeryshed_peering/tests/control.rs
@@ -308,7 +308,11 @@
     scope: ControlScope,
 ) -> usize {
     let position = ControlPosition { operator: at(operator), endpoints: at(endpoints) };
-    control.answer_query(ControlQuery { position, scope, with_ages: false }).await.unwrap().len()
+    control
+        .answer_query(ControlQuery { position, scope, with_ages: false, with_eras: true })
+        .await
+        .unwrap()
+        .len()
 }
 
 /// Guards against replies that fill a narrow link: with 1,680 routes published, 88 sidecars fetched
--- a/crates/celeryshed_peering/tests/restored_store.rs
+++ b/crates/celeryshed_peering/tests/restored_store.rs
@@ -12,9 +12,9 @@
     EndpointState, ListedEndpoint, OriginProfile, RoutingSnapshot, ServiceProfile,
 };
 use celeryshed_peering::{
-    ControlBatch, ControlEvent, ControlHandle, ControlRecord, ControlScope, ControlSettings,
-    ControlStore, ControlStream, DecodeError, OperatorRecord, ReadOutcome, RecordAge,
-    RecordDecoder, StoreError, parse_control_query, start_control,
+    ControlBatch, ControlEvent, ControlHandle, ControlRecord, ControlReply, ControlScope,
+    ControlSettings, ControlStore, ControlStream, DecodeError, OperatorRecord, ReadOutcome,
+    RecordAge, RecordDecoder, StoreError, parse_control_query, start_control,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -364,3 +364,26 @@
     sidecar.hear(&source).await;
     assert_eq!(sidecar.addresses, ["10.0.0.2:80", "10.0.0.1:80"]);
 }
+
+/// Guards against builds that know only offsets: with the positions of a later era, all that they
+/// read from the store themselves seemed older than what peers had sent.
+#[tokio::test(start_paused = true)]
+async fn peer_that_knows_only_offsets_gets_offsets() {
+    let store = Arc::new(RestorableStore::default());
+    write_all(&store, &[11, 12]);
+    store.restore(1);
+    write_all(&store, &[13]);
+    let mut entry = TestProcess::start(&store, ControlScope::Everything);
+    entry.run_for(Duration::from_millis(300)).await;
+    for (target, expected) in [
+        ("/control?operator=0&endpoints=0&scope=everything&ages=1", vec![1]),
+        ("/control?operator=2&endpoints=0&scope=everything&ages=1", vec![]),
+    ] {
+        let query = parse_control_query(target).unwrap();
+        let body = entry.control.answer_query(query).await.unwrap();
+        let reply: ControlReply = rmp_serde::from_slice(&body).unwrap();
+        let [(_, batch), _] = reply.into_batches();
+        let positions = batch.records.iter().map(|record| u64::from(record.position));
+        assert_eq!((positions.collect::<Vec<_>>(), u64::from(batch.end)), (expected, 2));
+    }
+}
