--- a/crates/celeryshed_dispatch/src/directory.rs
+++ b/crates/celeryshed_dispatch/src/directory.rs
@@ -60,6 +60,26 @@
         }
     }
 
+    /// Records that endpoints renewed their registrations while calls to the store failed: only this
+    /// process was cut off, and the endpoints that were removed until now have left.
+    ///
+    /// ```
+    /// use celeryshed_base::MonoTime;
+    /// use celeryshed_dispatch::EndpointDirectory;
+    /// let mut directory = EndpointDirectory::default();
+    /// directory.record_store_failure();
+    /// directory.record_store_success(MonoTime::ZERO);
+    /// directory.record_renewals();
+    /// assert_eq!(directory.endpoints(MonoTime::ZERO).count(), 0);
+    /// ```
+    pub fn record_renewals(&mut self) {
+        for stored in self.records.values_mut() {
+            if stored.removal_at.take().is_some() {
+                stored.endpoint = None;
+            }
+        }
+    }
+
     /// Applies a record, and returns whether it is newer than the stored one of the same endpoint.
     pub fn apply(&mut self, now: MonoTime, record: DirectoryRecord) -> bool {
         let DirectoryRecord { id, offset, endpoint } = record;
--- a/crates/celeryshed_gateway/tests/support/mod.rs
+++ b/crates/celeryshed_gateway/tests/support/mod.rs
@@ -194,6 +194,7 @@
                 scope: ControlScope::Everything,
                 endpoints_interval: Duration::from_millis(50),
                 endpoints_max_age: Duration::from_millis(500),
+                renewal_interval: None,
             },
             headers: headers(),
         };
--- a/crates/celeryshed_peering/src/lib.rs
+++ b/crates/celeryshed_peering/src/lib.rs
@@ -9,6 +9,7 @@
 mod messages;
 mod recency;
 mod record;
+mod renewals;
 mod services;
 mod socket;
 mod store;
--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -16,6 +16,7 @@
 use crate::log::{ControlLog, ControlPosition};
 use crate::recency::{AgeReading, RECENCY_TICK, ReadRecency, RecordAge};
 use crate::record::{ControlBatch, ControlRecord, ControlStream, OperatorRecord};
+use crate::renewals::RegistrationRenewals;
 use crate::services::ServiceCatalog;
 use crate::store::{ControlStore, ReadOutcome, RecordDecoder, StoreError};
 
@@ -45,6 +46,8 @@
         pub endpoints_interval: Duration,
         /// Age of the list of endpoints beyond which a newer one is fetched from a peer.
         pub endpoints_max_age: Duration,
+        /// Time between two renewals of an endpoint's registration; `None` if it isn't known.
+        pub renewal_interval: Option<Duration>,
     }
 
     /// A new control record, or the result of a call to the store.
@@ -69,6 +72,9 @@
         StoreFailed,
         /// A call to the store succeeded.
         StoreAnswered,
+        /// Endpoints renewed their registrations while calls to the store failed: the store was
+        /// available to them, and those whose removal the preceding events tell have left.
+        RegistrationsRenewed,
     }
 }
 
@@ -97,6 +103,8 @@
     StoreFailed {
         stream: ControlStream,
         error: StoreError,
+        /// When the read was sent.
+        sent_at: MonoTime,
     },
     PeerPosition(PeerPosition),
     Query {
@@ -197,6 +205,7 @@
         clock,
         recency: ReadRecency::new(clock.now(), settings.endpoints_interval),
         version_ages: BTreeMap::new(),
+        renewals: RegistrationRenewals::new(settings.renewal_interval),
     };
     tokio::spawn(task.run(received));
     (ControlHandle { inputs, position: position_watch, scope: settings.scope }, event_stream)
@@ -285,6 +294,7 @@
     recency: ReadRecency,
     /// Ages of declared versions by the record's key.
     version_ages: BTreeMap<String, AgeReading>,
+    renewals: RegistrationRenewals,
 }
 
 impl<D: RecordDecoder> ControlTask<D> {
@@ -303,13 +313,19 @@
             match input {
                 ControlInput::Batch { stream, batch, sent_at } => {
                     self.store_answered();
+                    let now = self.clock.now();
+                    let mut is_renewed = false;
                     if stream == ControlStream::Endpoints {
                         self.list_read_at = Some(Instant::now());
+                        self.renewals.record_answer(now, &batch);
+                        is_renewed = self.renewals.are_shown();
                     }
-                    let now = self.clock.now();
                     let source = RecordSource::Store { age: self.recency.record_age(now) };
                     self.merge(stream, batch, &source);
                     self.recency.record_answer(now, stream, sent_at);
+                    if is_renewed {
+                        self.emit(ControlEvent::RegistrationsRenewed);
+                    }
                 }
                 ControlInput::PeerReply { mut reply, sent_at } => {
                     self.fetching = false;
@@ -331,7 +347,9 @@
                     self.fetching = false;
                     self.fetch_from_pending_peer();
                 }
-                ControlInput::StoreFailed { stream, error } => self.store_failed(stream, &error),
+                ControlInput::StoreFailed { stream, error, sent_at } => {
+                    self.store_failed(stream, &error, sent_at)
+                }
                 ControlInput::PeerPosition(peer) => self.fetch_if_behind(peer),
                 ControlInput::Query { query, reply } => {
                     // The peer may have disconnected.
@@ -476,8 +494,10 @@
         self.emit(ControlEvent::StoreAnswered);
     }
 
-    fn store_failed(&mut self, stream: ControlStream, error: &StoreError) {
-        self.recency.record_failure(self.clock.now());
+    fn store_failed(&mut self, stream: ControlStream, error: &StoreError, sent_at: MonoTime) {
+        let now = self.clock.now();
+        self.recency.record_failure(now);
+        self.renewals.record_failure(now, sent_at);
         if !std::mem::replace(&mut self.store_failing, true) {
             EventLine::new("store_lost")
                 .field("stream", format_args!("{stream:?}"))
@@ -612,7 +632,7 @@
                     if stream == ControlStream::Endpoints {
                         self.list_failed.notify_one();
                     }
-                    ControlInput::StoreFailed { stream, error }
+                    ControlInput::StoreFailed { stream, error, sent_at }
                 }
             };
             let failed = matches!(input, ControlInput::StoreFailed { .. });
--- a/crates/celeryshed_peering/tests/control.rs
+++ b/crates/celeryshed_peering/tests/control.rs
@@ -158,6 +158,7 @@
         scope: ControlScope::Everything,
         endpoints_interval: Duration::from_millis(100),
         endpoints_max_age: Duration::from_millis(200),
+        renewal_interval: None,
     }
 }
 
--- a/crates/celeryshed_peering/tests/version_age.rs
+++ b/crates/celeryshed_peering/tests/version_age.rs
@@ -97,6 +97,7 @@
         scope,
         endpoints_interval: LIST_INTERVAL,
         endpoints_max_age: Duration::from_secs(2),
+        renewal_interval: None,
     }
 }
 
--- a/crates/celeryshed_stager/src/view.rs
+++ b/crates/celeryshed_stager/src/view.rs
@@ -215,5 +215,6 @@
         }
         ControlEvent::StoreFailed => view.directory.record_store_failure(),
         ControlEvent::StoreAnswered => view.directory.record_store_success(now),
+        ControlEvent::RegistrationsRenewed => view.directory.record_renewals(),
     }
 }
--- a/crates/celeryshed_stager/tests/support/mod.rs
+++ b/crates/celeryshed_stager/tests/support/mod.rs
@@ -325,6 +325,7 @@
             scope: ControlScope::Everything,
             endpoints_interval: Duration::from_millis(100),
             endpoints_max_age: Duration::from_millis(500),
+            renewal_interval: None,
         },
     };
     let mut endpoints = others(&settings.endpoint);
