--- a/crates/celeryshed_peering/tests/own_cut.rs
+++ b/crates/celeryshed_peering/tests/own_cut.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use celeryshed_base::{AvailabilityZone, ClockSource, LogOffset, ServiceName};
+use celeryshed_base::{
+    AvailabilityZone, ClockSource, LogOffset, LogPosition, ServiceName, StoreEra,
+};
 use celeryshed_dispatch::{EndpointDirectory, EndpointState, ListedEndpoint};
 use celeryshed_peering::{
     ControlBatch, ControlEvent, ControlRecord, ControlScope, ControlSettings, ControlStore,
@@ -17,6 +19,10 @@
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(1200);
 const ENDPOINTS: u8 = 12;
 
+fn position(offset: usize) -> LogPosition {
+    LogPosition::new(StoreEra::default(), LogOffset(offset as u64)).unwrap()
+}
+
 /// A store whose answers may be lost on the way to the process.
 #[derive(Default)]
 struct CutStore {
@@ -27,9 +33,9 @@
 impl CutStore {
     fn write(&self, endpoint: u8, value: Option<u8>) {
         let mut records = self.endpoints.lock().unwrap();
-        let offset = LogOffset(records.len() as u64);
+        let position = position(records.len());
         let value = value.map(|value| Bytes::from(vec![value]));
-        records.push(ControlRecord { key: format!("i-{endpoint}"), offset, value });
+        records.push(ControlRecord { key: format!("i-{endpoint}"), position, value });
     }
 
     fn set_cut(&self, is_cut: bool) {
@@ -46,16 +52,18 @@
 
 impl ControlStore for CutStore {
     async fn newest(&self, stream: ControlStream) -> Result<ControlBatch, StoreError> {
-        match self.read(stream, LogOffset(0), Duration::ZERO).await? {
+        match self.read(stream, position(0), Duration::ZERO).await? {
             ReadOutcome::Records(batch) => Ok(batch),
-            ReadOutcome::Truncated => unreachable!("this store keeps all records"),
+            ReadOutcome::Truncated | ReadOutcome::Restored => {
+                unreachable!("this store keeps all records")
+            }
         }
     }
 
     async fn read(
         &self,
         stream: ControlStream,
-        from: LogOffset,
+        from: LogPosition,
         wait: Duration,
     ) -> Result<ReadOutcome, StoreError> {
         self.check()?;
@@ -65,7 +73,7 @@
         let (records, end) = match stream {
             ControlStream::Operator => (vec![], from),
             ControlStream::Endpoints => {
-                (records[from.0 as usize..].to_vec(), LogOffset(records.len() as u64))
+                (records[from.offset().0 as usize..].to_vec(), position(records.len()))
             }
         };
         Ok(ReadOutcome::Records(ControlBatch { records, end, is_snapshot: false }))
