Ignore registrations that a restored store repeats

After a drill, callers would be sent to endpoints that are draining or gone: the store comes back from a copy that lists them as ready, at a higher position than what was read before, so that the record of the copy counted as new. Records without seq_no count as before.

Not covered: a process that starts after the restore knows only the copy, and an endpoint that was taken for gone and writes nothing but its seq_no again stays so, as such writes aren't in the log.

With the check switched off:

draining_endpoint_is_not_ready_again_after_a_restore: assertion `left == right` failed left: Some(Ready) right: Some(Draining) removed_endpoint_is_not_listed_again_by_a_restore: assertion `left == right` failed: gone left: Some(Ready) right: None

--- a/crates/celeryshed_dispatch/src/endpoint.rs
+++ b/crates/celeryshed_dispatch/src/endpoint.rs
@@ -80,6 +80,9 @@
         pub models: BTreeMap<String, u64>,
         /// Start of the endpoint in Unix milliseconds; distinguishes restarts under the same id.
         pub started_at_ms: u64,
+        /// Number of the record among those of this start, later ones having higher numbers; `None` if
+        /// it isn't known.
+        pub seq_no: Option<u64>,
     }
 
     /// Last status that the sidecar reported of its endpoint.
--- a/crates/celeryshed_dispatch/tests/support/mod.rs
+++ b/crates/celeryshed_dispatch/tests/support/mod.rs
@@ -90,6 +90,7 @@
         state: EndpointState::Ready,
         models: version.map(|version| (MODEL.to_owned(), version)).into_iter().collect(),
         started_at_ms: 1,
+        seq_no: None,
     }
 }
 
--- a/crates/celeryshed_gateway/tests/support/store.rs
+++ b/crates/celeryshed_gateway/tests/support/store.rs
@@ -77,6 +77,7 @@
             state,
             models: BTreeMap::new(),
             started_at_ms,
+            seq_no: None,
         };
         let mut records = self.records.lock().unwrap();
         let name = format!("{}-{state:?}", endpoint.id);
--- a/crates/celeryshed_measure/src/overload/entry.rs
+++ b/crates/celeryshed_measure/src/overload/entry.rs
@@ -98,6 +98,7 @@
                 state: EndpointState::Ready,
                 models: BTreeMap::from([(MODEL_NAME.to_owned(), 1)]),
                 started_at_ms: 1,
+                seq_no: None,
             };
             let position = LogPosition::default().next();
             let record =
--- a/crates/celeryshed_peering/src/lib.rs
+++ b/crates/celeryshed_peering/src/lib.rs
@@ -11,6 +11,7 @@
 mod recency;
 mod record;
 mod renewals;
+mod restored;
 mod services;
 mod socket;
 mod store;
--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -18,6 +18,7 @@
 use crate::recency::{AgeReading, RECENCY_TICK, ReadRecency, RecordAge};
 use crate::record::{ControlBatch, ControlRecord, ControlStream, OperatorRecord};
 use crate::renewals::RegistrationRenewals;
+use crate::restored::SeenRegistrations;
 use crate::services::ServiceCatalog;
 use crate::store::{ControlStore, ReadOutcome, RecordDecoder, StoreError};
 
@@ -210,6 +211,7 @@
         recency: ReadRecency::new(clock.now(), settings.endpoints_interval),
         version_ages: BTreeMap::new(),
         renewals: RegistrationRenewals::new(settings.renewal_interval),
+        seen: SeenRegistrations::default(),
     };
     tokio::spawn(task.run(received));
     (ControlHandle { inputs, position: position_watch, scope: settings.scope }, event_stream)
@@ -303,6 +305,7 @@
     /// Ages of declared versions by the record's key.
     version_ages: BTreeMap<String, AgeReading>,
     renewals: RegistrationRenewals,
+    seen: SeenRegistrations,
 }
 
 impl<D: RecordDecoder> ControlTask<D> {
@@ -396,6 +399,9 @@
         // such a batch may be old too, so the position decides and not the number of batches.
         let initial = self.log.position().operator.is_start();
         self.note_restore(batch.end.era(), source);
+        if batch.is_snapshot && stream == ControlStream::Endpoints {
+            self.seen.record_snapshot(batch.end);
+        }
         for record in self.log.merge(stream, batch) {
             match stream {
                 ControlStream::Operator => match &record.value {
@@ -535,9 +541,14 @@
             }
             None => None,
         };
+        if let Some(endpoint) = &endpoint
+            && self.seen.is_repeated(&record.key, record.position, endpoint)
+        {
+            return;
+        }
         let known = self.endpoints.get(&record.key);
         if let Some((changed_at, known)) = known
-            && *known == endpoint
+            && has_same_state(known.as_ref(), endpoint.as_ref())
         {
             // Endpoints write an unchanged record at intervals to show that they are alive.
             self.log.set_changed_at(ControlStream::Endpoints, &record.key, *changed_at);
@@ -623,6 +634,14 @@
     }
 }
 
+/// Whether two registrations differ in their numbers at most.
+fn has_same_state(one: Option<&ListedEndpoint>, other: Option<&ListedEndpoint>) -> bool {
+    match (one, other) {
+        (Some(one), Some(other)) => *one == ListedEndpoint { seq_no: one.seq_no, ..other.clone() },
+        (one, other) => one == other,
+    }
+}
+
 /// Sends a query to a peer and turns the result into an input of the control task.
 async fn fetch_input(peer: &str, query: ControlQuery) -> ControlInput {
     let sent_at = Instant::now();
--- a/crates/celeryshed_peering/tests/control.rs
+++ b/crates/celeryshed_peering/tests/control.rs
@@ -222,6 +222,7 @@
             state: EndpointState::Ready,
             models: BTreeMap::new(),
             started_at_ms: 1,
+            seq_no: None,
         })
     }
 }
--- a/crates/celeryshed_peering/tests/own_cut.rs
+++ b/crates/celeryshed_peering/tests/own_cut.rs
@@ -97,6 +97,7 @@
             state: EndpointState::Ready,
             models: Default::default(),
             started_at_ms: 1,
+            seq_no: None,
         })
     }
 }
--- /dev/null
+++ b/crates/celeryshed_peering/tests/restored_list.rs
@@ -0,0 +1,214 @@
+//! The list of endpoints after the store was restored from an older copy.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use celeryshed_base::{
+    AvailabilityZone, ClockSource, LogOffset, LogPosition, ServiceName, StoreEra,
+};
+use celeryshed_dispatch::{EndpointDirectory, EndpointId, EndpointState, ListedEndpoint};
+use celeryshed_peering::{
+    ControlBatch, ControlEvent, ControlRecord, ControlScope, ControlSettings, ControlStore,
+    ControlStream, DecodeError, OperatorRecord, ReadOutcome, RecordDecoder, StoreError,
+    start_control,
+};
+use tokio::time::sleep;
+
+const LIST_INTERVAL: Duration = Duration::from_millis(100);
+
+/// A registration: whether the endpoint is ready, its `seq_no` and its start.
+type Registration = (bool, u8, u8);
+
+#[derive(Default)]
+struct StoredList {
+    era: u64,
+    /// Key and registration; offsets count from 0.
+    records: Vec<(&'static str, Option<Registration>)>,
+}
+
+/// A store that can be restored from a copy.
+#[derive(Default)]
+struct RestorableList(Mutex<StoredList>);
+
+impl RestorableList {
+    fn write(&self, key: &'static str, registration: Registration) {
+        self.0.lock().unwrap().records.push((key, Some(registration)));
+    }
+
+    fn remove(&self, key: &'static str) {
+        self.0.lock().unwrap().records.push((key, None));
+    }
+
+    /// Goes back to the first `kept` records.
+    fn restore(&self, kept: usize) {
+        let mut list = self.0.lock().unwrap();
+        list.era += 1;
+        list.records.truncate(kept);
+    }
+
+    fn batch(&self, stream: ControlStream, from: usize) -> ControlBatch {
+        let list = self.0.lock().unwrap();
+        let at = |offset: usize| {
+            let era = StoreEra::try_from(list.era).unwrap();
+            LogPosition::new(era, LogOffset(offset as u64)).unwrap()
+        };
+        let stored = match stream {
+            ControlStream::Operator => &[],
+            ControlStream::Endpoints => &list.records[..],
+        };
+        let records = stored.iter().enumerate().skip(from);
+        let records = records.map(|(offset, (key, registration))| {
+            let value = registration
+                .map(|(ready, seq_no, start)| Bytes::from(vec![u8::from(ready), seq_no, start]));
+            ControlRecord { key: (*key).to_owned(), position: at(offset), value }
+        });
+        ControlBatch { records: records.collect(), end: at(stored.len()), is_snapshot: false }
+    }
+}
+
+impl ControlStore for RestorableList {
+    async fn newest(&self, stream: ControlStream) -> Result<ControlBatch, StoreError> {
+        let batch = self.batch(stream, 0);
+        let newest: BTreeMap<String, ControlRecord> =
+            batch.records.into_iter().map(|record| (record.key.clone(), record)).collect();
+        let records = newest.into_values().filter(|record| record.value.is_some()).collect();
+        Ok(ControlBatch { records, is_snapshot: true, ..batch })
+    }
+
+    async fn read(
+        &self,
+        stream: ControlStream,
+        from: LogPosition,
+        wait: Duration,
+    ) -> Result<ReadOutcome, StoreError> {
+        sleep(wait).await;
+        Ok(ReadOutcome::Records(self.batch(stream, from.offset().0 as usize)))
+    }
+}
+
+/// Decodes registrations of endpoints, whose address comes from the key.
+struct RegistrationDecoder;
+
+impl RecordDecoder for RegistrationDecoder {
+    fn operator(&self, _key: &str, _value: &[u8]) -> Result<OperatorRecord, DecodeError> {
+        Ok(OperatorRecord::Other)
+    }
+
+    fn endpoint(&self, key: &str, value: &[u8]) -> Result<ListedEndpoint, DecodeError> {
+        let state = if value[0] == 1 { EndpointState::Ready } else { EndpointState::Draining };
+        Ok(ListedEndpoint {
+            service: ServiceName::try_from("letters").unwrap(),
+            address: format!("{key}:80"),
+            zone: AvailabilityZone::try_from("north-a").unwrap(),
+            slots: 1,
+            state,
+            models: BTreeMap::new(),
+            started_at_ms: u64::from(value[2]),
+            seq_no: Some(u64::from(value[1])),
+        })
+    }
+}
+
+/// A process that follows the list of endpoints.
+struct FollowedList {
+    store: Arc<RestorableList>,
+    directory: Arc<Mutex<EndpointDirectory>>,
+    clock: ClockSource,
+}
+
+impl FollowedList {
+    fn start() -> Self {
+        let store = Arc::new(RestorableList::default());
+        let settings = ControlSettings {
+            scope: ControlScope::Everything,
+            endpoints_interval: LIST_INTERVAL,
+            endpoints_max_age: Duration::from_secs(1),
+            renewal_interval: Some(Duration::from_millis(1200)),
+        };
+        let decoder = Arc::new(RegistrationDecoder);
+        let (control, mut events) = start_control(store.clone(), decoder, settings);
+        let clock = ClockSource::start();
+        let directory = Arc::new(Mutex::new(EndpointDirectory::default()));
+        let applied = directory.clone();
+        tokio::spawn(async move {
+            let _control = control;
+            while let Some(event) = events.recv().await {
+                let mut directory = applied.lock().unwrap();
+                match event {
+                    ControlEvent::Endpoint(record) => {
+                        directory.apply(clock.now(), record);
+                    }
+                    ControlEvent::StoreFailed => directory.record_store_failure(),
+                    ControlEvent::StoreAnswered => directory.record_store_success(clock.now()),
+                    ControlEvent::RegistrationsRenewed => directory.record_renewals(),
+                    ControlEvent::Configuration(_) | ControlEvent::ModelVersion { .. } => {}
+                }
+            }
+        });
+        Self { store, directory, clock }
+    }
+
+    /// The state of an endpoint after some reads; `None` if it isn't listed.
+    async fn state(&self, key: &str) -> Option<EndpointState> {
+        sleep(LIST_INTERVAL * 3).await;
+        let directory = self.directory.lock().unwrap();
+        directory.get(self.clock.now(), &EndpointId::from(key)).map(|endpoint| endpoint.state)
+    }
+}
+
+/// Guards against new requests to an endpoint that is draining: the copy lists it as ready.
+#[tokio::test(start_paused = true)]
+async fn draining_endpoint_is_not_ready_again_after_a_restore() {
+    let list = FollowedList::start();
+    list.store.write("leaving", (true, 4, 1));
+    assert_eq!(list.state("leaving").await, Some(EndpointState::Ready));
+    list.store.write("leaving", (false, 9, 1));
+    assert_eq!(list.state("leaving").await, Some(EndpointState::Draining));
+    for _ in 0..2 {
+        list.store.restore(1);
+        assert_eq!(list.state("leaving").await, Some(EndpointState::Draining));
+    }
+    list.store.write("leaving", (false, 12, 1));
+    assert_eq!(list.state("leaving").await, Some(EndpointState::Draining));
+    list.store.write("leaving", (true, 1, 2));
+    assert_eq!(list.state("leaving").await, Some(EndpointState::Ready), "it was started again");
+}
+
+/// Guards against requests to an endpoint that is gone: only the copy lists it, until its registration
+/// expires.
+#[tokio::test(start_paused = true)]
+async fn removed_endpoint_is_not_listed_again_by_a_restore() {
+    let list = FollowedList::start();
+    for key in ["gone", "back", "restarted"] {
+        list.store.write(key, (true, 4, 2));
+        assert_eq!(list.state(key).await, Some(EndpointState::Ready));
+    }
+    for key in ["gone", "back", "restarted"] {
+        list.store.remove(key);
+        assert_eq!(list.state(key).await, None);
+    }
+    list.store.restore(3);
+    for key in ["gone", "back", "restarted"] {
+        assert_eq!(list.state(key).await, None, "{key}");
+    }
+    list.store.write("back", (true, 4, 2));
+    list.store.write("restarted", (true, 1, 3));
+    assert_eq!(list.state("back").await, Some(EndpointState::Ready), "it wrote again");
+    assert_eq!(list.state("restarted").await, Some(EndpointState::Ready), "it wrote again");
+    assert_eq!(list.state("gone").await, None);
+}
+
+/// An endpoint that registers after the restore is used at once, also one with the id of another start.
+#[tokio::test(start_paused = true)]
+async fn endpoint_registered_after_a_restore_is_listed_at_once() {
+    let list = FollowedList::start();
+    list.store.write("a", (true, 3, 1));
+    assert_eq!(list.state("a").await, Some(EndpointState::Ready));
+    list.store.restore(0);
+    list.store.write("b", (true, 1, 1));
+    list.store.write("a", (true, 1, 2));
+    assert_eq!(list.state("b").await, Some(EndpointState::Ready));
+    assert_eq!(list.state("a").await, Some(EndpointState::Ready));
+}
--- a/crates/celeryshed_peering/tests/restored_store.rs
+++ b/crates/celeryshed_peering/tests/restored_store.rs
@@ -130,6 +130,7 @@
             state: EndpointState::Ready,
             models: BTreeMap::new(),
             started_at_ms: 1,
+            seq_no: None,
         })
     }
 }
--- a/crates/celeryshed_stager/tests/support/mod.rs
+++ b/crates/celeryshed_stager/tests/support/mod.rs
@@ -282,6 +282,7 @@
             state: EndpointState::Ready,
             models: BTreeMap::new(),
             started_at_ms: 1,
+            seq_no: None,
         })
     }
 }
