Give endpoints that a restored store lacks time to register again

After a drill, requests would be refused for want of endpoints: the copy lacks endpoints that registered since, and where the outage was too short for a read to fail, their removal took effect at once although they run and write again within about two seconds. A restore now opens the same grace period as an outage; an endpoint that registers meanwhile is used at once, and one that doesn't is removed at its end. Failures of reads before the restore no longer tell whether endpoints renewed their registrations, since the copy lacks some.

With the event not emitted:

endpoint_that_the_copy_lacks_has_time_to_register_again: assertion `left == right` failed: new left: None right: Some(Ready)

--- a/crates/celeryshed_dispatch/src/directory.rs
+++ b/crates/celeryshed_dispatch/src/directory.rs
@@ -60,6 +60,20 @@
         }
     }
 
+    /// Records that the store was restored from a copy, which may lack registrations of running
+    /// endpoints. They register again as after an outage.
+    ///
+    /// ```
+    /// use celeryshed_base::MonoTime;
+    /// use celeryshed_dispatch::EndpointDirectory;
+    /// let mut directory = EndpointDirectory::default();
+    /// directory.record_restore(MonoTime::ZERO);
+    /// assert_eq!(directory.endpoints(MonoTime::ZERO).count(), 0);
+    /// ```
+    pub fn record_restore(&mut self, now: MonoTime) {
+        self.recovered_at = Some(now);
+    }
+
     /// Records that endpoints renewed their registrations while calls to the store failed: only this
     /// process was cut off, and the endpoints that were removed until now have left.
     ///
--- a/crates/celeryshed_gateway/src/dispatcher_task.rs
+++ b/crates/celeryshed_gateway/src/dispatcher_task.rs
@@ -544,6 +544,7 @@
             ControlEvent::StoreAnswered => {
                 self.dispatcher.directory_mut().record_store_success(now)
             }
+            ControlEvent::StoreRestored => self.dispatcher.directory_mut().record_restore(now),
             ControlEvent::RegistrationsRenewed => self.dispatcher.directory_mut().record_renewals(),
         }
     }
--- a/crates/celeryshed_peering/src/renewals.rs
+++ b/crates/celeryshed_peering/src/renewals.rs
@@ -9,7 +9,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use celeryshed_base::MonoTime;
+use celeryshed_base::{MonoTime, StoreEra};
 
 use crate::record::ControlBatch;
 
@@ -24,6 +24,7 @@
     /// Time between two renewals of a registration; `None` if it isn't known.
     interval: Option<Duration>,
     registered: BTreeSet<String>,
+    era: StoreEra,
     disturbance: Option<ReadDisturbance>,
 }
 
@@ -43,7 +44,7 @@
 
 impl RegistrationRenewals {
     pub(crate) fn new(interval: Option<Duration>) -> Self {
-        Self { interval, registered: BTreeSet::new(), disturbance: None }
+        Self { interval, registered: BTreeSet::new(), era: StoreEra::default(), disturbance: None }
     }
 
     /// Records that a read that was sent at `sent_at` failed.
@@ -63,6 +64,11 @@
 
     /// Records an answer of the store to a read of the list of endpoints.
     pub(crate) fn record_answer(&mut self, now: MonoTime, batch: &ControlBatch) {
+        if batch.end.era() > self.era {
+            // The copy lacks registrations that were made or renewed since.
+            self.era = batch.end.era();
+            self.disturbance = None;
+        }
         self.disturbance.take_if(|disturbance| now - disturbance.last_failure_at > DISTURBANCE_GAP);
         if let Some(disturbance) = &mut self.disturbance {
             disturbance.unanswered_since = None;
--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -77,6 +77,8 @@
         /// Endpoints renewed their registrations while calls to the store failed: the store was
         /// available to them, and those whose removal the preceding events tell have left.
         RegistrationsRenewed,
+        /// The store was restored from a copy, which may lack records that were read before.
+        StoreRestored,
     }
 }
 
@@ -432,6 +434,7 @@
             .field("endpoints", held.endpoints)
             .field("source", source.name())
             .warn();
+        self.emit(ControlEvent::StoreRestored);
     }
 
     fn apply_operator_record(
--- a/crates/celeryshed_peering/tests/own_cut.rs
+++ b/crates/celeryshed_peering/tests/own_cut.rs
@@ -136,6 +136,7 @@
                 }
                 ControlEvent::StoreFailed => directory.record_store_failure(),
                 ControlEvent::StoreAnswered => directory.record_store_success(clock.now()),
+                ControlEvent::StoreRestored => directory.record_restore(clock.now()),
                 ControlEvent::RegistrationsRenewed => directory.record_renewals(),
                 ControlEvent::Configuration(_) | ControlEvent::ModelVersion { .. } => {}
             }
--- a/crates/celeryshed_peering/tests/restored_list.rs
+++ b/crates/celeryshed_peering/tests/restored_list.rs
@@ -143,6 +143,7 @@
                     ControlEvent::StoreFailed => directory.record_store_failure(),
                     ControlEvent::StoreAnswered => directory.record_store_success(clock.now()),
                     ControlEvent::RegistrationsRenewed => directory.record_renewals(),
+                    ControlEvent::StoreRestored => directory.record_restore(clock.now()),
                     ControlEvent::Configuration(_) | ControlEvent::ModelVersion { .. } => {}
                 }
             }
@@ -200,6 +201,27 @@
     assert_eq!(list.state("gone").await, None);
 }
 
+/// Guards against the loss of running endpoints: the copy lacks those that registered since, and the
+/// outage was too short to be noticed.
+#[tokio::test(start_paused = true)]
+async fn endpoint_that_the_copy_lacks_has_time_to_register_again() {
+    let list = FollowedList::start();
+    for key in ["old", "new", "gone"] {
+        list.store.write(key, (true, 1, 1));
+        assert_eq!(list.state(key).await, Some(EndpointState::Ready));
+    }
+    list.store.restore(1);
+    sleep(Duration::from_secs(1)).await;
+    for key in ["old", "new", "gone"] {
+        assert_eq!(list.state(key).await, Some(EndpointState::Ready), "{key}");
+    }
+    list.store.write("new", (true, 2, 1));
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(list.state("old").await, Some(EndpointState::Ready));
+    assert_eq!(list.state("new").await, Some(EndpointState::Ready));
+    assert_eq!(list.state("gone").await, None);
+}
+
 /// An endpoint that registers after the restore is used at once, also one with the id of another start.
 #[tokio::test(start_paused = true)]
 async fn endpoint_registered_after_a_restore_is_listed_at_once() {
--- a/crates/celeryshed_stager/src/view.rs
+++ b/crates/celeryshed_stager/src/view.rs
@@ -215,6 +215,7 @@
         }
         ControlEvent::StoreFailed => view.directory.record_store_failure(),
         ControlEvent::StoreAnswered => view.directory.record_store_success(now),
+        ControlEvent::StoreRestored => view.directory.record_restore(now),
         ControlEvent::RegistrationsRenewed => view.directory.record_renewals(),
     }
 }
