Merge registrations after an own cut and after a restore of the store

Both sides compared the last state of an endpoint: the merge compares it without seq_no and stamps it anew after a restore.

--- a/crates/celeryshed_peering/src/lib.rs
+++ b/crates/celeryshed_peering/src/lib.rs
@@ -10,6 +10,8 @@
 mod messages;
 mod recency;
 mod record;
+mod renewals;
+mod restored;
 mod services;
 mod socket;
 mod store;
--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -17,6 +17,8 @@
 use crate::log::{ControlLog, ControlPosition, is_unread};
 use crate::recency::{AgeReading, RECENCY_TICK, ReadRecency, RecordAge};
 use crate::record::{ControlBatch, ControlRecord, ControlStream, OperatorRecord};
+use crate::renewals::RegistrationRenewals;
+use crate::restored::SeenRegistrations;
 use crate::services::ServiceCatalog;
 use crate::store::{ControlStore, ReadOutcome, RecordDecoder, StoreError};
 
@@ -46,6 +48,8 @@
         pub endpoints_interval: Duration,
         /// Age of the list of endpoints beyond which a newer one is fetched from a peer.
         pub endpoints_max_age: Duration,
+        /// Time between two renewals of an endpoint's registration; `None` if it isn't known.
+        pub renewal_interval: Option<Duration>,
     }
 
     /// A new control record, or the result of a call to the store.
@@ -70,6 +74,11 @@
         StoreFailed,
         /// A call to the store succeeded.
         StoreAnswered,
+        /// Endpoints renewed their registrations while calls to the store failed: the store was
+        /// available to them, and those whose removal the preceding events tell have left.
+        RegistrationsRenewed,
+        /// The store was restored from a copy, which may lack records that were read before.
+        StoreRestored,
     }
 }
 
@@ -98,6 +107,8 @@
     StoreFailed {
         stream: ControlStream,
         error: StoreError,
+        /// When the read was sent.
+        sent_at: MonoTime,
     },
     PeerPosition(PeerPosition),
     Query {
@@ -206,6 +217,8 @@
         clock,
         recency: ReadRecency::new(clock.now(), settings.endpoints_interval),
         version_ages: BTreeMap::new(),
+        renewals: RegistrationRenewals::new(settings.renewal_interval),
+        seen: SeenRegistrations::default(),
     };
     tokio::spawn(task.run(received));
     (ControlHandle { inputs, position: position_watch, scope: settings.scope }, event_stream)
@@ -298,6 +311,8 @@
     recency: ReadRecency,
     /// Ages of declared versions by the record's key.
     version_ages: BTreeMap<String, AgeReading>,
+    renewals: RegistrationRenewals,
+    seen: SeenRegistrations,
 }
 
 impl<D: RecordDecoder> ControlTask<D> {
@@ -316,13 +331,19 @@
             match input {
                 ControlInput::Batch { stream, batch, sent_at } => {
                     self.store_answered();
+                    let now = self.clock.now();
+                    let mut is_renewed = false;
                     if stream == ControlStream::Endpoints {
                         self.list_read_at = Some(Instant::now());
+                        self.renewals.record_answer(now, &batch);
+                        is_renewed = self.renewals.are_shown();
                     }
-                    let now = self.clock.now();
                     let source = RecordSource::Store { age: self.recency.record_age(now) };
                     self.merge(stream, batch, &source);
                     self.recency.record_answer(now, stream, sent_at);
+                    if is_renewed {
+                        self.emit(ControlEvent::RegistrationsRenewed);
+                    }
                 }
                 ControlInput::PeerReply { mut reply, sent_at } => {
                     self.fetching = false;
@@ -344,7 +365,9 @@
                     self.fetching = false;
                     self.fetch_from_pending_peer();
                 }
-                ControlInput::StoreFailed { stream, error } => self.store_failed(stream, &error),
+                ControlInput::StoreFailed { stream, error, sent_at } => {
+                    self.store_failed(stream, &error, sent_at)
+                }
                 ControlInput::PeerPosition(peer) => self.fetch_if_behind(peer),
                 ControlInput::Query { query, reply } => {
                     // The peer may have disconnected.
@@ -395,6 +418,9 @@
         // such a batch may be old too, so the position decides and not the number of batches.
         let initial = self.log.position().operator.is_start();
         self.note_restore(batch.end.era(), source);
+        if batch.is_snapshot && stream == ControlStream::Endpoints {
+            self.seen.record_snapshot(batch.end);
+        }
         for record in self.log.merge(stream, batch) {
             match stream {
                 ControlStream::Operator => match &record.value {
@@ -425,6 +451,7 @@
             .field("endpoints", held.endpoints)
             .field("source", source.name())
             .warn();
+        self.emit(ControlEvent::StoreRestored);
     }
 
     fn apply_operator_record(
@@ -534,8 +561,14 @@
             }
             None => None,
         };
+        if let Some(endpoint) = &endpoint
+            && self.seen.is_repeated(&record.key, record.position, endpoint)
+        {
+            return;
+        }
         let known = self.endpoints.get(&record.key);
-        let is_unchanged = known.is_some_and(|(_, known)| *known == endpoint);
+        let is_unchanged =
+            known.is_some_and(|(_, known)| has_same_state(known.as_ref(), endpoint.as_ref()));
         let changed_at = match known {
             // Endpoints write an unchanged record at intervals to show that they are alive.
             Some((changed_at, _)) if is_unchanged && changed_at.era() == record.position.era() => {
@@ -565,8 +598,10 @@
         self.emit(ControlEvent::StoreAnswered);
     }
 
-    fn store_failed(&mut self, stream: ControlStream, error: &StoreError) {
-        self.recency.record_failure(self.clock.now());
+    fn store_failed(&mut self, stream: ControlStream, error: &StoreError, sent_at: MonoTime) {
+        let now = self.clock.now();
+        self.recency.record_failure(now);
+        self.renewals.record_failure(now, sent_at);
         if !std::mem::replace(&mut self.store_failing, true) {
             EventLine::new("store_lost")
                 .field("stream", format_args!("{stream:?}"))
@@ -626,6 +661,14 @@
     }
 }
 
+/// Whether two registrations differ in their numbers at most.
+fn has_same_state(one: Option<&ListedEndpoint>, other: Option<&ListedEndpoint>) -> bool {
+    match (one, other) {
+        (Some(one), Some(other)) => *one == ListedEndpoint { seq_no: one.seq_no, ..other.clone() },
+        (one, other) => one == other,
+    }
+}
+
 /// Sends a query to a peer and turns the result into an input of the control task.
 async fn fetch_input(peer: &str, query: ControlQuery) -> ControlInput {
     let sent_at = Instant::now();
@@ -727,7 +770,7 @@
                     if stream == ControlStream::Endpoints {
                         self.list_failed.notify_one();
                     }
-                    ControlInput::StoreFailed { stream, error }
+                    ControlInput::StoreFailed { stream, error, sent_at }
                 }
             };
             let failed = matches!(input, ControlInput::StoreFailed { .. });
--- a/crates/celeryshed_peering/tests/control.rs
+++ b/crates/celeryshed_peering/tests/control.rs
@@ -162,6 +162,7 @@
         scope: ControlScope::Everything,
         endpoints_interval: Duration::from_millis(100),
         endpoints_max_age: Duration::from_millis(200),
+        renewal_interval: None,
     }
 }
 
@@ -221,6 +222,7 @@
             state: EndpointState::Ready,
             models: BTreeMap::new(),
             started_at_ms: 1,
+            seq_no: None,
         })
     }
 }
--- a/crates/celeryshed_peering/tests/restored_store.rs
+++ b/crates/celeryshed_peering/tests/restored_store.rs
@@ -137,6 +137,7 @@
             state: EndpointState::Ready,
             models: BTreeMap::new(),
             started_at_ms: 1,
+            seq_no: None,
         })
     }
 }
@@ -158,6 +159,7 @@
             scope,
             endpoints_interval: LIST_INTERVAL,
             endpoints_max_age: LIST_INTERVAL,
+            renewal_interval: None,
         };
         let (control, events) = start_control(store.clone(), Arc::new(NumberDecoder), settings);
         Self { control, events, revisions: vec![], versions: vec![], addresses: vec![] }
@@ -175,7 +177,10 @@
                 ControlEvent::Endpoint(record) => {
                     self.addresses.extend(record.endpoint.map(|endpoint| endpoint.address));
                 }
-                ControlEvent::StoreAnswered | ControlEvent::StoreFailed => {}
+                ControlEvent::StoreAnswered
+                | ControlEvent::StoreFailed
+                | ControlEvent::RegistrationsRenewed
+                | ControlEvent::StoreRestored => {}
             }
         }
     }
--- a/crates/celeryshed_stager/tests/support/mod.rs
+++ b/crates/celeryshed_stager/tests/support/mod.rs
@@ -282,6 +282,7 @@
             state: EndpointState::Ready,
             models: BTreeMap::new(),
             started_at_ms: 1,
+            seq_no: None,
         })
     }
 }
@@ -334,6 +335,7 @@
             scope: ControlScope::Everything,
             endpoints_interval: Duration::from_millis(100),
             endpoints_max_age: Duration::from_millis(500),
+            renewal_interval: None,
         },
     };
     let mut endpoints = others(&settings.endpoint);
