Let the store of the gateway's tests be restored from a copy

After a drill, the platform's store comes back from a copy some seconds old: records written since the copy are gone, their offsets are given out again, and a read beyond the end gets 410. The gateway's fake store could not do that. It can copy its records, put a copy back, and counts how often that happened; a read beyond the end now yields Truncated, where the fake returned an empty batch with an end before the requested offset.

--- a/crates/celeryshed_gateway/tests/support/store.rs
+++ b/crates/celeryshed_gateway/tests/support/store.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -26,6 +26,12 @@
     listed: BTreeMap<String, ListedEndpoint>,
 }
 
+/// The records of both streams at a moment.
+pub(crate) struct StoreCopy {
+    operator: Vec<ControlRecord>,
+    endpoints: Vec<ControlRecord>,
+}
+
 /// Keeps records in memory. A record's value is the key under which [`StoredRecords`] holds its
 /// decoded content.
 #[derive(Default)]
@@ -33,6 +39,7 @@
     records: Mutex<StoredRecords>,
     changed: Notify,
     failing: AtomicBool,
+    era: AtomicU64,
 }
 
 impl FakeStore {
@@ -113,6 +120,27 @@
         self.failing.store(failing, Ordering::Relaxed);
     }
 
+    /// Copies the records, for [`Self::restore`].
+    pub(crate) fn copy(&self) -> StoreCopy {
+        let records = self.records.lock().unwrap();
+        StoreCopy { operator: records.operator.clone(), endpoints: records.endpoints.clone() }
+    }
+
+    /// Replaces the records by a copy and raises the era. Offsets after the copy are given out
+    /// again.
+    pub(crate) fn restore(&self, copy: StoreCopy) {
+        let mut records = self.records.lock().unwrap();
+        records.operator = copy.operator;
+        records.endpoints = copy.endpoints;
+        self.era.fetch_add(1, Ordering::Relaxed);
+        self.changed.notify_waiters();
+    }
+
+    /// How often the records were restored from a copy.
+    pub(crate) fn era(&self) -> u64 {
+        self.era.load(Ordering::Relaxed)
+    }
+
     fn batch(&self, stream: ControlStream, from: LogOffset) -> ControlBatch {
         let records = self.records.lock().unwrap();
         let all = match stream {
@@ -153,12 +181,17 @@
     ) -> Result<ReadOutcome, StoreError> {
         let changed = self.changed.notified();
         self.check()?;
-        if self.batch(stream, from).records.is_empty() {
+        let batch = self.batch(stream, from);
+        if batch.end >= from && batch.records.is_empty() {
             // After the timeout, the records are read again too.
             let _ = timeout(wait, changed).await;
         }
         self.check()?;
-        Ok(ReadOutcome::Records(self.batch(stream, from)))
+        let batch = self.batch(stream, from);
+        if batch.end < from {
+            return Ok(ReadOutcome::Truncated);
+        }
+        Ok(ReadOutcome::Records(batch))
     }
 }
 
