Let the stand-in of the log come back from an older copy

New users' rule: in a drill the store is away and comes back from a copy some seconds old; records since then are gone, offsets are assigned again, and the era rises. FakeLog::restore and the fault restore of the HTTP form take the age of the copy and the length of the outage; calls are refused meanwhile. Each read carries the era (0 if absent, so older logs stay readable), and the header Store-Era stands in all replies, refusals too. A read beyond the end keeps its present form, no records and an end below the requested offset: the replica of the configuration detects a shortened log by it. This log has no idempotent appends and no committed positions, so none go back.

--- a/crates/celeryshed_measure/src/spread/engine.rs
+++ b/crates/celeryshed_measure/src/spread/engine.rs
@@ -49,6 +49,6 @@
 
     async fn read(&self, _: &str, from: LogOffset, _: u32) -> Result<ReadReply, PlatformError> {
         let now = UnixMillis(0);
-        Ok(ReadReply { entries: Vec::new(), oldest_offset: from, end_offset: from, now })
+        Ok(ReadReply { entries: Vec::new(), oldest_offset: from, end_offset: from, now, era: 0 })
     }
 }
--- a/crates/celeryshed_platform/src/fakes/log.rs
+++ b/crates/celeryshed_platform/src/fakes/log.rs
@@ -6,7 +6,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use celeryshed_base::{ClockSource, LogOffset};
+use celeryshed_base::{ClockSource, LogOffset, MonoTime, UnixMillis};
 use celeryshed_wire::{LogEntry, ReadReply};
 
 use super::{consume_one, lock, reply_lost, unreachable};
@@ -57,9 +57,18 @@
     retry_after: Option<Duration>,
     lost_replies: u32,
     lost_requests: u32,
+    pending_restore: Option<PendingRestore>,
+    era: u64,
     counts: LogCounts,
 }
 
+/// An outage that ends with the log's return from an older copy.
+#[derive(Clone, Copy, Debug)]
+struct PendingRestore {
+    due_at: MonoTime,
+    copied_at: UnixMillis,
+}
+
 #[derive(Debug, Default)]
 struct StreamState {
     entries: VecDeque<LogEntry>,
@@ -79,6 +88,8 @@
             retry_after: None,
             lost_replies: 0,
             lost_requests: 0,
+            pending_restore: None,
+            era: 0,
             counts: LogCounts::default(),
         };
         Self { state: Arc::new(Mutex::new(state)) }
@@ -124,6 +135,34 @@
         stream.drop_while(|entry| entry.offset < offset);
     }
 
+    /// Starts an outage of the length `outage`. After it, the log comes back from a copy that is
+    /// `copy_age` old now: records appended since then are gone, their offsets are assigned again,
+    /// and the era rises by one. A restore that is pending takes place at once.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use celeryshed_base::{ClockSource, LogOffset};
+    /// use celeryshed_platform::{LogClient, fakes::FakeLog};
+    /// let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap();
+    /// runtime.block_on(async {
+    ///     let log = FakeLog::new(ClockSource::start());
+    ///     log.insert("crashes", vec!["record".into()]);
+    ///     log.restore(Duration::from_secs(5), Duration::ZERO);
+    ///     let reply = log.read("crashes", LogOffset(1), 10).await.unwrap();
+    ///     assert_eq!((reply.end_offset, reply.era), (LogOffset(0), 1));
+    /// });
+    /// ```
+    pub fn restore(&self, copy_age: Duration, outage: Duration) {
+        let mut state = self.lock();
+        if let Some(pending) = state.pending_restore.take() {
+            state.finish_restore(pending);
+        }
+        let due_at = state.clock.now() + outage;
+        let age_ms = copy_age.as_millis() as u64;
+        let copied_at = UnixMillis(state.clock.unix_now().0.saturating_sub(age_ms));
+        state.pending_restore = Some(PendingRestore { due_at, copied_at });
+    }
+
     /// Appends records directly, regardless of injected faults.
     pub fn insert(&self, stream: &str, records: Vec<Bytes>) -> LogOffset {
         self.lock().append(stream, records)
@@ -142,7 +181,9 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, LogState> {
-        lock(&self.state)
+        let mut state = lock(&self.state);
+        state.finish_due_restore();
+        state
     }
 
     async fn delay(&self) {
@@ -160,6 +201,15 @@
         }
     }
 
+    /// Drops the records that were appended after `copied_at`.
+    fn cut_back(&mut self, copied_at: UnixMillis) {
+        let kept = self.entries.partition_point(|entry| entry.appended_at <= copied_at);
+        if let Some(first_lost) = self.entries.get(kept) {
+            self.end = first_lost.offset;
+        }
+        self.entries.truncate(kept);
+    }
+
     fn oldest(&self) -> LogOffset {
         self.entries.front().map_or(self.end, |entry| entry.offset)
     }
@@ -168,7 +218,7 @@
 impl LogState {
     /// Fails during an outage, or if the call is one to refuse.
     fn check_faults(&mut self) -> Result<()> {
-        if self.outage {
+        if self.outage || self.pending_restore.is_some() {
             self.counts.faults += 1;
             return Err(unreachable(TARGET));
         }
@@ -181,6 +231,20 @@
         Ok(())
     }
 
+    fn finish_due_restore(&mut self) {
+        let now = self.clock.now();
+        if let Some(pending) = self.pending_restore.take_if(|pending| pending.due_at <= now) {
+            self.finish_restore(pending);
+        }
+    }
+
+    fn finish_restore(&mut self, restore: PendingRestore) {
+        for stream in self.streams.values_mut() {
+            stream.cut_back(restore.copied_at);
+        }
+        self.era += 1;
+    }
+
     fn append(&mut self, stream: &str, records: Vec<Bytes>) -> LogOffset {
         let appended_at = self.clock.unix_now();
         let stream = self.streams.entry(stream.to_owned()).or_default();
@@ -205,10 +269,10 @@
     fn read(&mut self, stream: &str, from: LogOffset, limit: u32) -> ReadReply {
         self.expire(stream);
         self.counts.reads += 1;
-        let now = self.clock.unix_now();
+        let (now, era) = (self.clock.unix_now(), self.era);
         let Some(stream) = self.streams.get(stream) else {
-            let start = LogOffset(0);
-            return ReadReply { entries: Vec::new(), oldest_offset: start, end_offset: start, now };
+            let (oldest_offset, end_offset) = (LogOffset(0), LogOffset(0));
+            return ReadReply { entries: Vec::new(), oldest_offset, end_offset, now, era };
         };
         let kept = stream.entries.iter().filter(|entry| entry.offset >= from);
         ReadReply {
@@ -216,6 +280,7 @@
             oldest_offset: stream.oldest(),
             end_offset: stream.end,
             now,
+            era,
         }
     }
 }
--- a/crates/celeryshed_platform/tests/contract/log.rs
+++ b/crates/celeryshed_platform/tests/contract/log.rs
@@ -7,7 +7,9 @@
 use celeryshed_platform::fakes::FakeLog;
 use celeryshed_platform::{HttpLogClient, LogClient, PlatformError};
 use celeryshed_standin::Outage;
-use celeryshed_standin::platform::{LogControl, LogFaults, LogOptions, RawLogOptions, RunningLog};
+use celeryshed_standin::platform::{
+    LogControl, LogFaults, LogOptions, LogRestore, RawLogOptions, RunningLog,
+};
 
 use crate::{TIMEOUTS, Verdict, any_port, base_url, verdict};
 
@@ -69,6 +71,18 @@
         }
     }
 
+    fn restore(&self, copy_age: Duration, outage: Duration) {
+        match self {
+            Self::Fake(fake) => fake.restore(copy_age, outage),
+            Self::Http(_, log) => {
+                let copy_age_ms = copy_age.as_millis() as u64;
+                let restore =
+                    Some(LogRestore { copy_age_ms, outage_ms: outage.as_millis() as u64 });
+                log.control().set_faults(LogFaults { restore, ..LogFaults::default() });
+            }
+        }
+    }
+
     fn trim_before(&self, offset: LogOffset) {
         match self {
             Self::Fake(fake) => fake.trim_before(STREAM, offset),
@@ -199,6 +213,93 @@
     check_retention(TestedLogClient::http().await).await;
 }
 
+async fn append_one(client: &dyn LogClient, record: &'static str) -> LogOffset {
+    client.append(STREAM, vec![record.into()]).await.unwrap()
+}
+
+async fn check_restore(tested: TestedLogClient) {
+    let client = tested.client();
+    let pause = Duration::from_millis(400);
+    append_one(client.as_ref(), "kept").await;
+    tokio::time::sleep(pause).await;
+    for record in ["lost first", "lost second"] {
+        append_one(client.as_ref(), record).await;
+    }
+    assert_eq!(client.read(STREAM, LogOffset(0), 10).await.unwrap().era, 0);
+
+    tested.restore(pause / 2, pause);
+    assert!(client.append(STREAM, vec!["refused".into()]).await.is_err());
+    assert!(client.read(STREAM, LogOffset(0), 10).await.is_err());
+    tokio::time::sleep(pause + pause / 4).await;
+
+    // A reader at the former end learns that the log is shorter now.
+    let reply = client.read(STREAM, LogOffset(3), 10).await.unwrap();
+    assert_eq!((reply.entries.len(), reply.end_offset, reply.era), (0, LogOffset(1), 1));
+    assert_eq!(append_one(client.as_ref(), "new").await, LogOffset(1));
+    let reply = client.read(STREAM, LogOffset(0), 10).await.unwrap();
+    let records: Vec<_> = reply.entries.iter().map(|entry| entry.payload.to_vec()).collect();
+    assert_eq!(records, [b"kept".to_vec(), b"new".to_vec()]);
+
+    // A second restore, of a copy that is older than all records and without an outage.
+    tested.restore(Duration::from_secs(60), Duration::ZERO);
+    let reply = client.read(STREAM, LogOffset(0), 10).await.unwrap();
+    assert_eq!((reply.entries.len(), reply.end_offset, reply.era), (0, LogOffset(0), 2));
+    assert_eq!(append_one(client.as_ref(), "first").await, LogOffset(0));
+}
+
+/// Guards against a log that keeps acknowledged records, offsets or its era over a restore from a
+/// copy, which would hide faults of its readers.
+#[tokio::test(start_paused = true)]
+async fn restore_of_the_fake() {
+    check_restore(TestedLogClient::fake()).await;
+}
+
+/// The same restores for the stand-in.
+#[tokio::test]
+async fn restore_of_the_client() {
+    check_restore(TestedLogClient::http().await).await;
+}
+
+/// Guards against a trimmed log whose offsets start at 0 again after a restore, and against a
+/// restore that is lost when another follows before its outage ends.
+#[tokio::test(start_paused = true)]
+async fn restore_keeps_trimmed_offsets_of_the_fake() {
+    let fake = FakeLog::new(ClockSource::start());
+    fake.insert(STREAM, vec!["trimmed".into(), "trimmed".into()]);
+    fake.trim_before(STREAM, LogOffset(2));
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    fake.insert(STREAM, vec!["lost".into()]);
+    fake.restore(Duration::from_millis(50), Duration::from_secs(1));
+    fake.restore(Duration::ZERO, Duration::ZERO);
+    let reply = fake.read(STREAM, LogOffset(0), 10).await.unwrap();
+    assert_eq!((reply.oldest_offset, reply.end_offset), (LogOffset(2), LogOffset(2)));
+    assert_eq!(reply.era, 2);
+}
+
+/// Guards against replies of the stand-in without the era, above all refusals during an outage.
+#[tokio::test]
+async fn all_replies_state_the_era() {
+    let log = RunningLog::launch(LogOptions::default(), any_port()).await.unwrap();
+    let base = base_url(log.address());
+    let faults = r#"{"restore": {"copy_age_ms": 5000, "outage_ms": 0}}"#;
+    let url = format!("{base}/control/faults");
+    let posted = reqwest::Client::new().post(url).body(faults).send().await.unwrap();
+    assert_eq!(posted.status().as_u16(), 200);
+    let cases = [
+        (Outage::None, format!("{base}/log/{STREAM}?from=0&limit=1"), 200),
+        (Outage::None, format!("{base}/log/a%20b?from=0&limit=1"), 400),
+        (Outage::None, format!("{base}/unknown"), 404),
+        (Outage::None, format!("{base}/control/counts"), 200),
+        (Outage::Unavailable, format!("{base}/log/{STREAM}?from=0&limit=1"), 503),
+    ];
+    for (outage, url, status) in cases {
+        log.control().set_faults(LogFaults { outage, ..LogFaults::default() });
+        let reply = reqwest::get(&url).await.unwrap();
+        assert_eq!(reply.status().as_u16(), status, "{url}");
+        assert_eq!(reply.headers().get("Store-Era").unwrap(), "1", "{url}");
+    }
+}
+
 /// Guards against a failed connection that is reported as an unknown effect, or the reverse.
 #[tokio::test]
 async fn outages_are_unreachable_or_lost_replies() {
--- a/crates/celeryshed_standin/src/platform/log.rs
+++ b/crates/celeryshed_standin/src/platform/log.rs
@@ -5,6 +5,8 @@
 
 use celeryshed_base::{ClockSource, LogOffset};
 use celeryshed_wire::{AppendReply, AppendRequest, LogEntry};
+use rocket::fairing::AdHoc;
+use rocket::http::Header;
 use rocket::serde::json::Json;
 use rocket::{State, get, post, routes};
 
@@ -15,6 +17,9 @@
 use crate::reply::Reply;
 use crate::server::ServerTask;
 
+/// Header of all replies that counts how often the log came back from an older copy.
+const ERA_HEADER: &str = "Store-Era";
+
 /// Maximum length of a stream name in bytes.
 const MAX_STREAM_NAME_BYTES: usize = 64;
 
@@ -53,8 +58,14 @@
     pub async fn launch_with(control: LogControl, bind_addr: SocketAddr) -> Result<Self> {
         let managed = control.clone();
         let routes = routes![append, read, counts, faults];
-        let server =
-            ServerTask::launch(bind_addr, |rocket| rocket.manage(managed).mount("/", routes));
+        let counted = control.clone();
+        let era = AdHoc::on_response("report the era", move |_, response| {
+            response.set_header(Header::new(ERA_HEADER, counted.counts().era.to_string()));
+            Box::pin(async {})
+        });
+        let server = ServerTask::launch(bind_addr, |rocket| {
+            rocket.manage(managed).mount("/", routes).attach(era)
+        });
         Ok(Self { server: server.await?, control })
     }
 
@@ -80,7 +91,8 @@
         Self { state: Arc::new(Mutex::new(state)) }
     }
 
-    /// Replaces all faults and drops the records selected by `trim_before`.
+    /// Replaces all faults, drops the records selected by `trim_before`, and starts the outage of
+    /// `restore`.
     pub fn set_faults(&self, faults: LogFaults) {
         self.lock().set_faults(faults);
     }
@@ -97,12 +109,14 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, LogState> {
-        lock(&self.state)
+        let mut state = lock(&self.state);
+        state.finish_due_restore();
+        state
     }
 
     async fn apply_call_faults(&self) -> std::result::Result<(), Reply> {
         let latency = self.lock().latency();
-        apply_call_faults(latency, || self.lock().faults.outage).await
+        apply_call_faults(latency, || self.lock().outage()).await
     }
 
     fn append(&self, stream: &str, request: AppendRequest) -> Reply {
--- a/crates/celeryshed_standin/src/platform/log_state.rs
+++ b/crates/celeryshed_standin/src/platform/log_state.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use celeryshed_base::{ClockSource, LogOffset, common_derives};
+use celeryshed_base::{ClockSource, LogOffset, MonoTime, UnixMillis, common_derives};
 use celeryshed_wire::{AppendRequest, LogEntry, ReadReply};
 
 use super::options::LogOptions;
@@ -30,6 +30,22 @@
         pub retention_ms: Option<u64>,
         /// Offset by stream name below which existing records are dropped when the faults are set.
         pub trim_before: BTreeMap<String, LogOffset>,
+        /// Outage that begins when the faults are set and ends with the log's return from an older
+        /// copy.
+        pub restore: Option<LogRestore>,
+    }
+
+    /// An outage after which the log comes back from an older copy.
+    ///
+    /// Records appended since the copy are gone, their offsets are assigned again, and the era
+    /// rises by one. Later faults don't cancel it; a later restore makes it take place at once.
+    #[derive(Copy)]
+    #[serde(deny_unknown_fields)]
+    pub struct LogRestore {
+        /// Age of the copy at the start of the outage, in milliseconds.
+        pub copy_age_ms: u64,
+        /// Length of the outage in milliseconds, in which calls are refused with 503.
+        pub outage_ms: u64,
     }
 
     /// Counters of the log since its launch.
@@ -53,6 +69,8 @@
         pub requests_lost: u64,
         /// Offset of the next record by stream name.
         pub end_offsets: BTreeMap<String, LogOffset>,
+        /// How often the log came back from an older copy.
+        pub era: u64,
     }
 }
 
@@ -62,10 +80,17 @@
     options: LogOptions,
     limiter: RateLimiter,
     streams: BTreeMap<String, StreamState>,
+    pending_restore: Option<PendingRestore>,
     pub(super) faults: LogFaults,
     pub(super) counts: LogCounts,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct PendingRestore {
+    due_at: MonoTime,
+    copied_at: UnixMillis,
+}
+
 #[derive(Debug, Default)]
 struct StreamState {
     entries: VecDeque<LogEntry>,
@@ -80,6 +105,7 @@
             limiter: RateLimiter::new(rate, rate, clock.now()),
             options,
             streams: BTreeMap::new(),
+            pending_restore: None,
             faults: LogFaults::default(),
             counts: LogCounts::default(),
         }
@@ -95,9 +121,45 @@
                 stream.drop_while(|entry| entry.offset < offset);
             }
         }
+        if let Some(restore) = faults.restore.take() {
+            self.start_restore(restore);
+        }
         self.faults = faults;
     }
 
+    /// The outage set, or the one before a restore.
+    pub(super) fn outage(&self) -> Outage {
+        match self.faults.outage {
+            Outage::None if self.pending_restore.is_some() => Outage::Unavailable,
+            outage => outage,
+        }
+    }
+
+    fn start_restore(&mut self, restore: LogRestore) {
+        if let Some(pending) = self.pending_restore.take() {
+            self.finish_restore(pending);
+        }
+        let due_at = self.clock.now() + Duration::from_millis(restore.outage_ms);
+        let now = self.clock.unix_now();
+        let copied_at = UnixMillis(now.0.saturating_sub(restore.copy_age_ms));
+        self.pending_restore = Some(PendingRestore { due_at, copied_at });
+    }
+
+    pub(super) fn finish_due_restore(&mut self) {
+        let now = self.clock.now();
+        if let Some(pending) = self.pending_restore.take_if(|pending| pending.due_at <= now) {
+            self.finish_restore(pending);
+        }
+    }
+
+    fn finish_restore(&mut self, restore: PendingRestore) {
+        for (name, stream) in &mut self.streams {
+            stream.cut_back(restore.copied_at);
+            self.counts.end_offsets.insert(name.clone(), stream.end_offset);
+        }
+        self.counts.era += 1;
+    }
+
     /// Admits an append under the rate limit, or returns the time until the next one is admitted.
     pub(super) fn admit_append(&mut self) -> Result<(), Duration> {
         let admitted = self.limiter.try_take(1.0, self.clock.now());
@@ -129,14 +191,14 @@
     }
 
     pub(super) fn read(&mut self, name: &str, from: LogOffset, limit: u32) -> ReadReply {
-        let now = self.clock.unix_now();
+        let (now, era) = (self.clock.unix_now(), self.counts.era);
         let retention = self.faults.retention_ms.map(Duration::from_millis);
         let retention = retention.unwrap_or(self.options.retention);
         let limit = limit.min(self.options.max_read_records);
         self.counts.reads += 1;
         let Some(stream) = self.streams.get_mut(name) else {
-            let start = LogOffset(0);
-            return ReadReply { entries: Vec::new(), oldest_offset: start, end_offset: start, now };
+            let (oldest_offset, end_offset) = (LogOffset(0), LogOffset(0));
+            return ReadReply { entries: Vec::new(), oldest_offset, end_offset, now, era };
         };
         stream.drop_while(|entry| now.since(entry.appended_at) > retention);
         let entries = stream.read(from, limit);
@@ -147,6 +209,7 @@
             oldest_offset: stream.oldest_offset(),
             end_offset: stream.end_offset,
             now,
+            era,
         }
     }
 }
@@ -158,6 +221,15 @@
         }
     }
 
+    /// Drops the records that were appended after `copied_at`.
+    fn cut_back(&mut self, copied_at: UnixMillis) {
+        let kept = self.entries.partition_point(|entry| entry.appended_at <= copied_at);
+        if let Some(first_lost) = self.entries.get(kept) {
+            self.end_offset = first_lost.offset;
+        }
+        self.entries.truncate(kept);
+    }
+
     fn oldest_offset(&self) -> LogOffset {
         self.entries.front().map_or(self.end_offset, |entry| entry.offset)
     }
--- a/crates/celeryshed_standin/src/platform/mod.rs
+++ b/crates/celeryshed_standin/src/platform/mod.rs
@@ -19,7 +19,7 @@
 pub use blobs::{BlobControl, RunningBlobs};
 pub use list::{ListControl, ListCounts, ListFaults, RunningList};
 pub use log::{LogControl, RunningLog};
-pub use log_state::{LogCounts, LogFaults};
+pub use log_state::{LogCounts, LogFaults, LogRestore};
 pub use options::{
     BlobOptions, ListOptions, LogOptions, RawBlobOptions, RawListOptions, RawLogOptions,
 };
--- a/crates/celeryshed_wire/src/platform.rs
+++ b/crates/celeryshed_wire/src/platform.rs
@@ -3,7 +3,8 @@
 //! Bodies are MessagePack, except those of blobs.
 //!
 //! - `POST /log/<stream>`: [`AppendRequest`] in, [`AppendReply`] out; 429 above the append rate.
-//! - `GET /log/<stream>?from=N&limit=K`: [`ReadReply`].
+//! - `GET /log/<stream>?from=N&limit=K`: [`ReadReply`]. Beyond the end of the stream, the reply has
+//!   no records and an `end_offset` below N.
 //! - `GET /instances`: [`ListReply`].
 //! - `GET /blobs/<digest>` at the weight store and the origin: raw bytes; 404 for an unknown
 //!   digest,
@@ -47,6 +48,10 @@
         pub end_offset: LogOffset,
         /// Current time of the log's clock.
         pub now: UnixMillis,
+        /// How often the log came back from an older copy of itself. Records that were appended
+        /// after the copy are gone, and their offsets are assigned again. 0 if absent.
+        #[serde(default)]
+        pub era: u64,
     }
 
     /// Role of a listed instance.
