--- a/crates/celeryshed_cli/src/args/mod.rs
+++ b/crates/celeryshed_cli/src/args/mod.rs
@@ -44,6 +44,8 @@
     Measure(MeasureCommand),
     /// Runs stand-ins of the platform and of endpoints until SIGTERM.
     Standin(StandinArgs),
+    /// Makes a stand-in of the log come back from an older copy.
+    Drill(DrillArgs),
     /// Runs the whole system on loopback addresses and checks its promises.
     Demo(DemoArgs),
 }
@@ -166,6 +168,20 @@
     pub settings: PathBuf,
 }
 
+/// Arguments of `celeryshed drill`.
+#[derive(Clone, Debug, Args)]
+pub struct DrillArgs {
+    /// Base URL of the stand-in.
+    #[arg(long, value_name = "URL")]
+    pub log_url: String,
+    /// Age of the copy at the start of the outage, in milliseconds.
+    #[arg(long, value_name = "MS")]
+    pub copy_age_ms: u64,
+    /// Length of the outage in milliseconds.
+    #[arg(long, value_name = "MS", default_value_t = 0)]
+    pub outage_ms: u64,
+}
+
 /// Arguments of `celeryshed demo`.
 #[derive(Clone, Debug, Args)]
 pub struct DemoArgs {
--- a/crates/celeryshed_cli/src/commands/mod.rs
+++ b/crates/celeryshed_cli/src/commands/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod config;
 pub(crate) mod contract;
 pub(crate) mod demo;
+pub(crate) mod drill;
 pub(crate) mod measure;
 pub(crate) mod model;
 mod output;
--- a/crates/celeryshed_cli/src/run.rs
+++ b/crates/celeryshed_cli/src/run.rs
@@ -86,6 +86,7 @@
         OperatorCommand::Measure(MeasureCommand::Slopes(args)) => {
             commands::measure::slopes(&args).await
         }
+        OperatorCommand::Drill(args) => commands::drill::run(&args).await,
         OperatorCommand::Standin(args) => commands::standin::run(&args).await,
         OperatorCommand::Demo(args) => commands::demo::run(&args).await,
     }
--- a/crates/celeryshed_cli/tests/commands.rs
+++ b/crates/celeryshed_cli/tests/commands.rs
@@ -174,3 +174,26 @@
     assert_eq!(publish.status.code(), Some(1));
     assert!(stderr(&publish).contains("the configuration can't be read from the log"));
 }
+
+/// Guards against a drill that keeps records of after the copy, and against a drill that is
+/// reported as started where nothing listens.
+#[tokio::test(flavor = "multi_thread")]
+async fn drill_takes_back_records_of_the_log() {
+    let log = RunningLog::launch(LogOptions::default(), any_port()).await.expect("the log");
+    let url = format!("http://{}", log.address());
+    let contracts = examples().join("hinokage/contracts.ini");
+    let contracts = contracts.to_string_lossy();
+    let published = run(&["contract", "publish", &contracts, "--log-url", &url]);
+    assert!(published.status.success(), "{}", stderr(&published));
+    let before = log.control().counts();
+    assert!(before.end_offsets.values().any(|end| end.0 > 0), "{before:?}");
+    let output = run(&["drill", "--log-url", &url, "--copy-age-ms", "600000"]);
+    assert!(output.status.success(), "{}", stderr(&output));
+    let after = log.control().counts();
+    assert!(after.end_offsets.values().all(|end| end.0 == 0), "{after:?}");
+    assert_eq!(after.era, 1);
+    log.stop().await;
+    let output = run(&["drill", "--log-url", &url, "--copy-age-ms", "600000"]);
+    assert_eq!(output.status.code(), Some(1));
+    assert!(stderr(&output).contains("accepted no faults"), "{}", stderr(&output));
+}
