--- a/crates/celeryshed_gateway/tests/support/store.rs
+++ b/crates/celeryshed_gateway/tests/support/store.rs
@@ -17,13 +17,14 @@
 
 use super::{ScriptedEndpoint, service};
 
-/// Position of an offset before any restore of the store.
-fn at(offset: u64) -> LogPosition {
-    LogPosition::new(StoreEra::default(), LogOffset(offset)).unwrap()
+fn position(era: StoreEra, offset: usize) -> LogPosition {
+    LogPosition::new(era, LogOffset(offset as u64)).unwrap()
 }
 
 #[derive(Default)]
 struct StoredRecords {
+    /// How often the records were restored from a copy.
+    restores: u64,
     operator: Vec<ControlRecord>,
     endpoints: Vec<ControlRecord>,
     snapshots: BTreeMap<String, RoutingSnapshot>,
@@ -31,6 +32,30 @@
     listed: BTreeMap<String, ListedEndpoint>,
 }
 
+impl StoredRecords {
+    fn of(&self, stream: ControlStream) -> &[ControlRecord] {
+        match stream {
+            ControlStream::Operator => &self.operator,
+            ControlStream::Endpoints => &self.endpoints,
+        }
+    }
+
+    fn era(&self) -> StoreEra {
+        StoreEra::try_from(self.restores).unwrap()
+    }
+
+    /// Position of the next record.
+    fn end(&self, stream: ControlStream) -> LogPosition {
+        position(self.era(), self.of(stream).len())
+    }
+}
+
+/// The records of both streams at a moment.
+pub(crate) struct StoreCopy {
+    operator: Vec<ControlRecord>,
+    endpoints: Vec<ControlRecord>,
+}
+
 /// Keeps records in memory. A record's value is the key under which [`StoredRecords`] holds its
 /// decoded content.
 #[derive(Default)]
@@ -46,7 +71,7 @@
         let mut records = self.records.lock().unwrap();
         let name = format!("configuration-{}", snapshot.revision);
         records.snapshots.insert(name.clone(), snapshot);
-        let position = at(records.operator.len() as u64);
+        let position = records.end(ControlStream::Operator);
         let value = Some(Bytes::from(name));
         records.operator.push(ControlRecord { key: "configuration".to_owned(), position, value });
         self.changed.notify_waiters();
@@ -82,7 +107,7 @@
         let mut records = self.records.lock().unwrap();
         let name = format!("{}-{state:?}", endpoint.id);
         records.listed.insert(name.clone(), listed);
-        let position = at(records.endpoints.len() as u64);
+        let position = records.end(ControlStream::Endpoints);
         let value = Some(Bytes::from(name));
         records.endpoints.push(ControlRecord { key: endpoint.id.clone(), position, value });
     }
@@ -101,7 +126,7 @@
         let mut records = self.records.lock().unwrap();
         let name = format!("version-{model}-{version}");
         records.versions.insert(name.clone(), (model.to_owned(), version));
-        let position = at(records.operator.len() as u64);
+        let position = records.end(ControlStream::Operator);
         let value = Some(Bytes::from(name));
         records.operator.push(ControlRecord { key: format!("version-{model}"), position, value });
         self.changed.notify_waiters();
@@ -110,7 +135,7 @@
     /// Removes an endpoint from the list.
     pub(crate) fn remove(&self, endpoint: &ScriptedEndpoint) {
         let mut records = self.records.lock().unwrap();
-        let position = at(records.endpoints.len() as u64);
+        let position = records.end(ControlStream::Endpoints);
         records.endpoints.push(ControlRecord { key: endpoint.id.clone(), position, value: None });
     }
 
@@ -119,14 +144,34 @@
         self.failing.store(failing, Ordering::Relaxed);
     }
 
-    fn batch(&self, stream: ControlStream, from: LogPosition) -> ControlBatch {
+    /// Copies the records, for [`Self::restore`].
+    pub(crate) fn copy(&self) -> StoreCopy {
         let records = self.records.lock().unwrap();
-        let all = match stream {
-            ControlStream::Operator => &records.operator,
-            ControlStream::Endpoints => &records.endpoints,
+        StoreCopy { operator: records.operator.clone(), endpoints: records.endpoints.clone() }
+    }
+
+    /// Replaces the records by a copy and begins a new era. Offsets after the copy are given out
+    /// again.
+    pub(crate) fn restore(&self, copy: StoreCopy) {
+        let mut records = self.records.lock().unwrap();
+        records.restores += 1;
+        let era = records.era();
+        let restored = |mut copied: Vec<ControlRecord>| {
+            for (offset, record) in copied.iter_mut().enumerate() {
+                record.position = position(era, offset);
+            }
+            copied
         };
-        let end = at(all.len() as u64);
-        let records = all.iter().filter(|record| record.position >= from).cloned().collect();
+        records.operator = restored(copy.operator);
+        records.endpoints = restored(copy.endpoints);
+        self.changed.notify_waiters();
+    }
+
+    fn batch(&self, stream: ControlStream, from: LogPosition) -> ControlBatch {
+        let records = self.records.lock().unwrap();
+        let end = records.end(stream);
+        let records =
+            records.of(stream).iter().filter(|record| record.position >= from).cloned().collect();
         ControlBatch { records, end, is_snapshot: false }
     }
 
@@ -141,7 +186,7 @@
 impl ControlStore for FakeStore {
     async fn newest(&self, stream: ControlStream) -> Result<ControlBatch, StoreError> {
         self.check()?;
-        let mut batch = self.batch(stream, at(0));
+        let mut batch = self.batch(stream, LogPosition::default());
         batch.is_snapshot = true;
         let mut newest = BTreeMap::new();
         for record in batch.records {
@@ -159,12 +204,20 @@
     ) -> Result<ReadOutcome, StoreError> {
         let changed = self.changed.notified();
         self.check()?;
-        if self.batch(stream, from).records.is_empty() {
+        let batch = self.batch(stream, from);
+        if batch.end >= from && batch.records.is_empty() {
             // After the timeout, the records are read again too.
             let _ = timeout(wait, changed).await;
         }
         self.check()?;
-        Ok(ReadOutcome::Records(self.batch(stream, from)))
+        let batch = self.batch(stream, from);
+        if batch.end.era() != from.era() {
+            return Ok(ReadOutcome::Restored);
+        }
+        if batch.end < from {
+            return Ok(ReadOutcome::Truncated);
+        }
+        Ok(ReadOutcome::Records(batch))
     }
 }
 
