Break off streams whose relay ends before they are complete

Callers took a cut stream for a complete one if the task that forwards it panicked or was dropped: the answer ended with the last chunk. GatewayBody::Events took the end of the channel for the end of the body. Completeness is now explicit: the relay marks the stream as complete, and an end of the channel without the mark is StreamBroken, which closes the connection. The mark takes no place in the channel, so that a complete stream doesn't wait for its caller.

stream_is_broken_off_if_its_relay_panics: panicked at request/body/tests.rs:46: "HTTP/1.1 200 OK ... 11\r\nid: 1\ndata: one\n\n\r\n0\r\n\r\n"

Now both tests in request/body/tests.rs pass, and those in resume.rs, silence.rs and stalls.rs.

--- a/crates/celeryshed_gateway/src/request/body.rs
+++ b/crates/celeryshed_gateway/src/request/body.rs
@@ -1,25 +1,36 @@
 //! Bodies of the answers to callers.
 
+#[cfg(test)]
+mod tests;
+
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
+
+/// Number of event batches that may wait for a slow caller.
+const EVENT_BUFFER_LEN: usize = 16;
 
-/// The stream broke off and could not be resumed, or its time limit passed. The error closes the
-/// caller's connection, so that the answer doesn't look complete.
+/// The stream ended before it was complete. The error closes the caller's connection, so that the
+/// answer doesn't look complete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("the event stream ended before its last event")]
 pub(crate) struct StreamBroken;
 
+/// The caller's connection has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the caller has disconnected")]
+pub(crate) struct CallerDisconnected;
+
 /// Body of an answer to a caller.
 #[derive(Debug)]
 pub(crate) enum GatewayBody {
     /// A complete body; none once it was sent, or if it is empty.
     Whole(Option<Bytes>),
     /// Events, forwarded as they arrive.
-    Events(mpsc::Receiver<Result<Bytes, StreamBroken>>),
+    Events(EventReceiver),
 }
 
 impl GatewayBody {
@@ -27,6 +38,48 @@
     pub(crate) fn whole(bytes: impl Into<Bytes>) -> Self {
         Self::Whole(Some(bytes.into()).filter(|bytes| !bytes.is_empty()))
     }
+
+    /// A body of events, and the sender for them.
+    pub(crate) fn events() -> (EventSender, Self) {
+        let (events, event_receiver) = mpsc::channel(EVENT_BUFFER_LEN);
+        let (completion, completion_receiver) = oneshot::channel();
+        let receiver = EventReceiver { events: event_receiver, completion: completion_receiver };
+        (EventSender { events, completion }, Self::Events(receiver))
+    }
+}
+
+/// Sends the events of a stream to its caller. The stream is broken off if the sender is dropped
+/// before [`EventSender::complete`].
+#[derive(Debug)]
+pub(crate) struct EventSender {
+    events: mpsc::Sender<Bytes>,
+    completion: oneshot::Sender<()>,
+}
+
+impl EventSender {
+    /// Sends a batch of whole events; waits while the caller is too slow to receive them.
+    pub(crate) async fn send(&self, batch: Bytes) -> Result<(), CallerDisconnected> {
+        self.events.send(batch).await.map_err(|_unsent| CallerDisconnected)
+    }
+
+    /// Waits until the caller has disconnected.
+    pub(crate) async fn closed(&self) {
+        self.events.closed().await;
+    }
+
+    /// Marks the stream as complete. Batches that were sent before still reach the caller.
+    pub(crate) fn complete(self) {
+        // The caller may have disconnected.
+        let _ = self.completion.send(());
+    }
+}
+
+/// Receives the events of a stream.
+#[derive(Debug)]
+pub(crate) struct EventReceiver {
+    events: mpsc::Receiver<Bytes>,
+    /// Resolves to an error if the stream is broken off.
+    completion: oneshot::Receiver<()>,
 }
 
 impl Default for GatewayBody {
@@ -43,10 +96,16 @@
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, StreamBroken>>> {
-        match self.get_mut() {
+        let body = self.get_mut();
+        match body {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Events(events) => {
-                events.poll_recv(context).map(|event| event.map(|event| event.map(Frame::data)))
+            Self::Events(receiver) => {
+                if let Some(batch) = ready!(receiver.events.poll_recv(context)) {
+                    return Poll::Ready(Some(Ok(Frame::data(batch))));
+                }
+                let completion = ready!(Pin::new(&mut receiver.completion).poll(context));
+                *body = Self::Whole(None);
+                Poll::Ready(completion.err().map(|_dropped| Err(StreamBroken)))
             }
         }
     }
--- a/crates/celeryshed_gateway/src/request/handle.rs
+++ b/crates/celeryshed_gateway/src/request/handle.rs
@@ -15,7 +15,6 @@
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use tokio::select;
-use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
 
 use crate::context::{GatewayContext, ShutdownPhase};
@@ -25,7 +24,7 @@
 use crate::request::failover::{FailoverObstacle, place_failover};
 use crate::request::parse::{CallerRequest, read_request};
 use crate::request::placed::{AttemptEnd, AttemptScope, PlacedRequest};
-use crate::request::relay::{EVENT_BUFFER_LEN, StreamRelay};
+use crate::request::relay::StreamRelay;
 use crate::request::replies::OwnReply;
 
 /// Shortest time without a first event after which a retryable request is also sent elsewhere.
@@ -378,8 +377,8 @@
             .headers
             .get(&self.context.headers.version)
             .and_then(|version| version.to_str().ok()?.trim().parse().ok());
-        let (events, body) = mpsc::channel(EVENT_BUFFER_LEN);
-        let mut response = Response::new(GatewayBody::Events(body));
+        let (events, body) = GatewayBody::events();
+        let mut response = Response::new(body);
         *response.status_mut() = stream.status;
         *response.headers_mut() = end_to_end(&stream.headers);
         let mut request = Arc::unwrap_or_clone(self.request);
--- a/crates/celeryshed_gateway/src/request/relay.rs
+++ b/crates/celeryshed_gateway/src/request/relay.rs
@@ -14,20 +14,17 @@
 };
 use celeryshed_observe::EventLine;
 use tokio::select;
-use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until};
 
 use crate::context::GatewayContext;
 use crate::dispatcher_task::PlacementPermit;
 use crate::request::attempt::{OpenStream, is_framed};
-use crate::request::body::StreamBroken;
+use crate::request::body::EventSender;
 use crate::request::failover::{FailoverObstacle, ResumePlan, ResumedStream, resume_elsewhere};
 use crate::request::parse::CallerRequest;
 
 /// Time after its first event in which a stream that breaks off may have crashed its endpoint.
 const BEGINNING_TIME: Duration = Duration::from_millis(200);
-/// Number of event batches that may wait for a slow caller.
-pub(crate) const EVENT_BUFFER_LEN: usize = 16;
 
 /// A stream that is forwarded to its caller.
 pub(crate) struct StreamRelay {
@@ -72,19 +69,18 @@
 impl StreamRelay {
     /// Forwards events until the stream is complete, breaks off and can't be resumed, times out, or
     /// the caller disconnects.
-    pub(crate) async fn run(mut self, events: mpsc::Sender<Result<Bytes, StreamBroken>>) {
-        if events.send(Ok(std::mem::take(&mut self.stream.first))).await.is_err() {
+    pub(crate) async fn run(mut self, events: EventSender) {
+        if events.send(std::mem::take(&mut self.stream.first)).await.is_err() {
             return;
         }
         loop {
             let (reason, is_reported) = match self.forward(&events).await {
-                RelayEnd::Complete => return self.finish(),
-                RelayEnd::CallerDisconnected => return,
-                RelayEnd::TimedOut => {
-                    self.log("stream_timed_out");
-                    let _ = events.send(Err(StreamBroken)).await;
-                    return;
+                RelayEnd::Complete => {
+                    events.complete();
+                    return self.finish();
                 }
+                RelayEnd::CallerDisconnected => return,
+                RelayEnd::TimedOut => return self.log("stream_timed_out"),
                 RelayEnd::Broken { reason, is_reported } => (reason, is_reported),
             };
             if !is_reported {
@@ -100,15 +96,9 @@
                 resumed = self.resume(reason) => resumed,
                 () = events.closed() => return,
             };
-            match resumed {
-                Some(resumed) => self = resumed,
-                None => {
-                    // The caller may disconnect at the same time.
-                    let _ = events.send(Err(StreamBroken)).await;
-                    return;
-                }
-            }
-            if events.send(Ok(std::mem::take(&mut self.stream.first))).await.is_err() {
+            let Some(resumed) = resumed else { return };
+            self = resumed;
+            if events.send(std::mem::take(&mut self.stream.first)).await.is_err() {
                 return;
             }
         }
@@ -126,7 +116,7 @@
         self.permit.finish(AttemptOutcome::Served);
     }
 
-    async fn forward(&mut self, events: &mpsc::Sender<Result<Bytes, StreamBroken>>) -> RelayEnd {
+    async fn forward(&mut self, events: &EventSender) -> RelayEnd {
         let due_at = self.due_at;
         let mut patience = StallLimits::from(&self.request.route).resume_after;
         let mut stalled_at = Instant::now() + patience;
@@ -154,7 +144,7 @@
             };
             match next {
                 StreamStep::Events(complete_events) => {
-                    if events.send(Ok(complete_events)).await.is_err() {
+                    if events.send(complete_events).await.is_err() {
                         return RelayEnd::CallerDisconnected;
                     }
                     patience = StallLimits::from(&self.request.route).resume_after;
