End streams at their time limit although the caller stops receiving

A caller that stopped receiving its stream held the endpoint's slot and connection until it disconnected, long past the time limit of the stream; other requests found no slot. The relay waited for room in its buffer of events without regard to due_at. It now ends at the time limit also while it sends, and closes the connection to the endpoint; a caller that goes on afterwards receives what was buffered and then a close before the last chunk.

The test failed before:

stream_ends_at_its_time_limit_although_its_caller_stops_receiving: panicked at tests/slow_callers.rs:59: the endpoint still works on stream 0

With the change it passes: four stalled streams end within 0.5 s of their limit of 2 s, and a fifth request gets a slot. A slowly received stream of 20 MiB is forwarded whole, and a complete one is received whole after its limit (both before and after the change).

--- a/crates/celeryshed_gateway/src/request/relay.rs
+++ b/crates/celeryshed_gateway/src/request/relay.rs
@@ -19,7 +19,7 @@
 use crate::context::GatewayContext;
 use crate::dispatcher_task::PlacementPermit;
 use crate::request::attempt::{OpenStream, is_framed};
-use crate::request::body::EventSender;
+use crate::request::body::{CallerDisconnected, EventSender};
 use crate::request::failover::{FailoverObstacle, ResumePlan, ResumedStream, resume_elsewhere};
 use crate::request::parse::CallerRequest;
 
@@ -70,9 +70,6 @@
     /// Forwards events until the stream is complete, breaks off and can't be resumed, times out, or
     /// the caller disconnects.
     pub(crate) async fn run(mut self, events: EventSender) {
-        if events.send(std::mem::take(&mut self.stream.first)).await.is_err() {
-            return;
-        }
         loop {
             let (reason, is_reported) = match self.forward(&events).await {
                 RelayEnd::Complete => {
@@ -98,9 +95,6 @@
             };
             let Some(resumed) = resumed else { return };
             self = resumed;
-            if events.send(std::mem::take(&mut self.stream.first)).await.is_err() {
-                return;
-            }
         }
     }
 
@@ -116,8 +110,13 @@
         self.permit.finish(AttemptOutcome::Served);
     }
 
+    /// Forwards the first and all further events until the stream ends.
     async fn forward(&mut self, events: &EventSender) -> RelayEnd {
         let due_at = self.due_at;
+        let first = std::mem::take(&mut self.stream.first);
+        if let Err(end) = send_in_time(events, first, due_at).await {
+            return end;
+        }
         let mut patience = StallLimits::from(&self.request.route).resume_after;
         let mut stalled_at = Instant::now() + patience;
         let mut is_reported = false;
@@ -144,8 +143,8 @@
             };
             match next {
                 StreamStep::Events(complete_events) => {
-                    if events.send(complete_events).await.is_err() {
-                        return RelayEnd::CallerDisconnected;
+                    if let Err(end) = send_in_time(events, complete_events, due_at).await {
+                        return end;
                     }
                     patience = StallLimits::from(&self.request.route).resume_after;
                 }
@@ -303,3 +302,13 @@
             .warn();
     }
 }
+
+/// Sends events to the caller, but not after `due_at`: a caller that stops receiving must not hold
+/// the endpoint.
+async fn send_in_time(events: &EventSender, batch: Bytes, due_at: Instant) -> Result<(), RelayEnd> {
+    select! {
+        biased;
+        () = sleep_until(due_at) => Err(RelayEnd::TimedOut),
+        sent = events.send(batch) => sent.map_err(|CallerDisconnected| RelayEnd::CallerDisconnected),
+    }
+}
