Ask further endpoints to resume a broken stream

A caller's stream was broken off after a break of its endpoint if the one endpoint that was asked to resume it was full, out of reach or broke too, although another endpoint was free and route and retry budget allowed it. StreamRelay::resume made a single attempt. It now goes on as the handler does before the first event: while the route allows attempts (those that certainly didn't run are bounded apart), the retry budget allows those that reached an endpoint, and the time limit has not passed. Failed attempts are logged as attempt_ended, their resets are probed for crashes.

--- a/crates/celeryshed_gateway/src/request/failover.rs
+++ b/crates/celeryshed_gateway/src/request/failover.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use celeryshed_dispatch::{AttemptOutcome, EndpointId, RefusalReason};
+use celeryshed_dispatch::{AttemptOutcome, EndpointId, RefusalReason, RetryVerdict};
 use celeryshed_observe::EventLine;
 use tokio::time::Instant;
 
@@ -57,16 +57,34 @@
     }
 }
 
-/// Reserves a slot at an endpoint that is not in `tried`, and counts the retry.
+/// Logs and counts an attempt that ended without an answer that can be forwarded.
+pub(crate) fn log_attempt(
+    request: &CallerRequest,
+    endpoint: &EndpointId,
+    outcome: AttemptOutcome,
+    verdict: RetryVerdict,
+) {
+    EventLine::new("attempt_ended")
+        .field("id", &request.request_id)
+        .field("endpoint", endpoint)
+        .field("outcome", format_args!("{outcome:?}"))
+        .field("verdict", format_args!("{verdict:?}"))
+        .info();
+    metrics::counter!("celeryshed_attempts_failed_total").increment(1);
+}
+
+/// Reserves a slot at an endpoint that is not in `tried`. If the retry `is_counted`, the retry
+/// budget has to allow it.
 pub(crate) async fn place_failover(
     context: &GatewayContext,
     request: &CallerRequest,
     tried: BTreeSet<EndpointId>,
+    is_counted: bool,
 ) -> Result<PlacedRequest, FailoverObstacle> {
     if context.has_blocked(&request.parts) {
         return Err(FailoverObstacle::BlockedPart);
     }
-    if !context.dispatcher.try_retry(&request.profile.service).await {
+    if is_counted && !context.dispatcher.try_retry(&request.profile.service).await {
         return Err(FailoverObstacle::RetryBudget);
     }
     match context.dispatcher.place(request.profile.clone(), tried).await {
@@ -89,6 +107,24 @@
     pub(crate) permit: PlacementPermit,
 }
 
+/// An attempt to resume a stream that failed.
+#[derive(Debug)]
+pub(crate) enum FailedResume {
+    /// No endpoint got the request.
+    NotPlaced(FailoverObstacle),
+    /// The endpoint did not send an event.
+    Ended { endpoint: EndpointId, outcome: AttemptOutcome },
+}
+
+impl FailedResume {
+    pub(crate) fn obstacle(&self) -> FailoverObstacle {
+        match self {
+            Self::NotPlaced(obstacle) => *obstacle,
+            Self::Ended { outcome, .. } => FailoverObstacle::Attempt(*outcome),
+        }
+    }
+}
+
 /// Where and until when a stream may be resumed.
 #[derive(Debug)]
 pub(crate) struct ResumePlan<'a> {
@@ -96,6 +132,8 @@
     pub(crate) request: &'a CallerRequest,
     /// Endpoints that don't get the stream.
     pub(crate) tried: BTreeSet<EndpointId>,
+    /// Whether the attempt counts against the retry budget.
+    pub(crate) is_counted: bool,
     /// Id of the event after which the stream resumes.
     pub(crate) last_event: u64,
     /// When the stream has to be complete.
@@ -107,10 +145,10 @@
 /// Resumes a stream at another endpoint, and waits for its first event there.
 pub(crate) async fn resume_elsewhere(
     resume: ResumePlan<'_>,
-) -> Result<ResumedStream, FailoverObstacle> {
+) -> Result<ResumedStream, FailedResume> {
     let ResumePlan { context, request, .. } = resume;
-    let placed = place_failover(context, request, resume.tried).await?;
-    let PlacedRequest { target, expected, mut permit } = placed;
+    let placed = place_failover(context, request, resume.tried, resume.is_counted).await;
+    let PlacedRequest { target, expected, mut permit } = placed.map_err(FailedResume::NotPlaced)?;
     resume.is_sent.store(true, Ordering::Relaxed);
     let sent_at = Instant::now();
     let plan = AttemptPlan {
@@ -138,5 +176,5 @@
         AttemptReply::Ended(outcome) => outcome,
     };
     permit.finish(outcome);
-    Err(FailoverObstacle::Attempt(outcome))
+    Err(FailedResume::Ended { endpoint: target.id, outcome })
 }
--- a/crates/celeryshed_gateway/src/request/handle.rs
+++ b/crates/celeryshed_gateway/src/request/handle.rs
@@ -21,7 +21,7 @@
 use crate::dispatcher_task::{PlacementPermit, PlacementVerdict};
 use crate::request::attempt::{OpenStream, WholeAnswer, end_to_end};
 use crate::request::body::GatewayBody;
-use crate::request::failover::{FailoverObstacle, place_failover};
+use crate::request::failover::{FailoverObstacle, log_attempt, place_failover};
 use crate::request::parse::{CallerRequest, read_request};
 use crate::request::placed::{AttemptEnd, AttemptScope, PlacedRequest};
 use crate::request::relay::StreamRelay;
@@ -195,7 +195,7 @@
             let found = select! {
                 biased;
                 end = first.as_mut() => return (target, end),
-                found = place_failover(&self.context, &self.request, tried) => found,
+                found = place_failover(&self.context, &self.request, tried, true) => found,
             };
             patience *= 2;
             wait = patience;
@@ -288,7 +288,7 @@
         }
         let route = &self.request.route;
         let verdict = self.history.record(route.kind, route.max_attempts, outcome);
-        self.log_attempt(target, outcome, verdict);
+        log_attempt(&self.request, &target.id, outcome, verdict);
         if outcome != AttemptOutcome::NotRun(NotRunReason::StaleDecision) {
             self.tried.insert(target.id.clone());
         }
@@ -399,16 +399,6 @@
         response
     }
 
-    fn log_attempt(&self, target: &EndpointTarget, outcome: AttemptOutcome, verdict: RetryVerdict) {
-        EventLine::new("attempt_ended")
-            .field("id", &self.request.request_id)
-            .field("endpoint", &target.id)
-            .field("outcome", format_args!("{outcome:?}"))
-            .field("verdict", format_args!("{verdict:?}"))
-            .info();
-        metrics::counter!("celeryshed_attempts_failed_total").increment(1);
-    }
-
     fn log_answered(&self, target: Option<&EndpointTarget>, status: StatusCode) {
         let arrived_at = self.request.profile.arrived_at;
         let elapsed = self.context.clock.now() - arrived_at;
--- a/crates/celeryshed_gateway/src/request/relay.rs
+++ b/crates/celeryshed_gateway/src/request/relay.rs
@@ -10,7 +10,8 @@
 use bytes::Bytes;
 use celeryshed_base::MonoTime;
 use celeryshed_dispatch::{
-    AttemptHistory, AttemptOutcome, EndpointId, RetryVerdict, StallLimits, UnknownReason,
+    AttemptHistory, AttemptOutcome, EndpointId, NotRunReason, RetryVerdict, StallLimits,
+    UnknownReason,
 };
 use celeryshed_observe::EventLine;
 use tokio::select;
@@ -20,7 +21,9 @@
 use crate::dispatcher_task::PlacementPermit;
 use crate::request::attempt::{OpenStream, is_framed};
 use crate::request::body::{CallerDisconnected, EventSender};
-use crate::request::failover::{FailoverObstacle, ResumePlan, ResumedStream, resume_elsewhere};
+use crate::request::failover::{
+    FailedResume, FailoverObstacle, ResumePlan, ResumedStream, log_attempt, resume_elsewhere,
+};
 use crate::request::parse::CallerRequest;
 
 /// Time after its first event in which a stream that breaks off may have crashed its endpoint.
@@ -190,6 +193,7 @@
                 context: &self.context,
                 request: &self.request,
                 tried,
+                is_counted: true,
                 last_event,
                 due_at: self.due_at,
                 is_sent: &is_sent,
@@ -226,10 +230,14 @@
         };
         match resumed {
             Ok(resumed) => StreamStep::Events(self.switch_to(resumed, broken)),
-            Err(obstacle) => {
-                if let FailoverObstacle::Attempt(outcome) = obstacle {
+            Err(failed) => {
+                let obstacle = failed.obstacle();
+                if let FailedResume::Ended { endpoint, outcome } = failed {
                     let route = &self.request.route;
                     self.history.record(route.kind, route.max_attempts, outcome);
+                    if broken.is_some() {
+                        self.tried.insert(endpoint);
+                    }
                 }
                 match broken {
                     Some(reason) => {
@@ -255,43 +263,58 @@
         std::mem::take(&mut self.stream.first)
     }
 
-    /// Resumes a broken stream at another endpoint; `None` if no event with an id has arrived, the
-    /// route or the retry budget allows no retry, or no endpoint accepts the stream.
+    /// Resumes a broken stream at another endpoint; `None` if no event with an id has arrived, or
+    /// the route, the retry budget or the time limit allows no further attempt before an endpoint
+    /// has accepted the stream.
     async fn resume(mut self, reason: UnknownReason) -> Option<Self> {
         let outcome = AttemptOutcome::Unknown(reason);
         let route = &self.request.route;
-        let verdict = self.history.record(route.kind, route.max_attempts, outcome);
+        let mut verdict = self.history.record(route.kind, route.max_attempts, outcome);
         self.permit.finish(outcome);
         // Closes the connection to the failed endpoint before the endpoint that resumes the stream
         // starts to work.
         let last_event = self.stream.splitter.last_id();
         drop(self.stream);
         self.tried.insert(self.endpoint.clone());
-        let resumed = match (verdict, last_event) {
-            (RetryVerdict::SendAgain { .. }, Some(last_event)) => {
-                resume_elsewhere(ResumePlan {
-                    context: &self.context,
-                    request: &self.request,
-                    tried: self.tried.clone(),
-                    last_event,
-                    due_at: self.due_at,
-                    is_sent: &AtomicBool::new(false),
-                })
-                .await
-            }
-            (RetryVerdict::SendAgain { .. }, None) => Err(FailoverObstacle::NoEventId),
-            _ => Err(FailoverObstacle::AttemptsUsed),
-        };
-        match resumed {
-            Ok(ResumedStream { endpoint, stream, permit }) => {
-                let begun_at = self.context.clock.now();
-                Some(Self { endpoint, stream, permit, begun_at, ..self })
+        let is_sent = AtomicBool::new(false);
+        let mut obstacle = FailoverObstacle::AttemptsUsed;
+        while let RetryVerdict::SendAgain { counted } = verdict
+            && Instant::now() < self.due_at
+        {
+            let Some(last_event) = last_event else {
+                obstacle = FailoverObstacle::NoEventId;
+                break;
+            };
+            let resumed = resume_elsewhere(ResumePlan {
+                context: &self.context,
+                request: &self.request,
+                tried: self.tried.clone(),
+                is_counted: counted,
+                last_event,
+                due_at: self.due_at,
+                is_sent: &is_sent,
+            });
+            let failed = match resumed.await {
+                Ok(ResumedStream { endpoint, stream, permit }) => {
+                    let begun_at = self.context.clock.now();
+                    return Some(Self { endpoint, stream, permit, begun_at, ..self });
+                }
+                Err(failed) => failed,
+            };
+            obstacle = failed.obstacle();
+            let FailedResume::Ended { endpoint, outcome } = failed else { break };
+            if outcome == AttemptOutcome::Unknown(UnknownReason::Reset) {
+                let (request, parts) = (self.request.fingerprint, self.request.parts.clone());
+                self.context.dispatcher.report_reset(&endpoint, request, parts).await;
             }
-            Err(obstacle) => {
-                obstacle.report(&self.request, &self.endpoint);
-                None
+            verdict = self.history.record(route.kind, route.max_attempts, outcome);
+            log_attempt(&self.request, &endpoint, outcome, verdict);
+            if outcome != AttemptOutcome::NotRun(NotRunReason::StaleDecision) {
+                self.tried.insert(endpoint);
             }
         }
+        obstacle.report(&self.request, &self.endpoint);
+        None
     }
 
     fn log(&self, event: &str) {
