--- a/crates/celeryshed_gateway/src/request/relay.rs
+++ b/crates/celeryshed_gateway/src/request/relay.rs
@@ -79,12 +79,14 @@
                     events.complete();
                     return self.finish();
                 }
-                RelayEnd::CallerDisconnected => return,
-                RelayEnd::TimedOut => return self.log("stream_timed_out"),
+                RelayEnd::CallerDisconnected => {
+                    return self.event_line("stream_withdrawn").info();
+                }
+                RelayEnd::TimedOut => return self.event_line("stream_timed_out").warn(),
                 RelayEnd::Broken { reason, is_reported } => (reason, is_reported),
             };
             if !is_reported {
-                self.log("stream_broken");
+                self.event_line("stream_broken").warn();
             }
             if reason == UnknownReason::Reset && !is_reported {
                 let parts =
@@ -205,7 +207,7 @@
                         let is_sent = is_sent.load(Ordering::Relaxed);
                         match next {
                             Err(reason) if is_sent => {
-                                self.log("stream_broken");
+                                self.event_line("stream_broken").warn();
                                 if reason == UnknownReason::Reset {
                                     let request = self.request.fingerprint;
                                     let dispatcher = &self.context.dispatcher;
@@ -317,12 +319,11 @@
         None
     }
 
-    fn log(&self, event: &str) {
+    fn event_line(&self, event: &str) -> EventLine {
         EventLine::new(event)
             .field("id", &self.request.request_id)
             .field("endpoint", &self.endpoint)
             .field("last_event", self.stream.splitter.last_id().unwrap_or_default())
-            .warn();
     }
 }
 
