--- a/crates/celeryshed_gateway/src/request/handle.rs
+++ b/crates/celeryshed_gateway/src/request/handle.rs
@@ -15,17 +15,16 @@
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use tokio::select;
-use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
 
 use crate::context::{GatewayContext, ShutdownPhase};
 use crate::dispatcher_task::{PlacementPermit, PlacementVerdict};
 use crate::request::attempt::{OpenStream, WholeAnswer, end_to_end};
 use crate::request::body::GatewayBody;
-use crate::request::failover::{FailoverObstacle, place_failover};
+use crate::request::failover::{FailoverObstacle, log_attempt, place_failover};
 use crate::request::parse::{CallerRequest, read_request};
 use crate::request::placed::{AttemptEnd, AttemptScope, PlacedRequest};
-use crate::request::relay::{EVENT_BUFFER_LEN, StreamRelay};
+use crate::request::relay::StreamRelay;
 use crate::request::replies::OwnReply;
 
 /// Shortest time without a first event after which a retryable request is also sent elsewhere.
@@ -196,7 +195,7 @@
             let found = select! {
                 biased;
                 end = first.as_mut() => return (target, end),
-                found = place_failover(&self.context, &self.request, tried) => found,
+                found = place_failover(&self.context, &self.request, tried, true) => found,
             };
             patience *= 2;
             wait = patience;
@@ -289,7 +288,7 @@
         }
         let route = &self.request.route;
         let verdict = self.history.record(route.kind, route.max_attempts, outcome);
-        self.log_attempt(target, outcome, verdict);
+        log_attempt(&self.request, &target.id, outcome, verdict);
         if outcome != AttemptOutcome::NotRun(NotRunReason::StaleDecision) {
             self.tried.insert(target.id.clone());
         }
@@ -378,8 +377,8 @@
             .headers
             .get(&self.context.headers.version)
             .and_then(|version| version.to_str().ok()?.trim().parse().ok());
-        let (events, body) = mpsc::channel(EVENT_BUFFER_LEN);
-        let mut response = Response::new(GatewayBody::Events(body));
+        let (events, body) = GatewayBody::events();
+        let mut response = Response::new(body);
         *response.status_mut() = stream.status;
         *response.headers_mut() = end_to_end(&stream.headers);
         let mut request = Arc::unwrap_or_clone(self.request);
@@ -400,16 +399,6 @@
         response
     }
 
-    fn log_attempt(&self, target: &EndpointTarget, outcome: AttemptOutcome, verdict: RetryVerdict) {
-        EventLine::new("attempt_ended")
-            .field("id", &self.request.request_id)
-            .field("endpoint", &target.id)
-            .field("outcome", format_args!("{outcome:?}"))
-            .field("verdict", format_args!("{verdict:?}"))
-            .info();
-        metrics::counter!("celeryshed_attempts_failed_total").increment(1);
-    }
-
     fn log_answered(&self, target: Option<&EndpointTarget>, status: StatusCode) {
         let arrived_at = self.request.profile.arrived_at;
         let elapsed = self.context.clock.now() - arrived_at;
--- a/crates/celeryshed_gateway/src/request/relay.rs
+++ b/crates/celeryshed_gateway/src/request/relay.rs
@@ -10,24 +10,24 @@
 use bytes::Bytes;
 use celeryshed_base::MonoTime;
 use celeryshed_dispatch::{
-    AttemptHistory, AttemptOutcome, EndpointId, RetryVerdict, StallLimits, UnknownReason,
+    AttemptHistory, AttemptOutcome, EndpointId, NotRunReason, RetryVerdict, StallLimits,
+    UnknownReason,
 };
 use celeryshed_observe::EventLine;
 use tokio::select;
-use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until};
 
 use crate::context::GatewayContext;
 use crate::dispatcher_task::PlacementPermit;
 use crate::request::attempt::{OpenStream, is_framed};
-use crate::request::body::StreamBroken;
-use crate::request::failover::{FailoverObstacle, ResumePlan, ResumedStream, resume_elsewhere};
+use crate::request::body::{CallerDisconnected, EventSender};
+use crate::request::failover::{
+    FailedResume, FailoverObstacle, ResumePlan, ResumedStream, log_attempt, resume_elsewhere,
+};
 use crate::request::parse::CallerRequest;
 
 /// Time after its first event in which a stream that breaks off may have crashed its endpoint.
 const BEGINNING_TIME: Duration = Duration::from_millis(200);
-/// Number of event batches that may wait for a slow caller.
-pub(crate) const EVENT_BUFFER_LEN: usize = 16;
 
 /// A stream that is forwarded to its caller.
 pub(crate) struct StreamRelay {
@@ -72,23 +72,21 @@
 impl StreamRelay {
     /// Forwards events until the stream is complete, breaks off and can't be resumed, times out, or
     /// the caller disconnects.
-    pub(crate) async fn run(mut self, events: mpsc::Sender<Result<Bytes, StreamBroken>>) {
-        if events.send(Ok(std::mem::take(&mut self.stream.first))).await.is_err() {
-            return;
-        }
+    pub(crate) async fn run(mut self, events: EventSender) {
         loop {
             let (reason, is_reported) = match self.forward(&events).await {
-                RelayEnd::Complete => return self.finish(),
-                RelayEnd::CallerDisconnected => return,
-                RelayEnd::TimedOut => {
-                    self.log("stream_timed_out");
-                    let _ = events.send(Err(StreamBroken)).await;
-                    return;
+                RelayEnd::Complete => {
+                    events.complete();
+                    return self.finish();
+                }
+                RelayEnd::CallerDisconnected => {
+                    return self.event_line("stream_withdrawn").info();
                 }
+                RelayEnd::TimedOut => return self.event_line("stream_timed_out").warn(),
                 RelayEnd::Broken { reason, is_reported } => (reason, is_reported),
             };
             if !is_reported {
-                self.log("stream_broken");
+                self.event_line("stream_broken").warn();
             }
             if reason == UnknownReason::Reset && !is_reported {
                 let parts =
@@ -100,17 +98,8 @@
                 resumed = self.resume(reason) => resumed,
                 () = events.closed() => return,
             };
-            match resumed {
-                Some(resumed) => self = resumed,
-                None => {
-                    // The caller may disconnect at the same time.
-                    let _ = events.send(Err(StreamBroken)).await;
-                    return;
-                }
-            }
-            if events.send(Ok(std::mem::take(&mut self.stream.first))).await.is_err() {
-                return;
-            }
+            let Some(resumed) = resumed else { return };
+            self = resumed;
         }
     }
 
@@ -126,8 +115,13 @@
         self.permit.finish(AttemptOutcome::Served);
     }
 
-    async fn forward(&mut self, events: &mpsc::Sender<Result<Bytes, StreamBroken>>) -> RelayEnd {
+    /// Forwards the first and all further events until the stream ends.
+    async fn forward(&mut self, events: &EventSender) -> RelayEnd {
         let due_at = self.due_at;
+        let first = std::mem::take(&mut self.stream.first);
+        if let Err(end) = send_in_time(events, first, due_at).await {
+            return end;
+        }
         let mut patience = StallLimits::from(&self.request.route).resume_after;
         let mut stalled_at = Instant::now() + patience;
         let mut is_reported = false;
@@ -154,8 +148,8 @@
             };
             match next {
                 StreamStep::Events(complete_events) => {
-                    if events.send(Ok(complete_events)).await.is_err() {
-                        return RelayEnd::CallerDisconnected;
+                    if let Err(end) = send_in_time(events, complete_events, due_at).await {
+                        return end;
                     }
                     patience = StallLimits::from(&self.request.route).resume_after;
                 }
@@ -201,6 +195,7 @@
                 context: &self.context,
                 request: &self.request,
                 tried,
+                is_counted: true,
                 last_event,
                 due_at: self.due_at,
                 is_sent: &is_sent,
@@ -212,7 +207,7 @@
                         let is_sent = is_sent.load(Ordering::Relaxed);
                         match next {
                             Err(reason) if is_sent => {
-                                self.log("stream_broken");
+                                self.event_line("stream_broken").warn();
                                 if reason == UnknownReason::Reset {
                                     let request = self.request.fingerprint;
                                     let dispatcher = &self.context.dispatcher;
@@ -237,10 +232,14 @@
         };
         match resumed {
             Ok(resumed) => StreamStep::Events(self.switch_to(resumed, broken)),
-            Err(obstacle) => {
-                if let FailoverObstacle::Attempt(outcome) = obstacle {
+            Err(failed) => {
+                let obstacle = failed.obstacle();
+                if let FailedResume::Ended { endpoint, outcome } = failed {
                     let route = &self.request.route;
                     self.history.record(route.kind, route.max_attempts, outcome);
+                    if broken.is_some() {
+                        self.tried.insert(endpoint);
+                    }
                 }
                 match broken {
                     Some(reason) => {
@@ -266,50 +265,74 @@
         std::mem::take(&mut self.stream.first)
     }
 
-    /// Resumes a broken stream at another endpoint; `None` if no event with an id has arrived, the
-    /// route or the retry budget allows no retry, or no endpoint accepts the stream.
+    /// Resumes a broken stream at another endpoint; `None` if no event with an id has arrived, or
+    /// the route, the retry budget or the time limit allows no further attempt before an endpoint
+    /// has accepted the stream.
     async fn resume(mut self, reason: UnknownReason) -> Option<Self> {
         let outcome = AttemptOutcome::Unknown(reason);
         let route = &self.request.route;
-        let verdict = self.history.record(route.kind, route.max_attempts, outcome);
+        let mut verdict = self.history.record(route.kind, route.max_attempts, outcome);
         self.permit.finish(outcome);
         // Closes the connection to the failed endpoint before the endpoint that resumes the stream
         // starts to work.
         let last_event = self.stream.splitter.last_id();
         drop(self.stream);
         self.tried.insert(self.endpoint.clone());
-        let resumed = match (verdict, last_event) {
-            (RetryVerdict::SendAgain { .. }, Some(last_event)) => {
-                resume_elsewhere(ResumePlan {
-                    context: &self.context,
-                    request: &self.request,
-                    tried: self.tried.clone(),
-                    last_event,
-                    due_at: self.due_at,
-                    is_sent: &AtomicBool::new(false),
-                })
-                .await
-            }
-            (RetryVerdict::SendAgain { .. }, None) => Err(FailoverObstacle::NoEventId),
-            _ => Err(FailoverObstacle::AttemptsUsed),
-        };
-        match resumed {
-            Ok(ResumedStream { endpoint, stream, permit }) => {
-                let begun_at = self.context.clock.now();
-                Some(Self { endpoint, stream, permit, begun_at, ..self })
+        let is_sent = AtomicBool::new(false);
+        let mut obstacle = FailoverObstacle::AttemptsUsed;
+        while let RetryVerdict::SendAgain { counted } = verdict
+            && Instant::now() < self.due_at
+        {
+            let Some(last_event) = last_event else {
+                obstacle = FailoverObstacle::NoEventId;
+                break;
+            };
+            let resumed = resume_elsewhere(ResumePlan {
+                context: &self.context,
+                request: &self.request,
+                tried: self.tried.clone(),
+                is_counted: counted,
+                last_event,
+                due_at: self.due_at,
+                is_sent: &is_sent,
+            });
+            let failed = match resumed.await {
+                Ok(ResumedStream { endpoint, stream, permit }) => {
+                    let begun_at = self.context.clock.now();
+                    return Some(Self { endpoint, stream, permit, begun_at, ..self });
+                }
+                Err(failed) => failed,
+            };
+            obstacle = failed.obstacle();
+            let FailedResume::Ended { endpoint, outcome } = failed else { break };
+            if outcome == AttemptOutcome::Unknown(UnknownReason::Reset) {
+                let (request, parts) = (self.request.fingerprint, self.request.parts.clone());
+                self.context.dispatcher.report_reset(&endpoint, request, parts).await;
             }
-            Err(obstacle) => {
-                obstacle.report(&self.request, &self.endpoint);
-                None
+            verdict = self.history.record(route.kind, route.max_attempts, outcome);
+            log_attempt(&self.request, &endpoint, outcome, verdict);
+            if outcome != AttemptOutcome::NotRun(NotRunReason::StaleDecision) {
+                self.tried.insert(endpoint);
             }
         }
+        obstacle.report(&self.request, &self.endpoint);
+        None
     }
 
-    fn log(&self, event: &str) {
+    fn event_line(&self, event: &str) -> EventLine {
         EventLine::new(event)
             .field("id", &self.request.request_id)
             .field("endpoint", &self.endpoint)
             .field("last_event", self.stream.splitter.last_id().unwrap_or_default())
-            .warn();
+    }
+}
+
+/// Sends events to the caller, but not after `due_at`: a caller that stops receiving must not hold
+/// the endpoint.
+async fn send_in_time(events: &EventSender, batch: Bytes, due_at: Instant) -> Result<(), RelayEnd> {
+    select! {
+        biased;
+        () = sleep_until(due_at) => Err(RelayEnd::TimedOut),
+        sent = events.send(batch) => sent.map_err(|CallerDisconnected| RelayEnd::CallerDisconnected),
     }
 }
