Don't measure silences as answer times

An endpoint that had paused for a second got no requests for many seconds, and the next silence there was noticed seconds late, because the time of an answer that came after a reported silence was averaged into HealthRecord::measure, which has no decay. Such an answer now frees its load without being measured; the report of the silence has already suspended the endpoint for a while. The wait before a request is also sent elsewhere is bounded by half of the time that remains until its deadline (no test of its own).

The new test failed before:

silence_is_not_measured_as_answer_time: tests/failover.rs:116: answered after 2.53362174s

It passes now (limit 900 ms), as do all tests of tests/failover.rs and tests/silence.rs.

--- a/crates/celeryshed_dispatch/src/dispatcher.rs
+++ b/crates/celeryshed_dispatch/src/dispatcher.rs
@@ -574,6 +574,14 @@
         }
     }
 
+    /// Records that the first event or the answer of a request arrived after its endpoint had been
+    /// reported as silent. The time says nothing about the endpoint's speed.
+    pub fn record_late_event(&mut self, id: &EndpointId, prompt_tokens: u32) {
+        if let Some(record) = self.records.get_mut(id) {
+            record.load.answered(prompt_tokens);
+        }
+    }
+
     /// Records the end of an attempt.
     ///
     /// `unread_tokens` is the length of its prompt, or zero if its first event had arrived.
--- a/crates/celeryshed_gateway/src/dispatcher_task.rs
+++ b/crates/celeryshed_gateway/src/dispatcher_task.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use celeryshed_base::{AvailabilityZone, ClockSource, MonoTime, ServiceName};
@@ -79,6 +79,10 @@
         expected: Duration,
         measured: Duration,
     },
+    AnsweredLate {
+        id: EndpointId,
+        prompt_tokens: u32,
+    },
     Finish {
         id: EndpointId,
         unread_tokens: u32,
@@ -150,6 +154,7 @@
             Self::Place { .. }
             | Self::Cancel(_)
             | Self::Answered { .. }
+            | Self::AnsweredLate { .. }
             | Self::Finish { .. }
             | Self::Silent { .. }
             | Self::Reset { .. }
@@ -207,11 +212,6 @@
         answer.await.unwrap_or(false)
     }
 
-    /// Reports that an endpoint sends nothing for a request that goes on.
-    pub(crate) fn report_silence(&self, id: &EndpointId) {
-        self.send(DispatcherCommand::Silent { id: id.clone() });
-    }
-
     /// Reports that the connection to an endpoint was reset while it worked on a request, whose
     /// `parts` are given if the answer had not begun. Waits until it is known whether the endpoint
     /// crashed, but not for long.
@@ -323,6 +323,22 @@
     }
 }
 
+/// Reports silences of an endpoint during an attempt.
+#[derive(Clone, Debug)]
+pub(crate) struct SilenceReporter {
+    dispatcher: DispatcherHandle,
+    id: EndpointId,
+    was_silent: Arc<AtomicBool>,
+}
+
+impl SilenceReporter {
+    /// Reports that the endpoint sends nothing for the request, which goes on there.
+    pub(crate) fn report(&self) {
+        self.was_silent.store(true, Ordering::Relaxed);
+        self.dispatcher.send(DispatcherCommand::Silent { id: self.id.clone() });
+    }
+}
+
 /// A request's slot at an endpoint; dropping the permit frees the slot.
 #[derive(Debug)]
 pub(crate) struct PlacementPermit {
@@ -336,15 +352,30 @@
     /// answer.
     unread_tokens: u32,
     finished: bool,
+    /// Whether the endpoint was reported as silent during the attempt.
+    was_silent: Arc<AtomicBool>,
 }
 
 impl PlacementPermit {
+    /// Reports silences during the attempt, also while it holds the permit.
+    pub(crate) fn silence_reporter(&self) -> SilenceReporter {
+        SilenceReporter {
+            dispatcher: self.dispatcher.clone(),
+            id: self.start.id.clone(),
+            was_silent: self.was_silent.clone(),
+        }
+    }
+
     /// Reports the first event or the complete answer, which arrived `measured` after the request
-    /// was sent.
+    /// was sent. The time isn't measured if the endpoint was reported as silent.
     pub(crate) fn answered(&mut self, expected: Duration, measured: Duration) {
         let prompt_tokens = std::mem::take(&mut self.unread_tokens);
         let id = self.start.id.clone();
-        self.dispatcher.send(DispatcherCommand::Answered { id, prompt_tokens, expected, measured });
+        self.dispatcher.send(if self.was_silent.load(Ordering::Relaxed) {
+            DispatcherCommand::AnsweredLate { id, prompt_tokens }
+        } else {
+            DispatcherCommand::Answered { id, prompt_tokens, expected, measured }
+        });
         if self.is_trial {
             self.send(NoticeCommand::TrialAnswered(self.start.clone()));
         }
@@ -591,6 +622,9 @@
             DispatcherCommand::Answered { id, prompt_tokens, expected, measured } => {
                 self.dispatcher.record_first_event(&id, prompt_tokens, expected, measured);
             }
+            DispatcherCommand::AnsweredLate { id, prompt_tokens } => {
+                self.dispatcher.record_late_event(&id, prompt_tokens);
+            }
             DispatcherCommand::Finish { id, unread_tokens, outcome } => {
                 self.dispatcher.record_end(now, &id, unread_tokens, outcome);
             }
@@ -778,6 +812,7 @@
                         notice_count: self.notice_count,
                         unread_tokens: prompt_tokens,
                         finished: false,
+                        was_silent: Arc::default(),
                     };
                     (number, PlacementVerdict::Placed { target, expected, permit })
                 }
--- a/crates/celeryshed_gateway/src/request/handle.rs
+++ b/crates/celeryshed_gateway/src/request/handle.rs
@@ -37,6 +37,9 @@
 /// Time after which a retryable request is also sent elsewhere, in multiples of the expected answer
 /// time.
 const EXPECTED_TIME_FACTOR: u32 = 4;
+/// Fraction of the time until the deadline after which a retryable request is also sent elsewhere,
+/// although a longer time is expected.
+const MAX_WAIT_REMAINING_FRACTION: f64 = 0.5;
 
 /// Answers one request of a caller.
 pub(crate) async fn handle_request(
@@ -184,13 +187,14 @@
         let target = placed.target.clone();
         let mut patience = self.patience(placed.expected);
         let mut wait = patience;
+        let silence = placed.permit.silence_reporter();
         let mut first = pin!(self.start(placed));
         while self.may_fail_over() {
             if let Ok(end) = timeout(wait, first.as_mut()).await {
                 return (target, end);
             }
             if !wait.is_zero() {
-                self.context.dispatcher.report_silence(&target.id);
+                silence.report();
             }
             let mut tried = self.tried.clone();
             tried.insert(target.id.clone());
@@ -275,7 +279,9 @@
     fn patience(&self, expected: Duration) -> Duration {
         let is_stream = self.request.route.kind.is_stream();
         let min_wait = if is_stream { MIN_EVENT_WAIT } else { MIN_ANSWER_WAIT };
-        min_wait.max(expected * EXPECTED_TIME_FACTOR)
+        let remaining = self.due_at.saturating_duration_since(Instant::now());
+        let max_wait = remaining.mul_f64(MAX_WAIT_REMAINING_FRACTION);
+        min_wait.max(max_wait.min(expected * EXPECTED_TIME_FACTOR))
     }
 
     /// Records an attempt that ended without an answer that can be forwarded.
--- a/crates/celeryshed_gateway/src/request/relay.rs
+++ b/crates/celeryshed_gateway/src/request/relay.rs
@@ -138,7 +138,7 @@
                     if Instant::now() >= due_at {
                         return RelayEnd::TimedOut;
                     }
-                    self.context.dispatcher.report_silence(&self.endpoint);
+                    self.permit.silence_reporter().report();
                     select! {
                         end = self.search() => end,
                         () = events.closed() => return RelayEnd::CallerDisconnected,
--- a/crates/celeryshed_gateway/tests/failover.rs
+++ b/crates/celeryshed_gateway/tests/failover.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use support::ScriptStep::{Pause, Reset, Send};
+use support::ScriptStep::{Hang, Pause, Reset, Send};
 use support::{
     Deployment, FakeStore, ScriptStep, ScriptedEndpoint, read_answer, request, snapshot,
 };
@@ -80,3 +80,36 @@
         assert_eq!(read_answer(caller).await.status(), 200);
     }
 }
+
+/// Guards against silences that are measured as answer times: an endpoint that has paused once then
+/// gets no requests for long, and the next silence there is noticed late.
+#[tokio::test]
+async fn silence_is_not_measured_as_answer_time() {
+    const WARM_UP: usize = 12;
+    const SILENT: usize = 4;
+    let mut scripts = vec![vec![Pause(60), Send(WHOLE)]; WARM_UP];
+    scripts.extend(vec![vec![Pause(1000), Send(WHOLE)]; SILENT]);
+    scripts.push(vec![Hang]);
+    let first = ScriptedEndpoint::start("i-1", scripts).await;
+    let second = endpoint("i-2", &[Pause(60), Send(WHOLE)]).await;
+    let entry = Deployment::start(&[&first]).await;
+    let text = |id: String| request("GET", "/read/a", &id, "", "");
+    for number in 0..WARM_UP {
+        assert_eq!(entry.call(&text(format!("w{number}"))).await.status(), 200);
+    }
+    let mut calls = Vec::new();
+    for number in 0..SILENT {
+        let stream = entry.connect(&text(format!("s{number}"))).await;
+        calls.push(tokio::spawn(read_answer(stream)));
+    }
+    for call in calls {
+        assert_eq!(call.await.unwrap().status(), 200);
+    }
+    let begun_at = Instant::now();
+    let call = tokio::spawn(read_answer(entry.connect(&text("last".to_owned())).await));
+    wait_count(&first, WARM_UP + SILENT + 1).await;
+    entry.store.register(&second);
+    assert_eq!(call.await.unwrap().status(), 200);
+    let elapsed = begun_at.elapsed();
+    assert!(elapsed < Duration::from_millis(900), "answered after {elapsed:?}");
+}
