--- a/crates/celeryshed_http/src/idle_limit.rs
+++ b/crates/celeryshed_http/src/idle_limit.rs
@@ -6,35 +6,35 @@
 
 /// The limit for idle connections. A shorter limit applies once the former one has passed, because
 /// callers that don't know of the change use connections that have been idle for longer.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct IdleLimit {
     current: Duration,
-    /// A longer limit that was replaced, and until when it applies.
-    former: Option<(Duration, Instant)>,
+    /// Limits that were replaced, and until when each applies; from the longest to the shortest.
+    former: Vec<(Duration, Instant)>,
 }
 
 impl IdleLimit {
     pub(crate) fn new(limit: Duration) -> Self {
-        Self { current: limit, former: None }
+        Self { current: limit, former: Vec::new() }
     }
 
-    /// Replaces the limit.
+    /// Replaces the limit. The former one applies until its own length from now on.
     pub(crate) fn replace(&mut self, limit: Duration, now: Instant) {
         if limit == self.current {
             return;
         }
-        let former = self.at(now);
-        if limit < former {
-            self.former = Some((former, now + former));
-        }
-        self.current = limit;
+        let former = std::mem::replace(&mut self.current, limit);
+        // Shorter limits that were replaced before end earlier than this one.
+        self.former.retain(|(length, until)| *length > former && now < *until);
+        self.former.push((former, now + former));
     }
 
     /// The limit that applies.
     pub(crate) fn at(&self, now: Instant) -> Duration {
-        match self.former {
-            Some((former, until)) if now < until => former.max(self.current),
-            _ => self.current,
-        }
+        let longest = self.former.iter().find(|(_, until)| now < *until);
+        longest.map_or(self.current, |(length, _)| self.current.max(*length))
     }
 }
+
+#[cfg(test)]
+mod tests;
