--- a/crates/celeryshed_stager/src/platform.rs
+++ b/crates/celeryshed_stager/src/platform.rs
@@ -1,6 +1,7 @@
 //! The interface to the endpoint and to the origin of weights.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use bytes::Bytes;
 use celeryshed_base::common_derives;
@@ -18,6 +19,16 @@
         /// Text of the underlying error.
         detail: String,
     },
+    /// There was no complete reply in time: the endpoint or origin may be sound and go on later.
+    #[error("{action} at {address} was not complete within {limit:?}")]
+    TimedOut {
+        /// Purpose of the call, as the subject of a sentence, such as "the manifest".
+        action: &'static str,
+        /// Address that was called, as `IP:PORT`.
+        address: String,
+        /// Limit that was exceeded.
+        limit: Duration,
+    },
     /// The endpoint or origin replied with an unexpected status.
     #[error("{action} at {address} was refused with status {status}")]
     Refused {
@@ -30,6 +41,16 @@
     },
 }
 
+impl WeightError {
+    /// Whether there was no reply in time, which says nothing of the state of what was called.
+    pub(crate) fn is_timeout(&self) -> bool {
+        match self {
+            Self::TimedOut { .. } => true,
+            Self::CallFailed { .. } | Self::Refused { .. } => false,
+        }
+    }
+}
+
 /// Result of a platform call.
 pub(crate) type Result<T> = std::result::Result<T, WeightError>;
 
@@ -43,6 +64,8 @@
         pub busy: bool,
         /// Number of requests that were accepted and have not started.
         pub queued: u32,
+        /// When the endpoint started, in Unix milliseconds; `None` if it doesn't say.
+        pub started_at_ms: Option<u64>,
     }
 
     /// Reply of the endpoint to a load order.
--- a/crates/celeryshed_stager/src/settings.rs
+++ b/crates/celeryshed_stager/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use celeryshed_base::{AvailabilityZone, RegionName, ServiceName};
 use celeryshed_dispatch::VersionDeadlines;
@@ -31,6 +32,9 @@
     pub piece_memory_bytes: usize,
     /// Bandwidth of the instance's own link in bits per second; zero means no limit.
     pub link_bits_per_s: u64,
+    /// Time after its last reply at which an endpoint whose calls time out counts as lost. One that
+    /// can't be reached counts as lost at once.
+    pub endpoint_silence_limit: Duration,
     /// How the control records are read from the store.
     pub control: ControlSettings,
 }
--- a/crates/celeryshed_stager/src/stage_task.rs
+++ b/crates/celeryshed_stager/src/stage_task.rs
@@ -39,6 +39,8 @@
     pub(crate) accepting: bool,
     /// When the endpoint stops accepting requests to load weights; none if no load is planned.
     pub(crate) closing_at: Option<MonoTime>,
+    /// When the endpoint last replied to a query; none while it counts as lost.
+    replied_at: Option<MonoTime>,
 }
 
 /// Loads each version that is complete in the [`PieceStore`] at the endpoint.
@@ -98,6 +100,8 @@
 
     /// Queries the state of the endpoint and publishes it to the other tasks; `None` if the
     /// endpoint gave no valid reply.
+    ///
+    /// A silent endpoint keeps its last state until the limit for silence: it may go on unchanged.
     async fn query_endpoint(&self) -> Option<EngineReport> {
         match self.platform.endpoint_report().await {
             Ok(report) => {
@@ -105,10 +109,19 @@
                 // The count changes all the time and entries don't need it; each change would send
                 // a status message.
                 let report = EngineReport { queued: 0, ..report };
+                if self.has_restarted(&report) {
+                    EventLine::new("endpoint_restarted").warn();
+                    self.store.send_if_modified(PieceStore::record_endpoint_lost);
+                }
                 self.store.send_if_modified(|store| store.record_loaded(&report.models));
                 self.set_condition(report.clone(), accepting);
+                self.record_reply(Some(self.clock.now()));
                 Some(report)
             }
+            Err(error) if error.is_timeout() && self.is_silence_short() => {
+                EventLine::new("endpoint_silent").field("error", error).warn();
+                None
+            }
             Err(error) => {
                 let was_accepting = self.condition.borrow().accepting;
                 if was_accepting {
@@ -116,15 +129,38 @@
                 }
                 self.store.send_if_modified(PieceStore::record_endpoint_lost);
                 self.set_condition(EngineReport::default(), false);
+                self.record_reply(None);
                 None
             }
         }
     }
 
+    /// Whether the endpoint has started anew since its last report; it has lost what it held.
+    fn has_restarted(&self, report: &EngineReport) -> bool {
+        let known = self.condition.borrow().report.started_at_ms;
+        known.zip(report.started_at_ms).is_some_and(|(known, reported)| known != reported)
+    }
+
+    fn is_silence_short(&self) -> bool {
+        let replied_at = self.condition.borrow().replied_at;
+        let limit = self.settings.endpoint_silence_limit;
+        replied_at.is_some_and(|replied_at| self.clock.now() - replied_at < limit)
+    }
+
+    /// Records when the endpoint replied. Entries aren't told, since each reply would send a status
+    /// message.
+    fn record_reply(&self, replied_at: Option<MonoTime>) {
+        self.condition.send_if_modified(|condition| {
+            condition.replied_at = replied_at;
+            false
+        });
+    }
+
     fn set_condition(&self, report: EngineReport, accepting: bool) {
         self.condition.send_if_modified(|old| {
             let closing_at = old.closing_at.filter(|_| accepting);
-            let condition = EndpointCondition { report, accepting, closing_at };
+            let replied_at = old.replied_at;
+            let condition = EndpointCondition { report, accepting, closing_at, replied_at };
             let changed = *old != condition;
             *old = condition;
             changed
--- /dev/null
+++ b/crates/celeryshed_stager/tests/silence.rs
@@ -0,0 +1,106 @@
+//! An engine that is silent for a while and goes on, or doesn't.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use celeryshed_base::AvailabilityZone;
+use celeryshed_peering::{ControlPosition, EntryHeartbeat, PeerMessage, PeerSocket, SidecarStatus};
+use support::{FakeWeights, MODEL, PIECES, SILENCE_LIMIT, start_sidecar};
+use tokio::time::{Instant, sleep, timeout_at};
+
+/// Time in which the state of the engine is queried at least once.
+const QUERY_TIME: Duration = Duration::from_millis(800);
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The status messages that an entry receives within `time`.
+async fn statuses(sidecar: SocketAddr, time: Duration) -> Vec<SidecarStatus> {
+    let entry = PeerSocket::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    let heartbeat = PeerMessage::Hello(EntryHeartbeat {
+        entry: entry.address().unwrap().to_string(),
+        zone: AvailabilityZone::try_from("north-a").unwrap(),
+        position: ControlPosition::default(),
+        lifetime_ms: 30_000,
+    });
+    let end = Instant::now() + time;
+    let mut received = Vec::new();
+    while Instant::now() < end {
+        entry.send(&heartbeat, [sidecar.to_string()]);
+        let pause = end.min(Instant::now() + HEARTBEAT_INTERVAL);
+        while let Ok((message, _)) = timeout_at(pause, entry.receive()).await {
+            if let PeerMessage::Status(status) = message {
+                received.push(status);
+            }
+        }
+    }
+    received
+}
+
+fn fetched(weights: &FakeWeights) -> Vec<u32> {
+    let mut fetched = weights.fetched.lock().unwrap().clone();
+    fetched.sort_unstable();
+    fetched
+}
+
+/// Guards against a sound engine that is closed, and whose weights are fetched again, because one
+/// call to it timed out.
+#[tokio::test]
+async fn short_silence_neither_closes_the_endpoint_nor_fetches_its_weights_again() {
+    let weights = FakeWeights::new(1, []);
+    let sidecar = start_sidecar(&weights, 2);
+    weights.wait_loaded(2).await;
+    sleep(QUERY_TIME).await;
+    weights.begin_silence();
+    let received = statuses(sidecar, QUERY_TIME).await;
+    weights.end_silence();
+    assert!(weights.timed_out.load(Ordering::Relaxed) > 0, "the engine was not queried");
+    sleep(QUERY_TIME).await;
+    assert!(!received.is_empty());
+    for status in received {
+        assert!(status.accepting, "{status:?}");
+        assert_eq!(status.models.get(MODEL), Some(&2));
+    }
+    assert_eq!(fetched(&weights), (0..PIECES).collect::<Vec<_>>());
+    assert_eq!(*weights.ordered.lock().unwrap(), [2]);
+}
+
+/// An engine that is silent for longer than the limit counts as lost.
+#[tokio::test]
+async fn long_silence_closes_the_endpoint() {
+    let weights = FakeWeights::new(1, []);
+    let sidecar = start_sidecar(&weights, 1);
+    sleep(QUERY_TIME).await;
+    weights.begin_silence();
+    let received = statuses(sidecar, SILENCE_LIMIT + QUERY_TIME * 2).await;
+    let last = received.last().unwrap();
+    assert!(!last.accepting && last.models.is_empty(), "{last:?}");
+}
+
+/// An engine that can't be reached counts as lost at once.
+#[tokio::test]
+async fn refused_connection_closes_the_endpoint_at_once() {
+    let weights = FakeWeights::new(1, []);
+    let sidecar = start_sidecar(&weights, 1);
+    sleep(QUERY_TIME).await;
+    weights.stop();
+    let received = statuses(sidecar, QUERY_TIME).await;
+    let last = received.last().unwrap();
+    assert!(!last.accepting && last.models.is_empty(), "{last:?}");
+}
+
+/// An engine that has started anew during a silence gets its weights again.
+#[tokio::test]
+async fn engine_that_restarted_while_silent_is_loaded_again() {
+    let weights = FakeWeights::new(1, []);
+    start_sidecar(&weights, 2);
+    weights.wait_loaded(2).await;
+    sleep(QUERY_TIME).await;
+    weights.begin_silence();
+    sleep(QUERY_TIME).await;
+    weights.restart();
+    weights.end_silence();
+    weights.wait_loaded(2).await;
+    assert_eq!(*weights.ordered.lock().unwrap(), [2, 2]);
+}
--- a/crates/celeryshed_stager/tests/support/mod.rs
+++ b/crates/celeryshed_stager/tests/support/mod.rs
@@ -4,7 +4,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU16, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -31,6 +31,11 @@
 pub(crate) const MODEL: &str = "letters";
 pub(crate) const PIECES: u32 = 8;
 
+/// Time after which a call to a silent engine fails.
+const CALL_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time that an engine may be silent before it counts as lost.
+pub(crate) const SILENCE_LIMIT: Duration = Duration::from_millis(1500);
+
 /// Last byte of the next loopback address; each sidecar of the test process gets its own address.
 static NEXT_HOST: AtomicU16 = AtomicU16::new(1);
 
@@ -47,8 +52,18 @@
     pub(crate) fetched: Mutex<Vec<u32>>,
     /// Versions whose load was ordered, in the order of the orders.
     pub(crate) ordered: Mutex<Vec<u64>>,
+    /// Pieces that were stored at the engine, in the order of the calls.
+    pub(crate) written: Mutex<Vec<u32>>,
     /// Whether the engine is starting and doesn't reply.
     is_starting: AtomicBool,
+    /// Whether calls to the engine time out.
+    is_silent: AtomicBool,
+    /// Number of calls to read a piece that time out.
+    silent_reads: AtomicU32,
+    /// Number of calls to the engine that timed out.
+    pub(crate) timed_out: AtomicU32,
+    /// When the engine started, in Unix milliseconds.
+    started_at_ms: AtomicU64,
     /// Whether the origin doesn't reply.
     origin_held: AtomicBool,
 }
@@ -68,16 +83,46 @@
         Arc::new(Self { is_starting: AtomicBool::new(true), ..Self::default() })
     }
 
+    /// From now on the engine refuses each call.
+    pub(crate) fn stop(&self) {
+        self.is_starting.store(true, Ordering::Relaxed);
+    }
+
     pub(crate) fn finish_start(&self) {
         self.is_starting.store(false, Ordering::Relaxed);
     }
 
+    /// From now on calls to the engine time out.
+    pub(crate) fn begin_silence(&self) {
+        self.is_silent.store(true, Ordering::Relaxed);
+    }
+
+    /// The engine goes on as if it hadn't been silent.
+    pub(crate) fn end_silence(&self) {
+        self.is_silent.store(false, Ordering::Relaxed);
+    }
+
+    /// The next `count` calls to read a piece time out.
+    pub(crate) fn delay_reads(&self, count: u32) {
+        self.silent_reads.store(count, Ordering::Relaxed);
+    }
+
+    /// The engine starts anew, and has lost what it had loaded and stored.
+    pub(crate) fn restart(&self) {
+        self.loaded.lock().unwrap().clear();
+        self.staged.lock().unwrap().clear();
+        self.started_at_ms.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// From now on the origin doesn't reply.
     pub(crate) fn hold_origin(&self) {
         self.origin_held.store(true, Ordering::Relaxed);
     }
 
-    fn check_started(&self) -> Result<(), WeightError> {
+    async fn check_replies(&self) -> Result<(), WeightError> {
+        if self.is_silent.load(Ordering::Relaxed) {
+            return Err(self.time_out().await);
+        }
         match self.is_starting.load(Ordering::Relaxed) {
             true => Err(WeightError::Refused {
                 action: "the engine",
@@ -88,6 +133,16 @@
         }
     }
 
+    async fn time_out(&self) -> WeightError {
+        sleep(CALL_TIMEOUT).await;
+        self.timed_out.fetch_add(1, Ordering::Relaxed);
+        WeightError::TimedOut {
+            action: "the engine",
+            address: "fake".to_owned(),
+            limit: CALL_TIMEOUT,
+        }
+    }
+
     async fn wait_for_origin(&self) {
         while self.origin_held.load(Ordering::Relaxed) {
             sleep(Duration::from_millis(20)).await;
@@ -108,9 +163,10 @@
 
 impl WeightPlatform for FakeWeights {
     async fn endpoint_report(&self) -> Result<EngineReport, WeightError> {
-        self.check_started()?;
+        self.check_replies().await?;
         let models = self.loaded.lock().unwrap().clone();
-        Ok(EngineReport { models, busy: false, queued: 0 })
+        let started_at_ms = Some(self.started_at_ms.load(Ordering::Relaxed));
+        Ok(EngineReport { models, busy: false, queued: 0, started_at_ms })
     }
 
     async fn staged_pieces(&self, _model: &str) -> Result<BTreeSet<u32>, WeightError> {
@@ -118,12 +174,17 @@
     }
 
     async fn read_piece(&self, _model: &str, piece: u32) -> Result<Option<Bytes>, WeightError> {
+        let delayed = |count: u32| count.checked_sub(1);
+        if self.silent_reads.fetch_update(Ordering::Relaxed, Ordering::Relaxed, delayed).is_ok() {
+            return Err(self.time_out().await);
+        }
         Ok(self.staged.lock().unwrap().get(&piece).cloned())
     }
 
     async fn write_piece(&self, _model: &str, piece: u32, bytes: Bytes) -> Result<(), WeightError> {
-        self.check_started()?;
+        self.check_replies().await?;
         self.staged.lock().unwrap().insert(piece, bytes);
+        self.written.lock().unwrap().push(piece);
         Ok(())
     }
 
@@ -331,6 +392,7 @@
         },
         piece_memory_bytes: 1_000_000,
         link_bits_per_s: 0,
+        endpoint_silence_limit: SILENCE_LIMIT,
         control: ControlSettings {
             scope: ControlScope::Everything,
             endpoints_interval: Duration::from_millis(100),
