Use endpoints again that a restored store keeps listing

Callers missed an endpoint that runs: a process that had taken it for removed (its registration had lapsed while it was cut off from the store) ignored the registration in the copy, and an endpoint that writes nothing but its seq_no afterwards adds no record, so the process never used it again.

A repeated registration is now held back instead of dropped. Registrations that aren't renewed expire after three renewal intervals; one that a list read after that time (plus the interval of reads, counted from the restore) still holds was renewed, and counts from then on. The time in which reads of the list failed is added, as endpoints may have been unable to renew and the store to expire. Sidecars use the age of the list that peers send. A registration of an earlier start, and one that is ready after the same start was seen draining, stay ignored.

Before, and with the second test's outage not added to the time:

removed_endpoint_that_stays_listed_after_a_restore_is_used_again: assertion `left == right` failed left: None right: Some(Ready) removed_endpoint_is_not_used_again_by_an_outage_after_a_restore: assertion `left == right` failed left: Some(Ready) right: None

--- a/crates/celeryshed_peering/src/renewals.rs
+++ b/crates/celeryshed_peering/src/renewals.rs
@@ -14,7 +14,7 @@
 use crate::record::ControlBatch;
 
 /// Intervals without a renewal after which a registration expires.
-const LIFETIME_INTERVALS: u32 = 3;
+pub(crate) const LIFETIME_INTERVALS: u32 = 3;
 /// Time after a failed read within which a further failure belongs to the same disturbance.
 const DISTURBANCE_GAP: Duration = Duration::from_secs(3);
 
--- a/crates/celeryshed_peering/src/restored.rs
+++ b/crates/celeryshed_peering/src/restored.rs
@@ -1,19 +1,36 @@
 //! Recognizes registrations that a restored store repeats from before its restore.
 //!
 //! The copy may list an endpoint as ready that has reported draining or has left since. What is
-//! known of the endpoint is newer until it writes again itself.
+//! known of the endpoint is newer until it writes again itself. If it writes nothing but renewals,
+//! which add no record, its registration outlives those that aren't renewed, and counts from then on.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
-use celeryshed_base::{LogPosition, StoreEra};
-use celeryshed_dispatch::ListedEndpoint;
+use celeryshed_base::{LogPosition, MonoTime, StoreEra};
+use celeryshed_dispatch::{EndpointState, ListedEndpoint};
+
+use crate::record::ControlRecord;
+use crate::renewals::LIFETIME_INTERVALS;
+use crate::task::ControlSettings;
+
+/// Time between two renewals of a registration if the settings don't tell it.
+const FALLBACK_RENEWAL_INTERVAL: Duration = Duration::from_secs(4);
 
 /// The last registration that was read of each endpoint.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct SeenRegistrations {
     seen: BTreeMap<String, SeenRegistration>,
     /// End of the first snapshot after the latest restore; all later records were written since.
     copy_end: LogPosition,
+    /// The newest record of each endpoint that a restored store repeats, until it shows renewals.
+    repeated: BTreeMap<String, RepeatedRegistration>,
+    /// Time after a restore within which registrations expire that aren't renewed.
+    lifetime: Duration,
+    /// When the registrations that the restored store still lists have been renewed.
+    renewed_from: Option<MonoTime>,
+    /// When the first read of the list was sent that failed since the latest answer.
+    failing_since: Option<MonoTime>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -21,9 +38,47 @@
     era: StoreEra,
     started_at_ms: u64,
     seq_no: u64,
+    state: EndpointState,
+}
+
+/// A registration of the restored store, at least as old as the one that was read before.
+#[derive(Clone, Debug)]
+pub(crate) struct RepeatedRegistration {
+    pub(crate) record: ControlRecord,
+    pub(crate) endpoint: ListedEndpoint,
 }
 
 impl SeenRegistrations {
+    pub(crate) fn new(settings: &ControlSettings) -> Self {
+        let renewal_interval = settings.renewal_interval.unwrap_or(FALLBACK_RENEWAL_INTERVAL);
+        Self {
+            seen: BTreeMap::new(),
+            copy_end: LogPosition::default(),
+            repeated: BTreeMap::new(),
+            lifetime: renewal_interval * LIFETIME_INTERVALS + settings.endpoints_interval,
+            renewed_from: None,
+            failing_since: None,
+        }
+    }
+
+    /// Records that the store was restored from a copy.
+    pub(crate) fn record_restore(&mut self, now: MonoTime) {
+        self.renewed_from = Some(now + self.lifetime);
+    }
+
+    /// Records that a read of the list that was sent at `sent_at` failed. Endpoints may have been
+    /// unable to renew their registrations until the next answer.
+    pub(crate) fn record_failure(&mut self, sent_at: MonoTime) {
+        self.failing_since.get_or_insert(sent_at);
+    }
+
+    /// Records that the store answered a read of the list.
+    pub(crate) fn record_answer(&mut self, now: MonoTime) {
+        if let (Some(since), Some(from)) = (self.failing_since.take(), &mut self.renewed_from) {
+            *from = *from + (now - since);
+        }
+    }
+
     /// Records that a snapshot with the given end was read from the store.
     pub(crate) fn record_snapshot(&mut self, end: LogPosition) {
         if end.era() > self.copy_end.era() {
@@ -31,27 +86,76 @@
         }
     }
 
-    /// Notes a registration. Returns whether the endpoint wrote it before the store was restored, and
-    /// a registration at least as new has been read.
+    /// Notes a record; `endpoint` is `None` if it removes the registration or is unusable. Returns
+    /// whether the endpoint wrote it before the store was restored, and a registration at least as new
+    /// has been read.
     pub(crate) fn is_repeated(
         &mut self,
-        key: &str,
-        position: LogPosition,
-        endpoint: &ListedEndpoint,
+        record: &ControlRecord,
+        endpoint: Option<&ListedEndpoint>,
     ) -> bool {
-        let Some(seq_no) = endpoint.seq_no else { return false };
-        let started_at_ms = endpoint.started_at_ms;
-        let registration = SeenRegistration { era: position.era(), started_at_ms, seq_no };
-        let known = self.seen.get(key);
+        self.repeated.remove(&record.key);
+        let Some((registration, endpoint)) = endpoint.and_then(|endpoint| {
+            SeenRegistration::new(record.position.era(), endpoint).zip(Some(endpoint))
+        }) else {
+            return false;
+        };
+        let position = record.position;
+        let known = self.seen.get(&record.key);
         let may_be_copied = position < self.copy_end || position.era() > self.copy_end.era();
         let is_repeated = known.is_some_and(|known| {
             may_be_copied
                 && known.era < registration.era
-                && (started_at_ms, seq_no) <= (known.started_at_ms, known.seq_no)
+                && registration.written_at() <= known.written_at()
         });
-        if !is_repeated {
-            self.seen.insert(key.to_owned(), registration);
+        if is_repeated {
+            let repeated =
+                RepeatedRegistration { record: record.clone(), endpoint: endpoint.clone() };
+            self.repeated.insert(record.key.clone(), repeated);
+        } else {
+            self.seen.insert(record.key.clone(), registration);
         }
         is_repeated
     }
+
+    /// Takes the repeated registrations of the list that was read at `read_at`, once all that weren't
+    /// renewed have expired. Those of earlier starts stay ignored, as do those that are ready again
+    /// after draining.
+    pub(crate) fn take_renewed(&mut self, read_at: MonoTime) -> Vec<RepeatedRegistration> {
+        if self.renewed_from.is_none_or(|from| read_at < from) {
+            return Vec::new();
+        }
+        let mut renewed = Vec::new();
+        for (key, repeated) in std::mem::take(&mut self.repeated) {
+            let era = repeated.record.position.era();
+            let registration = SeenRegistration::new(era, &repeated.endpoint);
+            let known = self.seen.get_mut(&key);
+            if let (Some(registration), Some(known)) = (registration, known)
+                && known.may_be_followed_by(&registration)
+            {
+                *known = registration;
+                renewed.push(repeated);
+            }
+        }
+        renewed
+    }
+}
+
+impl SeenRegistration {
+    /// `None` if the registration isn't numbered.
+    fn new(era: StoreEra, endpoint: &ListedEndpoint) -> Option<Self> {
+        let ListedEndpoint { started_at_ms, state, seq_no, .. } = *endpoint;
+        Some(Self { era, started_at_ms, seq_no: seq_no?, state })
+    }
+
+    /// The order of the registrations of an endpoint.
+    fn written_at(&self) -> (u64, u64) {
+        (self.started_at_ms, self.seq_no)
+    }
+
+    /// Whether an endpoint that wrote this registration may have been in the other's state later.
+    fn may_be_followed_by(&self, other: &Self) -> bool {
+        self.started_at_ms == other.started_at_ms
+            && (self.state != EndpointState::Draining || other.state == EndpointState::Draining)
+    }
 }
--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -18,7 +18,7 @@
 use crate::recency::{AgeReading, RECENCY_TICK, ReadRecency, RecordAge};
 use crate::record::{ControlBatch, ControlRecord, ControlStream, OperatorRecord};
 use crate::renewals::RegistrationRenewals;
-use crate::restored::SeenRegistrations;
+use crate::restored::{RepeatedRegistration, SeenRegistrations};
 use crate::services::ServiceCatalog;
 use crate::store::{ControlStore, ReadOutcome, RecordDecoder, StoreError};
 
@@ -218,7 +218,7 @@
         recency: ReadRecency::new(clock.now(), settings.endpoints_interval),
         version_ages: BTreeMap::new(),
         renewals: RegistrationRenewals::new(settings.renewal_interval),
-        seen: SeenRegistrations::default(),
+        seen: SeenRegistrations::new(&settings),
     };
     tokio::spawn(task.run(received));
     (ControlHandle { inputs, position: position_watch, scope: settings.scope }, event_stream)
@@ -336,11 +336,15 @@
                     if stream == ControlStream::Endpoints {
                         self.list_read_at = Some(Instant::now());
                         self.renewals.record_answer(now, &batch);
+                        self.seen.record_answer(now);
                         is_renewed = self.renewals.are_shown();
                     }
                     let source = RecordSource::Store { age: self.recency.record_age(now) };
                     self.merge(stream, batch, &source);
                     self.recency.record_answer(now, stream, sent_at);
+                    if stream == ControlStream::Endpoints {
+                        self.apply_renewed(sent_at);
+                    }
                     if is_renewed {
                         self.emit(ControlEvent::RegistrationsRenewed);
                     }
@@ -359,6 +363,9 @@
                     for (stream, batch) in reply.into_batches() {
                         self.merge(stream, batch, &source);
                     }
+                    if let Some(age) = self.list_read_at.map(|at| at.elapsed()) {
+                        self.apply_renewed(self.clock.now() - age);
+                    }
                     self.fetch_from_pending_peer();
                 }
                 ControlInput::NoPeerReply => {
@@ -437,7 +444,7 @@
     }
 
     /// Logs and counts a restore of the store that `era` shows for the first time.
-    fn note_restore(&self, era: StoreEra, source: &RecordSource) {
+    fn note_restore(&mut self, era: StoreEra, source: &RecordSource) {
         let held = self.log.position();
         let old = held.operator.era().max(held.endpoints.era());
         if era <= old || held == ControlPosition::default() {
@@ -451,6 +458,7 @@
             .field("endpoints", held.endpoints)
             .field("source", source.name())
             .warn();
+        self.seen.record_restore(self.clock.now());
         self.emit(ControlEvent::StoreRestored);
     }
 
@@ -561,22 +569,39 @@
             }
             None => None,
         };
-        if let Some(endpoint) = &endpoint
-            && self.seen.is_repeated(&record.key, record.position, endpoint)
-        {
-            return;
+        if !self.seen.is_repeated(&record, endpoint.as_ref()) {
+            let changed_at = record.position;
+            self.set_endpoint(record, endpoint, changed_at);
         }
+    }
+
+    /// Applies the registrations of the restored store that have been renewed, as a list that was read
+    /// at `read_at` shows.
+    fn apply_renewed(&mut self, read_at: MonoTime) {
+        // Peers have read beyond the position of the record.
+        let changed_at = self.log.position().endpoints;
+        for RepeatedRegistration { record, endpoint } in self.seen.take_renewed(read_at) {
+            self.set_endpoint(record, Some(endpoint), changed_at);
+        }
+    }
+
+    fn set_endpoint(
+        &mut self,
+        record: ControlRecord,
+        endpoint: Option<ListedEndpoint>,
+        position: LogPosition,
+    ) {
         let known = self.endpoints.get(&record.key);
         let is_unchanged =
             known.is_some_and(|(_, known)| has_same_state(known.as_ref(), endpoint.as_ref()));
         let changed_at = match known {
             // Endpoints write an unchanged record at intervals to show that they are alive.
-            Some((changed_at, _)) if is_unchanged && changed_at.era() == record.position.era() => {
+            Some((changed_at, _)) if is_unchanged && changed_at.era() == position.era() => {
                 *changed_at
             }
             // After a restore, peers may hold a change that was taken back and that this process
             // has missed.
-            _ => record.position,
+            _ => position,
         };
         self.log.set_changed_at(ControlStream::Endpoints, &record.key, changed_at);
         self.endpoints.insert(record.key.clone(), (changed_at, endpoint.clone()));
@@ -602,6 +627,9 @@
         let now = self.clock.now();
         self.recency.record_failure(now);
         self.renewals.record_failure(now, sent_at);
+        if stream == ControlStream::Endpoints {
+            self.seen.record_failure(sent_at);
+        }
         if !std::mem::replace(&mut self.store_failing, true) {
             EventLine::new("store_lost")
                 .field("stream", format_args!("{stream:?}"))
--- a/crates/celeryshed_peering/tests/restored_list.rs
+++ b/crates/celeryshed_peering/tests/restored_list.rs
@@ -17,6 +17,8 @@
 use tokio::time::sleep;
 
 const LIST_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which endpoints renew their registrations.
+const RENEWAL_INTERVAL: Duration = Duration::from_millis(1200);
 
 /// A registration: whether the endpoint is ready, its `seq_no` and its start.
 type Registration = (bool, u8, u8);
@@ -24,6 +26,7 @@
 #[derive(Default)]
 struct StoredList {
     era: u64,
+    is_down: bool,
     /// Key and registration; offsets count from 0.
     records: Vec<(&'static str, Option<Registration>)>,
 }
@@ -41,6 +44,18 @@
         self.0.lock().unwrap().records.push((key, None));
     }
 
+    /// Makes reads fail until the store is up again.
+    fn set_down(&self, is_down: bool) {
+        self.0.lock().unwrap().is_down = is_down;
+    }
+
+    fn check(&self) -> Result<(), StoreError> {
+        if self.0.lock().unwrap().is_down {
+            return Err(StoreError::Refused { address: "fake".to_owned(), status: 503 });
+        }
+        Ok(())
+    }
+
     /// Goes back to the first `kept` records.
     fn restore(&self, kept: usize) {
         let mut list = self.0.lock().unwrap();
@@ -70,6 +85,7 @@
 
 impl ControlStore for RestorableList {
     async fn newest(&self, stream: ControlStream) -> Result<ControlBatch, StoreError> {
+        self.check()?;
         let batch = self.batch(stream, 0);
         let newest: BTreeMap<String, ControlRecord> =
             batch.records.into_iter().map(|record| (record.key.clone(), record)).collect();
@@ -84,6 +100,7 @@
         wait: Duration,
     ) -> Result<ReadOutcome, StoreError> {
         sleep(wait).await;
+        self.check()?;
         Ok(ReadOutcome::Records(self.batch(stream, from.offset().0 as usize)))
     }
 }
@@ -125,7 +142,7 @@
             scope: ControlScope::Everything,
             endpoints_interval: LIST_INTERVAL,
             endpoints_max_age: Duration::from_secs(1),
-            renewal_interval: Some(Duration::from_millis(1200)),
+            renewal_interval: Some(RENEWAL_INTERVAL),
         };
         let decoder = Arc::new(RegistrationDecoder);
         let (control, mut events) = start_control(store.clone(), decoder, settings);
@@ -222,6 +239,57 @@
     assert_eq!(list.state("gone").await, None);
 }
 
+/// Guards against the loss of a running endpoint that was taken for gone: it writes nothing but its
+/// `seq_no` after the restore, which adds no record. Its registration outlives one that isn't renewed.
+#[tokio::test(start_paused = true)]
+async fn removed_endpoint_that_stays_listed_after_a_restore_is_used_again() {
+    let list = FollowedList::start();
+    let keys = ["running", "gone", "drained"];
+    for key in keys {
+        list.store.write(key, (true, 4, 1));
+        assert_eq!(list.state(key).await, Some(EndpointState::Ready));
+    }
+    list.store.write("drained", (false, 6, 1));
+    assert_eq!(list.state("drained").await, Some(EndpointState::Draining));
+    for key in keys {
+        list.store.remove(key);
+        assert_eq!(list.state(key).await, None);
+    }
+    list.store.restore(3);
+    sleep(RENEWAL_INTERVAL * 2).await;
+    for key in keys {
+        assert_eq!(list.state(key).await, None, "{key}");
+    }
+    list.store.remove("gone");
+    sleep(RENEWAL_INTERVAL).await;
+    assert_eq!(list.state("running").await, Some(EndpointState::Ready));
+    assert_eq!(list.state("gone").await, None);
+    assert_eq!(list.state("drained").await, None);
+    list.store.remove("running");
+    assert_eq!(list.state("running").await, None);
+}
+
+/// Guards against requests to an endpoint that is gone: its registration may expire only after an
+/// outage that follows the restore.
+#[tokio::test(start_paused = true)]
+async fn removed_endpoint_is_not_used_again_by_an_outage_after_a_restore() {
+    let list = FollowedList::start();
+    list.store.write("gone", (true, 4, 1));
+    assert_eq!(list.state("gone").await, Some(EndpointState::Ready));
+    list.store.remove("gone");
+    assert_eq!(list.state("gone").await, None);
+    list.store.restore(1);
+    assert_eq!(list.state("gone").await, None);
+    list.store.set_down(true);
+    sleep(RENEWAL_INTERVAL * 4).await;
+    list.store.set_down(false);
+    sleep(RENEWAL_INTERVAL).await;
+    assert_eq!(list.state("gone").await, None);
+    list.store.remove("gone");
+    sleep(RENEWAL_INTERVAL * 3).await;
+    assert_eq!(list.state("gone").await, None);
+}
+
 /// An endpoint that registers after the restore is used at once, also one with the id of another start.
 #[tokio::test(start_paused = true)]
 async fn endpoint_registered_after_a_restore_is_listed_at_once() {
