Send services again that a restored copy lacks (CONFIG)

Sidecars got no services, and so no origins of weights, if the store was restored from a copy without a configuration and they had heard a process that started since. The entry that still held the configuration moved its record to before the new era, but not the services that sidecars get in its place, so they seemed read. They move along now, and a position before an era counts as one of the restored store.

The test failed before:

sidecar_learns_services_that_the_copy_lacks assertion `left == right` failed left: [] right: [23]

After: cargo test -p celeryshed_peering passes.

--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -434,6 +434,7 @@
                     Some(value) => self.apply_operator_record(&record, value, initial, source),
                     None if record.position.is_before_era() => {
                         self.newest_values.admit(&mut self.log, &record, 0);
+                        self.move_services(&record.key);
                     }
                     None => {}
                 },
@@ -533,7 +534,7 @@
     fn set_services(&mut self, key: Option<&str>, position: LogPosition, catalog: ServiceCatalog) {
         let same = self.services.as_ref().filter(|known| {
             // Peers may have read other services from the restored store since.
-            let is_restored = known.changed_at.era() < position.era();
+            let is_restored = known.changed_at.era() < position.era() || position.is_before_era();
             known.catalog.has_same_services(&catalog)
                 && !is_restored
                 && known.changed_at.advance() == 0
--- a/crates/celeryshed_peering/tests/restored_store.rs
+++ b/crates/celeryshed_peering/tests/restored_store.rs
@@ -310,6 +310,26 @@
     assert_eq!(sidecar.revisions, [11, 24]);
 }
 
+/// Guards against sidecars without services: the copy has no configuration, and the sidecar has heard
+/// a process that started since.
+#[tokio::test]
+async fn sidecar_learns_services_that_the_copy_lacks() {
+    let store = Arc::new(RestorableStore::default());
+    write_all(&store, &[11, 23]);
+    store.write("m", 3);
+    let mut entry = TestProcess::start(&store, ControlScope::Everything);
+    entry.run_for(Duration::from_millis(200)).await;
+    store.restore(0);
+    entry.run_for(Duration::from_millis(400)).await;
+    let mut late_entry = TestProcess::start(&store, ControlScope::Everything);
+    late_entry.run_for(Duration::from_millis(200)).await;
+    let unread = Arc::new(RestorableStore::default());
+    let mut sidecar = TestProcess::start(&unread, ControlScope::Weights);
+    sidecar.hear(&late_entry).await;
+    sidecar.hear(&entry).await;
+    assert_eq!(sidecar.revisions, [23]);
+}
+
 /// Guards against a version that gets its whole deadline twice: it was declared, taken back by a
 /// restore and declared again.
 #[tokio::test]
