Don't take a silent read-back for damaged pieces (LOST)

An engine that was silent while its stored pieces were read back before a load got sound pieces a second time, and a version whose pieces had left the memory was abandoned and fetched again. Each call that failed, a time-out included, counted as a damaged piece.

A call that fails without a status now ends the check with its error; the version stays staged and its turn comes again after a short pause. Pieces that are missing, don't match or are refused count as damaged as before.

Before the fix:

silence_while_pieces_are_read_back_is_not_damage: assertion `left == right` failed (pieces stored at the engine) left: [0, 0, 1, 1, 2, 2, 3, 3, 4, 5, 6, 7] right: [0, 1, 2, 3, 4, 5, 6, 7]

--- a/crates/celeryshed_stager/src/stage_task.rs
+++ b/crates/celeryshed_stager/src/stage_task.rs
@@ -12,7 +12,7 @@
 
 use crate::endpoint_stage::EndpointStage;
 use crate::piece_store::PieceStore;
-use crate::platform::{EngineReport, ReloadReply, WeightPlatform};
+use crate::platform::{EngineReport, ReloadReply, Result, WeightError, WeightPlatform};
 use crate::settings::SidecarSettings;
 use crate::view::{StageGoal, StageView};
 
@@ -187,7 +187,14 @@
             return;
         }
         for _ in 0..MAX_REPAIRS {
-            let damaged = self.damaged_pieces(goal, &manifest).await;
+            let damaged = match self.damaged_pieces(goal, &manifest).await {
+                Ok(damaged) => damaged,
+                Err(error) => {
+                    EventLine::new("read_back_failed").field("error", error).warn();
+                    sleep(BUSY_QUERY_INTERVAL).await;
+                    return;
+                }
+            };
             if damaged.is_empty() {
                 return self.order_load(goal).await;
             }
@@ -244,15 +251,19 @@
     }
 
     /// Reads every piece back and checks it, since pieces may have changed after they were stored.
-    async fn damaged_pieces(&self, goal: &StageGoal, manifest: &StageManifest) -> Vec<u32> {
+    ///
+    /// A call that fails says nothing of the piece, and ends the check with its error. A piece that
+    /// the endpoint refuses to return counts as damaged.
+    async fn damaged_pieces(&self, goal: &StageGoal, manifest: &StageManifest) -> Result<Vec<u32>> {
         let mut damaged = Vec::new();
         for piece in 0..manifest.piece_count() {
-            let bytes = self.platform.read_piece(&goal.model, piece).await;
-            if !matches!(bytes, Ok(Some(bytes)) if manifest.verifies(piece, &bytes)) {
-                damaged.push(piece);
+            match self.platform.read_piece(&goal.model, piece).await {
+                Ok(Some(bytes)) if manifest.verifies(piece, &bytes) => {}
+                Ok(_) | Err(WeightError::Refused { .. }) => damaged.push(piece),
+                Err(error) => return Err(error),
             }
         }
-        damaged
+        Ok(damaged)
     }
 
     async fn order_load(&self, goal: &StageGoal) {
--- a/crates/celeryshed_stager/tests/silence.rs
+++ b/crates/celeryshed_stager/tests/silence.rs
@@ -104,3 +104,17 @@
     weights.wait_loaded(2).await;
     assert_eq!(*weights.ordered.lock().unwrap(), [2, 2]);
 }
+
+/// Guards against sound pieces that are stored again because the engine was silent while they were
+/// read back.
+#[tokio::test]
+async fn silence_while_pieces_are_read_back_is_not_damage() {
+    let weights = FakeWeights::new(1, []);
+    weights.delay_reads(4);
+    start_sidecar(&weights, 2);
+    weights.wait_loaded(2).await;
+    let mut written = weights.written.lock().unwrap().clone();
+    written.sort_unstable();
+    assert_eq!(written, (0..PIECES).collect::<Vec<_>>());
+    assert_eq!(fetched(&weights), (0..PIECES).collect::<Vec<_>>());
+}
