--- a/crates/celeryshed_gateway/src/process.rs
+++ b/crates/celeryshed_gateway/src/process.rs
@@ -101,8 +101,8 @@
         tokio::spawn(peer_task.run());
 
         let (server_settings, settings_watch) =
-            watch::channel(server_settings_of(CallerLimits::default()));
-        tokio::spawn(apply_limits(snapshot.clone(), server_settings));
+            watch::channel(server_settings_of(CallerLimits::default(), settings.grace_period));
+        tokio::spawn(apply_limits(snapshot.clone(), server_settings, settings.grace_period));
         let context = Arc::new(GatewayContext {
             clock,
             headers: settings.headers.clone(),
@@ -181,18 +181,24 @@
     }
 }
 
-fn server_settings_of(limits: CallerLimits) -> ServerSettings {
-    ServerSettings { max_head_bytes: limits.max_head_bytes, idle_timeout: limits.idle_timeout }
+/// A caller that receives nothing is given up after the time that open requests get in a shutdown.
+fn server_settings_of(limits: CallerLimits, grace_period: Duration) -> ServerSettings {
+    ServerSettings {
+        max_head_bytes: limits.max_head_bytes,
+        idle_timeout: limits.idle_timeout,
+        write_timeout: limits.idle_timeout.max(grace_period),
+    }
 }
 
 /// Applies the limits of each new configuration to the callers' connections.
 async fn apply_limits(
     mut snapshot: watch::Receiver<Option<Arc<RoutingSnapshot>>>,
     settings: watch::Sender<ServerSettings>,
+    grace_period: Duration,
 ) {
     while snapshot.changed().await.is_ok() {
         let limits = snapshot.borrow_and_update().as_ref().map(|snapshot| snapshot.limits);
-        settings.send_replace(server_settings_of(limits.unwrap_or_default()));
+        settings.send_replace(server_settings_of(limits.unwrap_or_default(), grace_period));
     }
 }
 
--- a/crates/celeryshed_http/src/activity.rs
+++ b/crates/celeryshed_http/src/activity.rs
@@ -23,8 +23,8 @@
     head_begun_at: Option<Instant>,
     /// When the connection was opened, or the end of a response was last written to it.
     last_used_at: Instant,
-    /// Whether a response waits for its caller to receive the part before.
-    is_write_blocked: bool,
+    /// Since when a response waits for its caller to receive the part before; none if it doesn't.
+    write_blocked_at: Option<Instant>,
 }
 
 impl ConnectionActivity {
@@ -35,7 +35,7 @@
             in_progress: 0,
             head_begun_at: None,
             last_used_at,
-            is_write_blocked: false,
+            write_blocked_at: None,
         };
         Self(Arc::new(Mutex::new(state)))
     }
@@ -52,10 +52,17 @@
     /// being received. An incomplete request head is a use from its first byte on.
     pub(crate) fn idle_since(&self) -> Option<Instant> {
         let state = self.state();
-        (state.in_progress == 0 && !state.is_write_blocked)
+        (state.in_progress == 0 && state.write_blocked_at.is_none())
             .then(|| state.head_begun_at.unwrap_or(state.last_used_at))
     }
 
+    /// Since when the caller has received nothing of a response that has ended; `None` while a
+    /// request is in progress, or nothing waits to be received.
+    pub(crate) fn unreceived_since(&self) -> Option<Instant> {
+        let state = self.state();
+        state.write_blocked_at.filter(|_| state.in_progress == 0)
+    }
+
     /// Whether the next request has arrived in part.
     pub(crate) fn has_unfinished_head(&self) -> bool {
         self.state().head_begun_at.is_some()
@@ -70,9 +77,15 @@
 
     fn written<T>(&self, written: &Poll<T>) {
         let mut state = self.state();
-        state.is_write_blocked = written.is_pending();
-        if written.is_ready() {
-            state.last_used_at = Instant::now();
+        let now = Instant::now();
+        match written {
+            Poll::Pending => {
+                state.write_blocked_at.get_or_insert(now);
+            }
+            Poll::Ready(_) => {
+                state.write_blocked_at = None;
+                state.last_used_at = now;
+            }
         }
     }
 
--- a/crates/celeryshed_http/src/end.rs
+++ b/crates/celeryshed_http/src/end.rs
@@ -13,6 +13,8 @@
     Closing,
     /// A request head began, but wasn't complete in time; it was answered with 408.
     UnfinishedHead,
+    /// The caller has received nothing of an ended response for too long.
+    Unreceived,
     /// What arrived was no valid request.
     InvalidRequest,
     /// The caller disconnected while a request was in progress.
@@ -40,6 +42,7 @@
             Self::Idle => "idle",
             Self::Closing => "closing",
             Self::UnfinishedHead => "unfinished_head",
+            Self::Unreceived => "unreceived",
             Self::InvalidRequest => "invalid_request",
             Self::CallerLeft => "caller_left",
             Self::AnswerBroken => "answer_broken",
--- a/crates/celeryshed_http/src/server.rs
+++ b/crates/celeryshed_http/src/server.rs
@@ -47,6 +47,9 @@
     /// Time after which an idle connection is closed, counted from the end of its last response. A
     /// shorter time applies once the former one has passed since the change. At least 300 ms.
     pub idle_timeout: Duration,
+    /// Time after which a connection is closed whose caller has received nothing of an ended
+    /// response. At least 300 ms.
+    pub write_timeout: Duration,
 }
 
 /// A server that passes the requests of all its connections to one handler.
@@ -156,7 +159,9 @@
         let mut closing_since = None;
         let mut draining = false;
         let end_reason = loop {
-            let idle_end = self.idle_end(&activity, closing_since);
+            let wake_at = self
+                .unreceived_end(&activity)
+                .unwrap_or_else(|| self.idle_end(&activity, closing_since));
             tokio::select! {
                 // A request that has arrived is read before the connection may be closed.
                 biased;
@@ -170,7 +175,10 @@
                 _ = closing.wait_for(|closing| *closing), if closing_since.is_none() => {
                     closing_since = Some(Instant::now());
                 }
-                () = sleep_until(idle_end), if !draining => {}
+                () = sleep_until(wake_at), if !draining => {}
+            }
+            if self.unreceived_end(&activity).is_some_and(|end| end <= Instant::now()) {
+                break Some(EndReason::Unreceived);
             }
             let is_idle = activity.idle_since().is_some();
             if draining || !is_idle || Instant::now() < self.idle_end(&activity, closing_since) {
@@ -201,6 +209,12 @@
         }
     }
 
+    /// When a caller has received nothing of an ended response for too long, unless it goes on.
+    fn unreceived_end(&self, activity: &ConnectionActivity) -> Option<Instant> {
+        let limit = self.settings.borrow().write_timeout.max(UNREAD_REQUEST_WAIT);
+        activity.unreceived_since().map(|since| since + limit)
+    }
+
     /// Applies the settings to the limit for idle connections, and returns it.
     fn update_idle_limit(&self) -> Duration {
         let now = Instant::now();
--- a/crates/celeryshed_http/tests/closing.rs
+++ b/crates/celeryshed_http/tests/closing.rs
@@ -23,7 +23,11 @@
 
 /// A server that refuses every request, as an entry does before it closes.
 async fn run_server(listener: TcpListener, closing: watch::Receiver<bool>) -> ConnectionServer {
-    let settings = ServerSettings { max_head_bytes: 8192, idle_timeout: Duration::from_secs(15) };
+    let settings = ServerSettings {
+        max_head_bytes: 8192,
+        idle_timeout: Duration::from_secs(15),
+        write_timeout: Duration::from_secs(15),
+    };
     let (_sender, settings) = watch::channel(settings);
     let server = ConnectionServer::new(settings, closing);
     server
@@ -86,7 +90,11 @@
 async fn start_stream_server(closing: watch::Receiver<bool>) -> TcpStream {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    let settings = ServerSettings { max_head_bytes: 8192, idle_timeout: Duration::from_secs(15) };
+    let settings = ServerSettings {
+        max_head_bytes: 8192,
+        idle_timeout: Duration::from_secs(15),
+        write_timeout: Duration::from_secs(15),
+    };
     let (_sender, settings) = watch::channel(settings);
     tokio::spawn(ConnectionServer::new(settings, closing).run(listener, |_request, _peer| async {
         let events = stream::unfold(0, |index| async move {
--- a/crates/celeryshed_http/tests/idle.rs
+++ b/crates/celeryshed_http/tests/idle.rs
@@ -17,6 +17,8 @@
 use tokio::time::{Instant, sleep, timeout};
 
 const IDLE_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time after which a caller that receives nothing is given up.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(2000);
 /// A limit that replaces [`IDLE_TIMEOUT`].
 const SHORT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time that a streamed response takes.
@@ -30,11 +32,12 @@
 struct RunningServer {
     address: SocketAddr,
     settings: watch::Sender<ServerSettings>,
+    server: ConnectionServer,
     _closing: watch::Sender<bool>,
 }
 
 fn limits(idle_timeout: Duration) -> ServerSettings {
-    ServerSettings { max_head_bytes: 8192, idle_timeout }
+    ServerSettings { max_head_bytes: 8192, idle_timeout, write_timeout: WRITE_TIMEOUT }
 }
 
 /// Starts a server that streams its answers at `/stream`, and answers at once elsewhere; its answer
@@ -45,14 +48,14 @@
     let (settings, settings_watch) = watch::channel(limits(idle_timeout));
     let (closing, closing_watch) = watch::channel(false);
     let server = ConnectionServer::new(settings_watch, closing_watch);
-    tokio::spawn(server.run(listener, |request, _peer| async move {
+    tokio::spawn(server.clone().run(listener, |request, _peer| async move {
         Response::new(match request.uri().path() {
             "/stream" => streamed_body(),
             "/large" => large_body(),
             _ => whole_body(),
         })
     }));
-    RunningServer { address, settings, _closing: closing }
+    RunningServer { address, settings, server, _closing: closing }
 }
 
 fn whole_body() -> AnswerBody {
@@ -236,3 +239,33 @@
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
     assert!(time_to_close(&mut stream).await < IDLE_TIMEOUT);
 }
+
+/// Guards against connections that stay open without end because their callers never receive the
+/// rest of an answer.
+#[tokio::test]
+async fn connection_of_caller_that_stops_receiving_is_closed() {
+    let server = start_server(IDLE_TIMEOUT).await;
+    let mut stream = TcpStream::connect(server.address).await.unwrap();
+    stream.write_all(b"GET /large HTTP/1.1\r\nHost: a\r\n\r\n").await.unwrap();
+    sleep(WRITE_TIMEOUT / 2).await;
+    assert_eq!(server.server.open_connections(), 1);
+    sleep(WRITE_TIMEOUT).await;
+    assert_eq!(server.server.open_connections(), 0);
+    let received = read_until(&mut stream, "end").await;
+    assert!(received.len() < LARGE_BODY_BYTES, "{} bytes", received.len());
+}
+
+/// A caller that receives an answer in parts, with pauses below the limit, gets all of it.
+#[tokio::test]
+async fn answer_that_is_received_with_pauses_is_whole() {
+    let server = start_server(IDLE_TIMEOUT).await;
+    let mut stream = TcpStream::connect(server.address).await.unwrap();
+    stream.write_all(b"GET /large HTTP/1.1\r\nHost: a\r\n\r\n").await.unwrap();
+    let mut part = vec![0; LARGE_BODY_BYTES / 3];
+    for _ in 0..2 {
+        sleep(WRITE_TIMEOUT * 2 / 3).await;
+        stream.read_exact(&mut part).await.unwrap();
+    }
+    let rest = read_until(&mut stream, "end").await;
+    assert!(rest.ends_with("end"), "{} bytes", rest.len());
+}
--- a/crates/celeryshed_http/tests/observability.rs
+++ b/crates/celeryshed_http/tests/observability.rs
@@ -34,7 +34,11 @@
     let registry = MetricsRegistry::install();
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    let settings = ServerSettings { max_head_bytes: 8192, idle_timeout: IDLE_TIMEOUT };
+    let settings = ServerSettings {
+        max_head_bytes: 8192,
+        idle_timeout: IDLE_TIMEOUT,
+        write_timeout: Duration::from_secs(15),
+    };
     let (_sender, settings) = watch::channel(settings);
     let (closing, closing_watch) = watch::channel(false);
     let server = ConnectionServer::new(settings, closing_watch);
--- a/crates/celeryshed_http/tests/panics.rs
+++ b/crates/celeryshed_http/tests/panics.rs
@@ -17,7 +17,11 @@
 async fn panic_in_handler_is_answered() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let mut stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
-    let settings = ServerSettings { max_head_bytes: 8192, idle_timeout: Duration::from_secs(15) };
+    let settings = ServerSettings {
+        max_head_bytes: 8192,
+        idle_timeout: Duration::from_secs(15),
+        write_timeout: Duration::from_secs(15),
+    };
     let (_sender, settings) = watch::channel(settings);
     let (_closing, closing_watch) = watch::channel(false);
     let server = ConnectionServer::new(settings, closing_watch);
--- a/crates/celeryshed_http/tests/pipelining.rs
+++ b/crates/celeryshed_http/tests/pipelining.rs
@@ -18,7 +18,11 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let mut stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
     let idle_timeout = Duration::from_millis(100);
-    let settings = ServerSettings { max_head_bytes: 8192, idle_timeout };
+    let settings = ServerSettings {
+        max_head_bytes: 8192,
+        idle_timeout,
+        write_timeout: Duration::from_secs(15),
+    };
     let (_sender, settings) = watch::channel(settings);
     let (_closing, closing_watch) = watch::channel(false);
     let server = ConnectionServer::new(settings, closing_watch);
--- a/crates/celeryshed_stager/src/process.rs
+++ b/crates/celeryshed_stager/src/process.rs
@@ -105,6 +105,7 @@
         let (_settings, server_settings) = watch::channel(ServerSettings {
             max_head_bytes: MAX_HEAD_BYTES,
             idle_timeout: IDLE_TIMEOUT,
+            write_timeout: IDLE_TIMEOUT,
         });
         let (_closing, closing) = watch::channel(false);
         let server = ConnectionServer::new(server_settings, closing);
