Pass on to peers which endpoints of a restored store have left

Callers would be sent to endpoints that are draining or gone by a process that starts after a restore of the store: it knows only the copy, which lists them as ready, while its peers know better and don't tell, as the records of the copy are not newer for them than for it.

A process that knows more of an endpoint than the copy now keeps that in its log in place of the copy's record, at the same position with an advance, as for the operators' records: 1 for draining, 2 for one that left, 3 for one that has renewed its registration since, which takes the 2 back. A process whose position of the list has a lower advance than a peer's fetches from it, also if its own read of the list is recent. The wire format is the same. There is at most one such record per endpoint of the copy, and the store's next record of the endpoint replaces it. A process that was told that an endpoint left holds the copy's registration back like one that saw it itself, so that the belief ends too. One that read a registration before the restore itself doesn't take the word of a peer that the endpoint left: the peer may have missed that it registered again.

The new test, with the code before:

process_started_on_a_restored_store_learns_of_departures_from_peers: assertion `left == right` failed left: Some(Ready) right: Some(Draining)

The tests of restored_list pass.

--- a/crates/celeryshed_peering/src/log.rs
+++ b/crates/celeryshed_peering/src/log.rs
@@ -43,8 +43,8 @@
 }
 
 impl ControlLog {
-    /// Position up to which the records are known. The operators' position has the sum of the
-    /// advances of their records.
+    /// Position up to which the records are known. A position has the sum of the advances of
+    /// its records.
     pub fn position(&self) -> ControlPosition {
         self.position
     }
@@ -97,19 +97,50 @@
     /// assert_eq!(log.position().operator, at(6).with_advance(2));
     /// ```
     pub fn retain_value(&mut self, key: &str, value: Bytes, advance: u64) {
-        if let Some(record) = self.operator.get_mut(key) {
+        self.replace_value(ControlStream::Operator, key, Some(value), advance);
+    }
+
+    /// Replaces the value of an endpoint's record, as [`Self::retain_value`] does for operators;
+    /// `None` if the endpoint has left.
+    pub(crate) fn retain_endpoint(&mut self, key: &str, value: Option<Bytes>, advance: u64) {
+        self.replace_value(ControlStream::Endpoints, key, value, advance);
+        if let Some(record) = self.endpoints.get(key) {
+            self.set_changed_at(ControlStream::Endpoints, key, record.position);
+        }
+    }
+
+    /// Whether a peer has told that the endpoint of a record has left, which the restored store
+    /// doesn't show.
+    pub(crate) fn is_taken_back(&self, record: &ControlRecord) -> bool {
+        self.endpoints.get(&record.key).is_some_and(|known| {
+            known.value.is_none()
+                && known.position > record.position
+                && known.position.with_advance(0) == record.position
+        })
+    }
+
+    fn replace_value(
+        &mut self,
+        stream: ControlStream,
+        key: &str,
+        value: Option<Bytes>,
+        advance: u64,
+    ) {
+        if let Some(record) = self.stream_mut(stream).get_mut(key) {
             record.position = record.position.with_advance(advance);
-            record.value = Some(value);
+            record.value = value;
         }
         self.raise_advance();
     }
 
-    /// Raises the advance of the operators' position to that of their records. Sidecars know a
-    /// higher one, as they don't hold the records.
+    /// Raises the advances of the positions to those of their records. Sidecars know a higher one of
+    /// the operators, as they don't hold the records.
     fn raise_advance(&mut self) {
-        let advance = self.operator.values().map(|record| record.position.advance()).sum();
-        let position = &mut self.position.operator;
-        *position = position.with_advance(advance).max(*position);
+        let ControlPosition { operator, endpoints } = &mut self.position;
+        for (position, records) in [(operator, &self.operator), (endpoints, &self.endpoints)] {
+            let advance = records.values().map(|record| record.position.advance()).sum();
+            *position = position.with_advance(advance).max(*position);
+        }
     }
 
     /// Sets the position at which the content of `key` last changed. It is lower than the position of
--- a/crates/celeryshed_peering/src/restored.rs
+++ b/crates/celeryshed_peering/src/restored.rs
@@ -3,14 +3,18 @@
 //! The copy may list an endpoint as ready that has reported draining or has left since. What is
 //! known of the endpoint is newer until it writes again itself. If it writes nothing but renewals,
 //! which add no record, its registration outlives those that aren't renewed, and counts from then on.
+//!
+//! What is known beyond the copy is passed on to peers at the position of the copy's record, with an
+//! advance.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use celeryshed_base::{LogPosition, MonoTime, StoreEra};
+use bytes::Bytes;
+use celeryshed_base::{LogPosition, MonoTime, StoreEra, common_derives};
 use celeryshed_dispatch::{EndpointState, ListedEndpoint};
 
-use crate::record::ControlRecord;
+use crate::record::{ControlBatch, ControlRecord};
 use crate::renewals::LIFETIME_INTERVALS;
 use crate::task::ControlSettings;
 
@@ -33,8 +37,32 @@
     failing_since: Option<MonoTime>,
 }
 
-#[derive(Clone, Copy, Debug)]
+common_derives! { index:
+    /// What is known of an endpoint beyond its record in the copy; the later ones replace the earlier.
+    pub(crate) enum EndpointAdvance {
+        /// It reported draining.
+        Draining,
+        /// It left.
+        Left,
+        /// It renewed its registration after the restore.
+        Renewed,
+    }
+}
+
+impl EndpointAdvance {
+    /// By how much the position of the record advances.
+    pub(crate) fn number(self) -> u64 {
+        match self {
+            Self::Draining => 1,
+            Self::Left => 2,
+            Self::Renewed => 3,
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
 struct SeenRegistration {
+    value: Option<Bytes>,
     era: StoreEra,
     started_at_ms: u64,
     seq_no: u64,
@@ -79,11 +107,15 @@
         }
     }
 
-    /// Records that a snapshot with the given end was read from the store.
-    pub(crate) fn record_snapshot(&mut self, end: LogPosition) {
-        if end.era() > self.copy_end.era() {
-            self.copy_end = end;
+    /// Records a snapshot that was read from the store.
+    pub(crate) fn record_snapshot(&mut self, batch: &ControlBatch) {
+        if batch.end.era() > self.copy_end.era() {
+            self.copy_end = batch.end;
         }
+        // The log tells no removal of an endpoint that is known to have left.
+        let listed: BTreeSet<&str> =
+            batch.records.iter().map(|record| record.key.as_str()).collect();
+        self.repeated.retain(|key, _| listed.contains(key.as_str()));
     }
 
     /// Notes a record; `endpoint` is `None` if it removes the registration or is unusable. Returns
@@ -95,9 +127,9 @@
         endpoint: Option<&ListedEndpoint>,
     ) -> bool {
         self.repeated.remove(&record.key);
-        let Some((registration, endpoint)) = endpoint.and_then(|endpoint| {
-            SeenRegistration::new(record.position.era(), endpoint).zip(Some(endpoint))
-        }) else {
+        let Some((registration, endpoint)) = endpoint
+            .and_then(|endpoint| SeenRegistration::new(record, endpoint).zip(Some(endpoint)))
+        else {
             return false;
         };
         let position = record.position;
@@ -107,17 +139,45 @@
             may_be_copied
                 && known.era < registration.era
                 && registration.written_at() <= known.written_at()
+                // Peers tell what they know beyond the copy.
+                && (position.advance() == 0 || !known.may_be_followed_by(&registration))
         });
         if is_repeated {
-            let repeated =
-                RepeatedRegistration { record: record.clone(), endpoint: endpoint.clone() };
-            self.repeated.insert(record.key.clone(), repeated);
+            self.hold(record.clone(), endpoint.clone());
         } else {
             self.seen.insert(record.key.clone(), registration);
         }
         is_repeated
     }
 
+    /// Holds a registration of the restored store back until it shows renewals.
+    fn hold(&mut self, record: ControlRecord, endpoint: ListedEndpoint) {
+        let key = record.key.clone();
+        self.repeated.insert(key, RepeatedRegistration { record, endpoint });
+    }
+
+    /// Holds a registration of the restored store back, as a peer has told that the endpoint left.
+    pub(crate) fn hold_left(
+        &mut self,
+        now: MonoTime,
+        record: ControlRecord,
+        endpoint: ListedEndpoint,
+    ) {
+        // A process that was started since knows of no restore.
+        self.renewed_from.get_or_insert(now + self.lifetime);
+        self.hold(record, endpoint);
+    }
+
+    /// Whether a registration was read before the store was restored to that of `record`.
+    pub(crate) fn is_known_from_before(&self, record: &ControlRecord) -> bool {
+        self.seen.get(&record.key).is_some_and(|known| known.era < record.position.era())
+    }
+
+    /// Value of the last registration of an endpoint that was read.
+    pub(crate) fn value(&self, key: &str) -> Option<&Bytes> {
+        self.seen.get(key)?.value.as_ref()
+    }
+
     /// Takes the repeated registrations of the list that was read at `read_at`, once all that weren't
     /// renewed have expired. Those of earlier starts stay ignored, as do those that are ready again
     /// after draining.
@@ -127,13 +187,11 @@
         }
         let mut renewed = Vec::new();
         for (key, repeated) in std::mem::take(&mut self.repeated) {
-            let era = repeated.record.position.era();
-            let registration = SeenRegistration::new(era, &repeated.endpoint);
-            let known = self.seen.get_mut(&key);
-            if let (Some(registration), Some(known)) = (registration, known)
-                && known.may_be_followed_by(&registration)
+            let known = self.seen.get(&key);
+            if let Some(registration) = SeenRegistration::new(&repeated.record, &repeated.endpoint)
+                && known.is_none_or(|known| known.may_be_followed_by(&registration))
             {
-                *known = registration;
+                self.seen.insert(key, registration);
                 renewed.push(repeated);
             }
         }
@@ -143,9 +201,10 @@
 
 impl SeenRegistration {
     /// `None` if the registration isn't numbered.
-    fn new(era: StoreEra, endpoint: &ListedEndpoint) -> Option<Self> {
+    fn new(record: &ControlRecord, endpoint: &ListedEndpoint) -> Option<Self> {
         let ListedEndpoint { started_at_ms, state, seq_no, .. } = *endpoint;
-        Some(Self { era, started_at_ms, seq_no: seq_no?, state })
+        let (value, era) = (record.value.clone(), record.position.era());
+        Some(Self { value, era, started_at_ms, seq_no: seq_no?, state })
     }
 
     /// The order of the registrations of an endpoint.
--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -7,7 +7,9 @@
 
 use bytes::Bytes;
 use celeryshed_base::{ClockSource, LogPosition, MonoTime, StoreEra, common_derives};
-use celeryshed_dispatch::{DirectoryRecord, EndpointId, ListedEndpoint, RoutingSnapshot};
+use celeryshed_dispatch::{
+    DirectoryRecord, EndpointId, EndpointState, ListedEndpoint, RoutingSnapshot,
+};
 use celeryshed_observe::EventLine;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
@@ -18,9 +20,9 @@
 use crate::recency::{AgeReading, RECENCY_TICK, ReadRecency, RecordAge};
 use crate::record::{ControlBatch, ControlRecord, ControlStream, OperatorRecord};
 use crate::renewals::RegistrationRenewals;
-use crate::restored::{RepeatedRegistration, SeenRegistrations};
+use crate::restored::{EndpointAdvance, RepeatedRegistration, SeenRegistrations};
 use crate::services::ServiceCatalog;
-use crate::store::{ControlStore, ReadOutcome, RecordDecoder, StoreError};
+use crate::store::{ControlStore, DecodeError, ReadOutcome, RecordDecoder, StoreError};
 
 /// Time that the store may wait for a new operator record before it replies to a read.
 const OPERATOR_POLL_WAIT: Duration = Duration::from_secs(10);
@@ -426,7 +428,10 @@
         let initial = self.log.position().operator.is_start();
         self.note_restore(batch.end.era(), source);
         if batch.is_snapshot && stream == ControlStream::Endpoints {
-            self.seen.record_snapshot(batch.end);
+            self.seen.record_snapshot(&batch);
+        }
+        if stream == ControlStream::Endpoints {
+            self.hold_left(&batch);
         }
         for record in self.log.merge(stream, batch) {
             match stream {
@@ -556,33 +561,87 @@
     }
 
     fn apply_endpoint_record(&mut self, record: ControlRecord) {
-        let decoded =
-            record.value.as_deref().map(|value| self.decoder.endpoint(&record.key, value));
-        let endpoint = match decoded {
-            Some(Ok(endpoint)) => Some(endpoint),
-            Some(Err(error)) => {
-                EventLine::new("record_unusable")
-                    .field("position", record.position)
-                    .field("error", error)
-                    .warn();
-                None
+        let endpoint = self.decode_endpoint(&record);
+        let is_told_left = record.value.is_none()
+            && record.position.advance() > 0
+            && !record.position.is_before_era();
+        if is_told_left {
+            if self.seen.is_known_from_before(&record) {
+                // The peer may have missed that the endpoint registered again.
+                return;
+            }
+            let known = self.endpoints.get(&record.key).and_then(|(_, known)| known.clone());
+            self.seen.is_repeated(&record, None);
+            if let Some(known) = known {
+                let position = record.position.with_advance(0);
+                let value = self.seen.value(&record.key).cloned();
+                let copied = ControlRecord { key: record.key.clone(), position, value };
+                self.seen.hold_left(self.clock.now(), copied, known);
             }
-            None => None,
-        };
-        if !self.seen.is_repeated(&record, endpoint.as_ref()) {
+            let changed_at = record.position;
+            self.set_endpoint(record, None, changed_at);
+        } else if self.seen.is_repeated(&record, endpoint.as_ref()) {
+            self.retain_known_endpoint(&record, endpoint.as_ref());
+        } else {
             let changed_at = record.position;
             self.set_endpoint(record, endpoint, changed_at);
         }
     }
 
+    /// Decodes the record of an endpoint; `None` if it has no value or an unusable one.
+    fn decode_endpoint(&self, record: &ControlRecord) -> Option<ListedEndpoint> {
+        let decoded = self.decoder.endpoint(&record.key, record.value.as_deref()?);
+        let failed = |error: &DecodeError| {
+            EventLine::new("record_unusable")
+                .field("position", record.position)
+                .field("error", error)
+                .warn();
+        };
+        decoded.inspect_err(failed).ok()
+    }
+
+    /// Keeps what is known of an endpoint beyond its record in the restored store for peers.
+    fn retain_known_endpoint(&mut self, record: &ControlRecord, copied: Option<&ListedEndpoint>) {
+        let is_draining = |endpoint: &ListedEndpoint| endpoint.state == EndpointState::Draining;
+        let (value, advance) = match self.endpoints.get(&record.key) {
+            Some((_, None)) => (None, EndpointAdvance::Left),
+            Some((_, Some(known))) if is_draining(known) && !copied.is_some_and(is_draining) => {
+                (self.seen.value(&record.key).cloned(), EndpointAdvance::Draining)
+            }
+            Some((_, Some(_))) | None => return,
+        };
+        let advance = record.position.advance() + advance.number();
+        self.log.retain_endpoint(&record.key, value, advance);
+    }
+
+    /// Holds the registrations of a batch back whose endpoints have left, as a peer has told before.
+    fn hold_left(&mut self, batch: &ControlBatch) {
+        for record in batch.records.iter().filter(|record| self.log.is_taken_back(record)) {
+            if let Some(endpoint) = self.decode_endpoint(record) {
+                self.seen.hold_left(self.clock.now(), record.clone(), endpoint);
+            }
+        }
+    }
+
     /// Applies the registrations of the restored store that have been renewed, as a list that was read
     /// at `read_at` shows.
     fn apply_renewed(&mut self, read_at: MonoTime) {
-        // Peers have read beyond the position of the record.
-        let changed_at = self.log.position().endpoints;
-        for RepeatedRegistration { record, endpoint } in self.seen.take_renewed(read_at) {
+        let renewed = self.seen.take_renewed(read_at);
+        if renewed.is_empty() {
+            return;
+        }
+        for RepeatedRegistration { record, endpoint } in renewed {
+            let known = self.endpoints.get(&record.key).and_then(|(_, known)| known.as_ref());
+            if has_same_state(known, Some(&endpoint)) {
+                continue;
+            }
+            let number = EndpointAdvance::Renewed.number();
+            self.log.retain_endpoint(&record.key, record.value.clone(), number);
+            let changed_at = record.position.with_advance(number);
+            let record = ControlRecord { position: changed_at, ..record };
             self.set_endpoint(record, Some(endpoint), changed_at);
         }
+        self.position.send_replace(self.log.position());
     }
 
     fn set_endpoint(
@@ -651,8 +710,10 @@
         let known = self.log.position();
         let max_age = self.settings.endpoints_max_age;
         let stale = self.list_read_at.is_none_or(|at| at.elapsed() > max_age);
-        let behind =
-            position.operator > known.operator || (position.endpoints > known.endpoints && stale);
+        // The store doesn't show what a peer knows beyond its copy.
+        let is_advanced = position.endpoints.advance() > known.endpoints.advance();
+        let behind = position.operator > known.operator
+            || (position.endpoints > known.endpoints && (stale || is_advanced));
         if !behind {
             return;
         }
--- a/crates/celeryshed_peering/tests/restored_list.rs
+++ b/crates/celeryshed_peering/tests/restored_list.rs
@@ -10,10 +10,12 @@
 };
 use celeryshed_dispatch::{EndpointDirectory, EndpointId, EndpointState, ListedEndpoint};
 use celeryshed_peering::{
-    ControlBatch, ControlEvent, ControlRecord, ControlScope, ControlSettings, ControlStore,
-    ControlStream, DecodeError, OperatorRecord, ReadOutcome, RecordDecoder, StoreError,
-    start_control,
+    ControlBatch, ControlEvent, ControlHandle, ControlRecord, ControlScope, ControlSettings,
+    ControlStore, ControlStream, DecodeError, OperatorRecord, ReadOutcome, RecordDecoder,
+    StoreError, parse_control_query, start_control,
 };
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 use tokio::time::sleep;
 
 const LIST_INTERVAL: Duration = Duration::from_millis(100);
@@ -23,10 +25,12 @@
 /// A registration: whether the endpoint is ready, its `seq_no` and its start.
 type Registration = (bool, u8, u8);
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct StoredList {
     era: u64,
     is_down: bool,
+    /// Whether the next read of the list has to start over.
+    is_truncated: bool,
     /// Key and registration; offsets count from 0.
     records: Vec<(&'static str, Option<Registration>)>,
 }
@@ -44,11 +48,20 @@
         self.0.lock().unwrap().records.push((key, None));
     }
 
+    fn truncate(&self) {
+        self.0.lock().unwrap().is_truncated = true;
+    }
+
     /// Makes reads fail until the store is up again.
     fn set_down(&self, is_down: bool) {
         self.0.lock().unwrap().is_down = is_down;
     }
 
+    /// A store that holds the same.
+    fn copy(&self) -> Self {
+        Self(Mutex::new(self.0.lock().unwrap().clone()))
+    }
+
     fn check(&self) -> Result<(), StoreError> {
         if self.0.lock().unwrap().is_down {
             return Err(StoreError::Refused { address: "fake".to_owned(), status: 503 });
@@ -101,6 +114,11 @@
     ) -> Result<ReadOutcome, StoreError> {
         sleep(wait).await;
         self.check()?;
+        if stream == ControlStream::Endpoints
+            && std::mem::take(&mut self.0.lock().unwrap().is_truncated)
+        {
+            return Ok(ReadOutcome::Truncated);
+        }
         Ok(ReadOutcome::Records(self.batch(stream, from.offset().0 as usize)))
     }
 }
@@ -130,6 +148,7 @@
 
 /// A process that follows the list of endpoints.
 struct FollowedList {
+    control: ControlHandle,
     store: Arc<RestorableList>,
     directory: Arc<Mutex<EndpointDirectory>>,
     clock: ClockSource,
@@ -137,7 +156,10 @@
 
 impl FollowedList {
     fn start() -> Self {
-        let store = Arc::new(RestorableList::default());
+        Self::start_on(Arc::default())
+    }
+
+    fn start_on(store: Arc<RestorableList>) -> Self {
         let settings = ControlSettings {
             scope: ControlScope::Everything,
             endpoints_interval: LIST_INTERVAL,
@@ -150,7 +172,6 @@
         let directory = Arc::new(Mutex::new(EndpointDirectory::default()));
         let applied = directory.clone();
         tokio::spawn(async move {
-            let _control = control;
             while let Some(event) = events.recv().await {
                 let mut directory = applied.lock().unwrap();
                 match event {
@@ -165,7 +186,14 @@
                 }
             }
         });
-        Self { store, directory, clock }
+        Self { control, store, directory, clock }
+    }
+
+    /// Fetches from a peer if its position is ahead, as after one of its messages.
+    async fn hear(&self, peer: &Self) {
+        let address = serve_control(peer.control.clone()).await;
+        self.control.report_peer_position(&address, peer.control.position());
+        sleep(LIST_INTERVAL).await;
     }
 
     /// The state of an endpoint after some reads; `None` if it isn't listed.
@@ -176,6 +204,26 @@
     }
 }
 
+/// Starts a server that answers queries with the records of `control`; returns its address.
+async fn serve_control(control: ControlHandle) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut request = [0; 1024];
+            let length = stream.read(&mut request).await.unwrap();
+            let text = String::from_utf8_lossy(&request[..length]).into_owned();
+            let query = parse_control_query(text.split(' ').nth(1).unwrap()).unwrap();
+            let body = control.answer_query(query).await.unwrap();
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+            stream.write_all(head.as_bytes()).await.unwrap();
+            stream.write_all(&body).await.unwrap();
+        }
+    });
+    address
+}
+
 /// Guards against new requests to an endpoint that is draining: the copy lists it as ready.
 #[tokio::test(start_paused = true)]
 async fn draining_endpoint_is_not_ready_again_after_a_restore() {
@@ -290,6 +338,23 @@
     assert_eq!(list.state("gone").await, None);
 }
 
+/// Guards against requests to an endpoint that is gone: a snapshot leaves it out, and the record of its
+/// removal isn't read.
+#[tokio::test(start_paused = true)]
+async fn removed_endpoint_that_a_snapshot_leaves_out_is_not_used_again() {
+    let list = FollowedList::start();
+    list.store.write("gone", (true, 4, 1));
+    assert_eq!(list.state("gone").await, Some(EndpointState::Ready));
+    list.store.remove("gone");
+    assert_eq!(list.state("gone").await, None);
+    list.store.restore(1);
+    assert_eq!(list.state("gone").await, None);
+    list.store.remove("gone");
+    list.store.truncate();
+    sleep(RENEWAL_INTERVAL * 4).await;
+    assert_eq!(list.state("gone").await, None);
+}
+
 /// An endpoint that registers after the restore is used at once, also one with the id of another start.
 #[tokio::test(start_paused = true)]
 async fn endpoint_registered_after_a_restore_is_listed_at_once() {
@@ -302,3 +367,53 @@
     assert_eq!(list.state("b").await, Some(EndpointState::Ready));
     assert_eq!(list.state("a").await, Some(EndpointState::Ready));
 }
+
+/// Guards against requests to endpoints that are draining or gone, from a process that was started
+/// after the restore: it has read only the copy, which lists them as ready.
+#[tokio::test]
+async fn process_started_on_a_restored_store_learns_of_departures_from_peers() {
+    let entry = FollowedList::start();
+    let keys = ["draining", "gone", "running"];
+    for key in keys {
+        entry.store.write(key, (true, 4, 1));
+    }
+    assert_eq!(entry.state("running").await, Some(EndpointState::Ready));
+    entry.store.write("draining", (false, 9, 1));
+    entry.store.remove("gone");
+    entry.store.remove("running");
+    assert_eq!(entry.state("running").await, None);
+    entry.store.restore(3);
+    assert_eq!(entry.state("draining").await, Some(EndpointState::Draining));
+
+    let reader = FollowedList::start_on(entry.store.clone());
+    for key in keys {
+        assert_eq!(reader.state(key).await, Some(EndpointState::Ready), "{key}");
+    }
+    // Hears from the peer before it can read the store.
+    let copy = Arc::new(entry.store.copy());
+    copy.set_down(true);
+    let listener = FollowedList::start_on(copy);
+    for process in [&reader, &listener] {
+        process.hear(&entry).await;
+        assert_eq!(process.state("draining").await, Some(EndpointState::Draining));
+        assert_eq!(process.state("gone").await, None);
+        process.store.set_down(false);
+        assert_eq!(process.state("draining").await, Some(EndpointState::Draining));
+        assert_eq!(process.state("gone").await, None);
+    }
+    for process in [&reader, &listener] {
+        process.store.remove("gone");
+    }
+    sleep(RENEWAL_INTERVAL * 3).await;
+    for process in [&entry, &reader, &listener] {
+        assert_eq!(process.state("running").await, Some(EndpointState::Ready));
+        assert_eq!(process.state("draining").await, Some(EndpointState::Draining));
+        assert_eq!(process.state("gone").await, None);
+    }
+
+    let late = FollowedList::start_on(entry.store.clone());
+    assert_eq!(late.state("draining").await, Some(EndpointState::Ready));
+    late.hear(&reader).await;
+    assert_eq!(late.state("running").await, Some(EndpointState::Ready));
+    assert_eq!(late.state("draining").await, Some(EndpointState::Draining));
+}
