List endpoints again that a restored copy lacked (CONFIG)

Sidecars ignored a running endpoint for several renewal intervals, and sent it no weights, if the store was restored from a copy without it and it registered again with the same seq_no.

The removal that a peer sends for what the copy lacks is noted now, and rules out a copy of that registration in this era; later restores still compare with it.

The test failed before, where the sidecar reads the new registration:

sidecar_lists_an_endpoint_that_the_copy_lacked (restored_list.rs:353) assertion `left == right` failed left: None right: Some(Ready)

After: cargo test -p celeryshed_peering passes.

--- a/crates/celeryshed_peering/src/restored.rs
+++ b/crates/celeryshed_peering/src/restored.rs
@@ -39,6 +39,8 @@
     started_at_ms: u64,
     seq_no: u64,
     state: EndpointState,
+    /// Position of the record that removed it because the copy lacks it.
+    removed_at: Option<LogPosition>,
 }
 
 /// A registration of the restored store, at least as old as the one that was read before.
@@ -95,6 +97,12 @@
         endpoint: Option<&ListedEndpoint>,
     ) -> bool {
         self.repeated.remove(&record.key);
+        if endpoint.is_none() && record.position.is_before_era() {
+            if let Some(known) = self.seen.get_mut(&record.key) {
+                known.removed_at = Some(record.position);
+            }
+            return false;
+        }
         let Some((registration, endpoint)) = endpoint.and_then(|endpoint| {
             SeenRegistration::new(record.position.era(), endpoint).zip(Some(endpoint))
         }) else {
@@ -106,6 +114,7 @@
         let is_repeated = known.is_some_and(|known| {
             may_be_copied
                 && known.era < registration.era
+                && known.removed_at != Some(LogPosition::before(registration.era))
                 && registration.written_at() <= known.written_at()
         });
         if is_repeated {
@@ -145,7 +154,7 @@
     /// `None` if the registration isn't numbered.
     fn new(era: StoreEra, endpoint: &ListedEndpoint) -> Option<Self> {
         let ListedEndpoint { started_at_ms, state, seq_no, .. } = *endpoint;
-        Some(Self { era, started_at_ms, seq_no: seq_no?, state })
+        Some(Self { era, started_at_ms, seq_no: seq_no?, state, removed_at: None })
     }
 
     /// The order of the registrations of an endpoint.
--- a/crates/celeryshed_peering/tests/restored_list.rs
+++ b/crates/celeryshed_peering/tests/restored_list.rs
@@ -10,10 +10,12 @@
 };
 use celeryshed_dispatch::{EndpointDirectory, EndpointId, EndpointState, ListedEndpoint};
 use celeryshed_peering::{
-    ControlBatch, ControlEvent, ControlRecord, ControlScope, ControlSettings, ControlStore,
-    ControlStream, DecodeError, OperatorRecord, ReadOutcome, RecordDecoder, StoreError,
-    start_control,
+    ControlBatch, ControlEvent, ControlHandle, ControlRecord, ControlScope, ControlSettings,
+    ControlStore, ControlStream, DecodeError, OperatorRecord, ReadOutcome, RecordDecoder,
+    StoreError, parse_control_query, start_control,
 };
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 use tokio::time::sleep;
 
 const LIST_INTERVAL: Duration = Duration::from_millis(100);
@@ -131,15 +133,20 @@
 /// A process that follows the list of endpoints.
 struct FollowedList {
     store: Arc<RestorableList>,
+    control: ControlHandle,
     directory: Arc<Mutex<EndpointDirectory>>,
     clock: ClockSource,
 }
 
 impl FollowedList {
     fn start() -> Self {
+        Self::start_with(ControlScope::Everything)
+    }
+
+    fn start_with(scope: ControlScope) -> Self {
         let store = Arc::new(RestorableList::default());
         let settings = ControlSettings {
-            scope: ControlScope::Everything,
+            scope,
             endpoints_interval: LIST_INTERVAL,
             endpoints_max_age: Duration::from_secs(1),
             renewal_interval: Some(RENEWAL_INTERVAL),
@@ -150,7 +157,6 @@
         let directory = Arc::new(Mutex::new(EndpointDirectory::default()));
         let applied = directory.clone();
         tokio::spawn(async move {
-            let _control = control;
             while let Some(event) = events.recv().await {
                 let mut directory = applied.lock().unwrap();
                 match event {
@@ -165,7 +171,14 @@
                 }
             }
         });
-        Self { store, directory, clock }
+        Self { store, control, directory, clock }
+    }
+
+    /// Fetches the list of a peer, and returns the state of an endpoint as [`Self::state`] does.
+    async fn state_from(&self, peer: &Self, key: &str) -> Option<EndpointState> {
+        sleep(LIST_INTERVAL * 3).await;
+        self.control.fetch_from(&serve_control(peer.control.clone()).await).await;
+        self.state(key).await
     }
 
     /// The state of an endpoint after some reads; `None` if it isn't listed.
@@ -176,6 +189,26 @@
     }
 }
 
+/// Starts a server that answers queries with the records of `control`; returns its address.
+async fn serve_control(control: ControlHandle) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut request = [0; 1024];
+            let length = stream.read(&mut request).await.unwrap();
+            let text = String::from_utf8_lossy(&request[..length]).into_owned();
+            let query = parse_control_query(text.split(' ').nth(1).unwrap()).unwrap();
+            let body = control.answer_query(query).await.unwrap();
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+            stream.write_all(head.as_bytes()).await.unwrap();
+            stream.write_all(&body).await.unwrap();
+        }
+    });
+    address
+}
+
 /// Guards against new requests to an endpoint that is draining: the copy lists it as ready.
 #[tokio::test(start_paused = true)]
 async fn draining_endpoint_is_not_ready_again_after_a_restore() {
@@ -302,3 +335,24 @@
     assert_eq!(list.state("b").await, Some(EndpointState::Ready));
     assert_eq!(list.state("a").await, Some(EndpointState::Ready));
 }
+
+/// Guards against sidecars that ignore a running endpoint: the copy lacks it, and it registers again
+/// with the same `seq_no`. A later copy may list it as it was before.
+#[tokio::test]
+async fn sidecar_lists_an_endpoint_that_the_copy_lacked() {
+    let list = FollowedList::start();
+    let sidecar = FollowedList::start_with(ControlScope::Weights);
+    list.store.write("old", (true, 1, 1));
+    list.store.write("new", (true, 4, 1));
+    assert_eq!(sidecar.state_from(&list, "new").await, Some(EndpointState::Ready));
+    list.store.restore(1);
+    assert_eq!(sidecar.state_from(&list, "old").await, Some(EndpointState::Ready));
+    sleep(Duration::from_millis(1900)).await;
+    assert_eq!(sidecar.state("new").await, None);
+    list.store.write("new", (true, 4, 1));
+    assert_eq!(sidecar.state_from(&list, "new").await, Some(EndpointState::Ready));
+    list.store.write("new", (false, 6, 1));
+    assert_eq!(sidecar.state_from(&list, "new").await, Some(EndpointState::Draining));
+    list.store.restore(2);
+    assert_eq!(sidecar.state_from(&list, "new").await, Some(EndpointState::Draining));
+}
