Pause before a reader of the store starts over again (CONFIG)

It pauses now from the second time in a row on, also after truncated reads. If the store keeps telling an earlier era than before, the process can't read on; store_era_reversed and celeryshed_store_era_reversals_total tell so. No test covers that line and the counter.

--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -740,6 +740,9 @@
         // is missing.
         let mut is_verifying = false;
         let mut latest_era = self.era.subscribe();
+        // Whether the reader has started over and has read on from no snapshot since.
+        let mut is_starting_over = false;
+        let mut lower_eras = 0;
         loop {
             let wait = if is_verifying { Duration::ZERO } else { poll_wait(self.stream) };
             let sent_at = self.clock.now();
@@ -771,20 +774,28 @@
                 {
                     self.note_era(batch.end.era());
                     position = None;
+                    pause_if_repeated(&mut is_starting_over).await;
                     continue;
                 }
                 Ok(ReadOutcome::Restored) => {
                     position = None;
+                    pause_if_repeated(&mut is_starting_over).await;
                     continue;
                 }
                 Ok(ReadOutcome::Records(batch)) if batch.end.era() < *self.era.borrow() => {
-                    // The answer was under way during the restore.
+                    // The answer was under way during the restore, unless more of them follow.
+                    lower_eras += 1;
+                    if lower_eras == 2 {
+                        self.report_lower_era(batch.end.era());
+                    }
                     position = None;
                     sleep(STORE_RETRY_PAUSE).await;
                     continue;
                 }
                 Ok(ReadOutcome::Records(batch)) => {
                     self.note_era(batch.end.era());
+                    lower_eras = 0;
+                    is_starting_over &= position.is_none();
                     position = Some(batch.end);
                     ControlInput::Batch { stream, batch, sent_at }
                 }
@@ -793,6 +804,7 @@
                         .field("stream", format_args!("{stream:?}"))
                         .info();
                     position = None;
+                    pause_if_repeated(&mut is_starting_over).await;
                     continue;
                 }
                 Err(error) => {
@@ -825,6 +837,23 @@
             is_newer
         });
     }
+
+    /// Logs and counts answers of an era before the latest one, which can't be read on from.
+    fn report_lower_era(&self, told: StoreEra) {
+        metrics::counter!("celeryshed_store_era_reversals_total").increment(1);
+        EventLine::new("store_era_reversed")
+            .field("stream", format_args!("{:?}", self.stream))
+            .field("known", *self.era.borrow())
+            .field("told", told)
+            .warn();
+    }
+}
+
+/// Notes that a reader starts over, and pauses if it did so before without reading on.
+async fn pause_if_repeated(is_starting_over: &mut bool) {
+    if std::mem::replace(is_starting_over, true) {
+        sleep(STORE_RETRY_PAUSE).await;
+    }
 }
 
 /// Returns when an answer of the store has shown an era after `era`.
--- a/crates/celeryshed_peering/tests/restored_store.rs
+++ b/crates/celeryshed_peering/tests/restored_store.rs
@@ -1,6 +1,7 @@
 //! Reading on after the store was restored from an older copy.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -412,3 +413,44 @@
         assert_eq!((positions.collect::<Vec<_>>(), u64::from(batch.end)), (expected, 2));
     }
 }
+
+/// A store whose reads and snapshots tell different eras, as behind a proxy with an old backend.
+#[derive(Default)]
+struct DividedStore {
+    snapshots: AtomicU64,
+}
+
+impl ControlStore for DividedStore {
+    async fn newest(&self, _stream: ControlStream) -> Result<ControlBatch, StoreError> {
+        self.snapshots.fetch_add(1, Ordering::Relaxed);
+        sleep(Duration::from_millis(1)).await;
+        let end = LogPosition::new(StoreEra::try_from(1).unwrap(), LogOffset(0)).unwrap();
+        Ok(ControlBatch { records: vec![], end, is_snapshot: true })
+    }
+
+    async fn read(
+        &self,
+        _stream: ControlStream,
+        _from: LogPosition,
+        _wait: Duration,
+    ) -> Result<ReadOutcome, StoreError> {
+        sleep(Duration::from_millis(1)).await;
+        Ok(ReadOutcome::Restored)
+    }
+}
+
+/// Guards against a reader that starts over as fast as the store answers.
+#[tokio::test(start_paused = true)]
+async fn reader_pauses_if_reads_and_snapshots_tell_different_eras() {
+    let store = Arc::new(DividedStore::default());
+    let settings = ControlSettings {
+        scope: ControlScope::Everything,
+        endpoints_interval: Duration::from_secs(1),
+        endpoints_max_age: Duration::from_secs(1),
+        renewal_interval: None,
+    };
+    let _control = start_control(store.clone(), Arc::new(NumberDecoder), settings);
+    sleep(Duration::from_secs(4)).await;
+    let snapshots = store.snapshots.load(Ordering::Relaxed);
+    assert!(snapshots < 20, "{snapshots} snapshots in 4 s");
+}
