Relay unchanged registrations of a restored store that are numbered (CONFIG)

Peers that held a change which a restore took back never read what the copy lists, and went on with the endpoint's later state. A registration with the known seq_no was set aside as repeated before its change stamp was renewed, so had no effect for endpoints that number their registrations, as all do. An unchanged registration is relayed now; peers compare its number with what they hold themselves.

The test failed before:

unchanged_registration_of_the_copy_is_relayed assertion `left == right` failed left: [] right: ["e"]

After: cargo test -p celeryshed_peering passes.

--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -570,7 +570,12 @@
             }
             None => None,
         };
-        if !self.seen.is_repeated(&record, endpoint.as_ref()) {
+        let is_repeated = self.seen.is_repeated(&record, endpoint.as_ref());
+        let known = self.endpoints.get(&record.key);
+        let is_unchanged =
+            known.is_some_and(|(_, known)| has_same_state(known.as_ref(), endpoint.as_ref()));
+        // Peers may hold a change that was taken back, so an unchanged record is relayed.
+        if !is_repeated || is_unchanged {
             let changed_at = record.position;
             self.set_endpoint(record, endpoint, changed_at);
         }
--- a/crates/celeryshed_peering/tests/restored_list.rs
+++ b/crates/celeryshed_peering/tests/restored_list.rs
@@ -10,9 +10,9 @@
 };
 use celeryshed_dispatch::{EndpointDirectory, EndpointId, EndpointState, ListedEndpoint};
 use celeryshed_peering::{
-    ControlBatch, ControlEvent, ControlHandle, ControlRecord, ControlScope, ControlSettings,
-    ControlStore, ControlStream, DecodeError, OperatorRecord, ReadOutcome, RecordDecoder,
-    StoreError, parse_control_query, start_control,
+    ControlBatch, ControlEvent, ControlHandle, ControlRecord, ControlReply, ControlScope,
+    ControlSettings, ControlStore, ControlStream, DecodeError, OperatorRecord, ReadOutcome,
+    RecordDecoder, StoreError, parse_control_query, start_control,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -356,3 +356,22 @@
     list.store.restore(2);
     assert_eq!(sidecar.state_from(&list, "new").await, Some(EndpointState::Draining));
 }
+
+/// Guards against peers that never read what a restored copy lists: they may hold a change that was
+/// taken back, while the registration is the one that their source knows.
+#[tokio::test(start_paused = true)]
+async fn unchanged_registration_of_the_copy_is_relayed() {
+    let list = FollowedList::start();
+    list.store.write("e", (true, 1, 1));
+    assert_eq!(list.state("e").await, Some(EndpointState::Ready));
+    list.store.restore(1);
+    assert_eq!(list.state("e").await, Some(EndpointState::Ready));
+    // The peer has read two records before the restore.
+    let target = "/control?operator=0&endpoints=2&scope=weights&ages=1&eras=1";
+    let query = parse_control_query(target).unwrap();
+    let body = list.control.answer_query(query).await.unwrap();
+    let reply: ControlReply = rmp_serde::from_slice(&body).unwrap();
+    let [_, (_, batch)] = reply.into_batches();
+    let keys: Vec<_> = batch.records.iter().map(|record| record.key.as_str()).collect();
+    assert_eq!(keys, ["e"]);
+}
