--- a/crates/celeryshed_peering/src/restored.rs
+++ b/crates/celeryshed_peering/src/restored.rs
@@ -67,6 +67,8 @@
     started_at_ms: u64,
     seq_no: u64,
     state: EndpointState,
+    /// Position of the record that removed it because the copy lacks it.
+    removed_at: Option<LogPosition>,
 }
 
 /// A registration of the restored store, at least as old as the one that was read before.
@@ -127,6 +129,12 @@
         endpoint: Option<&ListedEndpoint>,
     ) -> bool {
         self.repeated.remove(&record.key);
+        if endpoint.is_none() && record.position.is_before_era() {
+            if let Some(known) = self.seen.get_mut(&record.key) {
+                known.removed_at = Some(record.position);
+            }
+            return false;
+        }
         let Some((registration, endpoint)) = endpoint
             .and_then(|endpoint| SeenRegistration::new(record, endpoint).zip(Some(endpoint)))
         else {
@@ -138,6 +146,7 @@
         let is_repeated = known.is_some_and(|known| {
             may_be_copied
                 && known.era < registration.era
+                && known.removed_at != Some(LogPosition::before(registration.era))
                 && registration.written_at() <= known.written_at()
                 // Peers tell what they know beyond the copy.
                 && (position.advance() == 0 || !known.may_be_followed_by(&registration))
@@ -204,7 +213,7 @@
     fn new(record: &ControlRecord, endpoint: &ListedEndpoint) -> Option<Self> {
         let ListedEndpoint { started_at_ms, state, seq_no, .. } = *endpoint;
         let (value, era) = (record.value.clone(), record.position.era());
-        Some(Self { value, era, started_at_ms, seq_no: seq_no?, state })
+        Some(Self { value, era, started_at_ms, seq_no: seq_no?, state, removed_at: None })
     }
 
     /// The order of the registrations of an endpoint.
--- a/crates/celeryshed_peering/tests/restored_list.rs
+++ b/crates/celeryshed_peering/tests/restored_list.rs
@@ -10,9 +10,9 @@
 };
 use celeryshed_dispatch::{EndpointDirectory, EndpointId, EndpointState, ListedEndpoint};
 use celeryshed_peering::{
-    ControlBatch, ControlEvent, ControlHandle, ControlRecord, ControlScope, ControlSettings,
-    ControlStore, ControlStream, DecodeError, OperatorRecord, ReadOutcome, RecordDecoder,
-    StoreError, parse_control_query, start_control,
+    ControlBatch, ControlEvent, ControlHandle, ControlRecord, ControlReply, ControlScope,
+    ControlSettings, ControlStore, ControlStream, DecodeError, OperatorRecord, ReadOutcome,
+    RecordDecoder, StoreError, parse_control_query, start_control,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -160,8 +160,12 @@
     }
 
     fn start_on(store: Arc<RestorableList>) -> Self {
+        Self::start_with(store, ControlScope::Everything)
+    }
+
+    fn start_with(store: Arc<RestorableList>, scope: ControlScope) -> Self {
         let settings = ControlSettings {
-            scope: ControlScope::Everything,
+            scope,
             endpoints_interval: LIST_INTERVAL,
             endpoints_max_age: Duration::from_secs(1),
             renewal_interval: Some(RENEWAL_INTERVAL),
@@ -196,6 +200,13 @@
         sleep(LIST_INTERVAL).await;
     }
 
+    /// Fetches the list of a peer, and returns the state of an endpoint as [`Self::state`] does.
+    async fn state_from(&self, peer: &Self, key: &str) -> Option<EndpointState> {
+        sleep(LIST_INTERVAL * 3).await;
+        self.control.fetch_from(&serve_control(peer.control.clone()).await).await;
+        self.state(key).await
+    }
+
     /// The state of an endpoint after some reads; `None` if it isn't listed.
     async fn state(&self, key: &str) -> Option<EndpointState> {
         sleep(LIST_INTERVAL * 3).await;
@@ -417,3 +428,43 @@
     assert_eq!(late.state("running").await, Some(EndpointState::Ready));
     assert_eq!(late.state("draining").await, Some(EndpointState::Draining));
 }
+
+/// Guards against sidecars that ignore a running endpoint: the copy lacks it, and it registers again
+/// with the same `seq_no`. A later copy may list it as it was before.
+#[tokio::test]
+async fn sidecar_lists_an_endpoint_that_the_copy_lacked() {
+    let list = FollowedList::start();
+    let sidecar = FollowedList::start_with(Arc::default(), ControlScope::Weights);
+    list.store.write("old", (true, 1, 1));
+    list.store.write("new", (true, 4, 1));
+    assert_eq!(sidecar.state_from(&list, "new").await, Some(EndpointState::Ready));
+    list.store.restore(1);
+    assert_eq!(sidecar.state_from(&list, "old").await, Some(EndpointState::Ready));
+    sleep(Duration::from_millis(1900)).await;
+    assert_eq!(sidecar.state("new").await, None);
+    list.store.write("new", (true, 4, 1));
+    assert_eq!(sidecar.state_from(&list, "new").await, Some(EndpointState::Ready));
+    list.store.write("new", (false, 6, 1));
+    assert_eq!(sidecar.state_from(&list, "new").await, Some(EndpointState::Draining));
+    list.store.restore(2);
+    assert_eq!(sidecar.state_from(&list, "new").await, Some(EndpointState::Draining));
+}
+
+/// Guards against peers that never read what a restored copy lists: they may hold a change that was
+/// taken back, while the registration is the one that their source knows.
+#[tokio::test(start_paused = true)]
+async fn unchanged_registration_of_the_copy_is_relayed() {
+    let list = FollowedList::start();
+    list.store.write("e", (true, 1, 1));
+    assert_eq!(list.state("e").await, Some(EndpointState::Ready));
+    list.store.restore(1);
+    assert_eq!(list.state("e").await, Some(EndpointState::Ready));
+    // The peer has read two records before the restore.
+    let target = "/control?operator=0&endpoints=2&scope=weights&ages=1&eras=1";
+    let query = parse_control_query(target).unwrap();
+    let body = list.control.answer_query(query).await.unwrap();
+    let reply: ControlReply = rmp_serde::from_slice(&body).unwrap();
+    let [_, (_, batch)] = reply.into_batches();
+    let keys: Vec<_> = batch.records.iter().map(|record| record.key.as_str()).collect();
+    assert_eq!(keys, ["e"]);
+}
