Log a configuration that a restore repeats as unchanged (CONFIG)

After each restore of the store, processes warned of a configuration older than the one in force, although its revision was the one in force. They log it as unchanged at info now; only lower revisions are warned of. Changes a log line only, which no test reads: none was added.

--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -476,7 +476,11 @@
                     .field("revision", snapshot.revision)
                     .field("position", record.position);
                 if self.revision.is_some_and(|revision| snapshot.revision <= revision) {
-                    line.field("outcome", "older_than_in_force").warn();
+                    if self.revision == Some(snapshot.revision) {
+                        line.field("outcome", "unchanged").info();
+                    } else {
+                        line.field("outcome", "older_than_in_force").warn();
+                    }
                     self.newest_values.admit(&mut self.log, record, snapshot.revision.0);
                     self.move_services(&record.key);
                     return;
