Test failovers that a mutated build passed

Six mutations of the failover and one of the freed slots passed all tests of the gateway. New or stricter tests: an attempt that was withdrawn counts against the attempts of the route (handler and relay); a silent endpoint gets no new requests while another is free; waits double while a stream is silent; the second endpoint gets nothing without retry budget; a stream whose prompt has a part that crashes endpoints isn't resumed elsewhere; after 32 requests with silences most slots are free, where 12 requests were sent before, too few to use up the slots. No change of the code.

--- a/crates/celeryshed_gateway/tests/crashing_parts.rs
+++ b/crates/celeryshed_gateway/tests/crashing_parts.rs
@@ -90,3 +90,41 @@
         assert_eq!(reply.is_complete(), complete, "{name}: {}", reply.text);
     }
 }
+
+/// Guards against a silent stream that is resumed elsewhere although a part of its prompt has been
+/// found to crash endpoints meanwhile.
+#[tokio::test]
+async fn silent_stream_with_crashing_part_is_not_resumed_elsewhere() {
+    let steps = [
+        ScriptStep::Send(UNFRAMED_HEAD),
+        ScriptStep::Send("id: 1\ndata: a\n\n"),
+        ScriptStep::Pause(1600),
+        ScriptStep::Send("id: 2\ndata: b\n\n"),
+    ];
+    let answer = vec![ScriptStep::Send(ANSWER)];
+    let silent = ScriptedEndpoint::start("silent", vec![answer, steps.to_vec()]).await;
+    let deployment = Deployment::start(&[&silent]).await;
+    assert_eq!(deployment.call(&prompt_request("/book/", 99, "2:7")).await.status(), 200);
+    let caller = deployment.connect(&prompt_request("/stream/", 90, CRASHING_PART)).await;
+    while silent.count() < 2 {
+        sleep(Duration::from_millis(5)).await;
+    }
+    deployment.store.remove(&silent);
+    let crashing = start_endpoints(&[ScriptStep::CrashOn(CRASHING_PART)]).await;
+    for endpoint in &crashing {
+        deployment.store.register(endpoint);
+    }
+    sleep(Duration::from_millis(120)).await;
+    let mut statuses = Vec::new();
+    for number in 0..4 {
+        let reply = deployment.call(&prompt_request("/book/", number, CRASHING_PART)).await;
+        statuses.push(reply.status());
+        sleep(Duration::from_millis(60)).await;
+    }
+    assert_eq!(statuses, [502, 502, 502, 503]);
+    let other = ScriptedEndpoint::start("other", vec![vec![ScriptStep::Hang]]).await;
+    deployment.store.register(&other);
+    let answer = read_answer(caller).await;
+    assert!(answer.is_complete(), "{}", answer.text);
+    assert_eq!((received(&crashing), other.count()), (3, 0));
+}
--- a/crates/celeryshed_gateway/tests/failover.rs
+++ b/crates/celeryshed_gateway/tests/failover.rs
@@ -161,3 +161,60 @@
     }
     assert!(lost.is_empty(), "{lost:?}");
 }
+
+/// Guards against more attempts than the route allows: an attempt that was withdrawn, because the
+/// silent endpoint went on or the other one answered, counts although nothing came of it.
+#[tokio::test]
+async fn withdrawn_attempts_count_against_the_attempts_of_the_route() {
+    let goes_on = [Send(STREAM_HEAD), Send(EVENT_1), Pause(1100), Send(EVENT_2), Pause(400), Reset];
+    let breaks_off = [Send(STREAM_HEAD), Send(EVENT_1), Pause(400), Reset];
+    let cases = [("resumed", &goes_on[..], &[Hang][..]), ("begun", &[Hang], &breaks_off)];
+    for (case, first_script, second_script) in cases {
+        let first = endpoint("i-1", first_script).await;
+        let second = endpoint("i-2", second_script).await;
+        let third = endpoint("i-3", &[Send(STREAM_HEAD), Send(STREAM_END)]).await;
+        let entry = Deployment::start(&[&first]).await;
+        let caller = entry.connect(&request("POST", "/stream/a", "r1", "", "x")).await;
+        wait_count(&first, 1).await;
+        entry.store.register(&second);
+        wait_count(&second, 1).await;
+        entry.store.register(&third);
+        let answer = timeout(Duration::from_secs(9), read_answer(caller)).await.expect(case);
+        assert!(answer.text.contains("data: one"), "{case}: {}", answer.text);
+        assert_eq!((first.count(), second.count(), third.count()), (1, 1, 0), "{case}");
+    }
+}
+
+/// Guards against new requests at an endpoint that was silent just before.
+#[tokio::test]
+async fn silent_endpoint_gets_no_new_requests_while_another_is_free() {
+    let first = endpoint("i-1", &[Hang]).await;
+    let answers = vec![Send(WHOLE)];
+    let second = ScriptedEndpoint::start("i-2", vec![vec![Hang], answers]).await;
+    let entry = Deployment::start(&[&first]).await;
+    let _caller = entry.connect(&request("GET", "/read/a", "r1", "", "")).await;
+    wait_count(&first, 1).await;
+    entry.store.register(&second);
+    wait_count(&second, 1).await;
+    for number in 0..8 {
+        let text = request("POST", "/book/a", &format!("b{number}"), "", "x");
+        assert_eq!(entry.call(&text).await.status(), 200);
+    }
+    assert_eq!((first.count(), second.count()), (1, 9));
+}
+
+/// Guards against a search for another endpoint at a constant rate while a stream is silent.
+#[tokio::test]
+async fn silent_stream_is_offered_elsewhere_after_doubled_waits() {
+    let stalled = [Send(STREAM_HEAD), Send(EVENT_1), Pause(2300), Send(EVENT_2), Send(STREAM_END)];
+    let first = endpoint("i-1", &stalled).await;
+    let full = "HTTP/1.1 503 Full\r\nx-not-run: 1\r\nContent-Length: 0\r\n\r\n";
+    let second = endpoint("i-2", &[Send(full)]).await;
+    let entry = Deployment::start(&[&first]).await;
+    let caller = entry.connect(&request("POST", "/stream/a", "r1", "", "x")).await;
+    wait_count(&first, 1).await;
+    entry.store.register(&second);
+    let answer = read_answer(caller).await;
+    assert!(answer.is_complete(), "{}", answer.text);
+    assert_eq!(second.count(), 1);
+}
--- a/crates/celeryshed_gateway/tests/silence.rs
+++ b/crates/celeryshed_gateway/tests/silence.rs
@@ -91,6 +91,9 @@
         _ => entry.store.register(&second),
     }
     let answer = timeout(Duration::from_secs(9), call).await.expect("an answer").unwrap();
+    if matches!(obstacle, Obstacle::NoBudget) {
+        assert_eq!(second.count(), 0, "the second endpoint got the request without retry budget");
+    }
     if matches!(obstacle, Obstacle::Silent) {
         assert_eq!(second.count(), 1, "the second endpoint was tried once");
         let answered_at = Instant::now();
@@ -208,9 +211,24 @@
     let slow = endpoint("i-1", &[Pause(400), Send(WHOLE)]).await;
     let other = endpoint("i-2", &[Pause(400), Send(WHOLE)]).await;
     let entry = Deployment::start(&[&slow, &other]).await;
+    for batch in 0..8 {
+        let mut callers = Vec::new();
+        for number in 0..4 {
+            let text = request("GET", "/read/a", &format!("r{batch}-{number}"), "", "");
+            callers.push(entry.connect(&text).await);
+        }
+        for caller in callers {
+            assert_eq!(read_answer(caller).await.status(), 200, "batch {batch}");
+        }
+    }
+    // Needs most slots at the same time.
+    let mut callers = Vec::new();
     for number in 0..12 {
-        let text = request("GET", "/read/a", &format!("r{number}"), "", "");
-        assert_eq!(entry.call(&text).await.status(), 200, "request {number}");
+        callers
+            .push(entry.connect(&request("POST", "/book/a", &format!("b{number}"), "", "x")).await);
+    }
+    for caller in callers {
+        assert_eq!(read_answer(caller).await.status(), 200);
     }
 }
 
