--- a/review/standin/endless_head.rs
+++ b/review/standin/endless_head.rs
@@ -1,7 +1,7 @@
 //! One of three engines answers with interim responses without end, which are no answer.
 //!
 //! The entry gets 0.19 of a core, as its settings say: it runs for 19 ms of each tenth of a second. The
-//! engine sends no more than 100 MB/s over all connections, which is less than the entry's link.
+//! engine sends no more than 120 MB/s over all connections, which is less than the entry's link.
 
 use std::io;
 use std::path::Path;
--- a/review/standin/plain_fleet.rs
+++ b/review/standin/plain_fleet.rs
@@ -18,7 +18,7 @@
 const SLOTS: u32 = 6;
 const HEARTBEAT: Duration = Duration::from_millis(1200);
 /// Bytes that a faulty engine sends in a second, over all its connections.
-const FLOOD_RATE: f64 = 100e6;
+const FLOOD_RATE: f64 = 120e6;
 const FLOOD_BLOCK_BYTES: usize = 64 * 1024;
 const INTERIM: &[u8] = b"HTTP/1.1 100 \r\n\r\n";
 const CLIENTS: u64 = 10;
