--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -6,6 +6,7 @@
 mod frozen_order;
 mod http;
 mod lost_manifest;
+mod missing_fields;
 mod model_fleet;
 mod other_writer;
 mod plain_fleet;
@@ -29,6 +30,7 @@
     let verdict = match case.as_str() {
         "frozen_order" => frozen_order::run(folder, has_trouble),
         "lost_manifest" => lost_manifest::run(folder, has_trouble),
+        "missing_fields" => missing_fields::run(folder, has_trouble),
         "other_writer" => other_writer::run(folder, has_trouble),
         "endless_head" => endless_head::run(folder, has_trouble),
         _ => return ExitCode::from(2),
--- /dev/null
+++ b/review/standin/missing_fields.rs
@@ -0,0 +1,92 @@
+//! An entry of another writer in the list of engines lacks most fields. Its address is that of a plain
+//! HTTP server which is no engine.
+
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::thread::{scope, sleep};
+use std::time::Duration;
+
+use crate::fleet::{APP_PORT, FRONT_PORT};
+use crate::http::{self, answer, Request};
+use crate::plain_fleet::{PlainFleet, TIME_LIMIT};
+use crate::Verdict;
+
+const CALM: Duration = Duration::from_secs(5);
+const SETTLING: Duration = Duration::from_secs(3);
+const BUYERS: u64 = 12;
+/// Bookings of each buyer.
+const BOOKINGS: u64 = 50;
+const BOOKING_PAUSE: Duration = Duration::from_millis(100);
+
+pub fn run(folder: &Path, has_trouble: bool) -> io::Result<Verdict> {
+    let mut fleet = PlainFleet::start(folder)?;
+    let journal = fleet.journal.clone();
+    let address = fleet.network.at(40, APP_PORT);
+    let run_count = Arc::new(AtomicU64::new(0));
+    let (counted, recorded) = (run_count.clone(), journal.clone());
+    let handler = move |request: Request, stream: &mut TcpStream| {
+        counted.fetch_add(1, Ordering::Relaxed);
+        let id = request.header("x-celeryshed-request-id").unwrap_or_default();
+        recorded.note(format!(
+            "the server that is no engine runs {} {} of request {id}",
+            request.method, request.path
+        ));
+        answer(stream, "200 OK", &[], b"done")
+    };
+    http::serve(address, Arc::new(handler))?;
+    sleep(CALM);
+    if has_trouble {
+        let record = format!(
+            "{{\"service\":\"orders\",\"address\":\"{address}\",\"zone\":\"puget-a\",\
+             \"state\":\"ready\"}}"
+        );
+        fleet.store.write("keyed.servers", "agent-1", &record);
+        journal.note(format!("another writer adds servers/agent-1: {record}"));
+    }
+    sleep(SETTLING);
+    let front = SocketAddr::new(fleet.entry.ip, FRONT_PORT);
+    let (served, failed) = (AtomicU64::new(0), AtomicU64::new(0));
+    scope(|threads| {
+        for buyer in 0..BUYERS {
+            let (journal, served, failed) = (&journal, &served, &failed);
+            threads.spawn(move || {
+                for number in 1..=BOOKINGS {
+                    let number = buyer * BOOKINGS + number;
+                    let outcome = http::call(front, &booking(number), TIME_LIMIT);
+                    journal.note(format!(
+                        "booking b{number:015x}: status {} after {} ms {}",
+                        outcome.status,
+                        outcome.elapsed.as_millis(),
+                        outcome.problem
+                    ));
+                    let counter = if outcome.is_served() { served } else { failed };
+                    counter.fetch_add(1, Ordering::Relaxed);
+                    sleep(BOOKING_PAUSE);
+                }
+            });
+        }
+    });
+    let (served, failed) = (served.into_inner(), failed.into_inner());
+    fleet.end_clients();
+    let foreign = run_count.load(Ordering::Relaxed);
+    let summary = format!(
+        "{foreign} requests were run by a server that is no engine; of the bookings {served} \
+         were served and {failed} failed"
+    );
+    journal.note(&summary);
+    println!("{summary}");
+    Ok(if foreign > 0 { Verdict::Broken } else { Verdict::Held })
+}
+
+fn booking(number: u64) -> Vec<u8> {
+    let request = format!(
+        "POST /book/{number} HTTP/1.1\r\nHost: orders.example\r\n\
+         X-Celeryshed-Request-Id: b{number:015x}\r\nX-Celeryshed-Deadline-Ms: {}\r\n\
+         X-Api-Key: key-1\r\nContent-Length: 7\r\n\r\none kit",
+        TIME_LIMIT.as_millis()
+    );
+    request.into_bytes()
+}
--- a/review/standin/plain_fleet.rs
+++ b/review/standin/plain_fleet.rs
@@ -100,6 +100,7 @@
     pub store: Arc<Store>,
     pub engines: Vec<Arc<PlainEngine>>,
     pub entry: Node,
+    pub network: Network,
     pub results: Arc<Mutex<Vec<Ended>>>,
     is_ending: Arc<AtomicBool>,
     clients: Vec<JoinHandle<()>>,
@@ -139,7 +140,7 @@
         }
         let results = Arc::new(Mutex::new(Vec::new()));
         let clients = start_clients(&entry, &journal, &results, &is_ending);
-        Ok(Self { journal, store, engines, entry, results, is_ending, clients, folder })
+        Ok(Self { journal, store, engines, entry, network, results, is_ending, clients, folder })
     }
 
     /// Ends the clients, and waits for their last requests.
@@ -221,4 +222,4 @@
     request.into_bytes()
 }
 
-const CONFIGURATION: &str = r#"{"version":7,"routes":[{"name":"r-1","host":"orders.example","path_prefix":"/lookup/","route_type":"idempotent","timeout_ms":1200,"target_latency_ms":150,"priority":2,"service":"orders","max_attempts":2,"anonymous":false}],"services":[{"name":"orders","health_path":"/health","max_connections":51,"protocol":"h1","tls":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"clinic","api_keys":["key-1"],"priority":1}]}"#;
+const CONFIGURATION: &str = r#"{"version":7,"routes":[{"name":"r-1","host":"orders.example","path_prefix":"/lookup/","route_type":"idempotent","timeout_ms":1200,"target_latency_ms":150,"priority":2,"service":"orders","max_attempts":2,"anonymous":false},{"name":"r-2","host":"orders.example","path_prefix":"/book/","route_type":"non_idempotent","timeout_ms":1200,"target_latency_ms":150,"priority":2,"service":"orders","max_attempts":1,"anonymous":false}],"services":[{"name":"orders","health_path":"/health","max_connections":51,"protocol":"h1","tls":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"clinic","api_keys":["key-1"],"priority":1}]}"#;
