--- a/review/standin/endless_head.rs
+++ b/review/standin/endless_head.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use crate::fleet::{Journal, Node, SIGCONT, SIGSTOP};
-use crate::plain_fleet::{Ended, PlainFleet, TIME_LIMIT};
+use crate::plain_fleet::{Ended, PlainFleet, RequestKind, TIME_LIMIT};
 use crate::Verdict;
 
 /// Time of each tenth of a second in which the entry runs.
@@ -25,7 +25,7 @@
 const TROUBLE: Duration = Duration::from_secs(20);
 
 pub fn run(folder: &Path, has_trouble: bool) -> io::Result<Verdict> {
-    let mut fleet = PlainFleet::start(folder)?;
+    let mut fleet = PlainFleet::start(folder, RequestKind::Booking)?;
     let journal = fleet.journal.clone();
     let is_ending = AtomicBool::new(false);
     let trouble_at = scope(|threads| {
--- a/review/standin/missing_fields.rs
+++ b/review/standin/missing_fields.rs
@@ -11,7 +11,7 @@
 
 use crate::fleet::{APP_PORT, FRONT_PORT};
 use crate::http::{self, answer, Request};
-use crate::plain_fleet::{PlainFleet, TIME_LIMIT};
+use crate::plain_fleet::{PlainFleet, RequestKind, TIME_LIMIT};
 use crate::Verdict;
 
 const CALM: Duration = Duration::from_secs(5);
@@ -19,10 +19,12 @@
 const BUYERS: u64 = 12;
 /// Bookings of each buyer.
 const BOOKINGS: u64 = 50;
+/// Bookings have numbers of their own, so that no id is used twice.
+const FIRST_BOOKING: u64 = 1 << 32;
 const BOOKING_PAUSE: Duration = Duration::from_millis(100);
 
 pub fn run(folder: &Path, has_trouble: bool) -> io::Result<Verdict> {
-    let mut fleet = PlainFleet::start(folder)?;
+    let mut fleet = PlainFleet::start(folder, RequestKind::Lookup)?;
     let journal = fleet.journal.clone();
     let address = fleet.network.at(40, APP_PORT);
     let run_count = Arc::new(AtomicU64::new(0));
@@ -55,9 +57,14 @@
             threads.spawn(move || {
                 for number in 1..=BOOKINGS {
                     let number = buyer * BOOKINGS + number;
-                    let outcome = http::call(front, &booking(number), TIME_LIMIT);
+                    let outcome = http::call(
+                        front,
+                        &RequestKind::Booking.request(FIRST_BOOKING + number),
+                        TIME_LIMIT,
+                    );
                     journal.note(format!(
-                        "booking b{number:015x}: status {} after {} ms {}",
+                        "booking {:016x}: status {} after {} ms {}",
+                        FIRST_BOOKING + number,
                         outcome.status,
                         outcome.elapsed.as_millis(),
                         outcome.problem
@@ -80,13 +87,3 @@
     println!("{summary}");
     Ok(if foreign > 0 { Verdict::Broken } else { Verdict::Held })
 }
-
-fn booking(number: u64) -> Vec<u8> {
-    let request = format!(
-        "POST /book/{number} HTTP/1.1\r\nHost: orders.example\r\n\
-         X-Celeryshed-Request-Id: b{number:015x}\r\nX-Celeryshed-Deadline-Ms: {}\r\n\
-         X-Api-Key: key-1\r\nContent-Length: 7\r\n\r\none kit",
-        TIME_LIMIT.as_millis()
-    );
-    request.into_bytes()
-}
--- a/review/standin/model_fleet.rs
+++ b/review/standin/model_fleet.rs
@@ -19,6 +19,9 @@
 const HEARTBEAT: Duration = Duration::from_millis(1200);
 /// Time limit of a client's request; the route's timeout is the same.
 const TIME_LIMIT: Duration = Duration::from_secs(6);
+/// Time without an event after which clients leave a stream: eight times its longest pause. The streams
+/// here are far shorter.
+const ABANDONED_AFTER: Duration = Duration::from_millis(2400);
 const CLIENTS: u64 = 4;
 
 pub struct ModelFleet {
@@ -84,7 +87,7 @@
                 while !is_ending.load(Ordering::Relaxed) {
                     let number = next.fetch_add(1, Ordering::Relaxed);
                     let sent_at = Instant::now();
-                    let outcome = http::call(front, &generation(number), TIME_LIMIT);
+                    let outcome = http::call(front, &generation(number), ABANDONED_AFTER);
                     let (status, problem) = (outcome.status, &outcome.problem);
                     journal.note(format!(
                         "request {number:016x}: status {status}, complete {}, after {} ms {problem}",
--- a/review/standin/other_writer.rs
+++ b/review/standin/other_writer.rs
@@ -6,7 +6,7 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use crate::plain_fleet::PlainFleet;
+use crate::plain_fleet::{PlainFleet, RequestKind};
 use crate::Verdict;
 
 const CALM: Duration = Duration::from_secs(8);
@@ -14,7 +14,7 @@
 const POWER_OFF: Duration = Duration::from_millis(1400);
 
 pub fn run(folder: &Path, has_trouble: bool) -> io::Result<Verdict> {
-    let mut fleet = PlainFleet::start(folder)?;
+    let mut fleet = PlainFleet::start(folder, RequestKind::Lookup)?;
     let journal = fleet.journal.clone();
     let started = Instant::now();
     sleep(CALM);
--- a/review/standin/plain_fleet.rs
+++ b/review/standin/plain_fleet.rs
@@ -108,7 +108,8 @@
 }
 
 impl PlainFleet {
-    pub fn start(folder: &Path) -> io::Result<Self> {
+    /// Starts the deployment; its clients send `kind`.
+    pub fn start(folder: &Path, kind: RequestKind) -> io::Result<Self> {
         let journal = Arc::new(Journal::create(folder)?);
         let temporary = std::env::temp_dir();
         let folder = temporary.join(format!("celeryshed-review-{}", std::process::id()));
@@ -139,7 +140,7 @@
             return Err(io::Error::other("the entry did not become ready"));
         }
         let results = Arc::new(Mutex::new(Vec::new()));
-        let clients = start_clients(&entry, &journal, &results, &is_ending);
+        let clients = start_clients(&entry, kind, &journal, &results, &is_ending);
         Ok(Self { journal, store, engines, entry, network, results, is_ending, clients, folder })
     }
 
@@ -180,6 +181,7 @@
 
 fn start_clients(
     entry: &Node,
+    kind: RequestKind,
     journal: &Arc<Journal>,
     results: &Arc<Mutex<Vec<Ended>>>,
     is_ending: &Arc<AtomicBool>,
@@ -193,7 +195,7 @@
             while !is_ending.load(Ordering::Relaxed) {
                 let number = next.fetch_add(1, Ordering::Relaxed);
                 let sent_at = Instant::now();
-                let outcome = http::call(front, &lookup(number), TIME_LIMIT);
+                let outcome = http::call(front, &kind.request(number), TIME_LIMIT);
                 let (status, problem) = (outcome.status, &outcome.problem);
                 journal.note(format!(
                     "request {number:016x}: status {status} after {} ms {problem}",
@@ -212,14 +214,33 @@
     clients.collect()
 }
 
-fn lookup(number: u64) -> Vec<u8> {
-    let request = format!(
-        "GET /lookup/{number} HTTP/1.1\r\nHost: orders.example\r\n\
-         X-Celeryshed-Request-Id: {number:016x}\r\nX-Celeryshed-Deadline-Ms: {}\r\n\
-         X-Api-Key: key-1\r\n\r\n",
-        TIME_LIMIT.as_millis()
-    );
-    request.into_bytes()
+/// What clients ask for.
+#[derive(Clone, Copy)]
+pub enum RequestKind {
+    /// A lookup, which may be repeated.
+    Lookup,
+    /// A booking, which may run once; its client waits for the answer until its time limit.
+    Booking,
+}
+
+impl RequestKind {
+    pub fn request(self, number: u64) -> Vec<u8> {
+        let (line, body) = match self {
+            Self::Lookup => (format!("GET /lookup/{number}"), ""),
+            Self::Booking => (format!("POST /book/{number}"), "one kit"),
+        };
+        let length = match self {
+            Self::Lookup => String::new(),
+            Self::Booking => format!("Content-Length: {}\r\n", body.len()),
+        };
+        let request = format!(
+            "{line} HTTP/1.1\r\nHost: orders.example\r\n\
+             X-Celeryshed-Request-Id: {number:016x}\r\nX-Celeryshed-Deadline-Ms: {}\r\n\
+             X-Api-Key: key-1\r\n{length}\r\n{body}",
+            TIME_LIMIT.as_millis()
+        );
+        request.into_bytes()
+    }
 }
 
 const CONFIGURATION: &str = r#"{"version":7,"routes":[{"name":"r-1","host":"orders.example","path_prefix":"/lookup/","route_type":"idempotent","timeout_ms":1200,"target_latency_ms":150,"priority":2,"service":"orders","max_attempts":2,"anonymous":false},{"name":"r-2","host":"orders.example","path_prefix":"/book/","route_type":"non_idempotent","timeout_ms":1200,"target_latency_ms":150,"priority":2,"service":"orders","max_attempts":1,"anonymous":false}],"services":[{"name":"orders","health_path":"/health","max_connections":51,"protocol":"h1","tls":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"clinic","api_keys":["key-1"],"priority":1}]}"#;
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -8,6 +8,9 @@
 
 use crate::http::{answer, serve, Next, Request};
 
+/// Header of all answers; the store is never restored here.
+const STORE_ERA: (&str, &str) = ("Store-Era", "1");
+
 #[derive(Clone)]
 struct Record {
     key: String,
@@ -46,17 +49,18 @@
         match request.path.as_str() {
             "/log-newest" => {
                 let body = self.newest(topic);
-                answer(stream, "200 OK", &[("Content-Type", "application/json")], body.as_bytes())
+                let headers = [("Content-Type", "application/json"), STORE_ERA];
+                answer(stream, "200 OK", &headers, body.as_bytes())
             }
             "/log-read" => {
                 let from = request.number("from").unwrap_or(0) as usize;
                 let wait = Duration::from_millis(request.number("wait_ms").unwrap_or(0));
                 match self.read(topic, from, wait) {
-                    Some(body) => answer(stream, "200 OK", &[], &body),
-                    None => answer(stream, "410 Gone", &[], b"{\"first\":0}"),
+                    Some(body) => answer(stream, "200 OK", &[STORE_ERA], &body),
+                    None => answer(stream, "410 Gone", &[STORE_ERA], b"{\"first\":0}"),
                 }
             }
-            _ => answer(stream, "404 Not Found", &[], b""),
+            _ => answer(stream, "404 Not Found", &[STORE_ERA], b""),
         }
     }
 
