Log how old the check of the staged pieces is at a load order

Cause: `load_ordered` told nothing of the time between the check of the staged pieces and the order, so a load of pieces that were damaged in between looked like any other. Change: the event has `check_age_ms`, the time since the check began.

--- a/crates/celeryshed_stager/src/stage_task.rs
+++ b/crates/celeryshed_stager/src/stage_task.rs
@@ -187,6 +187,7 @@
             return;
         }
         for _ in 0..MAX_REPAIRS {
+            let checked_at = self.clock.now();
             let damaged = match self.damaged_pieces(goal, &manifest).await {
                 Ok(damaged) => damaged,
                 Err(error) => {
@@ -196,7 +197,7 @@
                 }
             };
             if damaged.is_empty() {
-                return self.order_load(goal).await;
+                return self.order_load(goal, checked_at).await;
             }
             EventLine::new("staged_pieces_spoilt").field("count", damaged.len()).warn();
             if !damaged.iter().all(|piece| pieces.contains_key(piece)) {
@@ -266,13 +267,15 @@
         Ok(damaged)
     }
 
-    async fn order_load(&self, goal: &StageGoal) {
+    /// Orders the load of pieces whose check began at `checked_at`.
+    async fn order_load(&self, goal: &StageGoal, checked_at: MonoTime) {
         self.drain_endpoint().await;
         let ordered_at = self.clock.now();
         let reply = self.platform.load(&goal.model, goal.target.version).await;
         let line = EventLine::new("load_ordered")
             .field("model", &goal.model)
-            .field("version", goal.target.version);
+            .field("version", goal.target.version)
+            .field("check_age_ms", (ordered_at - checked_at).as_millis());
         match &reply {
             Ok(reply) => line.field("outcome", format_args!("{reply:?}")).info(),
             Err(error) => line.field("error", error).warn(),
