--- a/crates/celeryshed_http/src/client.rs
+++ b/crates/celeryshed_http/src/client.rs
@@ -49,6 +49,14 @@
     }
 }
 
+/// A request of an [`HttpClient`], which may be sent twice.
+struct PreparedCall<'c> {
+    method: Method,
+    target: &'c str,
+    body: Bytes,
+    timeouts: CallTimeouts,
+}
+
 /// A client of one address that reuses its connection and opens a new one after a failure.
 #[derive(Debug)]
 pub struct HttpClient {
@@ -83,15 +91,29 @@
         target: &str,
         body: Bytes,
         timeouts: impl Into<CallTimeouts>,
+    ) -> Result<HttpResponse> {
+        self.call_if(method, target, body, timeouts, || true).await
+    }
+
+    /// Like [`HttpClient::call`], but asks `may_send` each time directly before the request is sent,
+    /// when the connection is open. The outcome is [`HttpError::Withheld`] if it returns `false`.
+    pub async fn call_if(
+        &self,
+        method: Method,
+        target: &str,
+        body: Bytes,
+        timeouts: impl Into<CallTimeouts>,
+        may_send: impl Fn() -> bool,
     ) -> Result<HttpResponse> {
         let timeouts = timeouts.into();
         let reused = self.idle_connection.lock().await.take();
         let was_reused = reused.is_some();
         let exchange = async {
-            let first = self.exchange(reused, method.clone(), target, body.clone(), timeouts).await;
+            let call = PreparedCall { method, target, body, timeouts };
+            let first = self.exchange(reused, &call, &may_send).await;
             match first {
                 Err(HttpError::Exchange { .. }) if was_reused => {
-                    self.exchange(None, method, target, body, timeouts).await
+                    self.exchange(None, &call, &may_send).await
                 }
                 outcome => outcome,
             }
@@ -105,25 +127,29 @@
     async fn exchange(
         &self,
         reused: Option<HttpConnection>,
-        method: Method,
-        target: &str,
-        body: Bytes,
-        timeouts: CallTimeouts,
+        call: &PreparedCall<'_>,
+        may_send: &impl Fn() -> bool,
     ) -> Result<(HttpConnection, HttpResponse)> {
+        let PreparedCall { method, target, body, timeouts } = call;
         let mut connection = match reused.filter(HttpConnection::is_open) {
             Some(connection) => connection,
             _ => HttpConnection::connect(&self.address, timeouts.connect).await?,
         };
-        let mut request = Request::builder().method(method).uri(target).header(HOST, &self.address);
+        let mut request =
+            Request::builder().method(method).uri(*target).header(HOST, &self.address);
         if !body.is_empty() {
             request = request.header(CONTENT_TYPE, self.content_type);
         }
-        let request = request.body(Full::new(body)).map_err(|error| HttpError::Connect {
-            address: self.address.clone(),
-            source: std::io::Error::new(std::io::ErrorKind::InvalidInput, error),
-        })?;
+        let request =
+            request.body(Full::new(body.clone())).map_err(|error| HttpError::Connect {
+                address: self.address.clone(),
+                source: std::io::Error::new(std::io::ErrorKind::InvalidInput, error),
+            })?;
         let head_timed_out = |_elapsed| self.timed_out(timeouts.head);
         timeout(timeouts.head, connection.ready()).await.map_err(head_timed_out)??;
+        if !may_send() {
+            return Err(HttpError::Withheld { address: self.address.clone() });
+        }
         let response =
             timeout(timeouts.head, connection.send(request)).await.map_err(head_timed_out)??;
         let (head, body) = response.into_parts();
--- a/crates/celeryshed_http/src/connection.rs
+++ b/crates/celeryshed_http/src/connection.rs
@@ -42,6 +42,12 @@
         /// Underlying error.
         source: Box<dyn std::error::Error + Send + Sync>,
     },
+    /// The request was not sent, since the caller's condition for it no longer held.
+    #[error("the request to {address} was withheld: its condition no longer held")]
+    Withheld {
+        /// Address that would have been called.
+        address: String,
+    },
     /// The response was not complete in time; the request may have been received.
     #[error("{address} did not answer within {limit:?}")]
     Timeout {
--- a/crates/celeryshed_stager/src/lib.rs
+++ b/crates/celeryshed_stager/src/lib.rs
@@ -9,6 +9,7 @@
 mod fetch;
 mod fetch_task;
 mod inventory_task;
+mod piece_check;
 mod piece_store;
 mod pieces;
 mod platform;
@@ -18,6 +19,7 @@
 mod status_task;
 mod view;
 
+pub use piece_check::PieceCheck;
 pub use platform::{EngineReport, RawManifest, ReloadReply, WeightError, WeightPlatform};
 pub use process::{SidecarError, SidecarProcess};
 pub use settings::SidecarSettings;
--- a/crates/celeryshed_stager/src/platform.rs
+++ b/crates/celeryshed_stager/src/platform.rs
@@ -6,6 +6,8 @@
 use bytes::Bytes;
 use celeryshed_base::common_derives;
 
+use crate::piece_check::PieceCheck;
+
 /// Why a call to an endpoint or an origin failed.
 #[derive(Debug, thiserror::Error)]
 pub enum WeightError {
@@ -77,6 +79,8 @@
         InForce,
         /// The endpoint can't carry out the order in its present state.
         Conflict,
+        /// The order was not sent, since the check of the pieces had expired.
+        CheckExpired,
     }
 
     /// A manifest as received, not yet checked.
@@ -112,7 +116,15 @@
     ) -> impl Future<Output = Result<()>> + Send;
 
     /// Orders the endpoint to load its stored pieces as `version` after the requests in progress.
-    fn load(&self, model: &str, version: u64) -> impl Future<Output = Result<ReloadReply>> + Send;
+    ///
+    /// The order must not be sent once `check` has expired. Implementations ask it directly before
+    /// they send, after all that may take time, such as opening a connection.
+    fn load(
+        &self,
+        model: &str,
+        version: u64,
+        check: &PieceCheck,
+    ) -> impl Future<Output = Result<ReloadReply>> + Send;
 
     /// Fetches the manifest of a version from the origin at `address`.
     fn origin_manifest(
--- a/crates/celeryshed_stager/src/settings.rs
+++ b/crates/celeryshed_stager/src/settings.rs
@@ -35,6 +35,8 @@
     /// Time after its last reply at which an endpoint whose calls time out counts as lost. One that
     /// can't be reached counts as lost at once.
     pub endpoint_silence_limit: Duration,
+    /// Time from the start of a check of the staged pieces within which a load may be ordered.
+    pub piece_check_lifetime: Duration,
     /// How the control records are read from the store.
     pub control: ControlSettings,
 }
--- a/crates/celeryshed_stager/src/stage_task.rs
+++ b/crates/celeryshed_stager/src/stage_task.rs
@@ -11,6 +11,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::endpoint_stage::EndpointStage;
+use crate::piece_check::PieceCheck;
 use crate::piece_store::PieceStore;
 use crate::platform::{EngineReport, ReloadReply, Result, WeightError, WeightPlatform};
 use crate::settings::SidecarSettings;
@@ -28,8 +29,9 @@
 const MAX_DRAIN_TIME: Duration = Duration::from_millis(700);
 /// Delay after a load order that failed or did not fit the state of the endpoint.
 const FAILED_ORDER_DELAY: Duration = Duration::from_millis(200);
-/// Times that damaged pieces at the endpoint are replaced before the version is staged anew.
-const MAX_REPAIRS: u32 = 3;
+/// Checks of the pieces at the endpoint, each after a repair or an expired check, before the version is
+/// staged anew.
+const MAX_PIECE_CHECKS: u32 = 5;
 
 /// State of the endpoint, as it is reported to the entries.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -54,6 +56,15 @@
     pub(crate) condition: watch::Sender<EndpointCondition>,
 }
 
+/// What became of a load order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum OrderOutcome {
+    /// The endpoint may have received it.
+    Sent,
+    /// It was not sent, since the check of the pieces had expired.
+    CheckExpired,
+}
+
 impl<P: WeightPlatform> StageTask<P> {
     pub(crate) async fn run(self) {
         let (mut view, mut store) = (self.view.clone(), self.store.subscribe());
@@ -186,8 +197,9 @@
         if !self.wait_for_reload_time(goal, loaded).await {
             return;
         }
-        for _ in 0..MAX_REPAIRS {
-            let checked_at = self.clock.now();
+        let mut is_drained = false;
+        for _ in 0..MAX_PIECE_CHECKS {
+            let check = PieceCheck::begin(self.clock, self.settings.piece_check_lifetime);
             let damaged = match self.damaged_pieces(goal, &manifest).await {
                 Ok(damaged) => damaged,
                 Err(error) => {
@@ -197,7 +209,14 @@
                 }
             };
             if damaged.is_empty() {
-                return self.order_load(goal, checked_at).await;
+                if !is_drained {
+                    self.drain_endpoint().await;
+                    is_drained = true;
+                }
+                match self.order_load(goal, &check).await {
+                    OrderOutcome::Sent => return,
+                    OrderOutcome::CheckExpired => continue,
+                }
             }
             EventLine::new("staged_pieces_spoilt").field("count", damaged.len()).warn();
             if !damaged.iter().all(|piece| pieces.contains_key(piece)) {
@@ -267,15 +286,25 @@
         Ok(damaged)
     }
 
-    /// Orders the load of pieces whose check began at `checked_at`.
-    async fn order_load(&self, goal: &StageGoal, checked_at: MonoTime) {
-        self.drain_endpoint().await;
+    /// Orders the load of pieces that `check` found valid, and waits for its end. Nothing is sent if
+    /// the check has expired.
+    async fn order_load(&self, goal: &StageGoal, check: &PieceCheck) -> OrderOutcome {
         let ordered_at = self.clock.now();
-        let reply = self.platform.load(&goal.model, goal.target.version).await;
+        let check_age = check.age();
+        let reply = self.platform.load(&goal.model, goal.target.version, check).await;
+        if matches!(reply, Ok(ReloadReply::CheckExpired)) {
+            EventLine::new("piece_check_expired")
+                .field("model", &goal.model)
+                .field("version", goal.target.version)
+                .field("check_age_ms", check.age().as_millis())
+                .warn();
+            metrics::counter!("celeryshed_piece_checks_expired_total").increment(1);
+            return OrderOutcome::CheckExpired;
+        }
         let line = EventLine::new("load_ordered")
             .field("model", &goal.model)
             .field("version", goal.target.version)
-            .field("check_age_ms", (ordered_at - checked_at).as_millis());
+            .field("check_age_ms", check_age.as_millis());
         match &reply {
             Ok(reply) => line.field("outcome", format_args!("{reply:?}")).info(),
             Err(error) => line.field("error", error).warn(),
@@ -284,6 +313,7 @@
             sleep(FAILED_ORDER_DELAY).await;
         }
         self.wait_for_load(goal, ordered_at).await;
+        OrderOutcome::Sent
     }
 
     /// Tells the entries to send no more requests, and waits until the requests in the endpoint's
--- a/crates/celeryshed_stager/tests/support/mod.rs
+++ b/crates/celeryshed_stager/tests/support/mod.rs
@@ -21,8 +21,8 @@
     DecodeError, OperatorRecord, ReadOutcome, RecordDecoder, StoreError,
 };
 use celeryshed_stager::{
-    EngineReport, RawManifest, ReloadReply, SidecarProcess, SidecarSettings, WeightError,
-    WeightPlatform,
+    EngineReport, PieceCheck, RawManifest, ReloadReply, SidecarProcess, SidecarSettings,
+    WeightError, WeightPlatform,
 };
 use sha2::{Digest, Sha256};
 use tokio::sync::watch;
@@ -36,6 +36,9 @@
 /// Time that an engine may be silent before it counts as lost.
 pub(crate) const SILENCE_LIMIT: Duration = Duration::from_millis(1500);
 
+/// Length of a pause of the machine.
+const PAUSE: Duration = Duration::from_secs(4);
+
 /// Last byte of the next loopback address; each sidecar of the test process gets its own address.
 static NEXT_HOST: AtomicU16 = AtomicU16::new(1);
 
@@ -60,6 +63,8 @@
     is_silent: AtomicBool,
     /// Number of calls to read a piece that time out.
     silent_reads: AtomicU32,
+    /// Number of calls to read a piece after which the machine is paused; zero for no pause.
+    reads_until_pause: AtomicU32,
     /// Number of calls to the engine that timed out.
     pub(crate) timed_out: AtomicU32,
     /// When the engine started, in Unix milliseconds.
@@ -107,6 +112,20 @@
         self.silent_reads.store(count, Ordering::Relaxed);
     }
 
+    /// After `count` further calls to read a piece, piece 0 is damaged and the machine is paused for
+    /// [`PAUSE`].
+    pub(crate) fn pause_after_reads(&self, count: u32) {
+        self.reads_until_pause.store(count, Ordering::Relaxed);
+    }
+
+    /// Damages a piece and moves the runtime's clock on, as a pause of the whole machine does.
+    async fn pause_machine(&self) {
+        self.staged.lock().unwrap().insert(0, Bytes::from_static(b"damaged"));
+        tokio::time::pause();
+        tokio::time::advance(PAUSE).await;
+        tokio::time::resume();
+    }
+
     /// The engine starts anew, and has lost what it had loaded and stored.
     pub(crate) fn restart(&self) {
         self.loaded.lock().unwrap().clear();
@@ -178,7 +197,14 @@
         if self.silent_reads.fetch_update(Ordering::Relaxed, Ordering::Relaxed, delayed).is_ok() {
             return Err(self.time_out().await);
         }
-        Ok(self.staged.lock().unwrap().get(&piece).cloned())
+        let bytes = self.staged.lock().unwrap().get(&piece).cloned();
+        let counted = |count: u32| count.checked_sub(1);
+        let left =
+            self.reads_until_pause.fetch_update(Ordering::Relaxed, Ordering::Relaxed, counted);
+        if left == Ok(1) {
+            self.pause_machine().await;
+        }
+        Ok(bytes)
     }
 
     async fn write_piece(&self, _model: &str, piece: u32, bytes: Bytes) -> Result<(), WeightError> {
@@ -188,7 +214,15 @@
         Ok(())
     }
 
-    async fn load(&self, model: &str, version: u64) -> Result<ReloadReply, WeightError> {
+    async fn load(
+        &self,
+        model: &str,
+        version: u64,
+        check: &PieceCheck,
+    ) -> Result<ReloadReply, WeightError> {
+        if !check.is_valid() {
+            return Ok(ReloadReply::CheckExpired);
+        }
         let staged = self.staged.lock().unwrap();
         let complete =
             (0..PIECES).all(|piece| staged.get(&piece) == Some(&piece_bytes(version, piece)));
@@ -393,6 +427,7 @@
         piece_memory_bytes: 1_000_000,
         link_bits_per_s: 0,
         endpoint_silence_limit: SILENCE_LIMIT,
+        piece_check_lifetime: PAUSE / 2,
         control: ControlSettings {
             scope: ControlScope::Everything,
             endpoints_interval: Duration::from_millis(100),
