--- a/crates/celeryshed_stager/src/fetch.rs
+++ b/crates/celeryshed_stager/src/fetch.rs
@@ -1,5 +1,6 @@
 //! Fetches manifests, the lists of piece digests, and pieces from other sidecars or the origin.
 
+use std::future::pending;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -26,6 +27,9 @@
 /// Delay before all sources are asked again after none had the manifest.
 const MANIFEST_RETRY_DELAY: Duration = Duration::from_millis(150);
 
+/// Time without progress after which a newer version is collected instead.
+pub(crate) const STALL_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// Why a source delivered no usable piece.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum FetchFailure {
@@ -46,11 +50,54 @@
 }
 
 impl<P: WeightPlatform> PieceFetcher<P> {
-    /// Fetches the manifest, and retries until a source delivers it.
+    /// Fetches the manifest, and retries until a source delivers it; `None` once a newer version is
+    /// collected instead. The origin withdraws old versions, so it may never deliver this one.
+    pub(crate) async fn manifest(&self) -> Option<StageManifest> {
+        tokio::select! {
+            manifest = self.search_manifest() => Some(manifest),
+            () = self.wait_replaced() => None,
+        }
+    }
+
+    /// Whether a newer version is collected instead of the goal.
+    ///
+    /// A version that was declared long enough before the newer one is finished first, since its own
+    /// deadline still applies, unless it is `stalled`.
+    pub(crate) fn is_replaced(&self, stalled: bool) -> bool {
+        let Self { goal, settings, .. } = self;
+        let newest = self.view.borrow().goal(settings).map(|newest| newest.target);
+        let newer = newest.filter(|newest| newest.version != goal.target.version);
+        newer.is_some_and(|newer| {
+            stalled || !goal.target.is_worth_finishing(&newer, goal.origin_transfer)
+        })
+    }
+
+    /// Waits until a newer version is collected instead of the goal, which has made no progress
+    /// since the start of the wait.
+    async fn wait_replaced(&self) {
+        let stalled_at = self.clock.now() + STALL_TIMEOUT;
+        let mut view = self.view.clone();
+        loop {
+            let stalled = self.clock.now() >= stalled_at;
+            if self.is_replaced(stalled) {
+                return;
+            }
+            tokio::select! {
+                changed = view.changed() => {
+                    if changed.is_err() {
+                        return pending().await;
+                    }
+                }
+                () = self.clock.sleep_until(stalled_at), if !stalled => {}
+            }
+        }
+    }
+
+    /// Asks all sources for the manifest until one delivers it.
     ///
     /// The sidecar that ranks first in its region asks the origin. The others ask the first two
     /// sidecars that rank before them, and the origin if neither has the manifest.
-    pub(crate) async fn manifest(&self) -> StageManifest {
+    async fn search_manifest(&self) -> StageManifest {
         let version = self.goal.target.version;
         loop {
             let view = self.view.borrow().clone();
--- a/crates/celeryshed_stager/src/fetch_task.rs
+++ b/crates/celeryshed_stager/src/fetch_task.rs
@@ -13,7 +13,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::endpoint_stage::EndpointStage;
-use crate::fetch::{FetchFailure, PieceFetcher};
+use crate::fetch::{FetchFailure, PieceFetcher, STALL_TIMEOUT};
 use crate::inventory_task::InventoryMap;
 use crate::piece_store::PieceStore;
 use crate::platform::WeightPlatform;
@@ -25,8 +25,6 @@
 const MAX_CORRUPT_PIECES: u32 = 6;
 /// Longest time between two attempts to start fetches.
 const PICK_INTERVAL: Duration = Duration::from_millis(60);
-/// Time without a new piece after which a newer version is collected instead.
-const STALL_TIMEOUT: Duration = Duration::from_millis(700);
 /// Inventories older than this are ignored: their sender may have stopped.
 const INVENTORY_MAX_AGE: Duration = Duration::from_secs(2);
 /// Interval of `stage_progress` events.
@@ -96,19 +94,21 @@
         let known = self.store.borrow().manifest(version).cloned();
         let mut manifest = match known {
             Some(manifest) => manifest,
-            None => Arc::new(fetcher.manifest().await),
+            None => match fetcher.manifest().await {
+                Some(manifest) => Arc::new(manifest),
+                None => return self.abandon(&goal),
+            },
         };
         loop {
             self.begin(&goal, &manifest).await;
             match self.fetch_missing(&fetcher, &manifest).await {
                 FetchOutcome::Complete => break,
-                FetchOutcome::GoalChanged => {
-                    self.store.send_modify(|store| store.abandon(version));
-                    return;
-                }
+                FetchOutcome::GoalChanged => return self.abandon(&goal),
                 FetchOutcome::ManifestDoubtful => {}
             }
-            let refetched = Arc::new(fetcher.manifest().await);
+            let Some(refetched) = fetcher.manifest().await.map(Arc::new) else {
+                return self.abandon(&goal);
+            };
             if refetched != manifest {
                 EventLine::new("manifest_replaced")
                     .field("model", &goal.model)
@@ -124,6 +124,16 @@
             .info();
     }
 
+    /// Gives up a version for a newer one.
+    fn abandon(&self, goal: &StageGoal) {
+        let version = goal.target.version;
+        EventLine::new("version_abandoned")
+            .field("model", &goal.model)
+            .field("version", version)
+            .info();
+        self.store.send_modify(|store| store.abandon(version));
+    }
+
     /// Opens the store for a version. Pieces that an earlier sidecar process stored at the endpoint
     /// are kept if they are valid.
     async fn begin(&self, goal: &StageGoal, manifest: &Arc<StageManifest>) {
@@ -151,12 +161,6 @@
         (0..manifest.piece_count()).filter(|piece| !held.contains_key(piece)).collect()
     }
 
-    /// The current goal, if its version differs from that of `goal`.
-    fn newer_goal(&self, goal: &StageGoal) -> Option<StageGoal> {
-        let latest = self.view.borrow().goal(&self.settings);
-        latest.filter(|latest| latest.target.version != goal.target.version)
-    }
-
     /// Fetches pieces until none is missing, the goal changes or the manifest proves doubtful.
     async fn fetch_missing(
         &mut self,
@@ -224,13 +228,7 @@
                 }
                 None => {}
             }
-            // A version that was declared long enough before the newer one is finished first, since
-            // its own deadline still applies, unless no more pieces arrive.
-            let stalled = self.clock.now() - last_piece_at > STALL_TIMEOUT;
-            let newer = self.newer_goal(goal).map(|newer| newer.target);
-            if newer.is_some_and(|newer| {
-                stalled || !goal.target.is_worth_finishing(&newer, goal.origin_transfer)
-            }) {
+            if fetcher.is_replaced(self.clock.now() - last_piece_at > STALL_TIMEOUT) {
                 break FetchOutcome::GoalChanged;
             }
             if corrupt_count >= MAX_CORRUPT_PIECES {
--- a/crates/celeryshed_stager/tests/support/mod.rs
+++ b/crates/celeryshed_stager/tests/support/mod.rs
@@ -71,6 +71,12 @@
     started_at_ms: AtomicU64,
     /// Whether the origin doesn't reply.
     origin_held: AtomicBool,
+    /// The oldest version that the origin still offers.
+    oldest_offered: AtomicU64,
+    /// Whether the origin sends wrong bytes as pieces, and each manifest only once.
+    origin_corrupt: AtomicBool,
+    /// Versions whose manifests the origin has sent.
+    manifests: Mutex<BTreeSet<u64>>,
 }
 
 impl FakeWeights {
@@ -138,6 +144,17 @@
         self.origin_held.store(true, Ordering::Relaxed);
     }
 
+    /// The origin replies again, and offers no version before `oldest`.
+    pub(crate) fn release_origin(&self, oldest: u64) {
+        self.oldest_offered.store(oldest, Ordering::Relaxed);
+        self.origin_held.store(false, Ordering::Relaxed);
+    }
+
+    /// Whether the origin sends wrong bytes as pieces, and each manifest only once, from now on.
+    pub(crate) fn set_origin_corrupt(&self, is_corrupt: bool) {
+        self.origin_corrupt.store(is_corrupt, Ordering::Relaxed);
+    }
+
     async fn check_replies(&self) -> Result<(), WeightError> {
         if self.is_silent.load(Ordering::Relaxed) {
             return Err(self.time_out().await);
@@ -162,10 +179,14 @@
         }
     }
 
-    async fn wait_for_origin(&self) {
+    async fn ask_origin(&self, version: u64) -> Result<(), WeightError> {
         while self.origin_held.load(Ordering::Relaxed) {
             sleep(Duration::from_millis(20)).await;
         }
+        if version >= self.oldest_offered.load(Ordering::Relaxed) {
+            return Ok(());
+        }
+        Err(withdrawn())
     }
 
     /// Waits until the engine serves `version`; panics after 8 seconds.
@@ -180,6 +201,11 @@
     }
 }
 
+/// The reply of an origin that no longer offers a version.
+fn withdrawn() -> WeightError {
+    WeightError::Refused { action: "the origin", address: "fake".to_owned(), status: 410 }
+}
+
 impl WeightPlatform for FakeWeights {
     async fn endpoint_report(&self) -> Result<EngineReport, WeightError> {
         self.check_replies().await?;
@@ -238,7 +264,11 @@
         _model: &str,
         version: u64,
     ) -> Result<RawManifest, WeightError> {
-        self.wait_for_origin().await;
+        self.ask_origin(version).await?;
+        let is_repeated = !self.manifests.lock().unwrap().insert(version);
+        if is_repeated && self.origin_corrupt.load(Ordering::Relaxed) {
+            return Err(withdrawn());
+        }
         let digest = |piece| {
             let digest = Sha256::digest(piece_bytes(version, piece));
             digest.iter().map(|byte| format!("{byte:02x}")).collect()
@@ -253,8 +283,11 @@
         version: u64,
         piece: u32,
     ) -> Result<Bytes, WeightError> {
-        self.wait_for_origin().await;
+        self.ask_origin(version).await?;
         self.fetched.lock().unwrap().push(piece);
+        if self.origin_corrupt.load(Ordering::Relaxed) {
+            return Ok(Bytes::from_static(b"corrupt"));
+        }
         Ok(piece_bytes(version, piece))
     }
 }
