Show that a configuration is not followed after channels fall silent

Cause: an entry learns of configurations by one long poll at the store; it gives the poll up after 10.9 s, and sooner only if a read of the list of engines fails, which has a channel of its own.

--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the second review, after the build of deploy/system.toml.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p target/review-2
+for program in unfollowed; do
+  rustc --edition 2021 -O -o "target/review-2/$program" "review/standin-2/$program.rs"
+done
