Show that sound requests are refused beside a part that crashes engines

Cause: a short stream that ends with its channel is never recorded as an answer on its parts, so that the part of all prompts is blamed for crashes.

--- /dev/null
+++ b/review/standin-2/engine.rs
@@ -0,0 +1,343 @@
+//! Model engines and the origin of their weights. An engine answers with short streams, takes pieces
+//! and orders from its sidecar, and crashes when it begins to answer a request with the deadly part.
+
+#![allow(dead_code, reason = "each case uses a part of it")]
+
+use std::collections::BTreeMap;
+use std::io::{BufReader, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, sleep};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use crate::digest::sha256;
+use crate::http::{answer, read_request, serve, Request};
+use crate::store::Store;
+
+pub const MODEL: &str = "m0";
+pub const PIECES: u32 = 16;
+pub const PIECE_BYTES: usize = 1024;
+const LAYERS: u32 = 16;
+const WARM_TIME: Duration = Duration::from_millis(300);
+/// Time from a crash until the engine is back.
+const RESTART_TIME: Duration = Duration::from_secs(3);
+/// Time from a crash until the registration expires: three intervals of liveness reports.
+const EXPIRY_TIME: Duration = Duration::from_millis(3600);
+
+/// How an engine answers.
+#[derive(Clone, Copy)]
+pub struct Manner {
+    pub first_event: Duration,
+    pub event_pause: Duration,
+    pub events: u32,
+    /// Whether streams come in chunks; otherwise, they end with their channel.
+    pub is_chunked: bool,
+    /// The part of prompts that crashes engines.
+    pub deadly: &'static str,
+}
+
+/// What happened at the engines.
+#[derive(Default)]
+pub struct Events {
+    /// Request ids, the engine, and when it began to write.
+    pub begun: Vec<(String, String, Instant)>,
+    /// The engine, and when it crashed.
+    pub crashes: Vec<(String, Instant)>,
+}
+
+pub fn piece(number: u32) -> Vec<u8> {
+    (0..PIECE_BYTES).map(|index| (index as u32 * 31 + number * 7 + 1) as u8).collect()
+}
+
+/// Starts the origin; returns its address.
+pub fn start_origin() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("a bound port");
+    serve(listener, |request| {
+        let number = request.query("num").and_then(|text| text.parse::<u32>().ok());
+        match (request.path().split('/').nth(1), number) {
+            (Some("manifest"), _) => {
+                let digests = (0..PIECES).map(|number| format!("\"{}\"", sha256(&piece(number))));
+                let digests = digests.collect::<Vec<_>>().join(",");
+                let body = format!(
+                    r#"{{"model":"{MODEL}","version":1,"chunk_bytes":{PIECE_BYTES},"layers":{LAYERS},"digests":[{digests}]}}"#
+                );
+                answer("200 OK", "Content-Type: application/json\r\n", body.as_bytes())
+            }
+            (Some("piece"), Some(number)) if number < PIECES => {
+                answer("200 OK", "", &piece(number))
+            }
+            _ => answer("404 Not Found", "", b""),
+        }
+    });
+    address
+}
+
+struct State {
+    id: String,
+    starts: u32,
+    born_ms: u128,
+    is_down: bool,
+    is_loaded: bool,
+    is_busy: bool,
+    seq_no: u64,
+    written: u64,
+    running: u32,
+    staged: BTreeMap<u32, Vec<u8>>,
+    channels: Vec<TcpStream>,
+}
+
+/// An engine, over all its starts.
+pub struct Engine {
+    pub address: SocketAddr,
+    name: String,
+    zone: String,
+    service: String,
+    manner: Manner,
+    store: Arc<Store>,
+    events: Arc<Mutex<Events>>,
+    state: Mutex<State>,
+}
+
+fn unix_ms() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis())
+}
+
+impl Engine {
+    pub fn start(
+        name: &str,
+        address: SocketAddr,
+        zone: &str,
+        service: &str,
+        manner: Manner,
+        store: Arc<Store>,
+        events: Arc<Mutex<Events>>,
+    ) -> Arc<Self> {
+        let state = State {
+            id: format!("i-{name}-1"),
+            starts: 1,
+            born_ms: unix_ms(),
+            is_down: false,
+            is_loaded: true,
+            is_busy: false,
+            seq_no: 0,
+            written: 0,
+            running: 0,
+            staged: (0..PIECES).map(|number| (number, piece(number))).collect(),
+            channels: Vec::new(),
+        };
+        let (name, zone, service) = (name.to_owned(), zone.to_owned(), service.to_owned());
+        let state = Mutex::new(state);
+        let engine = Arc::new(Self { address, name, zone, service, manner, store, events, state });
+        engine.clone().open();
+        engine.register();
+        engine
+    }
+
+    fn open(self: Arc<Self>) {
+        let listener = TcpListener::bind(self.address).expect("the engine's own port");
+        listener.set_nonblocking(true).expect("a socket option");
+        thread::spawn(move || loop {
+            if self.state.lock().expect("no panic").is_down {
+                return;
+            }
+            let Ok((stream, _)) = listener.accept() else {
+                sleep(Duration::from_millis(1));
+                continue;
+            };
+            let (engine, kept) = (self.clone(), stream.try_clone().expect("a socket"));
+            self.state.lock().expect("no panic").channels.push(kept);
+            thread::spawn(move || engine.serve_channel(stream));
+        });
+    }
+
+    fn register(&self) {
+        let mut state = self.state.lock().expect("no panic");
+        state.written += 1;
+        let models = match state.is_loaded {
+            true => format!(
+                r#""models":[{{"name":"{MODEL}","version":1,"adapters":[]}}],"layers":{{"from":0,"to":{LAYERS},"version":1}}"#
+            ),
+            false => r#""models":[]"#.to_owned(),
+        };
+        let entry = format!(
+            r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":16,"state":"ready","cold_remaining_ms":0,"seq_no":{},"born":{},"stage":"colocated",{models}}}"#,
+            self.service, self.address, self.zone, state.written, state.born_ms
+        );
+        self.store.write("keyed.servers", &state.id, &entry);
+    }
+
+    fn serve_channel(self: Arc<Self>, stream: TcpStream) {
+        let _ = stream.set_nonblocking(false);
+        let _ = stream.set_nodelay(true);
+        let Ok(mut writer) = stream.try_clone() else { return };
+        let mut reader = BufReader::new(stream);
+        while let Ok(request) = read_request(&mut reader) {
+            match request.path().split('/').nth(1) {
+                Some("report" | "order" | "stage-get" | "stage-put") => {
+                    if writer.write_all(&self.control(&request)).is_err() {
+                        return;
+                    }
+                }
+                _ => return self.generate(&request, &mut writer),
+            }
+        }
+    }
+
+    fn control(self: &Arc<Self>, request: &Request) -> Vec<u8> {
+        let number = request.query("num").and_then(|text| text.parse::<u32>().ok());
+        let json = "Content-Type: application/json\r\n";
+        let mut state = self.state.lock().expect("no panic");
+        match (request.path().split('/').nth(1), number) {
+            (Some("report"), _) => {
+                let models = match state.is_loaded {
+                    true => format!(
+                        r#""models":[{{"name":"{MODEL}","version":1,"adapters":[]}}],"layers":{{"from":0,"to":{LAYERS},"version":1}}"#
+                    ),
+                    false => r#""models":[]"#.to_owned(),
+                };
+                let body = format!(
+                    r#"{{"stage":"colocated",{models},"busy":{},"seq_no":{},"queued":0,"running":{},"kv_used":0,"kv_total":1640000,"handles":0,"born":{}}}"#,
+                    state.is_busy, state.seq_no, state.running, state.born_ms
+                );
+                answer("200 OK", json, body.as_bytes())
+            }
+            (Some("stage-get"), None) => {
+                let held: Vec<String> = state.staged.keys().map(u32::to_string).collect();
+                answer("200 OK", json, format!(r#"{{"held":[{}]}}"#, held.join(",")).as_bytes())
+            }
+            (Some("stage-get"), Some(number)) => match state.staged.get(&number) {
+                Some(bytes) => answer("200 OK", "", bytes),
+                None => answer("404 Not Found", "", b""),
+            },
+            (Some("stage-put"), Some(number)) => {
+                state.staged.insert(number, request.body.clone());
+                answer("200 OK", "", b"")
+            }
+            (Some("order"), _) if state.is_busy => answer("409 Conflict", "", b""),
+            (Some("order"), _) if state.is_loaded => answer("200 OK", "", b""),
+            (Some("order"), _) => {
+                state.is_busy = true;
+                state.seq_no += 1;
+                let (engine, start) = (self.clone(), state.starts);
+                thread::spawn(move || engine.finish_load(start));
+                answer("202 Accepted", "", b"")
+            }
+            _ => answer("404 Not Found", "", b""),
+        }
+    }
+
+    fn finish_load(&self, start: u32) {
+        sleep(WARM_TIME);
+        {
+            let mut state = self.state.lock().expect("no panic");
+            if state.starts != start || state.is_down {
+                return;
+            }
+            state.is_busy = false;
+            state.is_loaded = true;
+        }
+        self.register();
+    }
+
+    /// Answers a request for a stream, which ends the channel.
+    fn generate(self: Arc<Self>, request: &Request, writer: &mut TcpStream) {
+        let echoed = request.header("X-Celeryshed-Request-Id").to_owned();
+        let (own, start, is_able) = {
+            let mut state = self.state.lock().expect("no panic");
+            state.running += 1;
+            (state.id.clone(), state.starts, state.is_loaded && !state.is_busy)
+        };
+        let headers = format!(
+            "X-Celeryshed-Request-Id: {echoed}\r\nX-Celeryshed-Served-By: {own}\r\n\
+             X-Celeryshed-Weight-Versions: 1\r\nConnection: close\r\n"
+        );
+        if request.header("X-Celeryshed-Target-Instance") != own {
+            self.end_run();
+            let _ = writer.write_all(&answer("421 Misdirected Request", &headers, b""));
+            return;
+        }
+        if !is_able {
+            self.end_run();
+            let headers = format!("{headers}X-Celeryshed-Not-Executed: 1\r\n");
+            let _ = writer.write_all(&answer("503 Service Unavailable", &headers, b""));
+            return;
+        }
+        sleep(self.manner.first_event);
+        if self.state.lock().expect("no panic").starts != start {
+            return;
+        }
+        self.events.lock().expect("no panic").begun.push((echoed, own.clone(), Instant::now()));
+        let prompt = request.header("X-Celeryshed-Prompt-Prefix");
+        if prompt.split(',').any(|part| part.split(':').next() == Some(self.manner.deadly)) {
+            return self.crash(start);
+        }
+        let framing = if self.manner.is_chunked { "Transfer-Encoding: chunked\r\n" } else { "" };
+        let head = format!(
+            "HTTP/1.1 200 OK\r\n{headers}{framing}X-Celeryshed-Engine-Seal: seal-{own}\r\n\
+             Content-Type: text/event-stream\r\n\r\n"
+        );
+        let mut bytes = head.into_bytes();
+        for number in 1..=self.manner.events {
+            if number > 1 {
+                sleep(self.manner.event_pause);
+            }
+            let event = format!("id: {number}\ndata: text {number}\n\n");
+            bytes.extend(match self.manner.is_chunked {
+                true => format!("{:x}\r\n{event}\r\n", event.len()).into_bytes(),
+                false => event.into_bytes(),
+            });
+            if number == self.manner.events && self.manner.is_chunked {
+                bytes.extend(b"0\r\n\r\n");
+            }
+            if writer.write_all(&bytes).is_err() {
+                break;
+            }
+            bytes.clear();
+        }
+        let _ = writer.shutdown(Shutdown::Both);
+        self.end_run();
+    }
+
+    fn end_run(&self) {
+        let mut state = self.state.lock().expect("no panic");
+        state.running = state.running.saturating_sub(1);
+    }
+
+    /// Ends this start of the engine with all its channels, and starts it anew after a time.
+    fn crash(self: Arc<Self>, start: u32) {
+        let (own, channels) = {
+            let mut state = self.state.lock().expect("no panic");
+            if state.starts != start || state.is_down {
+                return;
+            }
+            state.is_down = true;
+            (state.id.clone(), std::mem::take(&mut state.channels))
+        };
+        // The listener is closed first, as all sockets of a process that ends are closed together.
+        sleep(Duration::from_millis(3));
+        self.events.lock().expect("no panic").crashes.push((own.clone(), Instant::now()));
+        for channel in channels {
+            let _ = channel.shutdown(Shutdown::Both);
+        }
+        thread::spawn(move || {
+            sleep(RESTART_TIME);
+            {
+                let mut state = self.state.lock().expect("no panic");
+                state.starts += 1;
+                state.id = format!("i-{}-{}", self.name, state.starts);
+                state.born_ms = unix_ms();
+                state.is_down = false;
+                state.is_loaded = false;
+                state.is_busy = false;
+                state.seq_no = 0;
+                state.written = 0;
+                state.running = 0;
+            }
+            self.clone().open();
+            self.register();
+            sleep(EXPIRY_TIME - RESTART_TIME);
+            self.store.write("keyed.servers", &own, "");
+        });
+    }
+}
