--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,10 +1,10 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
-program=target/review-2/tainted_part
+program=target/review-2/unfollowed
 [ -x "$program" ] && [ -x target/release/celeryshed-node ] || exit 2
 folder=$(mktemp -d) || exit 2
-timeout -k 5 110 "$program" review/7/record.txt "$folder" short-streams
+timeout -k 5 110 "$program" review/7/record.txt "$folder" silent-channels
 code=$?
 # Processes that are left over if the time has run out.
 if [ "$code" -gt 1 ] && [ -f "$folder/pids" ]; then
