Show that a load of an earlier sidecar process makes tokens of bad weights

Cause: a new process of a sidecar trusts a load that has ended before its first report, whoever ordered it and whenever the engine accepted it.

--- a/review/standin-2/engine.rs
+++ b/review/standin-2/engine.rs
@@ -11,11 +11,11 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::digest::sha256;
-use crate::http::{answer, read_request, serve, Request};
+use crate::http::{Request, answer, read_request, serve};
 use crate::store::Store;
 
 pub const MODEL: &str = "m0";
-pub const PIECES: u32 = 16;
+pub const PIECES: u32 = 24;
 pub const PIECE_BYTES: usize = 1024;
 const LAYERS: u32 = 16;
 const WARM_TIME: Duration = Duration::from_millis(300);
@@ -23,6 +23,8 @@
 const RESTART_TIME: Duration = Duration::from_secs(3);
 /// Time from a crash until the registration expires: three intervals of liveness reports.
 const EXPIRY_TIME: Duration = Duration::from_millis(3600);
+/// Damage to a staged piece is excused if it is at most this old when the engine takes the piece.
+const EXCUSED_DAMAGE_TIME: Duration = Duration::from_secs(3);
 
 /// How an engine answers.
 #[derive(Clone, Copy)]
@@ -43,10 +45,16 @@
     pub begun: Vec<(String, String, Instant)>,
     /// The engine, and when it crashed.
     pub crashes: Vec<(String, Instant)>,
+    /// The engine, the version that it loaded, when it took the pieces, and how long the longest damaged
+    /// one had been so.
+    pub loads: Vec<(String, u64, Instant, Duration)>,
+    /// Request ids whose tokens were made with such damage beyond what is excused.
+    pub spoilt: Vec<String>,
 }
 
-pub fn piece(number: u32) -> Vec<u8> {
-    (0..PIECE_BYTES).map(|index| (index as u32 * 31 + number * 7 + 1) as u8).collect()
+pub fn piece(version: u64, number: u32) -> Vec<u8> {
+    let seed = version as u32 * 101 + number * 7;
+    (0..PIECE_BYTES).map(|index| (index as u32 * 31 + seed + 1) as u8).collect()
 }
 
 /// Starts the origin; returns its address.
@@ -55,17 +63,20 @@
     let address = listener.local_addr().expect("a bound port");
     serve(listener, |request| {
         let number = request.query("num").and_then(|text| text.parse::<u32>().ok());
+        let version = request.query("version").and_then(|text| text.parse::<u64>().ok());
+        let version = version.unwrap_or(1);
         match (request.path().split('/').nth(1), number) {
             (Some("manifest"), _) => {
-                let digests = (0..PIECES).map(|number| format!("\"{}\"", sha256(&piece(number))));
+                let digest = |number| format!("\"{}\"", sha256(&piece(version, number)));
+                let digests = (0..PIECES).map(digest);
                 let digests = digests.collect::<Vec<_>>().join(",");
                 let body = format!(
-                    r#"{{"model":"{MODEL}","version":1,"chunk_bytes":{PIECE_BYTES},"layers":{LAYERS},"digests":[{digests}]}}"#
+                    r#"{{"model":"{MODEL}","version":{version},"chunk_bytes":{PIECE_BYTES},"layers":{LAYERS},"digests":[{digests}]}}"#
                 );
                 answer("200 OK", "Content-Type: application/json\r\n", body.as_bytes())
             }
             (Some("piece"), Some(number)) if number < PIECES => {
-                answer("200 OK", "", &piece(number))
+                answer("200 OK", "", &piece(version, number))
             }
             _ => answer("404 Not Found", "", b""),
         }
@@ -78,8 +89,17 @@
     starts: u32,
     born_ms: u128,
     is_down: bool,
-    is_loaded: bool,
+    /// The loaded version; none after a start.
+    loaded: Option<u64>,
+    /// Whether its pieces were damaged for too long when it was loaded.
+    is_spoilt: bool,
     is_busy: bool,
+    /// Until when the engine stands still.
+    still_until: Option<Instant>,
+    /// For how long the engine stands still when the next order arrives, before it reads it.
+    stop_at_order: Option<Duration>,
+    /// When a staged piece was damaged.
+    damaged: BTreeMap<u32, Instant>,
     seq_no: u64,
     written: u64,
     running: u32,
@@ -99,6 +119,15 @@
     state: Mutex<State>,
 }
 
+fn models(loaded: Option<u64>) -> String {
+    match loaded {
+        Some(version) => format!(
+            r#""models":[{{"name":"{MODEL}","version":{version},"adapters":[]}}],"layers":{{"from":0,"to":{LAYERS},"version":{version}}}"#
+        ),
+        None => r#""models":[]"#.to_owned(),
+    }
+}
+
 fn unix_ms() -> u128 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis())
 }
@@ -118,12 +147,16 @@
             starts: 1,
             born_ms: unix_ms(),
             is_down: false,
-            is_loaded: true,
+            loaded: Some(1),
+            is_spoilt: false,
             is_busy: false,
+            still_until: None,
+            stop_at_order: None,
+            damaged: BTreeMap::new(),
             seq_no: 0,
             written: 0,
             running: 0,
-            staged: (0..PIECES).map(|number| (number, piece(number))).collect(),
+            staged: (0..PIECES).map(|number| (number, piece(1, number))).collect(),
             channels: Vec::new(),
         };
         let (name, zone, service) = (name.to_owned(), zone.to_owned(), service.to_owned());
@@ -137,29 +170,26 @@
     fn open(self: Arc<Self>) {
         let listener = TcpListener::bind(self.address).expect("the engine's own port");
         listener.set_nonblocking(true).expect("a socket option");
-        thread::spawn(move || loop {
-            if self.state.lock().expect("no panic").is_down {
-                return;
+        thread::spawn(move || {
+            loop {
+                if self.state.lock().expect("no panic").is_down {
+                    return;
+                }
+                let Ok((stream, _)) = listener.accept() else {
+                    sleep(Duration::from_millis(1));
+                    continue;
+                };
+                let (engine, kept) = (self.clone(), stream.try_clone().expect("a socket"));
+                self.state.lock().expect("no panic").channels.push(kept);
+                thread::spawn(move || engine.serve_channel(stream));
             }
-            let Ok((stream, _)) = listener.accept() else {
-                sleep(Duration::from_millis(1));
-                continue;
-            };
-            let (engine, kept) = (self.clone(), stream.try_clone().expect("a socket"));
-            self.state.lock().expect("no panic").channels.push(kept);
-            thread::spawn(move || engine.serve_channel(stream));
         });
     }
 
     fn register(&self) {
         let mut state = self.state.lock().expect("no panic");
         state.written += 1;
-        let models = match state.is_loaded {
-            true => format!(
-                r#""models":[{{"name":"{MODEL}","version":1,"adapters":[]}}],"layers":{{"from":0,"to":{LAYERS},"version":1}}"#
-            ),
-            false => r#""models":[]"#.to_owned(),
-        };
+        let models = models(state.loaded);
         let entry = format!(
             r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":16,"state":"ready","cold_remaining_ms":0,"seq_no":{},"born":{},"stage":"colocated",{models}}}"#,
             self.service, self.address, self.zone, state.written, state.born_ms
@@ -173,6 +203,7 @@
         let Ok(mut writer) = stream.try_clone() else { return };
         let mut reader = BufReader::new(stream);
         while let Ok(request) = read_request(&mut reader) {
+            self.stand_still(&request);
             match request.path().split('/').nth(1) {
                 Some("report" | "order" | "stage-get" | "stage-put") => {
                     if writer.write_all(&self.control(&request)).is_err() {
@@ -184,18 +215,52 @@
         }
     }
 
+    /// Lets the engine stand still when the next order arrives.
+    pub fn stop_at_order(&self, length: Duration) {
+        self.state.lock().expect("no panic").stop_at_order = Some(length);
+    }
+
+    /// Until when the engine stands still; none if it doesn't.
+    pub fn still_until(&self) -> Option<Instant> {
+        let still_until = self.state.lock().expect("no panic").still_until;
+        still_until.filter(|until| Instant::now() < *until)
+    }
+
+    /// Turns a byte of a staged piece.
+    pub fn damage_piece(&self, number: u32) {
+        let mut state = self.state.lock().expect("no panic");
+        if let Some(byte) = state.staged.get_mut(&number).and_then(|bytes| bytes.first_mut()) {
+            *byte ^= 0xff;
+            state.damaged.insert(number, Instant::now());
+        }
+    }
+
+    /// Waits while the engine stands still; the order that has arrived waits in its socket.
+    fn stand_still(&self, request: &Request) {
+        {
+            let mut state = self.state.lock().expect("no panic");
+            if request.path() == "/order"
+                && let Some(length) = state.stop_at_order.take()
+            {
+                state.still_until = Some(Instant::now() + length);
+            }
+        }
+        self.wait_still();
+    }
+
+    fn wait_still(&self) {
+        if let Some(until) = self.still_until() {
+            sleep(until.saturating_duration_since(Instant::now()));
+        }
+    }
+
     fn control(self: &Arc<Self>, request: &Request) -> Vec<u8> {
         let number = request.query("num").and_then(|text| text.parse::<u32>().ok());
         let json = "Content-Type: application/json\r\n";
         let mut state = self.state.lock().expect("no panic");
         match (request.path().split('/').nth(1), number) {
             (Some("report"), _) => {
-                let models = match state.is_loaded {
-                    true => format!(
-                        r#""models":[{{"name":"{MODEL}","version":1,"adapters":[]}}],"layers":{{"from":0,"to":{LAYERS},"version":1}}"#
-                    ),
-                    false => r#""models":[]"#.to_owned(),
-                };
+                let models = models(state.loaded);
                 let body = format!(
                     r#"{{"stage":"colocated",{models},"busy":{},"seq_no":{},"queued":0,"running":{},"kv_used":0,"kv_total":1640000,"handles":0,"born":{}}}"#,
                     state.is_busy, state.seq_no, state.running, state.born_ms
@@ -212,30 +277,47 @@
             },
             (Some("stage-put"), Some(number)) => {
                 state.staged.insert(number, request.body.clone());
+                state.damaged.remove(&number);
                 answer("200 OK", "", b"")
             }
             (Some("order"), _) if state.is_busy => answer("409 Conflict", "", b""),
-            (Some("order"), _) if state.is_loaded => answer("200 OK", "", b""),
             (Some("order"), _) => {
+                let number = |field| json_number(&request.body, field);
+                let version = number("version").unwrap_or(1);
+                if state.loaded == Some(version) {
+                    return answer("200 OK", "", b"");
+                }
+                if number("precondition").is_some_and(|expected| expected != state.seq_no) {
+                    return answer("409 Conflict", "", b"");
+                }
+                let now = Instant::now();
+                let damage = state.damaged.values().map(|at| now - *at).max().unwrap_or_default();
+                let load = (state.id.clone(), version, now, damage);
+                self.events.lock().expect("no panic").loads.push(load);
                 state.is_busy = true;
                 state.seq_no += 1;
                 let (engine, start) = (self.clone(), state.starts);
-                thread::spawn(move || engine.finish_load(start));
+                let is_spoilt = damage > EXCUSED_DAMAGE_TIME;
+                thread::spawn(move || engine.finish_load(start, version, is_spoilt));
                 answer("202 Accepted", "", b"")
             }
             _ => answer("404 Not Found", "", b""),
         }
     }
 
-    fn finish_load(&self, start: u32) {
+    fn finish_load(&self, start: u32, version: u64, is_spoilt: bool) {
         sleep(WARM_TIME);
+        while self.state.lock().expect("no panic").running > 0 {
+            sleep(Duration::from_millis(5));
+        }
         {
             let mut state = self.state.lock().expect("no panic");
             if state.starts != start || state.is_down {
                 return;
             }
             state.is_busy = false;
-            state.is_loaded = true;
+            state.loaded = Some(version);
+            state.is_spoilt = is_spoilt;
         }
         self.register();
     }
@@ -243,21 +325,28 @@
     /// Answers a request for a stream, which ends the channel.
     fn generate(self: Arc<Self>, request: &Request, writer: &mut TcpStream) {
         let echoed = request.header("X-Celeryshed-Request-Id").to_owned();
-        let (own, start, is_able) = {
+        let (own, start, version) = {
             let mut state = self.state.lock().expect("no panic");
             state.running += 1;
-            (state.id.clone(), state.starts, state.is_loaded && !state.is_busy)
+            (state.id.clone(), state.starts, state.loaded.filter(|_| !state.is_busy))
         };
         let headers = format!(
             "X-Celeryshed-Request-Id: {echoed}\r\nX-Celeryshed-Served-By: {own}\r\n\
-             X-Celeryshed-Weight-Versions: 1\r\nConnection: close\r\n"
+             X-Celeryshed-Weight-Versions: {}\r\nConnection: close\r\n",
+            version.unwrap_or_default()
         );
         if request.header("X-Celeryshed-Target-Instance") != own {
             self.end_run();
             let _ = writer.write_all(&answer("421 Misdirected Request", &headers, b""));
             return;
         }
-        if !is_able {
+        let expected = request.header("X-Celeryshed-Expect-Version").parse::<u64>().ok();
+        if version.is_some() && expected.is_some() && expected != version {
+            self.end_run();
+            let _ = writer.write_all(&answer("421 Misdirected Request", &headers, b""));
+            return;
+        }
+        if version.is_none() {
             self.end_run();
             let headers = format!("{headers}X-Celeryshed-Not-Executed: 1\r\n");
             let _ = writer.write_all(&answer("503 Service Unavailable", &headers, b""));
@@ -267,7 +356,14 @@
         if self.state.lock().expect("no panic").starts != start {
             return;
         }
-        self.events.lock().expect("no panic").begun.push((echoed, own.clone(), Instant::now()));
+        {
+            let is_spoilt = self.state.lock().expect("no panic").is_spoilt;
+            let mut events = self.events.lock().expect("no panic");
+            if is_spoilt {
+                events.spoilt.push(echoed.clone());
+            }
+            events.begun.push((echoed, own.clone(), Instant::now()));
+        }
         let prompt = request.header("X-Celeryshed-Prompt-Prefix");
         if prompt.split(',').any(|part| part.split(':').next() == Some(self.manner.deadly)) {
             return self.crash(start);
@@ -282,6 +378,7 @@
             if number > 1 {
                 sleep(self.manner.event_pause);
             }
+            self.wait_still();
             let event = format!("id: {number}\ndata: text {number}\n\n");
             bytes.extend(match self.manner.is_chunked {
                 true => format!("{:x}\r\n{event}\r\n", event.len()).into_bytes(),
@@ -328,7 +425,8 @@
                 state.id = format!("i-{}-{}", self.name, state.starts);
                 state.born_ms = unix_ms();
                 state.is_down = false;
-                state.is_loaded = false;
+                state.loaded = None;
+                state.is_spoilt = false;
                 state.is_busy = false;
                 state.seq_no = 0;
                 state.written = 0;
@@ -341,3 +439,11 @@
         });
     }
 }
+
+/// The number in a field of a flat JSON object; none if it has no such field.
+fn json_number(body: &[u8], field: &str) -> Option<u64> {
+    let text = String::from_utf8_lossy(body);
+    let (_, rest) = text.split_once(&format!("\"{field}\":"))?;
+    let digits: String = rest.trim_start().chars().take_while(char::is_ascii_digit).collect();
+    digits.parse().ok()
+}
--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -56,6 +56,12 @@
         SocketAddr::new(self.ip, FRONT_PORT)
     }
 
+    /// Sends a signal, such as `STOP`, to the process.
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let _ = Command::new("kill").args(["-s", name, &pid]).status();
+    }
+
     fn is_ready(&self) -> bool {
         let address = SocketAddr::new(self.ip, READY_PORT);
         let head = format!("GET /ready HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
-use crate::http::{answer, serve, Request};
+use crate::http::{Request, answer, serve};
 
 const ALPHABET: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
 
--- a/review/standin-2/tainted_part.rs
+++ b/review/standin-2/tainted_part.rs
@@ -19,8 +19,8 @@
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
-use engine::{start_origin, Engine, Events, Manner, MODEL, PIECES, PIECE_BYTES};
-use fleet::{start, wait_ready, Machine};
+use engine::{Engine, Events, MODEL, Manner, PIECE_BYTES, PIECES, start_origin};
+use fleet::{Machine, start, wait_ready};
 use http::call;
 use store::Store;
 
--- a/review/standin-2/unfollowed.rs
+++ b/review/standin-2/unfollowed.rs
@@ -17,8 +17,8 @@
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use fleet::{start, wait_ready, Machine};
-use http::{answer, call, serve, Request};
+use fleet::{Machine, start, wait_ready};
+use http::{Request, answer, call, serve};
 use proxy::Proxy;
 use store::Store;
 
