--- a/review/standin-2/engine.rs
+++ b/review/standin-2/engine.rs
@@ -186,7 +186,8 @@
         });
     }
 
-    fn register(&self) {
+    /// Writes the entry in the list of engines.
+    pub fn register(&self) {
         let mut state = self.state.lock().expect("no panic");
         state.written += 1;
         let models = models(state.loaded);
@@ -220,6 +221,12 @@
         self.state.lock().expect("no panic").stop_at_order = Some(length);
     }
 
+    /// Removes the registration, as the store does after three intervals without a liveness report.
+    pub fn expire(&self) {
+        let id = self.state.lock().expect("no panic").id.clone();
+        self.store.write("keyed.servers", &id, "");
+    }
+
     /// Until when the engine stands still; none if it doesn't.
     pub fn still_until(&self) -> Option<Instant> {
         let still_until = self.state.lock().expect("no panic").still_until;
@@ -353,8 +360,12 @@
             return;
         }
         sleep(self.manner.first_event);
-        if self.state.lock().expect("no panic").starts != start {
-            return;
+        {
+            // A crash ends all requests that haven't begun.
+            let state = self.state.lock().expect("no panic");
+            if state.starts != start || state.is_down {
+                return;
+            }
         }
         {
             let is_spoilt = self.state.lock().expect("no panic").is_spoilt;
--- a/review/standin-2/orphaned_load.rs
+++ b/review/standin-2/orphaned_load.rs
@@ -32,6 +32,8 @@
 const KILL_AT: Duration = Duration::from_millis(1500);
 /// Time from the end of the stillness to the next start of the sidecar.
 const RESTART_DELAY: Duration = Duration::from_millis(500);
+/// When the registration of the engine expires: at most three liveness intervals of 1.2 s.
+const EXPIRY_AT: Duration = Duration::from_millis(3000);
 const DAMAGED_PIECE: u32 = 5;
 /// Engines, each with a sidecar on its machine.
 const ENGINES: u8 = 9;
@@ -173,6 +175,12 @@
         sleep((still_at + KILL_AT).saturating_duration_since(Instant::now()));
         drop(sidecars.remove(0));
         mark("the sidecar of writer-1 is killed");
+        sleep((still_at + EXPIRY_AT).saturating_duration_since(Instant::now()));
+        engines[0].expire();
+        mark("the registration of writer-1 expires");
+        sleep(still_until.saturating_duration_since(Instant::now()));
+        engines[0].register();
+        mark("writer-1 goes on and registers");
         sleep((still_until + RESTART_DELAY).saturating_duration_since(Instant::now()));
         sidecars.insert(0, start_sidecar(1));
         mark("the sidecar of writer-1 is started");
