Treat answers with a status outside 200 to 599 as malformed

Seen: a caller got an endpoint's answer with status 600, 700 or 999 as its answer, with or without a seal; with the header that says "not run", a status of 101 or 600 to 999 became a 503 of the entry, though the request may have run, and streams were resumed beyond the attempts of their route. Such an answer also closed its endpoint if it said that it leaves (run with 101). 000, on which other systems failed, was malformed here before: the parser rejects it, as it does 001, 099, two and four digits, signs, letters, an empty status, a missing status line and other versions of HTTP; 100, 102, 103 and 199 are interim answers, after which no final one came. For load orders a reply with 101 counted as a refusal, and so the order as rejected (600 to 999 take the same path: read, not run; the test stops at its first failure).

Cause: the `http` crate accepts statuses up to 999, and hyper hands 101 over as an answer; `check_head` rejected 1xx last, after the header, and nothing above 599.

Change: `FinalStatus` (200 to 599) is checked in `HttpConnection::send`, which endpoints, store, engines, origins and peers share; another status is `HttpError::Status`, whatever the headers say. Its body is never read, so the connection is reset and the request withdrawn. The check of 1xx in `check_head` can't be reached any more and is removed.

--- a/crates/celeryshed_gateway/src/request/attempt.rs
+++ b/crates/celeryshed_gateway/src/request/attempt.rs
@@ -249,6 +249,7 @@
         HttpError::Exchange { source, .. } if source.is_parse() => {
             AttemptOutcome::Unknown(UnknownReason::Malformed)
         }
+        HttpError::Status { .. } => AttemptOutcome::Unknown(UnknownReason::Malformed),
         _ => AttemptOutcome::Unknown(UnknownReason::Reset),
     }
 }
@@ -292,7 +293,6 @@
         StatusCode::REQUEST_TIMEOUT
         | StatusCode::TOO_MANY_REQUESTS
         | StatusCode::SERVICE_UNAVAILABLE => Err(AttemptOutcome::Failed),
-        status if status.is_informational() => malformed,
         _ => Ok(()),
     }
 }
--- a/crates/celeryshed_http/src/client.rs
+++ b/crates/celeryshed_http/src/client.rs
@@ -19,7 +19,7 @@
 /// A response that was received to its end.
 #[derive(Clone, Debug)]
 pub struct HttpResponse {
-    /// Any status; an error status is no [`HttpError`].
+    /// Any [`FinalStatus`](crate::FinalStatus); an error status is no [`HttpError`].
     pub status: StatusCode,
     /// Headers as received; trailers are dropped.
     pub headers: HeaderMap,
--- a/crates/celeryshed_http/src/connection.rs
+++ b/crates/celeryshed_http/src/connection.rs
@@ -14,6 +14,7 @@
 use tokio::time::timeout;
 
 use crate::exchange::{ExchangeState, ExchangeStream, ResponseBody};
+use crate::status::{FinalStatus, InvalidStatus};
 
 /// Why a call got no complete response.
 #[derive(Debug, thiserror::Error)]
@@ -34,6 +35,14 @@
         /// Underlying error.
         source: hyper::Error,
     },
+    /// The peer sent a status that no final response may have; the request may have been executed.
+    #[error("the response from {address} is invalid: {source}")]
+    Status {
+        /// Address that was called.
+        address: String,
+        /// The status.
+        source: InvalidStatus,
+    },
     /// The response body broke off or was too large.
     #[error("the response body from {address} is incomplete or too large: {source}")]
     Body {
@@ -103,11 +112,13 @@
         Ok(Self { address: address.to_owned(), sender, state, driver })
     }
 
-    /// Sends a request and waits for the head of its response.
+    /// Sends a request and waits for the head of its response, whose status is a [`FinalStatus`].
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<ResponseBody>> {
         self.state.begin();
         let response =
             self.sender.send_request(request).await.map_err(|source| self.failure(source))?;
+        FinalStatus::try_from(response.status())
+            .map_err(|source| HttpError::Status { address: self.address.clone(), source })?;
         Ok(response.map(|incoming| ResponseBody::new(incoming, self.state.clone())))
     }
 
--- a/crates/celeryshed_http/src/lib.rs
+++ b/crates/celeryshed_http/src/lib.rs
@@ -13,9 +13,11 @@
 mod idle_limit;
 mod request_body;
 mod server;
+mod status;
 
 pub use client::{CONNECT_TIMEOUT, CallTimeouts, HttpClient, HttpResponse};
 pub use connection::{HttpConnection, HttpError};
 pub use exchange::ResponseBody;
 pub use request_body::RequestBody;
 pub use server::{ConnectionServer, ServerSettings};
+pub use status::{FinalStatus, InvalidStatus};
