Forward no invalid status of a plain service

Seen: a call through entry and sidecar to a plain service that answers with 101 got 101 as its answer. 000 got 502 with `not_run: "unknown"` before, as it does now. Statuses of 600 to 999 take the same path as 101 (read, not run: the test stops at its first failure). Completions are not affected: the sidecar takes only 200 from an engine.

Cause: `read_answer` passed on every status that reqwest accepts, which are 101 and 200 to 999, and the entry built its answer with it. A booking's record kept it as well (read, not run).

Change: the status is a `FinalStatus`; otherwise the call has failed and it is unknown whether it ran, as for a service that doesn't speak HTTP.

Before: `invalid_status_of_a_service_is_not_forwarded` failed: assertion `left == right` failed: 101 Switching Protocols left: 101 right: 502

Now: it passes for 000, 101, 600 and 999, and so do all tests of celeryshed_side and celeryshed_entry, run once. arm64 only.

--- a/crates/celeryshed_entry/tests/requests.rs
+++ b/crates/celeryshed_entry/tests/requests.rs
@@ -132,6 +132,24 @@
     assert_eq!(service.request_count(), 1);
 }
 
+/// Guards against a status that no answer may have, such as 000 or 600, as the answer to a call: the
+/// service may have run it.
+#[tokio::test]
+async fn invalid_status_of_a_service_is_not_forwarded() {
+    let client = reqwest::Client::new();
+    for status in ["000 None", "101 Switching Protocols", "600 Above", "999 Above"] {
+        let answer = format!("HTTP/1.1 {status}\r\nContent-Length: 5\r\n\r\nhello");
+        let service = ScriptedServer::start(vec![vec![Step::Send(answer)]]).await;
+        let side = start_side(EndpointKind::Plain, &service.address, None).await;
+        let entry = start_entry(&[&side], |_| {}).await;
+        let response = client.post(entry.url("/services/order-desk/trays")).send().await.unwrap();
+        assert_eq!(response.status(), 502, "{status}");
+        let problem: Value = response.json().await.unwrap();
+        assert_eq!(problem["not_run"], "unknown", "{status}");
+        assert_eq!(service.request_count(), 1, "{status}");
+    }
+}
+
 /// Guards against a request that crashes more than two endpoints. The first crash makes the request
 /// a suspect before its failure is passed on. The second crash quarantines the request, and further
 /// resends are refused.
--- a/crates/celeryshed_side/src/attempts/plain.rs
+++ b/crates/celeryshed_side/src/attempts/plain.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
+use celeryshed_http::FinalStatus;
 use celeryshed_wire::{AttemptFailure, CallWork, FailureCause, RunStatus, ServiceAnswer};
-use reqwest::Method;
 use reqwest::header::CONTENT_TYPE;
+use reqwest::{Method, StatusCode};
 use serde_bytes::ByteBuf;
 use tokio::time::timeout;
 
@@ -53,12 +54,18 @@
 }
 
 async fn read_answer(response: reqwest::Response) -> Result<ServiceAnswer, AttemptFailure> {
-    let status = response.status().as_u16();
+    let status = FinalStatus::try_from(response.status()).map_err(|invalid| {
+        failure(RunStatus::Unknown, FailureCause::EndpointFailed, &invalid.to_string())
+    })?;
     let content_type = response.headers().get(CONTENT_TYPE);
     let content_type = content_type.and_then(|value| value.to_str().ok()).map(str::to_owned);
     let body = response.bytes().await.map_err(|error| {
         let detail = format!("the answer was cut off: {error}");
         failure(RunStatus::Ran, FailureCause::EndpointFailed, &detail)
     })?;
-    Ok(ServiceAnswer { status, content_type, body: ByteBuf::from(body.to_vec()) })
+    Ok(ServiceAnswer {
+        status: StatusCode::from(status).as_u16(),
+        content_type,
+        body: ByteBuf::from(body.to_vec()),
+    })
 }
