Condense the values of histograms while nobody reads the metrics

Callers saw, if the process lives long enough: an entry whose metrics nobody reads grows by about 21 bytes an answer until it exceeds its machine's memory and is killed. Cause: the exporter keeps each recorded value until its upkeep, which only ran when metrics were read; the platform reads them during an incident only. Whether this is what the users saw isn't known. Change: each role runs the upkeep every 10 s, the older daemon's as well.

--- a/crates/celeryshed_entry/src/role/launch.rs
+++ b/crates/celeryshed_entry/src/role/launch.rs
@@ -92,9 +92,11 @@
             drain: drain_watch,
         };
         let ready_reporter = reporter.clone();
+        let registry = MetricsRegistry::install();
+        tokio::spawn(registry.clone().run_upkeep());
         let rocket = rocket::build()
             .manage(HealthProbe::new(move || ready_reporter.ready()))
-            .manage(MetricsRegistry::install())
+            .manage(registry)
             .manage(reporter)
             .manage(identity)
             .manage(configuration)
--- a/crates/celeryshed_gateway/src/process.rs
+++ b/crates/celeryshed_gateway/src/process.rs
@@ -79,6 +79,7 @@
         let mut terminate = signal(SignalKind::terminate())?;
         let mut reload = signal(SignalKind::hangup())?;
         let registry = MetricsRegistry::install();
+        tokio::spawn(registry.clone().run_upkeep());
         let (control, events) = start_control(store, decoder, settings.control);
         let own_address = PeerAddress(settings.peer_address.to_string());
         let (dispatcher, outputs) =
--- a/crates/celeryshed_observe/src/registry.rs
+++ b/crates/celeryshed_observe/src/registry.rs
@@ -1,8 +1,13 @@
 //! The metrics registry of the process.
 
 use std::sync::OnceLock;
+use std::time::Duration;
 
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use tokio::time::sleep;
+
+/// Time between two upkeeps. A histogram keeps each recorded value until the next one.
+const UPKEEP_INTERVAL: Duration = Duration::from_secs(10);
 
 static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
 
@@ -32,6 +37,22 @@
         Self { handle: handle.clone() }
     }
 
+    /// Condenses the values recorded in histograms from time to time, so that they don't take up memory
+    /// while nobody reads the metrics. Never completes.
+    ///
+    /// ```
+    /// use celeryshed_observe::MetricsRegistry;
+    /// let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap();
+    /// let upkeep = runtime.spawn(MetricsRegistry::install().run_upkeep());
+    /// assert!(!upkeep.is_finished());
+    /// ```
+    pub async fn run_upkeep(self) {
+        loop {
+            sleep(UPKEEP_INTERVAL).await;
+            self.handle.run_upkeep();
+        }
+    }
+
     /// Returns the current metrics as Prometheus text.
     pub fn render(&self) -> String {
         self.handle.run_upkeep();
--- a/crates/celeryshed_side/src/role/launch.rs
+++ b/crates/celeryshed_side/src/role/launch.rs
@@ -99,9 +99,11 @@
             drain: drain_watch,
         };
         let health_reporter = reporter.clone();
+        let registry = MetricsRegistry::install();
+        tokio::spawn(registry.clone().run_upkeep());
         let mut rocket = rocket::build()
             .manage(HealthProbe::new(move || health_reporter.ready()))
-            .manage(MetricsRegistry::install())
+            .manage(registry)
             .manage(reporter)
             .manage(configuration)
             .manage(attempts.clone())
--- a/crates/celeryshed_stager/src/process.rs
+++ b/crates/celeryshed_stager/src/process.rs
@@ -80,6 +80,7 @@
         let settings = Arc::new(settings);
         let clock = ClockSource::start();
         let registry = MetricsRegistry::install();
+        tokio::spawn(registry.clone().run_upkeep());
         let (control, events) = start_control(store, decoder, settings.control);
         let view = start_view(clock, settings.versions, events);
         let (store_sender, store_watch) = watch::channel(PieceStore::default());
