Bound the memory of callers' bodies over all requests

Callers that held many bodies of legal size open took more memory than the entry's machine has, which ends the process: whole, in pieces, in chunks, or complete beside a silent endpoint. Nothing bounded the sum over requests. Each frame also kept the buffer alive into which its connection is read, so chunks of one byte took many times their size, and a complete body was copied once more. Bodies over the limit were read up to the limit, announced or not.

A lease may be as large as what remains free beside it, so large bodies leave room for small ones whatever their number; the others are refused as not run (503 with Retry-After, reason body_memory). The lease belongs to the bytes and ends with their last copy; a stream that can't be resumed drops them once it has begun. An announced length over the limit is refused before anything is read.

--- a/crates/celeryshed_dispatch/src/refusal.rs
+++ b/crates/celeryshed_dispatch/src/refusal.rs
@@ -48,6 +48,8 @@
         CrashesEndpoints,
         /// The time limit of the request has passed.
         TimeLimit,
+        /// The bodies of other requests leave too little memory.
+        BodyMemory,
     }
 }
 
@@ -61,6 +63,7 @@
             Self::RetryBudget => "retry_budget",
             Self::CrashesEndpoints => "crashes_endpoints",
             Self::TimeLimit => "time_limit",
+            Self::BodyMemory => "body_memory",
         }
     }
 }
@@ -96,7 +99,8 @@
         RefusalReason::Overload
         | RefusalReason::RetryBudget
         | RefusalReason::CrashesEndpoints
-        | RefusalReason::TimeLimit => QUEUE_RETRY_FRACTIONS,
+        | RefusalReason::TimeLimit
+        | RefusalReason::BodyMemory => QUEUE_RETRY_FRACTIONS,
         RefusalReason::NoEndpoint | RefusalReason::Paused { .. } => OUTAGE_RETRY_FRACTIONS,
     };
     let position = (random % 1024) as f64 / 1024.0;
--- a/crates/celeryshed_gateway/src/context.rs
+++ b/crates/celeryshed_gateway/src/context.rs
@@ -35,6 +35,8 @@
     pub(crate) shutdown_phase: watch::Receiver<ShutdownPhase>,
     /// Memory for answers that are not complete.
     pub(crate) buffers: BufferBudget,
+    /// Memory for the bodies of requests.
+    pub(crate) bodies: BufferBudget,
 }
 
 impl GatewayContext {
--- a/crates/celeryshed_gateway/src/process.rs
+++ b/crates/celeryshed_gateway/src/process.rs
@@ -21,7 +21,7 @@
 use crate::context::{GatewayContext, ShutdownPhase};
 use crate::dispatcher_task::{DispatcherOutputs, start_dispatcher};
 use crate::peer_task::PeerTask;
-use crate::request::{BufferBudget, GatewayBody, handle_request};
+use crate::request::{BufferBudget, GatewayBody, LeaseRule, handle_request};
 use crate::settings::GatewaySettings;
 
 /// Time after SIGTERM in which requests are still accepted, because the platform sends callers here
@@ -31,6 +31,8 @@
 const REFUSING_PERIOD: Duration = Duration::from_millis(700);
 /// Time between the end of the process and the end of the grace period, if requests are still open.
 const GRACE_MARGIN: Duration = Duration::from_millis(150);
+/// Part of the memory for unfinished answers that a single answer or event may take.
+const ANSWER_LEASE_RULE: LeaseRule = LeaseRule::Fraction(16);
 /// Time between two checks whether connections are still open.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -110,7 +112,8 @@
             snapshot: snapshot.clone(),
             blocked_parts,
             shutdown_phase: shutdown_watch.clone(),
-            buffers: BufferBudget::new(settings.answer_memory_bytes),
+            buffers: BufferBudget::new(settings.answer_memory_bytes, ANSWER_LEASE_RULE),
+            bodies: BufferBudget::new(settings.body_memory_bytes, LeaseRule::FreeShare),
         });
         let callers = ConnectionServer::new(settings_watch.clone(), closing_watch.clone());
         let listener = listen("the callers' service", settings.caller_address).await?;
--- a/crates/celeryshed_gateway/src/request/buffer.rs
+++ b/crates/celeryshed_gateway/src/request/buffer.rs
@@ -1,25 +1,37 @@
-//! Bounds the memory that unfinished answers take, over all requests of an entry.
+//! Bounds the memory that bodies and unfinished answers take, over all requests of an entry.
 //!
-//! An endpoint in trouble may send bytes without end that never become an event or an answer.
+//! An endpoint in trouble may send bytes without end that never become an event or an answer, and
+//! callers may hold many large bodies open at once.
+
+#[cfg(test)]
+mod tests;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-/// Part of the budget that a single answer or event may take.
-const MAX_SINGLE_FRACTION: usize = 16;
+/// How much of a budget a single lease may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LeaseRule {
+    /// The budget divided by this number.
+    Fraction(usize),
+    /// As much as remains free beside it. However many large leases there are, they leave room for
+    /// small ones.
+    FreeShare,
+}
 
-/// The memory for unfinished answers of all requests.
+/// Memory that all requests share.
 #[derive(Clone, Debug)]
 pub(crate) struct BufferBudget {
     limit: usize,
+    rule: LeaseRule,
     used: Arc<AtomicUsize>,
 }
 
-/// The answer doesn't fit into the memory that is left, or is larger than a single one may be.
-#[derive(Clone, Copy, Debug)]
+/// The bytes don't fit into the memory that is left, or are more than a single lease may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct BufferExceeded;
 
-/// The part of a [`BufferBudget`] that one answer takes; returned when dropped.
+/// The part of a [`BufferBudget`] that one body or answer takes; returned when dropped.
 #[derive(Debug)]
 pub(crate) struct BufferLease {
     budget: BufferBudget,
@@ -27,8 +39,17 @@
 }
 
 impl BufferBudget {
-    pub(crate) fn new(limit: usize) -> Self {
-        Self { limit, used: Arc::default() }
+    pub(crate) fn new(limit: usize, rule: LeaseRule) -> Self {
+        Self { limit, rule, used: Arc::default() }
+    }
+
+    /// The same memory, large enough for a lease of `bytes` while there is no other.
+    pub(crate) fn with_room_for(&self, bytes: usize) -> Self {
+        let needed = match self.rule {
+            LeaseRule::Fraction(parts) => bytes.saturating_mul(parts),
+            LeaseRule::FreeShare => bytes.saturating_mul(2),
+        };
+        Self { limit: self.limit.max(needed), ..self.clone() }
     }
 
     /// A lease without bytes.
@@ -38,14 +59,23 @@
 }
 
 impl BufferLease {
+    /// Checks that the lease could be changed to `bytes`.
+    pub(crate) fn check(&self, bytes: usize) -> Result<(), BufferExceeded> {
+        let BufferBudget { limit, rule, used } = &self.budget;
+        let left = limit.saturating_sub(used.load(Ordering::Relaxed) - self.bytes);
+        let allowed = match rule {
+            LeaseRule::Fraction(parts) => left.min(limit / parts),
+            LeaseRule::FreeShare => left / 2,
+        };
+        if bytes > allowed { Err(BufferExceeded) } else { Ok(()) }
+    }
+
     /// Changes the lease to `bytes`.
     pub(crate) fn resize(&mut self, bytes: usize) -> Result<(), BufferExceeded> {
-        let BufferBudget { limit, used } = &self.budget;
-        let others = used.load(Ordering::Relaxed) - self.bytes;
-        if bytes > limit / MAX_SINGLE_FRACTION || others + bytes > *limit {
-            return Err(BufferExceeded);
-        }
-        used.store(others + bytes, Ordering::Relaxed);
+        self.check(bytes)?;
+        let used = &self.budget.used;
+        used.fetch_add(bytes, Ordering::Relaxed);
+        used.fetch_sub(self.bytes, Ordering::Relaxed);
         self.bytes = bytes;
         Ok(())
     }
--- /dev/null
+++ b/crates/celeryshed_gateway/src/request/buffer/tests.rs
@@ -0,0 +1,43 @@
+//! Leases of a shared budget.
+
+use super::{BufferBudget, BufferExceeded, LeaseRule};
+
+/// Guards against large bodies that leave no room for small ones.
+#[test]
+fn large_leases_leave_room_for_small_ones() {
+    let budget = BufferBudget::new(1000, LeaseRule::FreeShare);
+    let mut leases = Vec::new();
+    for bytes in [500, 250, 125, 62] {
+        let mut lease = budget.lease();
+        assert_eq!(lease.resize(bytes + 1), Err(BufferExceeded), "{bytes}");
+        assert_eq!(lease.resize(bytes), Ok(()), "{bytes}");
+        leases.push(lease);
+    }
+    assert_eq!(budget.lease().check(31), Ok(()));
+    leases.clear();
+    assert_eq!(budget.lease().check(500), Ok(()));
+}
+
+/// Guards against a limit of the configuration that is larger than the memory for bodies.
+#[test]
+fn largest_single_lease_always_fits() {
+    for rule in [LeaseRule::FreeShare, LeaseRule::Fraction(16)] {
+        let budget = BufferBudget::new(10, rule).with_room_for(1000);
+        let mut lease = budget.lease();
+        assert_eq!(lease.resize(1000), Ok(()), "{rule:?}");
+        assert_eq!(lease.resize(1001), Err(BufferExceeded), "{rule:?}");
+    }
+}
+
+#[test]
+fn answers_share_the_budget() {
+    let budget = BufferBudget::new(160, LeaseRule::Fraction(16));
+    let mut leases: Vec<_> = (0..16).map(|_| budget.lease()).collect();
+    for lease in &mut leases {
+        assert_eq!(lease.resize(11), Err(BufferExceeded));
+        assert_eq!(lease.resize(10), Ok(()));
+    }
+    assert_eq!(budget.lease().resize(1), Err(BufferExceeded));
+    leases.pop();
+    assert_eq!(budget.lease().resize(10), Ok(()));
+}
--- a/crates/celeryshed_gateway/src/request/handle.rs
+++ b/crates/celeryshed_gateway/src/request/handle.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use celeryshed_base::MonoTime;
 use celeryshed_dispatch::{
     AttemptHistory, AttemptOutcome, EndpointId, NotRunReason, RefusalReason, RetryVerdict,
@@ -56,7 +57,7 @@
     let Some(snapshot) = snapshot else {
         return close_on_shutdown(&context, OwnReply::NotConfigured.response());
     };
-    let read = read_request(&context.headers, &snapshot, arrived_at, request).await;
+    let read = read_request(&context, &snapshot, arrived_at, request).await;
     let response = match read {
         Ok(request) => {
             let due_at = Instant::now() + (request.profile.deadline - context.clock.now());
@@ -74,6 +75,16 @@
             .run()
             .await
         }
+        Err(reply @ OwnReply::NoBodyMemory { retry_after }) => {
+            let reason = RefusalReason::BodyMemory.name();
+            EventLine::new("request_refused")
+                .field("reason", reason)
+                .field("retry_after_ms", retry_after.as_millis())
+                .field("revision", snapshot.revision)
+                .info();
+            metrics::counter!("celeryshed_requests_refused_total", "reason" => reason).increment(1);
+            reply.response()
+        }
         Err(reply) => {
             EventLine::new("request_denied")
                 .field("status", reply.status().as_u16())
@@ -384,6 +395,9 @@
         *response.headers_mut() = end_to_end(&stream.headers);
         let mut request = Arc::unwrap_or_clone(self.request);
         request.profile.version = version;
+        if !request.route.kind.is_retryable() {
+            request.body = Bytes::new();
+        }
         let begun_at = self.context.clock.now();
         let relay = StreamRelay {
             context: self.context,
--- a/crates/celeryshed_gateway/src/request/mod.rs
+++ b/crates/celeryshed_gateway/src/request/mod.rs
@@ -10,10 +10,11 @@
 mod notice;
 mod parse;
 mod placed;
+mod received_body;
 mod relay;
 mod replies;
 mod running;
 
 pub(crate) use body::GatewayBody;
-pub(crate) use buffer::BufferBudget;
+pub(crate) use buffer::{BufferBudget, LeaseRule};
 pub(crate) use handle::handle_request;
--- a/crates/celeryshed_gateway/src/request/parse.rs
+++ b/crates/celeryshed_gateway/src/request/parse.rs
@@ -6,17 +6,18 @@
 use bytes::Bytes;
 use celeryshed_base::{MonoTime, ServiceName};
 use celeryshed_dispatch::{
-    PromptPart, RequestFingerprint, RequestProfile, RouteRule, RoutingSnapshot, is_caller_retry,
-    shared_parts,
+    PromptPart, RefusalReason, RequestFingerprint, RequestProfile, RouteRule, RoutingSnapshot,
+    is_caller_retry, retry_after, shared_parts,
 };
 use celeryshed_http::RequestBody;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::header::HOST;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request};
 use tokio::time::timeout;
 
+use crate::context::GatewayContext;
 use crate::names::HeaderNames;
+use crate::request::received_body::{BodyFailure, receive_body};
 use crate::request::replies::OwnReply;
 
 /// Limit for receiving the body of a request.
@@ -43,11 +44,12 @@
 
 /// Receives a request, and finds its route and service.
 pub(crate) async fn read_request(
-    names: &HeaderNames,
+    context: &GatewayContext,
     snapshot: &RoutingSnapshot,
     arrived_at: MonoTime,
     request: Request<RequestBody>,
 ) -> Result<CallerRequest, OwnReply> {
+    let names = &context.headers;
     let (head, body) = request.into_parts();
     let host = host_of(&head).ok_or(OwnReply::Malformed)?;
     let key = header_text(&head.headers, &names.key);
@@ -58,17 +60,22 @@
     let route = grant.route.clone();
     let team = grant.team.cloned();
     let service = route.pick_service(rand::random()).cloned().ok_or(OwnReply::NoRoute)?;
-    let limited = Limited::new(body, snapshot.limits.max_body_bytes);
-    let body = match timeout(BODY_TIMEOUT, limited.collect()).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(OwnReply::BodyTooLarge),
-        Ok(Err(_)) => return Err(OwnReply::Malformed),
+    let rank = team.as_ref().and_then(|team| team.rank).unwrap_or(route.rank);
+    let profile = profile(names, &head.headers, &route, service, rank, arrived_at);
+    let received = receive_body(body, snapshot.limits.max_body_bytes, &context.bodies);
+    let body = match timeout(BODY_TIMEOUT, received).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(BodyFailure::TooLarge)) => return Err(OwnReply::BodyTooLarge),
+        Ok(Err(BodyFailure::Malformed)) => return Err(OwnReply::Malformed),
+        Ok(Err(BodyFailure::MemoryExceeded)) => {
+            let remaining = profile.deadline - context.clock.now();
+            let retry_after = retry_after(RefusalReason::BodyMemory, remaining, rand::random());
+            return Err(OwnReply::NoBodyMemory { retry_after });
+        }
         Err(_elapsed) => return Err(OwnReply::BodyTimeout),
     };
     let target = head.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
     let team_name = team.as_ref().map(|team| team.name.to_string());
-    let rank = team.and_then(|team| team.rank).unwrap_or(route.rank);
-    let profile = profile(names, &head.headers, &route, service, rank, arrived_at);
     Ok(CallerRequest {
         request_id: header_text(&head.headers, &names.request_id).unwrap_or_default().to_owned(),
         last_event: header_text(&head.headers, &names.last_event)
--- a/crates/celeryshed_gateway/src/request/replies.rs
+++ b/crates/celeryshed_gateway/src/request/replies.rs
@@ -22,6 +22,8 @@
     BodyTimeout,
     /// The body exceeds the configured limit.
     BodyTooLarge,
+    /// The bodies of other requests leave too little memory for the body; the request has not run.
+    NoBodyMemory { retry_after: Duration },
     /// The request has not run; the caller may send it again after `retry_after`.
     NotRun { retry_after: Duration },
     /// The request may have run at an endpoint.
@@ -33,7 +35,9 @@
 impl OwnReply {
     pub(crate) fn status(self) -> StatusCode {
         match self {
-            Self::NotConfigured | Self::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotConfigured | Self::NoBodyMemory { .. } | Self::NotRun { .. } => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::Malformed => StatusCode::BAD_REQUEST,
@@ -52,6 +56,7 @@
             Self::Malformed => "the request can't be read",
             Self::BodyTimeout => "the body was not received in time; the request has not run",
             Self::BodyTooLarge => "the body is larger than the configuration allows",
+            Self::NoBodyMemory { .. } => "too many large bodies arrive; the request has not run",
             Self::NotRun { .. } => "no endpoint has room; the request has not run",
             Self::MayHaveRun => "the endpoint gave no whole answer; the request may have run",
             Self::TimedOut => "the time limit passed; the request may have run",
@@ -64,7 +69,7 @@
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, hyper::header::HeaderValue::from_static("text/plain"));
         let retry_after = match self {
-            Self::NotRun { retry_after } => Some(retry_after),
+            Self::NoBodyMemory { retry_after } | Self::NotRun { retry_after } => Some(retry_after),
             Self::NotConfigured => Some(Duration::from_secs(1)),
             _ => None,
         };
--- a/crates/celeryshed_gateway/src/settings.rs
+++ b/crates/celeryshed_gateway/src/settings.rs
@@ -29,6 +29,9 @@
     /// Memory for answers of endpoints that are not complete, in bytes; a single one may take
     /// a sixteenth of it.
     pub answer_memory_bytes: usize,
+    /// Memory for the bodies of requests until they can't be sent again, in bytes; a single one may
+    /// take as much as remains free. At least twice the largest body of the configuration is used.
+    pub body_memory_bytes: usize,
     /// Zone, retry budget and version deadlines.
     pub dispatcher: DispatcherSettings,
     /// Scope and intervals for reading the store.
--- a/crates/celeryshed_gateway/tests/support/mod.rs
+++ b/crates/celeryshed_gateway/tests/support/mod.rs
@@ -64,6 +64,9 @@
 /// Memory of each entry for answers that are not complete.
 pub(crate) const ANSWER_MEMORY_BYTES: usize = 4_000_000;
 
+/// Memory of each entry for the bodies of requests.
+const BODY_MEMORY_BYTES: usize = 16_000_000;
+
 /// Longest pause that an endpoint may ask for.
 pub(crate) const MAX_PAUSE: Duration = Duration::from_secs(3);
 
@@ -205,6 +208,7 @@
             sidecar_port: 18082,
             grace_period: Duration::from_secs(8),
             answer_memory_bytes: ANSWER_MEMORY_BYTES,
+            body_memory_bytes: BODY_MEMORY_BYTES,
             dispatcher: DispatcherSettings {
                 zone,
                 regions: Default::default(),
