Reject a 205 that has a body

Seen: an endpoint's 205 (sealed) with a body reached the caller with that body, framed by a length or in chunks, on plain and stream routes. A caller that takes no body after a 205 for granted, as the standard lets it, reads it as the next answer on its connection. After 204 and 304 nothing reached the caller before.

Cause: hyper's client skips the body of 204 and 304 and reads that of 205.

Change: the body of a 205 is read whole, also on stream routes, and the answer is malformed unless it is empty: the request may have run. An empty 205 on a stream route is now forwarded as the endpoint's answer (read, not run).

Now: it passes, as do all tests of celeryshed_gateway, run once.

--- a/crates/celeryshed_gateway/src/request/attempt.rs
+++ b/crates/celeryshed_gateway/src/request/attempt.rs
@@ -203,8 +203,13 @@
     let (head, mut body) = response.into_parts();
     report_notices(names, request, plan, &head);
     check_head(names, request, plan, &head)?;
-    if !request.route.kind.is_stream() || !head.status.is_success() {
+    // The parser skips what follows a 204 or 304, which have no body either, but not after a 205.
+    let forbids_body = head.status == StatusCode::RESET_CONTENT;
+    if !request.route.kind.is_stream() || !head.status.is_success() || forbids_body {
         let body = read_whole(body, plan.buffers.lease()).await?;
+        if forbids_body && !body.is_empty() {
+            return Err(AttemptOutcome::Unknown(UnknownReason::Malformed));
+        }
         let answer = WholeAnswer { status: head.status, headers: head.headers, body };
         return Ok(ExchangeReply::Whole(answer));
     }
--- a/crates/celeryshed_gateway/tests/statuses.rs
+++ b/crates/celeryshed_gateway/tests/statuses.rs
@@ -1,4 +1,4 @@
-//! Answers of endpoints whose status no answer may have.
+//! Answers of endpoints whose status no answer may have, or whose status forbids a body.
 
 mod support;
 
@@ -228,3 +228,58 @@
     let answer = entry.call(&request("POST", "/strict/a", "r1", "", "x")).await;
     assert!(answer.is_complete() && answer.text.contains("data: one"), "{}", answer.text);
 }
+
+/// Guards against bytes of an answer that must have no body: they don't reach the caller, and the
+/// next answer on its connection follows the head at once. A caller may take no body for granted.
+#[tokio::test]
+async fn body_of_an_answer_that_must_have_none_is_not_forwarded() {
+    let mut failures = Vec::new();
+    for (status, line) in
+        [(204, "204 No Content"), (205, "205 Reset Content"), (304, "304 Not Modified")]
+    {
+        for body in FRAMED_BODIES {
+            for path in ["/book/a", "/read/a", "/stream/a", "/strict/a"] {
+                let head = format!("HTTP/1.1 {line}\r\nx-request: {{id}}\r\nx-seal: s1\r\n");
+                let scripts = vec![vec![send(format!("{head}{body}"))], vec![Send(WHOLE)]];
+                let engine = ScriptedEndpoint::start("i-1", scripts).await;
+                let entry = Deployment::start(&[&engine]).await;
+                let kept = request("POST", path, "r1", "", "x");
+                let kept = kept.replace("Connection: close\r\n", "");
+                let next = request("POST", "/book/a", "r2", "", "x");
+                let answer = entry.call(&format!("{kept}{next}")).await;
+                let (_, rest) = answer.text.split_once("\r\n\r\n").unwrap();
+                let is_stream = matches!(path, "/stream/a" | "/strict/a");
+                let is_expected = match status {
+                    // A stream has a first event, and a 205 that isn't empty is invalid.
+                    205 => answer.status() == 502,
+                    204 if is_stream => answer.status() == 502,
+                    _ => answer.status() == status && rest.starts_with("HTTP/1.1 200 OK\r\n"),
+                };
+                let is_next = rest.contains("HTTP/1.1 200 OK\r\n") && rest.ends_with("hello");
+                if !is_expected || !is_next || answer.text.contains("data: two") {
+                    failures.push(format!("{path}: {line}, {body:?}: {:?}", answer.text));
+                }
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{} failures:\n{}", failures.len(), failures.join("\n"));
+}
+
+/// Guards against the loss of an answer that has no body, as its status demands.
+#[tokio::test]
+async fn empty_answer_that_must_be_empty_is_forwarded() {
+    for (status, line) in
+        [(204, "204 No Content"), (205, "205 Reset Content"), (304, "304 Not Modified")]
+    {
+        let head = format!("HTTP/1.1 {line}\r\nx-request: {{id}}\r\nx-seal: s1\r\n");
+        let script = vec![send(format!("{head}Content-Length: 0\r\n\r\n"))];
+        let engine = ScriptedEndpoint::start("i-1", vec![script]).await;
+        let entry = Deployment::start(&[&engine]).await;
+        for path in ["/book/a", "/read/a"] {
+            let answer = entry.call(&request("POST", path, "r1", "", "x")).await;
+            assert_eq!(answer.status(), status, "{path}: {}", answer.text);
+            assert_eq!(answer.header("x-seal"), Some("s1"), "{path}");
+            assert!(answer.text.ends_with("\r\n\r\n"), "{path}: {}", answer.text);
+        }
+    }
+}
