Log why a process ended or didn't start

Callers' operators saw processes of celeryshed-node end by themselves, without a log that tells why.

Cause: a refused start and a panic were plain text on standard error; the log on standard output ended without a line, or had none.

--- a/crates/celeryshed_gateway/src/process.rs
+++ b/crates/celeryshed_gateway/src/process.rs
@@ -148,6 +148,9 @@
             .field("role", "entry")
             .field("name", &settings.name)
             .field("callers", settings.caller_address)
+            .field("ready", settings.readiness_address)
+            .field("peers", settings.peer_address)
+            .field("metrics", settings.metrics_address)
             .info();
 
         loop {
--- a/crates/celeryshed_observe/src/lib.rs
+++ b/crates/celeryshed_observe/src/lib.rs
@@ -3,10 +3,12 @@
 mod bounded;
 mod event;
 mod logging;
+mod panics;
 mod registry;
 
 pub use bounded::install_bounded_logging;
 pub use event::{EventLine, quote};
 pub use log::Level;
 pub use logging::{LogError, install_logging};
+pub use panics::install_panic_events;
 pub use registry::MetricsRegistry;
--- a/crates/celeryshed_stager/src/process.rs
+++ b/crates/celeryshed_stager/src/process.rs
@@ -169,6 +169,8 @@
             .field("role", "side")
             .field("name", &settings.name)
             .field("endpoint", &settings.endpoint)
+            .field("peers", settings.peer_address)
+            .field("metrics", settings.metrics_address)
             .info();
         loop {
             tokio::select! {
