Install signal handlers before anything else

Operators saw processes end by signal 1 at their start, without any line in the log: SIGHUP says that the settings changed, which happens at every start.

Cause: the handlers were installed by the role, after the settings were read and the runtime was built. A SIGTERM before ended the process by signal 15, and one during a blocked read of the settings too.

Both roles take the same `ProcessSignals` of a new package, celeryshed_process. What remains is the time before `main`.

--- a/crates/celeryshed_gateway/src/process.rs
+++ b/crates/celeryshed_gateway/src/process.rs
@@ -12,9 +12,9 @@
 use celeryshed_peering::{
     ControlHandle, ControlStore, PeerSocket, RecordDecoder, parse_control_query, start_control,
 };
+use celeryshed_process::ProcessSignals;
 use hyper::{Request, Response, StatusCode};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -47,9 +47,6 @@
         /// Error of the operating system.
         source: io::Error,
     },
-    /// A signal handler can't be installed.
-    #[error("signals can't be received: {0}")]
-    Signals(#[from] io::Error),
 }
 
 pub(crate) type Result<T> = std::result::Result<T, ProcessError>;
@@ -63,21 +60,21 @@
     /// ends.
     pub async fn run<S: ControlStore, D: RecordDecoder>(
         settings: GatewaySettings,
+        signals: ProcessSignals,
         store: Arc<S>,
         decoder: Arc<D>,
     ) -> Result<()> {
-        Self::run_with_clock(settings, ClockSource::start(), store, decoder).await
+        Self::run_with_clock(settings, ClockSource::start(), signals, store, decoder).await
     }
 
     /// Runs an entry like [`EntryProcess::run`], on a given clock.
     pub async fn run_with_clock<S: ControlStore, D: RecordDecoder>(
         settings: GatewaySettings,
         clock: ClockSource,
+        mut signals: ProcessSignals,
         store: Arc<S>,
         decoder: Arc<D>,
     ) -> Result<()> {
-        let mut terminate = signal(SignalKind::terminate())?;
-        let mut reload = signal(SignalKind::hangup())?;
         let registry = MetricsRegistry::install();
         let (control, events) = start_control(store, decoder, settings.control);
         let own_address = PeerAddress(settings.peer_address.to_string());
@@ -153,12 +150,7 @@
             .field("metrics", settings.metrics_address)
             .info();
 
-        loop {
-            tokio::select! {
-                _ = terminate.recv() => break,
-                _ = reload.recv() => EventLine::new("reloaded").field("outcome", "unchanged").info(),
-            }
-        }
+        signals.terminated().await;
         let started = Instant::now();
         EventLine::new("drain_started").field("open", callers.open_connections()).info();
         shutdown_phase.send_replace(ShutdownPhase::Draining);
--- a/crates/celeryshed_gateway/tests/support/mod.rs
+++ b/crates/celeryshed_gateway/tests/support/mod.rs
@@ -17,6 +17,7 @@
 };
 use celeryshed_gateway::{EntryProcess, GatewaySettings, HeaderNames};
 use celeryshed_peering::{ControlScope, ControlSettings};
+use celeryshed_process::ProcessSignals;
 use hyper::header::HeaderName;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -224,7 +225,8 @@
         let decoder = store.clone();
         let entry_store = store.clone();
         tokio::spawn(async move {
-            EntryProcess::run_with_clock(settings, clock, entry_store, decoder).await
+            let signals = ProcessSignals::install().unwrap();
+            EntryProcess::run_with_clock(settings, clock, signals, entry_store, decoder).await
         });
         Self { callers, readiness, store }
     }
--- /dev/null
+++ b/crates/celeryshed_process/src/lib.rs
@@ -0,0 +1,5 @@
+//! What the thin programs do alike when they start and end.
+
+mod signals;
+
+pub use signals::ProcessSignals;
--- /dev/null
+++ b/crates/celeryshed_process/src/signals.rs
@@ -0,0 +1,65 @@
+//! Handling of SIGTERM and SIGHUP.
+
+use celeryshed_observe::EventLine;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+/// Result of the installation of a handler.
+type Result<T> = std::io::Result<T>;
+
+/// Receives the signals that a supervisor sends.
+#[derive(Debug)]
+pub struct ProcessSignals {
+    terminate: Signal,
+    reload: Signal,
+}
+
+impl ProcessSignals {
+    /// Installs the handlers. From then on neither signal ends the process by itself, and signals
+    /// that arrive are kept until they are waited for.
+    ///
+    /// Must be called in the context of a runtime.
+    ///
+    /// ```
+    /// use celeryshed_process::ProcessSignals;
+    /// let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    /// let _context = runtime.enter();
+    /// assert!(ProcessSignals::install().is_ok());
+    /// ```
+    pub fn install() -> Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            reload: signal(SignalKind::hangup())?,
+        })
+    }
+
+    /// Waits for SIGTERM. SIGHUP only logs an event, since settings are not read again.
+    pub async fn terminated(&mut self) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return,
+                _ = self.reload.recv() => EventLine::new("reloaded").field("outcome", "unchanged").info(),
+            }
+        }
+    }
+
+    /// Waits for a step of the start; `None` if SIGTERM came first.
+    ///
+    /// ```
+    /// # tokio_test();
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn tokio_test() {
+    /// use celeryshed_process::ProcessSignals;
+    /// let mut signals = ProcessSignals::install().unwrap();
+    /// assert_eq!(signals.start_step(async { 7 }).await, Some(7));
+    /// # }
+    /// ```
+    pub async fn start_step<F: Future>(&mut self, step: F) -> Option<F::Output> {
+        tokio::select! {
+            output = step => Some(output),
+            () = self.terminated() => {
+                EventLine::new("stopped").field("phase", "starting").info();
+                None
+            }
+        }
+    }
+}
--- a/crates/celeryshed_stager/src/process.rs
+++ b/crates/celeryshed_stager/src/process.rs
@@ -11,10 +11,10 @@
 use celeryshed_http::{ConnectionServer, ServerSettings};
 use celeryshed_observe::{EventLine, MetricsRegistry};
 use celeryshed_peering::{ControlHandle, ControlStore, PeerSocket, RecordDecoder, start_control};
+use celeryshed_process::ProcessSignals;
 use http_body_util::Full;
 use hyper::Response;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Mutex, watch};
 
 use crate::endpoint_stage::EndpointStage;
@@ -50,9 +50,6 @@
         /// Underlying error.
         source: io::Error,
     },
-    /// A signal handler can't be installed.
-    #[error("a signal handler can't be installed: {0}")]
-    Signals(#[from] io::Error),
 }
 
 /// Result of a start.
@@ -66,6 +63,7 @@
     /// Runs a sidecar until SIGTERM. SIGHUP only logs an event: the settings are not read again.
     pub async fn run<S, D, P>(
         settings: SidecarSettings,
+        mut signals: ProcessSignals,
         store: Arc<S>,
         decoder: Arc<D>,
         platform: Arc<P>,
@@ -75,8 +73,6 @@
         D: RecordDecoder,
         P: WeightPlatform,
     {
-        let mut terminate = signal(SignalKind::terminate())?;
-        let mut reload = signal(SignalKind::hangup())?;
         let settings = Arc::new(settings);
         let clock = ClockSource::start();
         let registry = MetricsRegistry::install();
@@ -172,12 +168,7 @@
             .field("peers", settings.peer_address)
             .field("metrics", settings.metrics_address)
             .info();
-        loop {
-            tokio::select! {
-                _ = terminate.recv() => break,
-                _ = reload.recv() => EventLine::new("reloaded").field("outcome", "unchanged").info(),
-            }
-        }
+        signals.terminated().await;
         EventLine::new("stopped").field("role", "side").info();
         Ok(())
     }
--- a/crates/celeryshed_stager/tests/support/mod.rs
+++ b/crates/celeryshed_stager/tests/support/mod.rs
@@ -21,6 +21,7 @@
     ControlStream, DecodeError, EntryHeartbeat, OperatorRecord, PeerMessage, PeerSocket,
     ReadOutcome, RecordDecoder, SidecarStatus, StoreError,
 };
+use celeryshed_process::ProcessSignals;
 use celeryshed_stager::{
     EngineReport, LayerRange, LoadOrder, PieceCheck, RawManifest, ReloadReply, SidecarProcess,
     SidecarSettings, WeightError, WeightPlatform,
@@ -653,7 +654,10 @@
     let store = Arc::new(FakeStore { declared, endpoints });
     let (weights, fake) = (weights.clone(), store.clone());
     let peer_address = settings.peer_address;
-    tokio::spawn(async move { SidecarProcess::run(settings, fake.clone(), fake, weights).await });
+    let signals = ProcessSignals::install().unwrap();
+    tokio::spawn(async move {
+        SidecarProcess::run(settings, signals, fake.clone(), fake, weights).await
+    });
     (peer_address, store)
 }
 
