Wait for listening sockets that can't be opened yet

Operators saw processes end with status 1 at their start: `the peer socket can't listen at …:7700: Address already in use`, when the former process wasn't gone yet or another socket held the port.

Cause: each address was bound once, some of them after the process had opened connections of its own; a condition that passes by itself ended the process.

Change: `open_sockets` opens all sockets of a role or none, before anything else of it starts, and tries again after 50 ms up to 1 s while an address is in use or not assigned, or descriptors or memory are short. All or none: nobody connects to a process that still waits. SIGTERM ends the wait with status 0; other errors end the process with status 1 as before. Metrics are served once their port is free. `listen_waiting` and `celeryshed_listen_failures_total` tell what is waited for. Both roles share it; their error types are gone.

--- a/crates/celeryshed_gateway/src/lib.rs
+++ b/crates/celeryshed_gateway/src/lib.rs
@@ -16,5 +16,5 @@
 mod settings;
 
 pub use names::HeaderNames;
-pub use process::{EntryProcess, ProcessError};
+pub use process::EntryProcess;
 pub use settings::GatewaySettings;
--- a/crates/celeryshed_gateway/src/process.rs
+++ b/crates/celeryshed_gateway/src/process.rs
@@ -1,7 +1,5 @@
 //! Starts the tasks of an entry, and shuts the process down after SIGTERM.
 
-use std::io;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,7 +10,7 @@
 use celeryshed_peering::{
     ControlHandle, ControlStore, PeerSocket, RecordDecoder, parse_control_query, start_control,
 };
-use celeryshed_process::ProcessSignals;
+use celeryshed_process::{ProcessSignals, listen_tcp, listen_udp, open_sockets, serve_metrics};
 use hyper::{Request, Response, StatusCode};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -34,22 +32,28 @@
 /// Time between two checks whether connections are still open.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
 
-/// A failure to start an entry.
-#[derive(Debug, thiserror::Error)]
-pub enum ProcessError {
-    /// The process can't listen at an address.
-    #[error("{purpose} can't listen at {address}: {source}")]
-    Listen {
-        /// Service that should listen at the address.
-        purpose: &'static str,
-        /// Address from the settings.
-        address: SocketAddr,
-        /// Error of the operating system.
-        source: io::Error,
-    },
+/// Result of a start.
+pub(crate) type Result<T> = celeryshed_process::Result<T>;
+
+/// The sockets without which an entry can't serve.
+struct EntrySockets {
+    peers: PeerSocket,
+    peer_queries: TcpListener,
+    readiness: TcpListener,
+    callers: TcpListener,
 }
 
-pub(crate) type Result<T> = std::result::Result<T, ProcessError>;
+impl EntrySockets {
+    /// Opens all sockets or none; that of the callers last, as it is served at once.
+    fn open(settings: &GatewaySettings) -> Result<Self> {
+        Ok(Self {
+            peers: listen_udp("the peer socket", settings.peer_address)?.into(),
+            peer_queries: listen_tcp("the peer service", settings.peer_address)?,
+            readiness: listen_tcp("the readiness service", settings.readiness_address)?,
+            callers: listen_tcp("the callers' service", settings.caller_address)?,
+        })
+    }
+}
 
 /// An entry process; [`EntryProcess::run`] starts it.
 #[derive(Debug)]
@@ -76,6 +80,10 @@
         decoder: Arc<D>,
     ) -> Result<()> {
         let registry = MetricsRegistry::install();
+        // Opened before any connection, which could otherwise get one of the ports.
+        let opened = signals.start_step(open_sockets(|| EntrySockets::open(&settings))).await;
+        let Some(sockets) = opened else { return Ok(()) };
+        let sockets = sockets?;
         let (control, events) = start_control(store, decoder, settings.control);
         let own_address = PeerAddress(settings.peer_address.to_string());
         let (dispatcher, outputs) =
@@ -84,14 +92,11 @@
         let (shutdown_phase, shutdown_watch) = watch::channel(ShutdownPhase::Serving);
         let (closing, closing_watch) = watch::channel(false);
 
-        let socket = PeerSocket::bind(settings.peer_address)
-            .await
-            .map_err(|source| listen_error("the peer socket", settings.peer_address, source))?;
         let peer_task = PeerTask::new(
             settings.peer_address,
             settings.dispatcher.clone(),
             settings.sidecar_port,
-            socket,
+            sockets.peers,
             dispatcher.clone(),
             control.clone(),
         );
@@ -110,37 +115,28 @@
             buffers: BufferBudget::new(settings.answer_memory_bytes),
         });
         let callers = ConnectionServer::new(settings_watch.clone(), closing_watch.clone());
-        let listener = listen("the callers' service", settings.caller_address).await?;
         tokio::spawn(
-            callers
-                .clone()
-                .run(listener, move |request, _from| handle_request(context.clone(), request)),
+            callers.clone().run(sockets.callers, move |request, _from| {
+                handle_request(context.clone(), request)
+            }),
         );
 
         // Internal connections stay open until the process ends.
         let (_internal_closing, internal_watch) = watch::channel(false);
         let internal = ConnectionServer::new(settings_watch, internal_watch);
-        let listener = listen("the readiness service", settings.readiness_address).await?;
         let ready = move || {
             snapshot.borrow().is_some()
                 && *endpoints_known.borrow()
                 && *shutdown_watch.borrow() == ShutdownPhase::Serving
         };
-        tokio::spawn(internal.clone().run(listener, move |_request, _from| {
+        tokio::spawn(internal.clone().run(sockets.readiness, move |_request, _from| {
             let status = if ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
             async move { status_response(status) }
         }));
-        let listener = listen("the peer service", settings.peer_address).await?;
-        tokio::spawn(
-            internal
-                .clone()
-                .run(listener, move |request, _from| answer_peer(control.clone(), request)),
-        );
-        let listener = listen("the metrics service", settings.metrics_address).await?;
-        tokio::spawn(internal.run(listener, move |_request, _from| {
-            let text = registry.render();
-            async move { Response::new(GatewayBody::whole(text)) }
+        tokio::spawn(internal.clone().run(sockets.peer_queries, move |request, _from| {
+            answer_peer(control.clone(), request)
         }));
+        tokio::spawn(serve_metrics(internal, settings.metrics_address, registry));
         EventLine::new("started")
             .field("role", "entry")
             .field("name", &settings.name)
@@ -216,11 +212,3 @@
     *response.status_mut() = status;
     response
 }
-
-async fn listen(purpose: &'static str, address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address).await.map_err(|source| listen_error(purpose, address, source))
-}
-
-fn listen_error(purpose: &'static str, address: SocketAddr, source: io::Error) -> ProcessError {
-    ProcessError::Listen { purpose, address, source }
-}
--- a/crates/celeryshed_peering/src/socket.rs
+++ b/crates/celeryshed_peering/src/socket.rs
@@ -18,6 +18,12 @@
     socket: UdpSocket,
 }
 
+impl From<UdpSocket> for PeerSocket {
+    fn from(socket: UdpSocket) -> Self {
+        Self { socket }
+    }
+}
+
 impl PeerSocket {
     /// Binds a UDP socket to `address`.
     pub async fn bind(address: SocketAddr) -> io::Result<Self> {
--- a/crates/celeryshed_process/src/lib.rs
+++ b/crates/celeryshed_process/src/lib.rs
@@ -1,5 +1,9 @@
 //! What the thin programs do alike when they start and end.
 
+mod listen;
+mod metrics_service;
 mod signals;
 
+pub use listen::{ListenError, Result, listen_tcp, listen_udp, open_sockets};
+pub use metrics_service::serve_metrics;
 pub use signals::ProcessSignals;
--- a/crates/celeryshed_stager/src/lib.rs
+++ b/crates/celeryshed_stager/src/lib.rs
@@ -26,5 +26,5 @@
 pub use platform::{
     EngineReport, LayerRange, LoadOrder, RawManifest, ReloadReply, WeightError, WeightPlatform,
 };
-pub use process::{SidecarError, SidecarProcess};
+pub use process::SidecarProcess;
 pub use settings::SidecarSettings;
--- a/crates/celeryshed_stager/src/process.rs
+++ b/crates/celeryshed_stager/src/process.rs
@@ -1,19 +1,14 @@
 //! Starts the tasks of a sidecar; they run until SIGTERM.
 
-use std::io;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use celeryshed_base::ClockSource;
 use celeryshed_dispatch::{PeerAudience, UploadPacer};
 use celeryshed_http::{ConnectionServer, ServerSettings};
 use celeryshed_observe::{EventLine, MetricsRegistry};
 use celeryshed_peering::{ControlHandle, ControlStore, PeerSocket, RecordDecoder, start_control};
-use celeryshed_process::ProcessSignals;
-use http_body_util::Full;
-use hyper::Response;
+use celeryshed_process::{ProcessSignals, listen_tcp, listen_udp, open_sockets, serve_metrics};
 use tokio::net::TcpListener;
 use tokio::sync::{Mutex, watch};
 
@@ -37,23 +32,24 @@
 /// Time after which an idle incoming connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Why a sidecar can't start.
-#[derive(Debug, thiserror::Error)]
-pub enum SidecarError {
-    /// A listening socket can't be opened.
-    #[error("{purpose} can't listen at {address}: {source}")]
-    Listen {
-        /// What the socket is for, such as "the peer socket".
-        purpose: &'static str,
-        /// Address from the settings.
-        address: SocketAddr,
-        /// Underlying error.
-        source: io::Error,
-    },
+/// Result of a start.
+pub(crate) type Result<T> = celeryshed_process::Result<T>;
+
+/// The sockets without which a sidecar can't serve.
+struct SidecarSockets {
+    peers: PeerSocket,
+    pieces: TcpListener,
 }
 
-/// Result of a start.
-pub(crate) type Result<T> = std::result::Result<T, SidecarError>;
+impl SidecarSockets {
+    /// Opens all sockets or none.
+    fn open(settings: &SidecarSettings) -> Result<Self> {
+        Ok(Self {
+            peers: listen_udp("the peer socket", settings.peer_address)?.into(),
+            pieces: listen_tcp("the piece service", settings.peer_address)?,
+        })
+    }
+}
 
 /// The process of a sidecar.
 #[derive(Debug)]
@@ -76,16 +72,17 @@
         let settings = Arc::new(settings);
         let clock = ClockSource::start();
         let registry = MetricsRegistry::install();
+        // Opened before any connection, which could otherwise get one of the ports.
+        let opened = signals.start_step(open_sockets(|| SidecarSockets::open(&settings))).await;
+        let Some(sockets) = opened else { return Ok(()) };
+        let sockets = sockets?;
         let (control, events) = start_control(store, decoder, settings.control);
         let view = start_view(clock, settings.versions, events);
         let (store_sender, store_watch) = watch::channel(PieceStore::default());
         let piece_store = Arc::new(store_sender);
         let (condition, condition_watch) = watch::channel(EndpointCondition::default());
 
-        let socket = PeerSocket::bind(settings.peer_address)
-            .await
-            .map_err(|source| listen_error("the peer socket", settings.peer_address, source))?;
-        let socket = Arc::new(socket);
+        let socket = Arc::new(sockets.peers);
         let (inventories, inventories_watch) = watch::channel(InventoryMap::new());
         let status_task = StatusTask {
             settings: settings.clone(),
@@ -105,7 +102,6 @@
         });
         let (_closing, closing) = watch::channel(false);
         let server = ConnectionServer::new(server_settings, closing);
-        let listener = listen("the piece service", settings.peer_address).await?;
         for audience in PeerAudience::ALL {
             let inventory_task = InventoryTask {
                 audience,
@@ -131,15 +127,11 @@
             store: store_watch,
             pacer: Mutex::new(UploadPacer::new(settings.link_bits_per_s)),
         });
-        tokio::spawn(server.clone().run(listener, move |request, _from| {
+        tokio::spawn(server.clone().run(sockets.pieces, move |request, _from| {
             let pieces = pieces.clone();
             async move { pieces.serve(request).await }
         }));
-        let listener = listen("the metrics service", settings.metrics_address).await?;
-        tokio::spawn(server.run(listener, move |_request, _from| {
-            let text = registry.render();
-            async move { Response::new(Full::new(Bytes::from(text))) }
-        }));
+        tokio::spawn(serve_metrics(server, settings.metrics_address, registry));
         let stage = Arc::new(EndpointStage::new(platform.clone()));
         let fetch_task = FetchTask {
             settings: settings.clone(),
@@ -201,11 +193,3 @@
         tokio::task::yield_now().await;
     }
 }
-
-async fn listen(purpose: &'static str, address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address).await.map_err(|source| listen_error(purpose, address, source))
-}
-
-fn listen_error(purpose: &'static str, address: SocketAddr, source: io::Error) -> SidecarError {
-    SidecarError::Listen { purpose, address, source }
-}
