Keep sockets free of callers' idle connections

500 connections whose requests never ended took all sockets of an entry for as long as the idle limit allows: no ordinary caller was accepted, and no connection to an endpoint could have been opened. Nothing limited the connections of callers.

At the limit the server closes the connection that has been idle longest, with 408 if a head had begun, and accepts the new one as soon as that has ended. Connections with a request in progress are never chosen; while there are only these, the new one waits. A request that arrives as its connection is chosen is still answered.

New in celeryshed_http: tests/connection_limit.rs.

--- a/crates/celeryshed_gateway/src/process.rs
+++ b/crates/celeryshed_gateway/src/process.rs
@@ -115,7 +115,8 @@
             buffers: BufferBudget::new(settings.answer_memory_bytes, ANSWER_LEASE_RULE),
             bodies: BufferBudget::new(settings.body_memory_bytes, LeaseRule::FreeShare),
         });
-        let callers = ConnectionServer::new(settings_watch.clone(), closing_watch.clone());
+        let callers = ConnectionServer::new(settings_watch.clone(), closing_watch.clone())
+            .with_connection_limit(settings.max_caller_connections);
         let listener = listen("the callers' service", settings.caller_address).await?;
         tokio::spawn(
             callers
--- a/crates/celeryshed_gateway/src/settings.rs
+++ b/crates/celeryshed_gateway/src/settings.rs
@@ -32,6 +32,8 @@
     /// Memory for the bodies of requests until they can't be sent again, in bytes; a single one may
     /// take as much as remains free. At least twice the largest body of the configuration is used.
     pub body_memory_bytes: usize,
+    /// Most connections of callers that are open at the same time.
+    pub max_caller_connections: usize,
     /// Zone, retry budget and version deadlines.
     pub dispatcher: DispatcherSettings,
     /// Scope and intervals for reading the store.
--- a/crates/celeryshed_gateway/tests/support/mod.rs
+++ b/crates/celeryshed_gateway/tests/support/mod.rs
@@ -209,6 +209,7 @@
             grace_period: Duration::from_secs(8),
             answer_memory_bytes: ANSWER_MEMORY_BYTES,
             body_memory_bytes: BODY_MEMORY_BYTES,
+            max_caller_connections: usize::MAX,
             dispatcher: DispatcherSettings {
                 zone,
                 regions: Default::default(),
--- a/crates/celeryshed_http/src/end.rs
+++ b/crates/celeryshed_http/src/end.rs
@@ -9,6 +9,8 @@
 pub(crate) enum EndReason {
     /// It was idle for too long.
     Idle,
+    /// It was idle for longest when the limit of connections was reached.
+    Evicted,
     /// It was idle while the server closed.
     Closing,
     /// A request head began, but wasn't complete in time; it was answered with 408.
@@ -40,6 +42,7 @@
     fn name(self) -> &'static str {
         match self {
             Self::Idle => "idle",
+            Self::Evicted => "evicted",
             Self::Closing => "closing",
             Self::UnfinishedHead => "unfinished_head",
             Self::Unreceived => "unreceived",
--- a/crates/celeryshed_http/src/lib.rs
+++ b/crates/celeryshed_http/src/lib.rs
@@ -11,6 +11,7 @@
 mod end;
 mod exchange;
 mod idle_limit;
+mod open_connections;
 mod request_body;
 mod server;
 
--- a/crates/celeryshed_http/src/server.rs
+++ b/crates/celeryshed_http/src/server.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -24,9 +23,11 @@
 use crate::activity::{ConnectionActivity, TrackedBody, TrackedStream};
 use crate::end::EndReason;
 use crate::idle_limit::IdleLimit;
+use crate::open_connections::{OpenConnections, OpenGuard};
 use crate::request_body::RequestBody;
 
-/// Delay after a failed accept, for instance when no file descriptor is free.
+/// Delay after a failed accept, for instance when no file descriptor is free, and between two tries to
+/// make room for a connection.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Time that an idle connection has at least to pass on a request, also while the server closes. Its
@@ -59,7 +60,7 @@
 pub struct ConnectionServer {
     settings: watch::Receiver<ServerSettings>,
     closing: watch::Receiver<bool>,
-    open_count: Arc<AtomicUsize>,
+    open: OpenConnections,
     idle_limit: Arc<Mutex<IdleLimit>>,
 }
 
@@ -68,12 +69,34 @@
     /// connections, and closes each open one after its next response, or when it is idle.
     pub fn new(settings: watch::Receiver<ServerSettings>, closing: watch::Receiver<bool>) -> Self {
         let idle_limit = Arc::new(Mutex::new(IdleLimit::new(settings.borrow().idle_timeout)));
-        Self { settings, closing, open_count: Arc::default(), idle_limit }
+        Self { settings, closing, open: OpenConnections::new(usize::MAX), idle_limit }
+    }
+
+    /// The same server with at most `limit` connections, at least 1. At the limit, a new connection
+    /// takes the place of the one that has been idle longest; while none is idle, it waits.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use celeryshed_http::{ConnectionServer, ServerSettings};
+    /// use tokio::sync::watch;
+    ///
+    /// let (_settings, settings) = watch::channel(ServerSettings {
+    ///     max_head_bytes: 8192,
+    ///     idle_timeout: Duration::from_secs(15),
+    ///     write_timeout: Duration::from_secs(15),
+    /// });
+    /// let (_closing, closing) = watch::channel(false);
+    /// let server = ConnectionServer::new(settings, closing).with_connection_limit(3000);
+    /// assert_eq!(server.open_connections(), 0);
+    /// ```
+    pub fn with_connection_limit(self, limit: usize) -> Self {
+        Self { open: OpenConnections::new(limit.max(1)), ..self }
     }
 
     /// Number of connections that are open, over all clones of this server.
     pub fn open_connections(&self) -> usize {
-        self.open_count.load(Ordering::Relaxed)
+        self.open.count()
     }
 
     /// Accepts connections until `closing` is true, and serves each in a task of its own.
@@ -98,31 +121,52 @@
                 _ = closing.wait_for(|closing| *closing) => break,
             };
             match accepted {
-                Ok((stream, peer)) => {
-                    tokio::spawn(self.clone().serve(stream, peer, handler.clone()));
-                }
+                Ok((stream, peer)) => self.start(stream, peer, handler.clone()).await,
                 Err(_transient) => sleep(ACCEPT_RETRY_DELAY).await,
             }
         }
         // Connections in the accept queue were established before; dropping the listener would
         // reset them, together with requests that their clients have sent.
         while let Some(Ok((stream, peer))) = listener.accept().now_or_never() {
-            tokio::spawn(self.clone().serve(stream, peer, handler.clone()));
+            self.start(stream, peer, handler.clone()).await;
         }
     }
 
-    async fn serve<H, F, B>(self, stream: TcpStream, peer: SocketAddr, handler: H)
+    /// Serves a connection in a task of its own, once there is room for it.
+    async fn start<H, F, B>(&self, stream: TcpStream, peer: SocketAddr, handler: H)
     where
         H: Fn(Request<RequestBody>, SocketAddr) -> F + Clone + Send + 'static,
         F: Future<Output = Response<B>> + Send + 'static,
         B: Body<Data = Bytes> + Default + Send + Unpin + 'static,
         B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    {
+        let activity = ConnectionActivity::open();
+        let open = loop {
+            match self.open.add(&activity) {
+                Some(open) => break open,
+                // A connection may have become idle when none has ended.
+                None => drop(timeout(ACCEPT_RETRY_DELAY, self.open.ended()).await),
+            }
+        };
+        tokio::spawn(self.clone().serve(stream, peer, activity, open, handler));
+    }
+
+    async fn serve<H, F, B>(
+        self,
+        stream: TcpStream,
+        peer: SocketAddr,
+        activity: ConnectionActivity,
+        open: OpenGuard,
+        handler: H,
+    ) where
+        H: Fn(Request<RequestBody>, SocketAddr) -> F + Clone + Send + 'static,
+        F: Future<Output = Response<B>> + Send + 'static,
+        B: Body<Data = Bytes> + Default + Send + Unpin + 'static,
+        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     {
         // Nagle's algorithm would hold small stream events back until the peer acknowledges earlier
         // ones. If TCP_NODELAY can't be set, small events arrive later.
         let _ = stream.set_nodelay(true);
-        let _open = OpenGuard::new(self.open_count.clone());
-        let activity = ConnectionActivity::open();
         let settings = *self.settings.borrow();
         let service = {
             let activity = activity.clone();
@@ -158,6 +202,7 @@
         let mut closing = self.closing.clone();
         let mut closing_since = None;
         let mut draining = false;
+        let mut is_evicted = false;
         let end_reason = loop {
             let wake_at = self
                 .unreceived_end(&activity)
@@ -175,20 +220,27 @@
                 _ = closing.wait_for(|closing| *closing), if closing_since.is_none() => {
                     closing_since = Some(Instant::now());
                 }
+                () = open.evicted(), if !is_evicted => is_evicted = true,
                 () = sleep_until(wake_at), if !draining => {}
             }
             if self.unreceived_end(&activity).is_some_and(|end| end <= Instant::now()) {
                 break Some(EndReason::Unreceived);
             }
             let is_idle = activity.idle_since().is_some();
-            if draining || !is_idle || Instant::now() < self.idle_end(&activity, closing_since) {
+            let is_due =
+                is_evicted || is_idle && Instant::now() >= self.idle_end(&activity, closing_since);
+            if draining || !is_due {
                 continue;
             }
             if activity.has_unfinished_head() {
                 break Some(EndReason::UnfinishedHead);
             }
             draining = true;
-            let reason = closing_since.map_or(EndReason::Idle, |_since| EndReason::Closing);
+            let reason = match closing_since {
+                _ if is_evicted => EndReason::Evicted,
+                Some(_) => EndReason::Closing,
+                None => EndReason::Idle,
+            };
             reason.report(peer);
             Pin::new(&mut connection).graceful_shutdown();
         };
@@ -224,22 +276,6 @@
     }
 }
 
-/// Counts a connection as open until it is dropped.
-struct OpenGuard(Arc<AtomicUsize>);
-
-impl OpenGuard {
-    fn new(open_count: Arc<AtomicUsize>) -> Self {
-        open_count.fetch_add(1, Ordering::Relaxed);
-        Self(open_count)
-    }
-}
-
-impl Drop for OpenGuard {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Response to a request whose handler panicked; the request may have run.
 fn failed_response<B: Default>() -> Response<B> {
     let mut response = Response::new(B::default());
--- /dev/null
+++ b/crates/celeryshed_http/tests/connection_limit.rs
@@ -0,0 +1,115 @@
+//! Servers at their limit of connections.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use celeryshed_http::{ConnectionServer, ServerSettings};
+use http_body_util::Full;
+use hyper::Response;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+use tokio::time::{sleep, timeout};
+
+const CONNECTION_LIMIT: usize = 3;
+const LONG_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Requests at `/wait` are answered once they get a permit.
+static PERMITS: Semaphore = Semaphore::const_new(0);
+/// Number of requests at `/wait` that have begun.
+static WAITING: AtomicUsize = AtomicUsize::new(0);
+
+struct RunningServer {
+    address: SocketAddr,
+    server: ConnectionServer,
+    _settings: watch::Sender<ServerSettings>,
+    _closing: watch::Sender<bool>,
+}
+
+async fn start_server() -> RunningServer {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (settings, settings_watch) = watch::channel(ServerSettings {
+        max_head_bytes: 8192,
+        idle_timeout: LONG_TIMEOUT,
+        write_timeout: LONG_TIMEOUT,
+    });
+    let (closing, closing_watch) = watch::channel(false);
+    let server = ConnectionServer::new(settings_watch, closing_watch)
+        .with_connection_limit(CONNECTION_LIMIT);
+    tokio::spawn(server.clone().run(listener, |request, _peer| async move {
+        if request.uri().path() == "/wait" {
+            WAITING.fetch_add(1, Ordering::Relaxed);
+            PERMITS.acquire().await.unwrap().forget();
+        }
+        Response::new(Full::<Bytes>::from("whole"))
+    }));
+    RunningServer { address, server, _settings: settings, _closing: closing }
+}
+
+async fn send(address: SocketAddr, text: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(text.as_bytes()).await.unwrap();
+    stream
+}
+
+fn request(path: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nHost: a\r\n\r\n")
+}
+
+async fn read_answer(stream: &mut TcpStream) -> String {
+    let mut text = String::new();
+    while !text.ends_with("whole") {
+        let mut part = [0; 512];
+        let length = timeout(LONG_TIMEOUT, stream.read(&mut part)).await.unwrap().unwrap();
+        if length == 0 {
+            break;
+        }
+        text.push_str(std::str::from_utf8(&part[..length]).unwrap());
+    }
+    text
+}
+
+/// Guards against idle connections, and heads that never end, that keep other callers out.
+#[tokio::test]
+async fn idle_connections_keep_no_caller_out() {
+    let running = start_server().await;
+    let mut unfinished = send(running.address, "GET / HTTP/1.1\r\n").await;
+    let mut kept = Vec::new();
+    for _ in 1..CONNECTION_LIMIT {
+        let mut stream = send(running.address, &request("/")).await;
+        assert!(read_answer(&mut stream).await.starts_with("HTTP/1.1 200"));
+        kept.push(stream);
+    }
+    let mut added = send(running.address, &request("/")).await;
+    assert!(read_answer(&mut added).await.starts_with("HTTP/1.1 200"));
+    assert!(read_answer(&mut unfinished).await.starts_with("HTTP/1.1 408"));
+    for mut stream in kept {
+        stream.write_all(request("/").as_bytes()).await.unwrap();
+        assert!(read_answer(&mut stream).await.starts_with("HTTP/1.1 200"));
+    }
+}
+
+/// Guards against connections that are closed for new ones while their requests are in progress.
+#[tokio::test]
+async fn connections_in_use_are_not_closed_at_the_limit() {
+    let running = start_server().await;
+    let mut waiting = Vec::new();
+    for _ in 0..CONNECTION_LIMIT {
+        waiting.push(send(running.address, &request("/wait")).await);
+    }
+    while WAITING.load(Ordering::Relaxed) < CONNECTION_LIMIT {
+        sleep(Duration::from_millis(5)).await;
+    }
+    let mut added = send(running.address, &request("/")).await;
+    let early = timeout(Duration::from_millis(300), read_answer(&mut added)).await;
+    assert!(early.is_err(), "there was no room");
+    assert_eq!(running.server.open_connections(), CONNECTION_LIMIT);
+    PERMITS.add_permits(CONNECTION_LIMIT);
+    for stream in &mut waiting {
+        assert!(read_answer(stream).await.starts_with("HTTP/1.1 200"));
+    }
+    assert!(read_answer(&mut added).await.starts_with("HTTP/1.1 200"));
+}
