Don't count the wait for room as idle time of a connection

A connection that waited at the limit for longer than the idle limit was closed as soon as there was room, before its caller could send a request: it counted as idle from its acceptance. It now counts from when there is room.

connection_isnt_idle_while_it_waits_for_room fails without the change of server.rs and passes with it.

--- a/crates/celeryshed_http/src/server.rs
+++ b/crates/celeryshed_http/src/server.rs
@@ -140,10 +140,10 @@
         B: Body<Data = Bytes> + Default + Send + Unpin + 'static,
         B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     {
-        let activity = ConnectionActivity::open();
-        let open = loop {
+        let (activity, open) = loop {
+            let activity = ConnectionActivity::open();
             match self.open.add(&activity) {
-                Some(open) => break open,
+                Some(open) => break (activity, open),
                 // A connection may have become idle when none has ended.
                 None => drop(timeout(ACCEPT_RETRY_DELAY, self.open.ended()).await),
             }
@@ -236,10 +236,10 @@
                 break Some(EndReason::UnfinishedHead);
             }
             draining = true;
-            let reason = match closing_since {
-                _ if is_evicted => EndReason::Evicted,
-                Some(_) => EndReason::Closing,
-                None => EndReason::Idle,
+            let reason = match (is_evicted, closing_since) {
+                (true, _) => EndReason::Evicted,
+                (false, Some(_)) => EndReason::Closing,
+                (false, None) => EndReason::Idle,
             };
             reason.report(peer);
             Pin::new(&mut connection).graceful_shutdown();
--- a/crates/celeryshed_http/tests/connection_limit.rs
+++ b/crates/celeryshed_http/tests/connection_limit.rs
@@ -1,6 +1,7 @@
 //! Servers at their limit of connections.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
@@ -10,43 +11,64 @@
 use hyper::Response;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
 
 const CONNECTION_LIMIT: usize = 3;
 const LONG_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// Requests at `/wait` are answered once they get a permit.
-static PERMITS: Semaphore = Semaphore::const_new(0);
-/// Number of requests at `/wait` that have begun.
-static WAITING: AtomicUsize = AtomicUsize::new(0);
+/// Requests at `/wait`.
+#[derive(Default)]
+struct WaitingRequests {
+    begun: AtomicUsize,
+    ended: Notify,
+}
 
 struct RunningServer {
     address: SocketAddr,
     server: ConnectionServer,
+    waiting: Arc<WaitingRequests>,
     _settings: watch::Sender<ServerSettings>,
     _closing: watch::Sender<bool>,
 }
 
-async fn start_server() -> RunningServer {
+async fn start_server(idle_timeout: Duration) -> RunningServer {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let (settings, settings_watch) = watch::channel(ServerSettings {
         max_head_bytes: 8192,
-        idle_timeout: LONG_TIMEOUT,
+        idle_timeout,
         write_timeout: LONG_TIMEOUT,
     });
     let (closing, closing_watch) = watch::channel(false);
     let server = ConnectionServer::new(settings_watch, closing_watch)
         .with_connection_limit(CONNECTION_LIMIT);
-    tokio::spawn(server.clone().run(listener, |request, _peer| async move {
-        if request.uri().path() == "/wait" {
-            WAITING.fetch_add(1, Ordering::Relaxed);
-            PERMITS.acquire().await.unwrap().forget();
+    let waiting = Arc::new(WaitingRequests::default());
+    let shared = waiting.clone();
+    tokio::spawn(server.clone().run(listener, move |request, _peer| {
+        let waiting = shared.clone();
+        async move {
+            if request.uri().path() == "/wait" {
+                let ended = waiting.ended.notified();
+                waiting.begun.fetch_add(1, Ordering::Relaxed);
+                ended.await;
+            }
+            Response::new(Full::<Bytes>::from("whole"))
         }
-        Response::new(Full::<Bytes>::from("whole"))
     }));
-    RunningServer { address, server, _settings: settings, _closing: closing }
+    RunningServer { address, server, waiting, _settings: settings, _closing: closing }
+}
+
+/// Opens as many connections as the limit allows, with a request on each that waits.
+async fn fill(running: &RunningServer) -> Vec<TcpStream> {
+    let mut streams = Vec::new();
+    for _ in 0..CONNECTION_LIMIT {
+        streams.push(send(running.address, &request("/wait")).await);
+    }
+    while running.waiting.begun.load(Ordering::Relaxed) < CONNECTION_LIMIT {
+        sleep(Duration::from_millis(5)).await;
+    }
+    streams
 }
 
 async fn send(address: SocketAddr, text: &str) -> TcpStream {
@@ -75,7 +97,7 @@
 /// Guards against idle connections, and heads that never end, that keep other callers out.
 #[tokio::test]
 async fn idle_connections_keep_no_caller_out() {
-    let running = start_server().await;
+    let running = start_server(LONG_TIMEOUT).await;
     let mut unfinished = send(running.address, "GET / HTTP/1.1\r\n").await;
     let mut kept = Vec::new();
     for _ in 1..CONNECTION_LIMIT {
@@ -95,21 +117,36 @@
 /// Guards against connections that are closed for new ones while their requests are in progress.
 #[tokio::test]
 async fn connections_in_use_are_not_closed_at_the_limit() {
-    let running = start_server().await;
-    let mut waiting = Vec::new();
-    for _ in 0..CONNECTION_LIMIT {
-        waiting.push(send(running.address, &request("/wait")).await);
-    }
-    while WAITING.load(Ordering::Relaxed) < CONNECTION_LIMIT {
-        sleep(Duration::from_millis(5)).await;
-    }
+    let running = start_server(LONG_TIMEOUT).await;
+    let mut waiting = fill(&running).await;
     let mut added = send(running.address, &request("/")).await;
     let early = timeout(Duration::from_millis(300), read_answer(&mut added)).await;
     assert!(early.is_err(), "there was no room");
     assert_eq!(running.server.open_connections(), CONNECTION_LIMIT);
-    PERMITS.add_permits(CONNECTION_LIMIT);
+    running.waiting.ended.notify_waiters();
     for stream in &mut waiting {
         assert!(read_answer(stream).await.starts_with("HTTP/1.1 200"));
     }
     assert!(read_answer(&mut added).await.starts_with("HTTP/1.1 200"));
 }
+
+/// Guards against connections that are closed as idle because of the time that they waited for room.
+#[tokio::test]
+async fn connection_isnt_idle_while_it_waits_for_room() {
+    let idle_timeout = Duration::from_secs(2);
+    let running = start_server(idle_timeout).await;
+    let mut waiting = fill(&running).await;
+    let mut added = send(running.address, "").await;
+    sleep(idle_timeout + Duration::from_millis(500)).await;
+    running.waiting.ended.notify_waiters();
+    for stream in &mut waiting {
+        assert!(read_answer(stream).await.starts_with("HTTP/1.1 200"));
+    }
+    while running.server.open_connections() == CONNECTION_LIMIT {
+        waiting.pop();
+        sleep(Duration::from_millis(50)).await;
+    }
+    sleep(Duration::from_millis(300)).await;
+    added.write_all(request("/").as_bytes()).await.unwrap();
+    assert!(read_answer(&mut added).await.starts_with("HTTP/1.1 200"));
+}
