Bound the memory for bodies also where the configuration allows larger ones than the machine holds

Callers could see: an entry whose configuration has a max_body_bytes near the size of its machine's memory, or far above it, takes bodies without a bound again. Cause: the budget grew to twice that limit, whatever the machine has. Change: it at most doubles; a body that needs more is refused as not run. The test of the largest lease expected growth without end and is replaced by one within the bound and one beyond it.

--- a/crates/celeryshed_gateway/src/request/buffer.rs
+++ b/crates/celeryshed_gateway/src/request/buffer.rs
@@ -9,6 +9,9 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+/// Largest growth of a budget for the sake of a single lease.
+const MAX_BUDGET_GROWTH: usize = 2;
+
 /// How much of a budget a single lease may take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum LeaseRule {
@@ -43,13 +46,16 @@
         Self { limit, rule, used: Arc::default() }
     }
 
-    /// The same memory, large enough for a lease of `bytes` while there is no other.
+    /// The same memory, large enough for a lease of `bytes` while there is no other, but no larger than
+    /// [`MAX_BUDGET_GROWTH`] times the budget: the size may come from a configuration that doesn't
+    /// know the machine.
     pub(crate) fn with_room_for(&self, bytes: usize) -> Self {
         let needed = match self.rule {
             LeaseRule::Fraction(parts) => bytes.saturating_mul(parts),
             LeaseRule::FreeShare => bytes.saturating_mul(2),
         };
-        Self { limit: self.limit.max(needed), ..self.clone() }
+        let max_limit = self.limit.saturating_mul(MAX_BUDGET_GROWTH);
+        Self { limit: needed.clamp(self.limit, max_limit), ..self.clone() }
     }
 
     /// A lease without bytes.
--- a/crates/celeryshed_gateway/src/request/buffer/tests.rs
+++ b/crates/celeryshed_gateway/src/request/buffer/tests.rs
@@ -18,17 +18,28 @@
     assert_eq!(budget.lease().check(500), Ok(()));
 }
 
-/// Guards against a limit of the configuration that is larger than the memory for bodies.
+/// Guards against a largest body that is refused although it is the only one.
 #[test]
-fn largest_single_lease_always_fits() {
-    for rule in [LeaseRule::FreeShare, LeaseRule::Fraction(16)] {
-        let budget = BufferBudget::new(10, rule).with_room_for(1000);
+fn largest_single_lease_fits() {
+    for (rule, limit) in [(LeaseRule::FreeShare, 1100), (LeaseRule::Fraction(16), 9000)] {
+        let budget = BufferBudget::new(limit, rule).with_room_for(1000);
         let mut lease = budget.lease();
         assert_eq!(lease.resize(1000), Ok(()), "{rule:?}");
         assert_eq!(lease.resize(1001), Err(BufferExceeded), "{rule:?}");
     }
 }
 
+/// Guards against a largest body of the configuration that exceeds the machine's memory.
+#[test]
+fn single_lease_does_not_lift_the_budget_without_end() {
+    for bytes in [1_000_000, usize::MAX] {
+        let budget = BufferBudget::new(1000, LeaseRule::FreeShare).with_room_for(bytes);
+        let mut lease = budget.lease();
+        assert_eq!(lease.resize(1000), Ok(()));
+        assert_eq!(lease.resize(1001), Err(BufferExceeded));
+    }
+}
+
 #[test]
 fn answers_share_the_budget() {
     let budget = BufferBudget::new(160, LeaseRule::Fraction(16));
--- a/crates/celeryshed_gateway/src/settings.rs
+++ b/crates/celeryshed_gateway/src/settings.rs
@@ -30,7 +30,8 @@
     /// a sixteenth of it.
     pub answer_memory_bytes: usize,
     /// Memory for the bodies of requests until they can't be sent again, in bytes; a single one may
-    /// take as much as remains free. At least twice the largest body of the configuration is used.
+    /// take as much as remains free. Up to twice as
+    /// much is used if the largest body of the configuration needs it.
     pub body_memory_bytes: usize,
     /// Most connections of callers that are open at the same time.
     pub max_caller_connections: usize,
