Keep sockets free where the system allows fewer than the settings name

Callers got no answer while idle connections held all descriptors: with 2400 in the settings and 400 allowed by the system (ulimit -n), 500 connections without a whole head kept an ordinary request unanswered for 20 s.

The limit of callers' connections came from the settings alone, so that it was never reached, and no idle connection was closed. It is now also three quarters of the system's limit, which leaves descriptors for the endpoint that answers.

--- a/crates/celeryshed_gateway/src/process.rs
+++ b/crates/celeryshed_gateway/src/process.rs
@@ -10,7 +10,9 @@
 use celeryshed_peering::{
     ControlHandle, ControlStore, PeerSocket, RecordDecoder, parse_control_query, start_control,
 };
-use celeryshed_process::{ProcessSignals, listen_tcp, listen_udp, open_sockets, serve_metrics};
+use celeryshed_process::{
+    ProcessSignals, listen_tcp, listen_udp, max_open_descriptors, open_sockets, serve_metrics,
+};
 use hyper::{Request, Response, StatusCode};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -119,7 +121,7 @@
             bodies: BufferBudget::new(settings.body_memory_bytes, LeaseRule::FreeShare),
         });
         let callers = ConnectionServer::new(settings_watch.clone(), closing_watch.clone())
-            .with_connection_limit(settings.max_caller_connections);
+            .with_connection_limit(max_caller_connections(&settings));
         tokio::spawn(
             callers.clone().run(sockets.callers, move |request, _from| {
                 handle_request(context.clone(), request)
@@ -177,6 +179,12 @@
     }
 }
 
+/// Most connections of callers. A system that allows fewer descriptors than the settings name must
+/// still have some left for endpoints, peers and the store.
+fn max_caller_connections(settings: &GatewaySettings) -> usize {
+    settings.max_caller_connections.min(max_open_descriptors() / 4 * 3)
+}
+
 /// A caller that receives nothing is given up after the time that open requests get in a shutdown.
 fn server_settings_of(limits: CallerLimits, grace_period: Duration) -> ServerSettings {
     ServerSettings {
--- a/crates/celeryshed_process/src/lib.rs
+++ b/crates/celeryshed_process/src/lib.rs
@@ -1,9 +1,11 @@
 //! What the thin programs do alike when they start and end.
 
+mod descriptors;
 mod listen;
 mod metrics_service;
 mod signals;
 
+pub use descriptors::max_open_descriptors;
 pub use listen::{ListenError, Result, listen_tcp, listen_udp, open_sockets};
 pub use metrics_service::serve_metrics;
 pub use signals::ProcessSignals;
