Log how many connections of callers an entry takes

Cause: the limit follows from the settings and from the system's limit of descriptors; nothing told which one holds. Change: a field of the line started.

--- a/crates/celeryshed_gateway/src/process.rs
+++ b/crates/celeryshed_gateway/src/process.rs
@@ -120,8 +120,9 @@
             buffers: BufferBudget::new(settings.answer_memory_bytes, ANSWER_LEASE_RULE),
             bodies: BufferBudget::new(settings.body_memory_bytes, LeaseRule::FreeShare),
         });
+        let max_connections = max_caller_connections(&settings);
         let callers = ConnectionServer::new(settings_watch.clone(), closing_watch.clone())
-            .with_connection_limit(max_caller_connections(&settings));
+            .with_connection_limit(max_connections);
         tokio::spawn(
             callers.clone().run(sockets.callers, move |request, _from| {
                 handle_request(context.clone(), request)
@@ -148,6 +149,7 @@
             .field("role", "entry")
             .field("name", &settings.name)
             .field("callers", settings.caller_address)
+            .field("max_connections", max_connections)
             .field("ready", settings.readiness_address)
             .field("peers", settings.peer_address)
             .field("metrics", settings.metrics_address)
