Close an evicted connection whose caller receives nothing

Callers were kept out: a connection that was told to close for a new one just when its next request arrived kept its place for as long as its caller held it open without receiving the response. With such connections in all places, no connection is accepted any more.

The loop that serves a connection stopped its timer once the connection was closing in order, since only idle ones were. An eviction is decided in another task, so that the connection may have a request by the time it learns of it, and then nothing checked the limit for unreceived responses. The timer now goes on.

evicted_connection_ends_though_its_caller_receives_nothing failed before ("the place was never free", 20 s), and passes; so do the other tests of celeryshed_http.

--- a/crates/celeryshed_http/src/server.rs
+++ b/crates/celeryshed_http/src/server.rs
@@ -204,9 +204,14 @@
         let mut draining = false;
         let mut is_evicted = false;
         let end_reason = loop {
-            let wake_at = self
-                .unreceived_end(&activity)
-                .unwrap_or_else(|| self.idle_end(&activity, closing_since));
+            let wake_at = self.unreceived_end(&activity).unwrap_or_else(|| {
+                if draining {
+                    // Its last response may end, and not be received, at any time.
+                    Instant::now() + UNREAD_REQUEST_WAIT
+                } else {
+                    self.idle_end(&activity, closing_since)
+                }
+            });
             tokio::select! {
                 // A request that has arrived is read before the connection may be closed.
                 biased;
@@ -221,7 +226,7 @@
                     closing_since = Some(Instant::now());
                 }
                 () = open.evicted(), if !is_evicted => is_evicted = true,
-                () = sleep_until(wake_at), if !draining => {}
+                () = sleep_until(wake_at) => {}
             }
             if self.unreceived_end(&activity).is_some_and(|end| end <= Instant::now()) {
                 break Some(EndReason::Unreceived);
--- a/crates/celeryshed_http/tests/connection_limit.rs
+++ b/crates/celeryshed_http/tests/connection_limit.rs
@@ -15,6 +15,8 @@
 use tokio::time::{sleep, timeout};
 
 const CONNECTION_LIMIT: usize = 3;
+/// More than the buffers of a connection hold.
+const LARGE_RESPONSE_BYTES: usize = 32 * 1024 * 1024;
 const LONG_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Requests at `/wait`.
@@ -150,3 +152,35 @@
     added.write_all(request("/").as_bytes()).await.unwrap();
     assert!(read_answer(&mut added).await.starts_with("HTTP/1.1 200"));
 }
+
+/// Guards against a connection that is kept for ever because it was told to close for another one
+/// just when it got a request, whose response its caller doesn't receive.
+#[tokio::test]
+async fn evicted_connection_ends_though_its_caller_receives_nothing() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (_settings, settings) = watch::channel(ServerSettings {
+        max_head_bytes: 8192,
+        idle_timeout: LONG_TIMEOUT,
+        write_timeout: Duration::from_millis(300),
+    });
+    let (_closing, closing) = watch::channel(false);
+    let server = ConnectionServer::new(settings, closing).with_connection_limit(1);
+    tokio::spawn(server.clone().run(listener, |_request, _peer| async {
+        Response::new(Full::<Bytes>::from(vec![b'x'; LARGE_RESPONSE_BYTES]))
+    }));
+    let mut kept = std::net::TcpStream::connect(address).unwrap();
+    while server.open_connections() == 0 {
+        sleep(Duration::from_millis(5)).await;
+    }
+    // The server sees the new connection first, and the request when it polls the former one.
+    let added = std::net::TcpStream::connect(address).unwrap();
+    std::io::Write::write_all(&mut kept, request("/").as_bytes()).unwrap();
+    added.set_nonblocking(true).unwrap();
+    let mut added = TcpStream::from_std(added).unwrap();
+    added.write_all(request("/").as_bytes()).await.unwrap();
+    let mut head = [0; 12];
+    let read = timeout(Duration::from_secs(20), added.read_exact(&mut head)).await;
+    assert!(read.is_ok_and(|read| read.is_ok()), "the place was never free");
+    assert_eq!(&head, b"HTTP/1.1 200");
+}
