Close connections whose bodies never end at the limit of connections

Callers were kept out while clients whose bodies lack their end held all connections: with 300 places and 900 clients that came back after each 408, four ordinary requests got no answer within 20 s each.

Only an idle connection gave its place to a new one, and one that waits for the rest of a body isn't idle. Such a body costs one byte of the budget for bodies, so that this didn't bound them either.

While no connection is idle, the one that has waited longest for the rest of a request's body is now answered with 408 and closed. Its request hasn't run, as the entry places none before its body is complete.

unfinished_bodies_keep_no_caller_out failed before ("an answer: Elapsed", 20 s), and passes; so do the other tests of celeryshed_http.

--- a/crates/celeryshed_http/src/activity.rs
+++ b/crates/celeryshed_http/src/activity.rs
@@ -21,6 +21,8 @@
     in_progress: usize,
     /// When the first byte of the next request arrived, until its head is complete.
     head_begun_at: Option<Instant>,
+    /// When a request began whose body hasn't been received completely.
+    body_begun_at: Option<Instant>,
     /// When the connection was opened, or the end of a response was last written to it.
     last_used_at: Instant,
     /// Since when a response waits for its caller to receive the part before; none if it doesn't.
@@ -34,6 +36,7 @@
         let state = ActivityState {
             in_progress: 0,
             head_begun_at: None,
+            body_begun_at: None,
             last_used_at,
             write_blocked_at: None,
         };
@@ -63,6 +66,21 @@
         state.write_blocked_at.filter(|_| state.in_progress == 0)
     }
 
+    /// The body of the request in progress begins.
+    pub(crate) fn begin_body(&self) {
+        self.state().body_begun_at = Some(Instant::now());
+    }
+
+    /// The body of the request in progress was received, or nobody waits for it.
+    pub(crate) fn end_body(&self) {
+        self.state().body_begun_at = None;
+    }
+
+    /// Since when a request waits for the rest of its body.
+    pub(crate) fn body_begun_at(&self) -> Option<Instant> {
+        self.state().body_begun_at
+    }
+
     /// Whether the next request has arrived in part.
     pub(crate) fn has_unfinished_head(&self) -> bool {
         self.state().head_begun_at.is_some()
--- a/crates/celeryshed_http/src/end.rs
+++ b/crates/celeryshed_http/src/end.rs
@@ -15,6 +15,9 @@
     Closing,
     /// A request head began, but wasn't complete in time; it was answered with 408.
     UnfinishedHead,
+    /// The body of a request wasn't complete when the limit of connections was reached; it was
+    /// answered with 408.
+    UnfinishedBody,
     /// The caller has received nothing of an ended response for too long.
     Unreceived,
     /// What arrived was no valid request.
@@ -45,6 +48,7 @@
             Self::Evicted => "evicted",
             Self::Closing => "closing",
             Self::UnfinishedHead => "unfinished_head",
+            Self::UnfinishedBody => "unfinished_body",
             Self::Unreceived => "unreceived",
             Self::InvalidRequest => "invalid_request",
             Self::CallerLeft => "caller_left",
--- a/crates/celeryshed_http/src/open_connections.rs
+++ b/crates/celeryshed_http/src/open_connections.rs
@@ -69,13 +69,19 @@
         self.connections.len() + self.evicted_count
     }
 
-    /// Tells the connection that has been idle longest to close, if one is idle.
+    /// Tells the connection to close that has been idle longest. If none is idle, it is the one that
+    /// has waited longest for the rest of a request's body.
     fn evict_idle(&mut self) {
         let idle = self
             .connections
             .iter()
             .filter_map(|(id, open)| Some((open.activity.idle_since()?, *id)));
-        let longest = idle.min().and_then(|(_, id)| self.connections.remove(&id));
+        let receiving = self
+            .connections
+            .iter()
+            .filter_map(|(id, open)| Some((open.activity.body_begun_at()?, *id)));
+        let longest = idle.min().or_else(|| receiving.min());
+        let longest = longest.and_then(|(_, id)| self.connections.remove(&id));
         if let Some(connection) = longest {
             self.evicted_count += 1;
             connection.evicted.notify_one();
--- a/crates/celeryshed_http/src/request_body.rs
+++ b/crates/celeryshed_http/src/request_body.rs
@@ -10,6 +10,8 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::EXPECT;
 
+use crate::activity::ConnectionActivity;
+
 /// Body of a request; the server receives what its handler leaves unread.
 #[derive(Debug)]
 pub struct RequestBody {
@@ -18,6 +20,7 @@
     /// Whether the caller sends the body only once the handler reads it.
     awaits_reader: bool,
     unread: UnreadBody,
+    activity: ConnectionActivity,
 }
 
 /// What the handler of a request has left unread of its body.
@@ -26,13 +29,20 @@
 
 impl RequestBody {
     /// Passes the rest of the request's body on when the handler drops it.
-    pub(crate) fn track(request: Request<Incoming>) -> (Request<Self>, UnreadBody) {
+    pub(crate) fn track(
+        request: Request<Incoming>,
+        activity: &ConnectionActivity,
+    ) -> (Request<Self>, UnreadBody) {
+        if !request.body().is_end_stream() {
+            activity.begin_body();
+        }
         let unread = UnreadBody::default();
         let awaits_reader = request.headers().contains_key(EXPECT);
         let request = request.map(|incoming| Self {
             incoming: Some(incoming),
             awaits_reader,
             unread: unread.clone(),
+            activity: activity.clone(),
         });
         (request, unread)
     }
@@ -60,6 +70,7 @@
         let frame = ready!(Pin::new(incoming).poll_frame(context));
         if !matches!(frame, Some(Ok(_))) {
             self.incoming = None;
+            self.activity.end_body();
         }
         Poll::Ready(frame)
     }
--- a/crates/celeryshed_http/src/server.rs
+++ b/crates/celeryshed_http/src/server.rs
@@ -37,7 +37,7 @@
 /// Time to receive what a handler has left of a request's body, before its response is sent.
 const UNREAD_BODY_WAIT: Duration = Duration::from_secs(1);
 
-const UNFINISHED_HEAD_RESPONSE: &[u8] =
+const UNFINISHED_RESPONSE: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
 /// Limits of accepted connections.
@@ -73,7 +73,8 @@
     }
 
     /// The same server with at most `limit` connections, at least 1. At the limit, a new connection
-    /// takes the place of the one that has been idle longest; while none is idle, it waits.
+    /// takes the place of the one that has been idle longest, or has waited longest for the rest of a
+    /// request's body; while there is none, it waits.
     ///
     /// ```
     /// use std::time::Duration;
@@ -173,9 +174,9 @@
             let closing = self.closing.clone();
             service_fn(move |request| {
                 let guard = activity.begin();
-                let (request, unread) = RequestBody::track(request);
+                let (request, unread) = RequestBody::track(request, &activity);
                 let answer = AssertUnwindSafe(handler(request, peer)).catch_unwind();
-                let closing = closing.clone();
+                let (activity, closing) = (activity.clone(), closing.clone());
                 async move {
                     let answer = answer.await;
                     let has_panicked = answer.is_err();
@@ -186,6 +187,7 @@
                     // A response that is sent before its request has arrived may be lost, because
                     // closing a connection with unread bytes resets it.
                     let has_unread = timeout(UNREAD_BODY_WAIT, unread.discard()).await.is_err();
+                    activity.end_body();
                     if has_panicked || has_unread || *closing.borrow() {
                         response
                             .headers_mut()
@@ -240,6 +242,9 @@
             if activity.has_unfinished_head() {
                 break Some(EndReason::UnfinishedHead);
             }
+            if is_evicted && activity.body_begun_at().is_some() {
+                break Some(EndReason::UnfinishedBody);
+            }
             draining = true;
             let reason = match (is_evicted, closing_since) {
                 (true, _) => EndReason::Evicted,
@@ -252,8 +257,8 @@
         if let Some(reason) = end_reason {
             reason.report(peer);
         }
-        if end_reason == Some(EndReason::UnfinishedHead) {
-            reject_unfinished_head(connection.into_parts().io.into_inner()).await;
+        if matches!(end_reason, Some(EndReason::UnfinishedHead | EndReason::UnfinishedBody)) {
+            reject_unfinished(connection.into_parts().io.into_inner()).await;
         }
     }
 
@@ -289,9 +294,9 @@
 }
 
 /// Tells a caller that its request, of which only a part has arrived, hasn't run.
-async fn reject_unfinished_head(mut stream: TrackedStream) {
+async fn reject_unfinished(mut stream: TrackedStream) {
     let rejected = async {
-        stream.write_all(UNFINISHED_HEAD_RESPONSE).await?;
+        stream.write_all(UNFINISHED_RESPONSE).await?;
         stream.shutdown().await
     };
     // The connection is closed next, whether or not the caller has received the response.
--- a/crates/celeryshed_http/tests/connection_limit.rs
+++ b/crates/celeryshed_http/tests/connection_limit.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use celeryshed_http::{ConnectionServer, ServerSettings};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::Response;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -55,6 +55,8 @@
                 waiting.begun.fetch_add(1, Ordering::Relaxed);
                 ended.await;
             }
+            // A handler that needs the whole body.
+            let _ = request.into_body().collect().await;
             Response::new(Full::<Bytes>::from("whole"))
         }
     }));
@@ -184,3 +186,19 @@
     assert!(read.is_ok_and(|read| read.is_ok()), "the place was never free");
     assert_eq!(&head, b"HTTP/1.1 200");
 }
+
+/// Guards against bodies that never end, which keep other callers out.
+#[tokio::test]
+async fn unfinished_bodies_keep_no_caller_out() {
+    let running = start_server(LONG_TIMEOUT).await;
+    let mut unfinished = Vec::new();
+    for _ in 0..CONNECTION_LIMIT {
+        let text = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nx";
+        unfinished.push(send(running.address, text).await);
+        sleep(Duration::from_millis(50)).await;
+    }
+    let mut added = send(running.address, &request("/")).await;
+    let answer = timeout(Duration::from_secs(20), read_answer(&mut added)).await;
+    assert!(answer.expect("an answer").starts_with("HTTP/1.1 200"));
+    assert!(read_answer(&mut unfinished[0]).await.starts_with("HTTP/1.1 408"));
+}
