Count a body as received with its last part

Cause: a body counted as unfinished until its handler read on after the last part; a handler that doesn't could have been answered with 408 (not run) after it acted on the body. Read, not seen: the entry reads on. Change: the end of the stream counts.

--- a/crates/celeryshed_http/src/request_body.rs
+++ b/crates/celeryshed_http/src/request_body.rs
@@ -70,6 +70,9 @@
         let frame = ready!(Pin::new(incoming).poll_frame(context));
         if !matches!(frame, Some(Ok(_))) {
             self.incoming = None;
+        }
+        // The handler may act on the last part without another read.
+        if self.is_end_stream() {
             self.activity.end_body();
         }
         Poll::Ready(frame)
