Read the settings again while the sockets of a role can't be opened

Callers saw: a start whose settings named an address that isn't assigned, or a port that another program keeps, waited for it for ever, also after the settings were replaced; before the wait, it ended, and its restart read the new ones. Cause: the wait for sockets had no end, and the settings were read once before it. Change: after 5 s without sockets a role returns, and its settings are read anew; SIGTERM ends the wait as before.

--- a/crates/celeryshed_gateway/src/process.rs
+++ b/crates/celeryshed_gateway/src/process.rs
@@ -11,12 +11,13 @@
     ControlHandle, ControlStore, PeerSocket, RecordDecoder, parse_control_query, start_control,
 };
 use celeryshed_process::{
-    ProcessSignals, listen_tcp, listen_udp, max_open_descriptors, open_sockets, serve_metrics,
+    ProcessSignals, RoleEnd, SOCKETS_WAIT, listen_tcp, listen_udp, max_open_descriptors,
+    open_sockets, serve_metrics,
 };
 use hyper::{Request, Response, StatusCode};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::context::{GatewayContext, ShutdownPhase};
 use crate::dispatcher_task::{DispatcherOutputs, start_dispatcher};
@@ -64,14 +65,14 @@
 pub struct EntryProcess;
 
 impl EntryProcess {
-    /// Runs an entry until SIGTERM. Then waits until its connections are closed or the grace period
+    /// Runs an entry until SIGTERM, unless its sockets can't be opened. Then waits until its connections are closed or the grace period
     /// ends.
     pub async fn run<S: ControlStore, D: RecordDecoder>(
         settings: GatewaySettings,
-        signals: ProcessSignals,
+        signals: &mut ProcessSignals,
         store: Arc<S>,
         decoder: Arc<D>,
-    ) -> Result<()> {
+    ) -> Result<RoleEnd> {
         Self::run_with_clock(settings, ClockSource::start(), signals, store, decoder).await
     }
 
@@ -79,14 +80,17 @@
     pub async fn run_with_clock<S: ControlStore, D: RecordDecoder>(
         settings: GatewaySettings,
         clock: ClockSource,
-        mut signals: ProcessSignals,
+        signals: &mut ProcessSignals,
         store: Arc<S>,
         decoder: Arc<D>,
-    ) -> Result<()> {
+    ) -> Result<RoleEnd> {
         let registry = MetricsRegistry::install();
         // Opened before any connection, which could otherwise get one of the ports.
-        let opened = signals.start_step(open_sockets(|| EntrySockets::open(&settings))).await;
-        let Some(sockets) = opened else { return Ok(()) };
+        let opened = timeout(SOCKETS_WAIT, open_sockets(|| EntrySockets::open(&settings)));
+        let Some(opened) = signals.start_step(opened).await else {
+            return Ok(RoleEnd::Terminated);
+        };
+        let Ok(sockets) = opened else { return Ok(RoleEnd::SocketsTaken) };
         let sockets = sockets?;
         tokio::spawn(registry.clone().run_upkeep());
         let (control, events) = start_control(store, decoder, settings.control);
@@ -177,7 +181,7 @@
             .field("open", callers.open_connections())
             .field("elapsed_ms", started.elapsed().as_millis())
             .info();
-        Ok(())
+        Ok(RoleEnd::Terminated)
     }
 }
 
--- a/crates/celeryshed_gateway/tests/support/mod.rs
+++ b/crates/celeryshed_gateway/tests/support/mod.rs
@@ -230,8 +230,8 @@
         let decoder = store.clone();
         let entry_store = store.clone();
         tokio::spawn(async move {
-            let signals = ProcessSignals::install().unwrap();
-            EntryProcess::run_with_clock(settings, clock, signals, entry_store, decoder).await
+            let mut signals = ProcessSignals::install().unwrap();
+            EntryProcess::run_with_clock(settings, clock, &mut signals, entry_store, decoder).await
         });
         Self { callers, readiness, store }
     }
--- a/crates/celeryshed_process/src/lib.rs
+++ b/crates/celeryshed_process/src/lib.rs
@@ -6,6 +6,6 @@
 mod signals;
 
 pub use descriptors::max_open_descriptors;
-pub use listen::{ListenError, Result, listen_tcp, listen_udp, open_sockets};
+pub use listen::{ListenError, Result, SOCKETS_WAIT, listen_tcp, listen_udp, open_sockets};
 pub use metrics_service::serve_metrics;
-pub use signals::ProcessSignals;
+pub use signals::{ProcessSignals, RoleEnd};
--- a/crates/celeryshed_process/src/listen.rs
+++ b/crates/celeryshed_process/src/listen.rs
@@ -14,6 +14,8 @@
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Least time between two log lines of the same wait.
 const LOG_INTERVAL: Duration = Duration::from_secs(5);
+/// How long a role waits for its sockets before its settings are read again.
+pub const SOCKETS_WAIT: Duration = Duration::from_secs(5);
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1024;
 
--- a/crates/celeryshed_process/src/signals.rs
+++ b/crates/celeryshed_process/src/signals.rs
@@ -6,6 +6,16 @@
 /// Result of the installation of a handler.
 type Result<T> = std::io::Result<T>;
 
+/// Why a role no longer runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RoleEnd {
+    /// SIGTERM has ended it.
+    Terminated,
+    /// Its sockets couldn't be opened for [`SOCKETS_WAIT`](crate::SOCKETS_WAIT). Its settings may have
+    /// changed since they were read.
+    SocketsTaken,
+}
+
 /// Receives the signals that a supervisor sends.
 #[derive(Debug)]
 pub struct ProcessSignals {
--- a/crates/celeryshed_stager/src/process.rs
+++ b/crates/celeryshed_stager/src/process.rs
@@ -8,9 +8,12 @@
 use celeryshed_http::{ConnectionServer, ServerSettings};
 use celeryshed_observe::{EventLine, MetricsRegistry};
 use celeryshed_peering::{ControlHandle, ControlStore, PeerSocket, RecordDecoder, start_control};
-use celeryshed_process::{ProcessSignals, listen_tcp, listen_udp, open_sockets, serve_metrics};
+use celeryshed_process::{
+    ProcessSignals, RoleEnd, SOCKETS_WAIT, listen_tcp, listen_udp, open_sockets, serve_metrics,
+};
 use tokio::net::TcpListener;
 use tokio::sync::{Mutex, watch};
+use tokio::time::timeout;
 
 use crate::endpoint_stage::EndpointStage;
 use crate::fetch_task::FetchTask;
@@ -56,14 +59,14 @@
 pub struct SidecarProcess;
 
 impl SidecarProcess {
-    /// Runs a sidecar until SIGTERM. SIGHUP only logs an event: the settings are not read again.
+    /// Runs a sidecar until SIGTERM, unless its sockets can't be opened. SIGHUP only logs an event: the settings are not read again.
     pub async fn run<S, D, P>(
         settings: SidecarSettings,
-        mut signals: ProcessSignals,
+        signals: &mut ProcessSignals,
         store: Arc<S>,
         decoder: Arc<D>,
         platform: Arc<P>,
-    ) -> Result<()>
+    ) -> Result<RoleEnd>
     where
         S: ControlStore,
         D: RecordDecoder,
@@ -73,8 +76,11 @@
         let clock = ClockSource::start();
         let registry = MetricsRegistry::install();
         // Opened before any connection, which could otherwise get one of the ports.
-        let opened = signals.start_step(open_sockets(|| SidecarSockets::open(&settings))).await;
-        let Some(sockets) = opened else { return Ok(()) };
+        let opened = timeout(SOCKETS_WAIT, open_sockets(|| SidecarSockets::open(&settings)));
+        let Some(opened) = signals.start_step(opened).await else {
+            return Ok(RoleEnd::Terminated);
+        };
+        let Ok(sockets) = opened else { return Ok(RoleEnd::SocketsTaken) };
         let sockets = sockets?;
         tokio::spawn(registry.clone().run_upkeep());
         let (control, events) = start_control(store, decoder, settings.control);
@@ -163,7 +169,7 @@
             .info();
         signals.terminated().await;
         EventLine::new("stopped").field("role", "side").info();
-        Ok(())
+        Ok(RoleEnd::Terminated)
     }
 }
 
--- a/crates/celeryshed_stager/tests/support/mod.rs
+++ b/crates/celeryshed_stager/tests/support/mod.rs
@@ -654,9 +654,9 @@
     let store = Arc::new(FakeStore { declared, endpoints });
     let (weights, fake) = (weights.clone(), store.clone());
     let peer_address = settings.peer_address;
-    let signals = ProcessSignals::install().unwrap();
+    let mut signals = ProcessSignals::install().unwrap();
     tokio::spawn(async move {
-        SidecarProcess::run(settings, signals, fake.clone(), fake, weights).await
+        SidecarProcess::run(settings, &mut signals, fake.clone(), fake, weights).await
     });
     (peer_address, store)
 }
