--- a/crates/celeryshed_gateway/src/request/received_body/tests.rs
+++ b/crates/celeryshed_gateway/src/request/received_body/tests.rs
@@ -39,7 +39,7 @@
 
 #[tokio::test]
 async fn bodies_up_to_the_limit_are_received() {
-    let budget = BufferBudget::new(0, LeaseRule::FreeShare);
+    let budget = BufferBudget::new(MAX_BODY_BYTES, LeaseRule::FreeShare);
     for length in [0, 1, MAX_BODY_BYTES] {
         let sent = Bytes::from(vec![b'x'; length]);
         let received = receive_body(whole(length), MAX_BODY_BYTES, &budget).await;
