--- a/crates/celeryshed_gateway/src/process.rs
+++ b/crates/celeryshed_gateway/src/process.rs
@@ -65,8 +65,8 @@
 pub struct EntryProcess;
 
 impl EntryProcess {
-    /// Runs an entry until SIGTERM, unless its sockets can't be opened. Then waits until its connections are closed or the grace period
-    /// ends.
+    /// Runs an entry until SIGTERM, and then until its connections are closed or the grace period
+    /// ends. Returns early if its sockets can't be opened.
     pub async fn run<S: ControlStore, D: RecordDecoder>(
         settings: GatewaySettings,
         signals: &mut ProcessSignals,
--- a/crates/celeryshed_stager/src/process.rs
+++ b/crates/celeryshed_stager/src/process.rs
@@ -59,7 +59,8 @@
 pub struct SidecarProcess;
 
 impl SidecarProcess {
-    /// Runs a sidecar until SIGTERM, unless its sockets can't be opened. SIGHUP only logs an event: the settings are not read again.
+    /// Runs a sidecar until SIGTERM; returns early if its sockets can't be opened. SIGHUP only logs an
+    /// event: the settings of a running sidecar are not read again.
     pub async fn run<S, D, P>(
         settings: SidecarSettings,
         signals: &mut ProcessSignals,
