Log the memory of a process with its holders, and late turns of its runtime

Change: memory_high with the peak and what the limited memories hold, runtime_stalled, a gauge and a counter; no decision reads them.

--- a/crates/celeryshed_gateway/src/process.rs
+++ b/crates/celeryshed_gateway/src/process.rs
@@ -11,8 +11,8 @@
     ControlHandle, ControlStore, PeerSocket, RecordDecoder, parse_control_query, start_control,
 };
 use celeryshed_process::{
-    ProcessSignals, RoleEnd, SOCKETS_WAIT, listen_tcp, listen_udp, max_open_descriptors,
-    open_sockets, serve_metrics,
+    ProcessSignals, ResourceWatch, RoleEnd, SOCKETS_WAIT, listen_tcp, listen_udp,
+    max_open_descriptors, open_sockets, serve_metrics,
 };
 use hyper::{Request, Response, StatusCode};
 use tokio::net::TcpListener;
@@ -124,9 +124,19 @@
             buffers: BufferBudget::new(settings.answer_memory_bytes, ANSWER_LEASE_RULE),
             bodies: BufferBudget::new(settings.body_memory_bytes, LeaseRule::FreeShare),
         });
+        let (buffers, bodies) = (context.buffers.clone(), context.bodies.clone());
         let max_connections = max_caller_connections(&settings);
         let callers = ConnectionServer::new(settings_watch.clone(), closing_watch.clone())
             .with_connection_limit(max_connections);
+        let watched = callers.clone();
+        let resources = ResourceWatch::new(settings.memory_bytes, move || {
+            vec![
+                ("answers", buffers.used()),
+                ("bodies", bodies.used()),
+                ("connections", watched.open_connections()),
+            ]
+        });
+        tokio::spawn(resources.run());
         tokio::spawn(
             callers.clone().run(sockets.callers, move |request, _from| {
                 handle_request(context.clone(), request)
--- a/crates/celeryshed_gateway/src/request/buffer.rs
+++ b/crates/celeryshed_gateway/src/request/buffer.rs
@@ -58,6 +58,11 @@
         Self { limit: needed.clamp(self.limit, max_limit), ..self.clone() }
     }
 
+    /// Bytes of all leases.
+    pub(crate) fn used(&self) -> usize {
+        self.used.load(Ordering::Relaxed)
+    }
+
     /// A lease without bytes.
     pub(crate) fn lease(&self) -> BufferLease {
         BufferLease { budget: self.clone(), bytes: 0 }
--- a/crates/celeryshed_gateway/src/settings.rs
+++ b/crates/celeryshed_gateway/src/settings.rs
@@ -26,6 +26,8 @@
     pub sidecar_port: u16,
     /// Longest time from SIGTERM to the end of the process.
     pub grace_period: Duration,
+    /// Memory of the machine, in bytes. A process that takes more is killed.
+    pub memory_bytes: usize,
     /// Memory for answers of endpoints that are not complete, in bytes; a single one may take
     /// a sixteenth of it.
     pub answer_memory_bytes: usize,
--- a/crates/celeryshed_gateway/tests/support/mod.rs
+++ b/crates/celeryshed_gateway/tests/support/mod.rs
@@ -208,6 +208,7 @@
             metrics_address: address(18083),
             sidecar_port: 18082,
             grace_period: Duration::from_secs(8),
+            memory_bytes: usize::MAX,
             answer_memory_bytes: ANSWER_MEMORY_BYTES,
             body_memory_bytes: BODY_MEMORY_BYTES,
             max_caller_connections: usize::MAX,
--- a/crates/celeryshed_process/src/lib.rs
+++ b/crates/celeryshed_process/src/lib.rs
@@ -3,9 +3,11 @@
 mod descriptors;
 mod listen;
 mod metrics_service;
+mod resource_watch;
 mod signals;
 
 pub use descriptors::max_open_descriptors;
 pub use listen::{ListenError, Result, SOCKETS_WAIT, listen_tcp, listen_udp, open_sockets};
 pub use metrics_service::serve_metrics;
+pub use resource_watch::{HolderFigure, MemoryUsage, ResourceWatch};
 pub use signals::{ProcessSignals, RoleEnd};
--- a/crates/celeryshed_stager/src/process.rs
+++ b/crates/celeryshed_stager/src/process.rs
@@ -9,7 +9,8 @@
 use celeryshed_observe::{EventLine, MetricsRegistry};
 use celeryshed_peering::{ControlHandle, ControlStore, PeerSocket, RecordDecoder, start_control};
 use celeryshed_process::{
-    ProcessSignals, RoleEnd, SOCKETS_WAIT, listen_tcp, listen_udp, open_sockets, serve_metrics,
+    ProcessSignals, ResourceWatch, RoleEnd, SOCKETS_WAIT, listen_tcp, listen_udp, open_sockets,
+    serve_metrics,
 };
 use tokio::net::TcpListener;
 use tokio::sync::{Mutex, watch};
@@ -88,6 +89,11 @@
         let view = start_view(clock, settings.versions, events);
         let (store_sender, store_watch) = watch::channel(PieceStore::default());
         let piece_store = Arc::new(store_sender);
+        let watched = store_watch.clone();
+        let resources = ResourceWatch::new(settings.memory_bytes, move || {
+            vec![("pieces", watched.borrow().memory_bytes())]
+        });
+        tokio::spawn(resources.run());
         let (condition, condition_watch) = watch::channel(EndpointCondition::default());
 
         let socket = Arc::new(sockets.peers);
--- a/crates/celeryshed_stager/src/settings.rs
+++ b/crates/celeryshed_stager/src/settings.rs
@@ -27,6 +27,8 @@
     pub regions: BTreeMap<AvailabilityZone, RegionName>,
     /// Time limits until a declared version must be in force.
     pub versions: VersionDeadlines,
+    /// Memory of the machine, in bytes. A process that takes more is killed.
+    pub memory_bytes: usize,
     /// Memory for pieces of versions that the endpoint hasn't loaded, in bytes. A single version is
     /// collected whatever its size.
     pub piece_memory_bytes: usize,
--- a/crates/celeryshed_stager/tests/support/mod.rs
+++ b/crates/celeryshed_stager/tests/support/mod.rs
@@ -636,6 +636,7 @@
             after_declaration: Duration::from_secs(8),
             after_start: Duration::from_secs(2),
         },
+        memory_bytes: usize::MAX,
         piece_memory_bytes: 1_000_000,
         link_bits_per_s: 0,
         endpoint_silence_limit: SILENCE_LIMIT,
