Count answers and events until their callers have received them

Callers saw connections that end with their entry. Cause: the lease of an event ended when the event was handed on, so whole events were held in the 16 places of each stream's queue, and in the connection, beside the limited memory; an endpoint that sends events without end beside callers that receive slowly took the entry over its memory, and the system kills it. The same held for complete answers. A limit counted items whose sizes nothing bounded in sum. Change: answers and events are copied into buffers whose lease lasts until the last copy is dropped, as for the bodies of requests; 64 KiB of events, or one larger event, wait for a caller; a single lease may take half of what remains free, so that large ones leave room for the events of other streams. The unit test answers_share_the_budget demanded that sixteen full leases leave nothing; it now demands that no lease exceeds its share, that the sum never exceeds the budget, and that small ones still fit.

--- a/crates/celeryshed_gateway/src/context.rs
+++ b/crates/celeryshed_gateway/src/context.rs
@@ -33,7 +33,7 @@
     /// Parts of prompts whose requests are refused.
     pub(crate) blocked_parts: watch::Receiver<Arc<BTreeSet<PartId>>>,
     pub(crate) shutdown_phase: watch::Receiver<ShutdownPhase>,
-    /// Memory for answers that are not complete.
+    /// Memory for answers that are not complete, or not yet received by their callers.
     pub(crate) buffers: BufferBudget,
     /// Memory for the bodies of requests.
     pub(crate) bodies: BufferBudget,
--- a/crates/celeryshed_gateway/src/process.rs
+++ b/crates/celeryshed_gateway/src/process.rs
@@ -32,7 +32,7 @@
 const REFUSING_PERIOD: Duration = Duration::from_millis(700);
 /// Time between the end of the process and the end of the grace period, if requests are still open.
 const GRACE_MARGIN: Duration = Duration::from_millis(150);
-/// Part of the memory for unfinished answers that a single answer or event may take.
+/// Part of the memory for answers that a single answer or event may take.
 const ANSWER_LEASE_RULE: LeaseRule = LeaseRule::Fraction(16);
 /// Time between two checks whether connections are still open.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
--- a/crates/celeryshed_gateway/src/request/attempt.rs
+++ b/crates/celeryshed_gateway/src/request/attempt.rs
@@ -7,7 +7,7 @@
 use std::future::pending;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use celeryshed_base::{ClockSource, MonoTime};
 use celeryshed_dispatch::{AttemptOutcome, EndpointTarget, NotRunReason, UnknownReason};
 use celeryshed_http::{HttpConnection, HttpError, ResponseBody};
@@ -23,7 +23,7 @@
 use crate::dispatcher_task::PlacementPermit;
 use crate::names::HeaderNames;
 use crate::request::attempt_trace::AttemptTrace;
-use crate::request::buffer::{BufferBudget, BufferLease};
+use crate::request::buffer::{BufferBudget, BufferLease, LeasedBuffer};
 use crate::request::events::EventSplitter;
 use crate::request::notice::report_notices;
 use crate::request::parse::{CallerRequest, header_text};
@@ -74,7 +74,7 @@
             let frame = frame.map_err(|_| UnknownReason::Reset)?;
             let Ok(data) = frame.into_data() else { continue };
             let complete_events =
-                self.splitter.push(data).map_err(|_exceeded| UnknownReason::Malformed)?;
+                self.splitter.push(&data).map_err(|_exceeded| UnknownReason::Malformed)?;
             if complete_events.is_some() {
                 return Ok(complete_events);
             }
@@ -118,7 +118,7 @@
     pub(crate) send_deadline: Option<MonoTime>,
     /// Id of the event after which the stream resumes; none for a stream from its start.
     pub(crate) last_event: Option<u64>,
-    /// Memory for answers that are not complete.
+    /// Memory for answers that are not complete, or not yet received by their callers.
     pub(crate) buffers: &'a BufferBudget,
     /// The slot at the endpoint.
     pub(crate) permit: &'a PlacementPermit,
@@ -223,7 +223,7 @@
         };
         let Ok(data) = frame.into_data() else { continue };
         let complete_events = splitter
-            .push(data)
+            .push(&data)
             .map_err(|_exceeded| AttemptOutcome::Unknown(UnknownReason::Malformed))?;
         if let Some(first) = complete_events {
             let stream = StartedStream { head, first, body, splitter };
@@ -232,21 +232,17 @@
     }
 }
 
-/// Reads a body to its end.
-async fn read_whole(
-    mut body: ResponseBody,
-    mut lease: BufferLease,
-) -> Result<Bytes, AttemptOutcome> {
-    let mut whole = BytesMut::new();
+/// Reads a body to its end. Its memory stays leased until the body is dropped.
+async fn read_whole(mut body: ResponseBody, lease: BufferLease) -> Result<Bytes, AttemptOutcome> {
+    let mut whole = LeasedBuffer::new(lease, usize::MAX);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| AttemptOutcome::Unknown(UnknownReason::Reset))?;
         let Ok(data) = frame.into_data() else { continue };
-        lease
-            .resize(whole.len() + data.len())
+        whole
+            .append(&data)
             .map_err(|_exceeded| AttemptOutcome::Unknown(UnknownReason::Malformed))?;
-        whole.extend_from_slice(&data);
     }
-    Ok(whole.freeze())
+    Ok(whole.into_bytes())
 }
 
 fn exchange_failure(error: &HttpError) -> AttemptOutcome {
--- a/crates/celeryshed_gateway/src/request/body.rs
+++ b/crates/celeryshed_gateway/src/request/body.rs
@@ -4,14 +4,17 @@
 mod tests;
 
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
 
 /// Number of event batches that may wait for a slow caller.
 const EVENT_BUFFER_LEN: usize = 16;
+/// Bytes of these batches. A larger batch waits alone.
+const EVENT_BUFFER_BYTES: u32 = 64 * 1024;
 
 /// The stream ended before it was complete. The error closes the caller's connection, so that the
 /// answer doesn't look complete.
@@ -43,22 +46,39 @@
     pub(crate) fn events() -> (EventSender, Self) {
         let (events, event_receiver) = mpsc::channel(EVENT_BUFFER_LEN);
         let (completion, completion_receiver) = oneshot::channel();
+        let room = Arc::new(Semaphore::new(EVENT_BUFFER_BYTES as usize));
         let receiver = EventReceiver { events: event_receiver, completion: completion_receiver };
-        (EventSender { events, completion }, Self::Events(receiver))
+        (EventSender { events, room, completion }, Self::Events(receiver))
     }
 }
 
+/// Whole events that wait for the caller.
+#[derive(Debug)]
+struct EventBatch {
+    bytes: Bytes,
+    _room: OwnedSemaphorePermit,
+}
+
 /// Sends the events of a stream to its caller. The stream is broken off if the sender is dropped
 /// before [`EventSender::complete`].
 #[derive(Debug)]
 pub(crate) struct EventSender {
-    events: mpsc::Sender<Bytes>,
+    events: mpsc::Sender<EventBatch>,
+    /// A permit for each byte that may still wait.
+    room: Arc<Semaphore>,
     completion: oneshot::Sender<()>,
 }
 
 impl EventSender {
     /// Sends a batch of whole events; waits while the caller is too slow to receive them.
     pub(crate) async fn send(&self, batch: Bytes) -> Result<(), CallerDisconnected> {
+        let length = u32::try_from(batch.len()).unwrap_or(u32::MAX).min(EVENT_BUFFER_BYTES);
+        let room = tokio::select! {
+            room = self.room.clone().acquire_many_owned(length) => room,
+            () = self.events.closed() => return Err(CallerDisconnected),
+        };
+        let room = room.map_err(|_closed| CallerDisconnected)?;
+        let batch = EventBatch { bytes: batch, _room: room };
         self.events.send(batch).await.map_err(|_unsent| CallerDisconnected)
     }
 
@@ -77,7 +97,7 @@
 /// Receives the events of a stream.
 #[derive(Debug)]
 pub(crate) struct EventReceiver {
-    events: mpsc::Receiver<Bytes>,
+    events: mpsc::Receiver<EventBatch>,
     /// Resolves to an error if the stream is broken off.
     completion: oneshot::Receiver<()>,
 }
@@ -101,7 +121,7 @@
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
             Self::Events(receiver) => {
                 if let Some(batch) = ready!(receiver.events.poll_recv(context)) {
-                    return Poll::Ready(Some(Ok(Frame::data(batch))));
+                    return Poll::Ready(Some(Ok(Frame::data(batch.bytes))));
                 }
                 let completion = ready!(Pin::new(&mut receiver.completion).poll(context));
                 *body = Self::Whole(None);
--- a/crates/celeryshed_gateway/src/request/buffer.rs
+++ b/crates/celeryshed_gateway/src/request/buffer.rs
@@ -1,24 +1,29 @@
-//! Bounds the memory that bodies and unfinished answers take, over all requests of an entry.
+//! Bounds the memory that bodies and answers take, over all requests of an entry.
 //!
-//! An endpoint in trouble may send bytes without end that never become an event or an answer, and
-//! callers may hold many large bodies open at once.
+//! An endpoint in trouble may send bytes without end, and callers may hold many large bodies open at
+//! once, or not receive their answers.
 
+mod storage;
 #[cfg(test)]
 mod tests;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+use bytes::Bytes;
+
+use self::storage::ByteStorage;
+
 /// Largest growth of a budget for the sake of a single lease.
 const MAX_BUDGET_GROWTH: usize = 2;
 
-/// How much of a budget a single lease may take.
+/// How much of a budget a single lease may take. However many large leases there are, they leave room
+/// for small ones.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum LeaseRule {
-    /// The budget divided by this number.
+    /// The budget divided by this number, but no more than remains free beside it.
     Fraction(usize),
-    /// As much as remains free beside it. However many large leases there are, they leave room for
-    /// small ones.
+    /// As much as remains free beside it.
     FreeShare,
 }
 
@@ -75,7 +80,7 @@
         let BufferBudget { limit, rule, used } = &self.budget;
         let left = limit.saturating_sub(used.load(Ordering::Relaxed) - self.bytes);
         let allowed = match rule {
-            LeaseRule::Fraction(parts) => left.min(limit / parts),
+            LeaseRule::Fraction(parts) => (left / 2).min(limit / parts),
             LeaseRule::FreeShare => left / 2,
         };
         if bytes > allowed { Err(BufferExceeded) } else { Ok(()) }
@@ -97,3 +102,60 @@
         self.budget.used.fetch_sub(self.bytes, Ordering::Relaxed);
     }
 }
+
+/// Bytes that are collected, and the memory that they take.
+#[derive(Debug)]
+pub(crate) struct LeasedBuffer {
+    storage: ByteStorage,
+    lease: BufferLease,
+    /// Capacity above which the buffer grows only as far as it must.
+    max_capacity: usize,
+}
+
+impl LeasedBuffer {
+    pub(crate) fn new(lease: BufferLease, max_capacity: usize) -> Self {
+        Self { storage: ByteStorage::Allocated(Vec::new()), lease, max_capacity }
+    }
+
+    pub(crate) fn as_slice(&self) -> &[u8] {
+        self.storage.as_slice()
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.as_slice().len()
+    }
+
+    /// Copies `data`: a frame shares the much larger buffer into which its connection is read.
+    pub(crate) fn append(&mut self, data: &[u8]) -> Result<(), BufferExceeded> {
+        let length = self.len() + data.len();
+        let capacity = self.storage.capacity();
+        if length > capacity {
+            let doubled = capacity.saturating_mul(2).min(self.max_capacity).max(length);
+            let grown = if self.lease.check(doubled).is_ok() { doubled } else { length };
+            self.lease.resize(grown)?;
+            self.storage.grow(grown)?;
+        }
+        self.storage.append(data);
+        Ok(())
+    }
+
+    /// Removes the first `length` bytes, whose memory stays leased until their last copy is dropped.
+    pub(crate) fn split_to(&mut self, length: usize) -> Result<Bytes, BufferExceeded> {
+        let mut rest = Self::new(self.lease.budget.lease(), self.max_capacity);
+        rest.append(&self.as_slice()[length..])?;
+        let mut first = std::mem::replace(self, rest);
+        first.storage.truncate(length);
+        Ok(first.into_bytes())
+    }
+
+    /// The bytes, whose memory stays leased until their last copy is dropped.
+    pub(crate) fn into_bytes(self) -> Bytes {
+        Bytes::from_owner(self)
+    }
+}
+
+impl AsRef<[u8]> for LeasedBuffer {
+    fn as_ref(&self) -> &[u8] {
+        self.as_slice()
+    }
+}
--- a/crates/celeryshed_gateway/src/request/buffer/tests.rs
+++ b/crates/celeryshed_gateway/src/request/buffer/tests.rs
@@ -40,15 +40,23 @@
     }
 }
 
+/// Guards against answers that exceed their share or the budget, and against large ones that leave no
+/// room for the events of other streams.
 #[test]
 fn answers_share_the_budget() {
     let budget = BufferBudget::new(160, LeaseRule::Fraction(16));
-    let mut leases: Vec<_> = (0..16).map(|_| budget.lease()).collect();
+    let mut leases: Vec<_> = (0..15).map(|_| budget.lease()).collect();
     for lease in &mut leases {
         assert_eq!(lease.resize(11), Err(BufferExceeded));
         assert_eq!(lease.resize(10), Ok(()));
     }
+    for (refused, bytes) in [(6, 5), (3, 2), (2, 1), (2, 1)] {
+        let mut lease = budget.lease();
+        assert_eq!(lease.resize(refused), Err(BufferExceeded));
+        assert_eq!(lease.resize(bytes), Ok(()));
+        leases.push(lease);
+    }
     assert_eq!(budget.lease().resize(1), Err(BufferExceeded));
-    leases.pop();
+    leases.truncate(14);
     assert_eq!(budget.lease().resize(10), Ok(()));
 }
--- a/crates/celeryshed_gateway/src/request/events.rs
+++ b/crates/celeryshed_gateway/src/request/events.rs
@@ -1,8 +1,8 @@
 //! Splits a stream of server-sent events at the ends of events.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 
-use crate::request::buffer::{BufferExceeded, BufferLease};
+use crate::request::buffer::{BufferExceeded, BufferLease, LeasedBuffer};
 
 /// The blank line that ends an event.
 const EVENT_END: &[u8] = b"\n\n";
@@ -10,9 +10,7 @@
 /// Buffers bytes until an event is complete, and keeps the id of the last complete event.
 #[derive(Debug)]
 pub(crate) struct EventSplitter {
-    pending: BytesMut,
-    /// Covers the pending bytes.
-    lease: BufferLease,
+    pending: LeasedBuffer,
     last_id: Option<u64>,
     /// Events up to this id are skipped, because an earlier attempt forwarded them; `None` once a
     /// later event has arrived.
@@ -23,26 +21,20 @@
     /// A splitter for a stream that resumes after the event `last_id`, which is `None` for a stream
     /// that starts at its first event.
     pub(crate) fn resume(last_id: Option<u64>, lease: BufferLease) -> Self {
-        Self { pending: BytesMut::new(), lease, last_id, skip_to: last_id }
+        let pending = LeasedBuffer::new(lease, usize::MAX);
+        Self { pending, last_id, skip_to: last_id }
     }
 
-    /// Adds bytes, and returns the events that are complete now; an error if the event that is
-    /// being received is too large.
-    pub(crate) fn push(&mut self, bytes: Bytes) -> Result<Option<Bytes>, BufferExceeded> {
-        let complete_events = if self.pending.is_empty() && bytes.ends_with(EVENT_END) {
-            bytes
-        } else {
-            self.lease.resize(self.pending.len() + bytes.len())?;
-            // The bytes before were searched already, but an end may begin with the last of them.
-            let searched = self.pending.len().saturating_sub(EVENT_END.len() - 1);
-            self.pending.extend_from_slice(&bytes);
-            let Some(end) = find_last(&self.pending[searched..], EVENT_END) else {
-                return Ok(None);
-            };
-            let complete_events = self.pending.split_to(searched + end + EVENT_END.len()).freeze();
-            self.lease.resize(self.pending.len())?;
-            complete_events
+    /// Adds bytes, and returns the events that are complete now, whose memory stays leased until
+    /// they are dropped; an error if they, or the event that is being received, take too much.
+    pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<Option<Bytes>, BufferExceeded> {
+        // The bytes before were searched already, but an end may begin with the last of them.
+        let searched = self.pending.len().saturating_sub(EVENT_END.len() - 1);
+        self.pending.append(bytes)?;
+        let Some(end) = find_last(&self.pending.as_slice()[searched..], EVENT_END) else {
+            return Ok(None);
         };
+        let complete_events = self.pending.split_to(searched + end + EVENT_END.len())?;
         let complete_events = self.skip_forwarded(complete_events);
         if let Some(id) = last_event_id(&complete_events) {
             self.last_id = Some(id);
@@ -57,7 +49,7 @@
 
     /// Whether the bytes so far end within an event.
     pub(crate) fn has_partial_event(&self) -> bool {
-        !self.pending.is_empty()
+        self.pending.len() > 0
     }
 
     fn skip_forwarded(&mut self, mut complete_events: Bytes) -> Bytes {
--- a/crates/celeryshed_gateway/src/request/received_body.rs
+++ b/crates/celeryshed_gateway/src/request/received_body.rs
@@ -7,7 +7,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Body;
 
-use crate::request::buffer::{BufferBudget, BufferExceeded, BufferLease};
+use crate::request::buffer::{BufferBudget, BufferExceeded, LeasedBuffer};
 
 /// Why a body wasn't received.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,13 +28,6 @@
     }
 }
 
-/// A body, and the memory that it takes.
-#[derive(Debug)]
-struct LeasedBody {
-    bytes: Vec<u8>,
-    lease: BufferLease,
-}
-
 /// Receives a body of at most `max_bytes`. Its memory is returned with the last copy of the bytes.
 pub(crate) async fn receive_body<B>(
     mut body: B,
@@ -56,34 +49,13 @@
     let max_capacity = at_most.map_or(max_bytes, |upper| upper.min(max_bytes));
     let lease = budget.with_room_for(max_bytes).lease();
     lease.check(at_least)?;
-    let mut received = LeasedBody { bytes: Vec::new(), lease };
+    let mut received = LeasedBuffer::new(lease, max_capacity);
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(|_| BodyFailure::Malformed)?.into_data() else { continue };
-        if data.len() > max_bytes - received.bytes.len() {
+        if data.len() > max_bytes - received.len() {
             return Err(BodyFailure::TooLarge);
         }
-        received.append(&data, max_capacity)?;
-    }
-    Ok(Bytes::from_owner(received))
-}
-
-impl LeasedBody {
-    /// Copies `data`: a frame shares the much larger buffer into which its connection is read.
-    fn append(&mut self, data: &[u8], max_capacity: usize) -> Result<()> {
-        let length = self.bytes.len() + data.len();
-        if length > self.bytes.capacity() {
-            let doubled = self.bytes.capacity().saturating_mul(2).min(max_capacity);
-            let capacity = doubled.max(length);
-            self.lease.resize(capacity)?;
-            self.bytes.reserve_exact(capacity - self.bytes.len());
-        }
-        self.bytes.extend_from_slice(data);
-        Ok(())
-    }
-}
-
-impl AsRef<[u8]> for LeasedBody {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
+        received.append(&data)?;
     }
+    Ok(received.into_bytes())
 }
--- a/crates/celeryshed_gateway/src/settings.rs
+++ b/crates/celeryshed_gateway/src/settings.rs
@@ -28,8 +28,8 @@
     pub grace_period: Duration,
     /// Memory of the machine, in bytes. A process that takes more is killed.
     pub memory_bytes: usize,
-    /// Memory for answers of endpoints that are not complete, in bytes; a single one may take
-    /// a sixteenth of it.
+    /// Memory for answers of endpoints that are not complete, or not yet received by their callers, in
+    /// bytes. A single answer or event may take a sixteenth of it, but no more than remains free.
     pub answer_memory_bytes: usize,
     /// Memory for the bodies of requests until they can't be sent again, in bytes; a single one may
     /// take as much as remains free. Up to twice as
