Receive at most 32 KiB of a response ahead of its reader

Callers saw connections that end with their entry, or no answers at all. Cause: the buffer into which a connection is read grows up to 417 KB, and each frame keeps it alive; 96 endless answers at once took 40 MB and more beside the memory for answers. The same buffer let one connection keep the only thread busy: interim responses without end were parsed up to 417 KB at a time, and every other request waited until its time limit. Change: the client's buffer is bounded, for all calls of both roles; a response head may take no more either.

--- a/crates/celeryshed_http/src/connection.rs
+++ b/crates/celeryshed_http/src/connection.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -16,6 +16,10 @@
 use crate::exchange::{ExchangeState, ExchangeStream, ResponseBody};
 use crate::status::{FinalStatus, InvalidStatus};
 
+/// Most bytes of a response that a connection receives ahead of its reader, and the largest response
+/// head. A peer in trouble may send bytes without end on many connections at once.
+const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
+
 /// Why a call got no complete response.
 #[derive(Debug, thiserror::Error)]
 pub enum HttpError {
@@ -104,7 +108,9 @@
         stream.set_nodelay(true).map_err(failed)?;
         let state = ExchangeState::default();
         let stream = ExchangeStream::new(stream, state.clone());
-        let (sender, connection) = handshake(TokioIo::new(stream))
+        let (sender, connection) = Builder::new()
+            .max_buf_size(RECEIVE_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|source| HttpError::Exchange { address: address.to_owned(), source })?;
         // Errors of the connection reach the caller as errors of the request in progress.
