Receive no more of a piece than the configuration says it has

Callers saw sidecars that ended. Cause: each reply of an endpoint, origin or sidecar might take 16 MiB, and about three times that while its buffer grew, whatever it was; nothing limited how many of them are received at once. An endpoint that sends pieces without end, which other sidecars ask for, took a sidecar over its memory with 8 requests; an origin came close with 3. Change: the caller of each call states the largest body; pieces have the configured size, other replies small limits; pieces that are read for other sidecars share a limited memory. A staged piece with too many bytes counts as damaged, so that it is stored anew.

--- a/crates/celeryshed_http/src/client.rs
+++ b/crates/celeryshed_http/src/client.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::{HeaderMap, Method, Request, StatusCode};
 use tokio::sync::Mutex;
@@ -11,9 +11,9 @@
 
 use crate::connection::{HttpConnection, HttpError, Result};
 
-/// Upper bound of [`CallTimeouts::connect`] when the timeouts are made from a single duration.
+/// Upper bound of [`CallLimits::connect`] when the timeouts are made from a single duration.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
-/// Largest response body that is read, in bytes; a larger one is an [`HttpError::Body`].
+/// Largest response body of a call whose limits are made from a single duration, in bytes.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 
 /// A response that was received to its end.
@@ -23,16 +23,25 @@
     pub status: StatusCode,
     /// Headers as received; trailers are dropped.
     pub headers: HeaderMap,
-    /// The complete body, at most 16 MiB.
+    /// The complete body, at most [`CallLimits::max_body_bytes`].
     pub body: Bytes,
 }
 
-/// Time limits of one call.
+/// Limits of one call.
 ///
-/// Made from a single duration, every limit is that duration; `connect` is at most
-/// [`CONNECT_TIMEOUT`].
+/// Made from a single duration, every time limit is that duration, and `connect` is at most
+/// [`CONNECT_TIMEOUT`]; the body may have 16 MiB.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use celeryshed_http::CallLimits;
+///
+/// let limits = CallLimits::from(Duration::from_secs(2)).with_max_body(64 * 1024);
+/// assert_eq!((limits.connect, limits.max_body_bytes), (Duration::from_secs(1), 64 * 1024));
+/// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct CallTimeouts {
+pub struct CallLimits {
     /// Longest time to open a connection.
     pub connect: Duration,
     /// Longest wait for the connection to be ready, and then for the response head.
@@ -41,11 +50,27 @@
     pub idle: Duration,
     /// Longest time until the response is complete, including a repeat over a new connection.
     pub total: Duration,
+    /// Largest response body; a larger one is an [`HttpError::TooLarge`]. A peer in trouble may send
+    /// bytes without end.
+    pub max_body_bytes: usize,
+}
+
+impl CallLimits {
+    /// The same time limits with another largest body.
+    pub fn with_max_body(self, max_body_bytes: usize) -> Self {
+        Self { max_body_bytes, ..self }
+    }
 }
 
-impl From<Duration> for CallTimeouts {
+impl From<Duration> for CallLimits {
     fn from(limit: Duration) -> Self {
-        Self { connect: limit.min(CONNECT_TIMEOUT), head: limit, idle: limit, total: limit }
+        Self {
+            connect: limit.min(CONNECT_TIMEOUT),
+            head: limit,
+            idle: limit,
+            total: limit,
+            max_body_bytes: MAX_BODY_BYTES,
+        }
     }
 }
 
@@ -54,7 +79,7 @@
     method: Method,
     target: &'c str,
     body: Bytes,
-    timeouts: CallTimeouts,
+    limits: CallLimits,
 }
 
 /// A client of one address that reuses its connection and opens a new one after a failure.
@@ -81,7 +106,7 @@
         &self.address
     }
 
-    /// Calls `target`, a path with its query, and reads the complete response within `timeouts`.
+    /// Calls `target`, a path with its query, and reads the complete response within `limits`.
     ///
     /// The peer may close a reused connection at any time. A request that fails on one is sent once
     /// more over a new connection, so requests must be repeatable.
@@ -90,9 +115,9 @@
         method: Method,
         target: &str,
         body: Bytes,
-        timeouts: impl Into<CallTimeouts>,
+        limits: impl Into<CallLimits>,
     ) -> Result<HttpResponse> {
-        self.call_if(method, target, body, timeouts, || true).await
+        self.call_if(method, target, body, limits, || true).await
     }
 
     /// Like [`HttpClient::call`], but asks `may_send` each time directly before the request is sent,
@@ -102,14 +127,14 @@
         method: Method,
         target: &str,
         body: Bytes,
-        timeouts: impl Into<CallTimeouts>,
+        limits: impl Into<CallLimits>,
         may_send: impl Fn() -> bool,
     ) -> Result<HttpResponse> {
-        let timeouts = timeouts.into();
+        let limits = limits.into();
         let reused = self.idle_connection.lock().await.take();
         let was_reused = reused.is_some();
         let exchange = async {
-            let call = PreparedCall { method, target, body, timeouts };
+            let call = PreparedCall { method, target, body, limits };
             let first = self.exchange(reused, &call, &may_send).await;
             match first {
                 Err(HttpError::Exchange { .. }) if was_reused => {
@@ -118,8 +143,8 @@
                 outcome => outcome,
             }
         };
-        let reply = timeout_at(Instant::now() + timeouts.total, exchange).await;
-        let (connection, reply) = reply.map_err(|_elapsed| self.timed_out(timeouts.total))??;
+        let reply = timeout_at(Instant::now() + limits.total, exchange).await;
+        let (connection, reply) = reply.map_err(|_elapsed| self.timed_out(limits.total))??;
         *self.idle_connection.lock().await = Some(connection);
         Ok(reply)
     }
@@ -130,10 +155,10 @@
         call: &PreparedCall<'_>,
         may_send: &impl Fn() -> bool,
     ) -> Result<(HttpConnection, HttpResponse)> {
-        let PreparedCall { method, target, body, timeouts } = call;
+        let PreparedCall { method, target, body, limits } = call;
         let mut connection = match reused.filter(HttpConnection::is_open) {
             Some(connection) => connection,
-            _ => HttpConnection::connect(&self.address, timeouts.connect).await?,
+            _ => HttpConnection::connect(&self.address, limits.connect).await?,
         };
         let mut request =
             Request::builder().method(method).uri(*target).header(HOST, &self.address);
@@ -145,22 +170,19 @@
                 address: self.address.clone(),
                 source: std::io::Error::new(std::io::ErrorKind::InvalidInput, error),
             })?;
-        let head_timed_out = |_elapsed| self.timed_out(timeouts.head);
-        timeout(timeouts.head, connection.ready()).await.map_err(head_timed_out)??;
+        let head_timed_out = |_elapsed| self.timed_out(limits.head);
+        timeout(limits.head, connection.ready()).await.map_err(head_timed_out)??;
         if !may_send() {
             return Err(HttpError::Withheld { address: self.address.clone() });
         }
         let response =
-            timeout(timeouts.head, connection.send(request)).await.map_err(head_timed_out)??;
+            timeout(limits.head, connection.send(request)).await.map_err(head_timed_out)??;
         let (head, body) = response.into_parts();
-        let mut body = Limited::new(body, MAX_BODY_BYTES);
+        let mut body = Limited::new(body, limits.max_body_bytes);
         let mut bytes = BytesMut::new();
-        let idle_timed_out = |_elapsed| self.timed_out(timeouts.idle);
-        while let Some(frame) =
-            timeout(timeouts.idle, body.frame()).await.map_err(idle_timed_out)?
-        {
-            let frame = frame
-                .map_err(|source| HttpError::Body { address: self.address.clone(), source })?;
+        let idle_timed_out = |_elapsed| self.timed_out(limits.idle);
+        while let Some(frame) = timeout(limits.idle, body.frame()).await.map_err(idle_timed_out)? {
+            let frame = frame.map_err(|source| self.body_failure(source, limits))?;
             if let Ok(data) = frame.into_data() {
                 bytes.extend_from_slice(&data);
             }
@@ -170,6 +192,19 @@
         Ok((connection, reply))
     }
 
+    fn body_failure(
+        &self,
+        source: Box<dyn std::error::Error + Send + Sync>,
+        limits: &CallLimits,
+    ) -> HttpError {
+        let address = self.address.clone();
+        if source.is::<LengthLimitError>() {
+            HttpError::TooLarge { address, limit: limits.max_body_bytes }
+        } else {
+            HttpError::Body { address, source }
+        }
+    }
+
     fn timed_out(&self, limit: Duration) -> HttpError {
         HttpError::Timeout { address: self.address.clone(), limit }
     }
--- a/crates/celeryshed_http/src/connection.rs
+++ b/crates/celeryshed_http/src/connection.rs
@@ -47,8 +47,16 @@
         /// The status.
         source: InvalidStatus,
     },
-    /// The response body broke off or was too large.
-    #[error("the response body from {address} is incomplete or too large: {source}")]
+    /// The response body was larger than the call allowed.
+    #[error("the response body from {address} has more than {limit} bytes")]
+    TooLarge {
+        /// Address that was called.
+        address: String,
+        /// Limit that was exceeded.
+        limit: usize,
+    },
+    /// The response body broke off.
+    #[error("the response body from {address} is incomplete: {source}")]
     Body {
         /// Address that was called.
         address: String,
--- a/crates/celeryshed_http/src/lib.rs
+++ b/crates/celeryshed_http/src/lib.rs
@@ -16,7 +16,7 @@
 mod server;
 mod status;
 
-pub use client::{CONNECT_TIMEOUT, CallTimeouts, HttpClient, HttpResponse};
+pub use client::{CONNECT_TIMEOUT, CallLimits, HttpClient, HttpResponse};
 pub use connection::{HttpConnection, HttpError};
 pub use exchange::ResponseBody;
 pub use request_body::RequestBody;
--- a/crates/celeryshed_peering/src/fetch.rs
+++ b/crates/celeryshed_peering/src/fetch.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use celeryshed_base::{LogPosition, common_derives};
-use celeryshed_http::{CallTimeouts, HttpClient, HttpError};
+use celeryshed_http::{CallLimits, HttpClient, HttpError};
 use hyper::{Method, StatusCode};
 use serde_bytes::ByteBuf;
 use tokio::time::Instant;
@@ -276,13 +276,9 @@
         u8::from(with_ages),
         u8::from(with_eras)
     );
-    let timeouts = CallTimeouts {
-        connect: FETCH_TIMEOUT,
-        head: FETCH_TIMEOUT,
-        idle: FETCH_TIMEOUT,
-        total: FETCH_TIMEOUT + TRANSFER_TIMEOUT,
-    };
-    let reply = client.call(Method::GET, &target, Bytes::new(), timeouts).await?;
+    let limits =
+        CallLimits { total: FETCH_TIMEOUT + TRANSFER_TIMEOUT, ..CallLimits::from(FETCH_TIMEOUT) };
+    let reply = client.call(Method::GET, &target, Bytes::new(), limits).await?;
     if reply.status != StatusCode::OK {
         return Err(FetchError::Refused(reply.status));
     }
--- a/crates/celeryshed_stager/src/fetch.rs
+++ b/crates/celeryshed_stager/src/fetch.rs
@@ -7,14 +7,14 @@
 use bytes::Bytes;
 use celeryshed_base::ClockSource;
 use celeryshed_dispatch::{PieceFetch, PieceSource, StageManifest, manifest_sources};
-use celeryshed_http::HttpClient;
+use celeryshed_http::{CallLimits, HttpClient};
 use celeryshed_observe::EventLine;
 use hyper::{Method, StatusCode};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
 use crate::pieces::{manifest_target, piece_target};
-use crate::platform::WeightPlatform;
+use crate::platform::{MAX_MANIFEST_BYTES, WeightPlatform};
 use crate::settings::SidecarSettings;
 use crate::view::{StageGoal, StageView};
 
@@ -151,7 +151,9 @@
 
     async fn peer_manifest(&self, address: &str) -> Result<StageManifest, String> {
         let StageGoal { model, target, .. } = &self.goal;
-        let bytes = get_from_peer(address, &manifest_target(model, target.version)).await?;
+        let limits = CallLimits::from(PEER_TIMEOUT).with_max_body(MAX_MANIFEST_BYTES);
+        let path = manifest_target(model, target.version);
+        let bytes = get_from_peer(address, &path, limits).await?;
         let digests: Vec<String> =
             rmp_serde::from_slice(&bytes).map_err(|error| error.to_string())?;
         StageManifest::parse(model, target.version, &digests).map_err(|error| error.to_string())
@@ -172,12 +174,14 @@
 
     async fn peer_piece(&self, address: &str, piece: u32) -> Result<Bytes, String> {
         let StageGoal { model, target, .. } = &self.goal;
-        get_from_peer(address, &piece_target(model, target.version, piece)).await
+        let limits = CallLimits::from(PEER_TIMEOUT).with_max_body(self.goal.piece_bytes);
+        get_from_peer(address, &piece_target(model, target.version, piece), limits).await
     }
 
     async fn origin_piece(&self, piece: u32) -> Result<Bytes, String> {
         let StageGoal { model, target, origin, .. } = &self.goal;
-        let bytes = self.platform.origin_piece(origin, model, target.version, piece).await;
+        let limit = self.goal.piece_bytes;
+        let bytes = self.platform.origin_piece(origin, model, target.version, piece, limit).await;
         bytes.map_err(|error| error.to_string())
     }
 
@@ -193,10 +197,10 @@
     }
 }
 
-async fn get_from_peer(address: &str, target: &str) -> Result<Bytes, String> {
+async fn get_from_peer(address: &str, target: &str, limits: CallLimits) -> Result<Bytes, String> {
     let client = HttpClient::new(address, "application/msgpack");
     let reply = client
-        .call(Method::GET, target, Bytes::new(), PEER_TIMEOUT)
+        .call(Method::GET, target, Bytes::new(), limits)
         .await
         .map_err(|error| error.to_string())?;
     match reply.status {
--- a/crates/celeryshed_stager/src/fetch_task.rs
+++ b/crates/celeryshed_stager/src/fetch_task.rs
@@ -140,14 +140,15 @@
         let is_new = self.store.send_if_modified(|store| store.begin(manifest));
         let loaded = self.store.borrow().loaded_version(&goal.model);
         if is_new && (loaded.is_none() || !goal.target.declared_while_running) {
-            self.keep_valid_pieces(manifest).await;
+            self.keep_valid_pieces(goal, manifest).await;
         }
     }
 
-    async fn keep_valid_pieces(&self, manifest: &StageManifest) {
+    async fn keep_valid_pieces(&self, goal: &StageGoal, manifest: &StageManifest) {
         let Ok(stored) = self.platform.staged_pieces(manifest.model()).await else { return };
         for piece in stored {
-            if let Ok(Some(bytes)) = self.platform.read_piece(manifest.model(), piece).await
+            if let Ok(Some(bytes)) =
+                self.platform.read_piece(manifest.model(), piece, goal.piece_bytes).await
                 && manifest.verifies(piece, &bytes)
             {
                 self.stage.record_found(manifest.version(), [piece]).await;
--- a/crates/celeryshed_stager/src/lib.rs
+++ b/crates/celeryshed_stager/src/lib.rs
@@ -24,7 +24,8 @@
 pub use order_state::OrderState;
 pub use piece_check::PieceCheck;
 pub use platform::{
-    EngineReport, LayerRange, LoadOrder, RawManifest, ReloadReply, WeightError, WeightPlatform,
+    EngineReport, LayerRange, LoadOrder, MAX_MANIFEST_BYTES, RawManifest, ReloadReply, WeightError,
+    WeightPlatform,
 };
 pub use process::SidecarProcess;
 pub use settings::SidecarSettings;
--- a/crates/celeryshed_stager/src/order_state.rs
+++ b/crates/celeryshed_stager/src/order_state.rs
@@ -49,7 +49,11 @@
             | Err(WeightError::Refused { .. }) => {
                 earlier.filter(|_| is_earlier_open).unwrap_or(Self::Rejected)
             }
-            Err(WeightError::TimedOut { .. } | WeightError::CallFailed { .. }) => Self::Unsettled,
+            Err(
+                WeightError::TimedOut { .. }
+                | WeightError::CallFailed { .. }
+                | WeightError::TooLarge { .. },
+            ) => Self::Unsettled,
         }
     }
 
--- a/crates/celeryshed_stager/src/pieces.rs
+++ b/crates/celeryshed_stager/src/pieces.rs
@@ -10,11 +10,13 @@
 use celeryshed_peering::{ControlHandle, parse_control_query};
 use http_body_util::Full;
 use hyper::{Request, Response, StatusCode};
-use tokio::sync::{Mutex, watch};
+use tokio::sync::{Mutex, OwnedSemaphorePermit, Semaphore, watch};
 use tokio::time::sleep;
 
 use crate::piece_store::{PieceLocation, PieceStore};
 use crate::platform::WeightPlatform;
+use crate::settings::SidecarSettings;
+use crate::view::StageView;
 
 /// Path of requests for a piece.
 const PIECE_PATH: &str = "/piece";
@@ -40,6 +42,11 @@
     format!("{MANIFEST_PATH}?model={model}&version={version}")
 }
 
+/// Memory for pieces that are read from the endpoint for other sidecars, in bytes.
+pub(crate) fn read_memory_bytes(settings: &SidecarSettings) -> usize {
+    settings.piece_memory_bytes / 2
+}
+
 fn parse_target(target: &str) -> Option<PieceQuery> {
     let (path, query) = target.split_once('?')?;
     let values: BTreeMap<&str, &str> =
@@ -61,6 +68,22 @@
     pub(crate) platform: Arc<P>,
     pub(crate) store: watch::Receiver<PieceStore>,
     pub(crate) pacer: Mutex<UploadPacer>,
+    pub(crate) settings: Arc<SidecarSettings>,
+    pub(crate) view: watch::Receiver<Arc<StageView>>,
+    /// A permit for each byte that pieces read from the endpoint may take until they are sent.
+    pub(crate) read_memory: Arc<Semaphore>,
+}
+
+/// A piece that was read from the endpoint, and the memory that it takes.
+struct ReadPiece {
+    bytes: Bytes,
+    _memory: OwnedSemaphorePermit,
+}
+
+impl AsRef<[u8]> for ReadPiece {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
 }
 
 impl<P: WeightPlatform> PieceServer<P> {
@@ -96,9 +119,9 @@
         let bytes = match location {
             Some(PieceLocation::Memory(bytes)) => bytes,
             Some(PieceLocation::Endpoint) => {
-                match self.platform.read_piece(&query.model, piece).await {
-                    Ok(Some(bytes)) => bytes,
-                    Ok(None) | Err(_) => return status(StatusCode::NOT_FOUND),
+                match self.read_from_endpoint(&query.model, piece).await {
+                    Ok(bytes) => bytes,
+                    Err(refusal) => return status(refusal),
                 }
             }
             None => return status(StatusCode::NOT_FOUND),
@@ -110,6 +133,27 @@
     }
 }
 
+impl<P: WeightPlatform> PieceServer<P> {
+    /// Reads a piece from the endpoint; the status of the refusal if that can't be done.
+    async fn read_from_endpoint(
+        &self,
+        model: &str,
+        piece: u32,
+    ) -> std::result::Result<Bytes, StatusCode> {
+        let goal = self.view.borrow().goal(&self.settings);
+        let max_bytes = goal.ok_or(StatusCode::NOT_FOUND)?.piece_bytes;
+        // A piece above the limit is read while there is no other.
+        let needed = max_bytes.min(read_memory_bytes(&self.settings));
+        let permits = u32::try_from(needed).unwrap_or(u32::MAX);
+        let memory = self.read_memory.clone().try_acquire_many_owned(permits);
+        let memory = memory.map_err(|_| StatusCode::TOO_MANY_REQUESTS)?;
+        match self.platform.read_piece(model, piece, max_bytes).await {
+            Ok(Some(bytes)) => Ok(Bytes::from_owner(ReadPiece { bytes, _memory: memory })),
+            Ok(None) | Err(_) => Err(StatusCode::NOT_FOUND),
+        }
+    }
+}
+
 fn status(status: StatusCode) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::default());
     *response.status_mut() = status;
--- a/crates/celeryshed_stager/src/platform.rs
+++ b/crates/celeryshed_stager/src/platform.rs
@@ -8,6 +8,9 @@
 
 use crate::piece_check::PieceCheck;
 
+/// Largest manifest that is received, in bytes; room for more than ten thousand pieces.
+pub const MAX_MANIFEST_BYTES: usize = 1024 * 1024;
+
 /// Why a call to an endpoint or an origin failed.
 #[derive(Debug, thiserror::Error)]
 pub enum WeightError {
@@ -31,6 +34,16 @@
         /// Limit that was exceeded.
         limit: Duration,
     },
+    /// The reply was larger than it should be.
+    #[error("{action} at {address} has more than {limit} bytes")]
+    TooLarge {
+        /// Purpose of the call, as the subject of a sentence, such as "the manifest".
+        action: &'static str,
+        /// Address that was called, as `IP:PORT`.
+        address: String,
+        /// Limit that was exceeded.
+        limit: usize,
+    },
     /// The endpoint or origin replied with an unexpected status.
     #[error("{action} at {address} was refused with status {status}")]
     Refused {
@@ -48,7 +61,7 @@
     pub(crate) fn is_timeout(&self) -> bool {
         match self {
             Self::TimedOut { .. } => true,
-            Self::CallFailed { .. } | Self::Refused { .. } => false,
+            Self::CallFailed { .. } | Self::TooLarge { .. } | Self::Refused { .. } => false,
         }
     }
 }
@@ -128,11 +141,12 @@
     /// Numbers of the pieces that are stored at the endpoint; empty if it stores none of the model.
     fn staged_pieces(&self, model: &str) -> impl Future<Output = Result<BTreeSet<u32>>> + Send;
 
-    /// Reads a piece from the endpoint; `None` if it is not stored there.
+    /// Reads a piece of at most `max_bytes` from the endpoint; `None` if it is not stored there.
     fn read_piece(
         &self,
         model: &str,
         piece: u32,
+        max_bytes: usize,
     ) -> impl Future<Output = Result<Option<Bytes>>> + Send;
 
     /// Stores a piece at the endpoint, in place of an earlier piece of the same number.
@@ -161,12 +175,13 @@
         version: u64,
     ) -> impl Future<Output = Result<RawManifest>> + Send;
 
-    /// Fetches a piece of a version from the origin at `address`.
+    /// Fetches a piece of at most `max_bytes` from the origin at `address`.
     fn origin_piece(
         &self,
         address: &str,
         model: &str,
         version: u64,
         piece: u32,
+        max_bytes: usize,
     ) -> impl Future<Output = Result<Bytes>> + Send;
 }
--- a/crates/celeryshed_stager/src/process.rs
+++ b/crates/celeryshed_stager/src/process.rs
@@ -13,14 +13,14 @@
     serve_metrics,
 };
 use tokio::net::TcpListener;
-use tokio::sync::{Mutex, watch};
+use tokio::sync::{Mutex, Semaphore, watch};
 use tokio::time::timeout;
 
 use crate::endpoint_stage::EndpointStage;
 use crate::fetch_task::FetchTask;
 use crate::inventory_task::{InventoryMap, InventoryTask};
 use crate::piece_store::PieceStore;
-use crate::pieces::PieceServer;
+use crate::pieces::{PieceServer, read_memory_bytes};
 use crate::platform::WeightPlatform;
 use crate::settings::SidecarSettings;
 use crate::stage_task::{EndpointCondition, StageTask};
@@ -140,6 +140,9 @@
             platform: platform.clone(),
             store: store_watch,
             pacer: Mutex::new(UploadPacer::new(settings.link_bits_per_s)),
+            settings: settings.clone(),
+            view: view.clone(),
+            read_memory: Arc::new(Semaphore::new(read_memory_bytes(&settings))),
         });
         tokio::spawn(server.clone().run(sockets.pieces, move |request, _from| {
             let pieces = pieces.clone();
--- a/crates/celeryshed_stager/src/stage_task.rs
+++ b/crates/celeryshed_stager/src/stage_task.rs
@@ -369,13 +369,15 @@
     /// Reads every piece back and checks it, since pieces may have changed after they were stored.
     ///
     /// A call that fails says nothing of the piece, and ends the check with its error. A piece that
-    /// the endpoint refuses to return counts as damaged.
+    /// the endpoint refuses to return, or returns with too many bytes, counts as damaged.
     async fn damaged_pieces(&self, goal: &StageGoal, manifest: &StageManifest) -> Result<Vec<u32>> {
         let mut damaged = Vec::new();
         for piece in 0..manifest.piece_count() {
-            match self.platform.read_piece(&goal.model, piece).await {
+            match self.platform.read_piece(&goal.model, piece, goal.piece_bytes).await {
                 Ok(Some(bytes)) if manifest.verifies(piece, &bytes) => {}
-                Ok(_) | Err(WeightError::Refused { .. }) => damaged.push(piece),
+                Ok(_) | Err(WeightError::Refused { .. } | WeightError::TooLarge { .. }) => {
+                    damaged.push(piece);
+                }
                 Err(error) => return Err(error),
             }
         }
--- a/crates/celeryshed_stager/src/view.rs
+++ b/crates/celeryshed_stager/src/view.rs
@@ -22,6 +22,9 @@
     declared_while_running: false,
 };
 
+/// Largest piece of weights whose configuration doesn't tell it.
+const UNKNOWN_PIECE_BYTES: usize = 16 * 1024 * 1024;
+
 common_derives! { value:
     /// A version that the endpoint should serve.
     pub(crate) struct StageGoal {
@@ -31,6 +34,8 @@
         pub(crate) origin: String,
         /// Time in which the origin's link carries all pieces of a version once.
         pub(crate) origin_transfer: Duration,
+        /// Largest piece. An endpoint or origin that sends more is in trouble.
+        pub(crate) piece_bytes: usize,
         /// Bytes of all pieces of a version.
         pub(crate) version_bytes: usize,
     }
@@ -59,8 +64,12 @@
         let target = declared.copied().unwrap_or(FIRST_TARGET);
         let origin_transfer = origin.transfer_time(engine.piece_count, engine.piece_bytes);
         let version_bytes = engine.piece_count as usize * engine.piece_bytes as usize;
+        let piece_bytes = match engine.piece_bytes {
+            0 => UNKNOWN_PIECE_BYTES,
+            bytes => bytes as usize,
+        };
         let origin = origin.address.clone();
-        Some(StageGoal { model, target, origin, origin_transfer, version_bytes })
+        Some(StageGoal { model, target, origin, origin_transfer, piece_bytes, version_bytes })
     }
 
     /// The goal of serving a version that may not be the newest one; `None` if it isn't declared.
--- a/crates/celeryshed_stager/tests/support/mod.rs
+++ b/crates/celeryshed_stager/tests/support/mod.rs
@@ -372,7 +372,12 @@
         Ok(self.staged.lock().unwrap().keys().copied().collect())
     }
 
-    async fn read_piece(&self, _model: &str, piece: u32) -> Result<Option<Bytes>, WeightError> {
+    async fn read_piece(
+        &self,
+        _model: &str,
+        piece: u32,
+        _max_bytes: usize,
+    ) -> Result<Option<Bytes>, WeightError> {
         let delayed = |count: u32| count.checked_sub(1);
         if self.silent_reads.fetch_update(Ordering::Relaxed, Ordering::Relaxed, delayed).is_ok() {
             return Err(self.time_out().await);
@@ -461,6 +466,7 @@
         _model: &str,
         version: u64,
         piece: u32,
+        _max_bytes: usize,
     ) -> Result<Bytes, WeightError> {
         self.ask_origin(version).await?;
         self.fetched.lock().unwrap().push(piece);
