--- a/crates/celeryshed_observe/src/bounded.rs
+++ b/crates/celeryshed_observe/src/bounded.rs
@@ -5,8 +5,7 @@
 use std::io::Write;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::thread;
+use std::sync::mpsc::{SyncSender, sync_channel};
 use std::time::{Duration, Instant};
 
 use log::{LevelFilter, Record};
@@ -16,6 +15,7 @@
 use log4rs::encode::writer::simple::SimpleWriter;
 use log4rs::encode::{Encode, Write as EncodeWrite};
 
+use crate::log_writer::{LogWriter, WriterInput};
 use crate::logging::{LINE_PATTERN, LogError, QUIET_LIBRARIES, Result};
 
 /// Maximum number of lines that wait for the writer thread.
@@ -24,18 +24,8 @@
 const LINES_PER_S: f64 = 200.0;
 /// Capacity of the [`LineBucket`]: lines accepted at once after a pause.
 const BURST_LINES: f64 = 600.0;
-/// How long the writer thread collects lines before each write.
-const BATCH_PAUSE: Duration = Duration::from_millis(40);
 /// How long a flush waits at most, since a reader that doesn't read blocks the writer thread.
 const FLUSH_LIMIT: Duration = Duration::from_millis(250);
-/// How long the writer thread waits for a line before it reports dropped lines.
-const REPORT_INTERVAL: Duration = Duration::from_secs(1);
-
-enum WriterInput {
-    Line(Vec<u8>),
-    Flush(SyncSender<()>),
-}
-
 /// Token bucket that limits the rate of lines.
 #[derive(Debug)]
 struct LineBucket {
@@ -61,21 +51,23 @@
 pub(crate) struct BoundedAppender {
     encoder: PatternEncoder,
     inputs: SyncSender<WriterInput>,
+    writer: LogWriter,
     bucket: Mutex<LineBucket>,
     dropped_lines: &'static AtomicU64,
 }
 
 impl BoundedAppender {
-    /// Starts the thread that writes to `output`.
+    /// An appender whose thread writes to `output`.
     pub(crate) fn start(output: impl Write + Send + 'static) -> Self {
         let (inputs, received) = sync_channel(CHANNEL_LINES);
         // Shared with the writer thread; the leak is bounded, as a process installs one appender.
         let dropped_lines: &'static AtomicU64 = Box::leak(Box::default());
-        thread::spawn(move || write_lines(output, &received, dropped_lines));
+        let writer = LogWriter::start(output, received, dropped_lines);
         let bucket = LineBucket { lines: BURST_LINES, filled_at: Instant::now() };
         Self {
             encoder: PatternEncoder::new(LINE_PATTERN),
             inputs,
+            writer,
             bucket: Mutex::new(bucket),
             dropped_lines,
         }
@@ -98,6 +90,7 @@
         if !admitted || self.inputs.try_send(WriterInput::Line(line.0)).is_err() {
             self.dropped_lines.fetch_add(1, Ordering::Relaxed);
         }
+        self.writer.ensure_thread();
         Ok(())
     }
 
@@ -110,43 +103,6 @@
     }
 }
 
-fn write_lines(mut output: impl Write, inputs: &Receiver<WriterInput>, dropped_lines: &AtomicU64) {
-    let mut batch = Vec::new();
-    let mut flush_replies = Vec::new();
-    loop {
-        match inputs.recv_timeout(REPORT_INTERVAL) {
-            Ok(input) => collect(input, &mut batch, &mut flush_replies),
-            Err(std::sync::mpsc::RecvTimeoutError::Timeout) => {}
-            Err(std::sync::mpsc::RecvTimeoutError::Disconnected) => return,
-        }
-        if flush_replies.is_empty() && !batch.is_empty() {
-            thread::sleep(BATCH_PAUSE);
-        }
-        while let Ok(input) = inputs.try_recv() {
-            collect(input, &mut batch, &mut flush_replies);
-        }
-        let count = dropped_lines.swap(0, Ordering::Relaxed);
-        if count > 0 {
-            // Writing to a Vec can't fail.
-            let _ = writeln!(batch, "level=WARN event=lines_left_out count={count}");
-        }
-        // An error means that the output is closed; there is no other output to report it to.
-        let _ = output.write_all(&batch).and_then(|()| output.flush());
-        batch.clear();
-        for done in flush_replies.drain(..) {
-            // Fails when the flush has reached its time limit.
-            let _ = done.send(());
-        }
-    }
-}
-
-fn collect(input: WriterInput, batch: &mut Vec<u8>, flush_replies: &mut Vec<SyncSender<()>>) {
-    match input {
-        WriterInput::Line(line) => batch.extend_from_slice(&line),
-        WriterInput::Flush(done) => flush_replies.push(done),
-    }
-}
-
 /// Installs the process's logger, which writes to standard output and never blocks. Lines above the
 /// rate limit are dropped and counted in `lines_left_out` events.
 ///
@@ -157,6 +113,7 @@
 /// ```
 pub fn install_bounded_logging(level: LevelFilter) -> Result<()> {
     let appender = Box::new(BoundedAppender::start(std::io::stdout()));
+    appender.writer.install();
     let appender = Appender::builder().build("stdout", appender);
     let loggers = QUIET_LIBRARIES.map(|name| Logger::builder().build(name, LevelFilter::Error));
     let root = Root::builder().appender("stdout").build(level);
@@ -168,6 +125,7 @@
 #[cfg(test)]
 mod tests {
     use std::sync::{Arc, Condvar};
+    use std::thread;
 
     use super::*;
 
--- a/crates/celeryshed_observe/src/lib.rs
+++ b/crates/celeryshed_observe/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod bounded;
 mod event;
+mod log_writer;
 mod logging;
 mod panics;
 mod registry;
--- a/crates/celeryshed_observe/src/registry.rs
+++ b/crates/celeryshed_observe/src/registry.rs
@@ -6,6 +6,8 @@
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use tokio::time::sleep;
 
+use crate::log_writer::ensure_log_writer;
+
 /// Time between two upkeeps. A histogram keeps each recorded value until the next one.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -38,7 +40,8 @@
     }
 
     /// Condenses the values recorded in histograms from time to time, so that they don't take up memory
-    /// while nobody reads the metrics. Never completes.
+    /// while nobody reads the metrics, and starts the thread of the log if the system has refused it so
+    /// far. Never completes.
     ///
     /// ```
     /// use celeryshed_observe::MetricsRegistry;
@@ -50,6 +53,7 @@
         loop {
             sleep(UPKEEP_INTERVAL).await;
             self.handle.run_upkeep();
+            ensure_log_writer();
         }
     }
 
