Take any name of a team that a header field can carry

Callers saw a system that didn't start: with a configuration that names a team such as "Home Centres Kyushu", no entry became ready, or followed it later. Names of services, models and zones keep their rule.

--- a/crates/celeryshed_base/src/lib.rs
+++ b/crates/celeryshed_base/src/lib.rs
@@ -15,8 +15,8 @@
 pub use digest::{ContentDigest, DigestError};
 pub use ids::{AttemptId, ClaimId, ProcessIncarnation, RecordId, RequestId};
 pub use names::{
-    AdapterName, AvailabilityZone, InstanceName, ModelName, NameError, RegionName, ServiceName,
-    TeamName, VersionName,
+    AdapterName, AvailabilityZone, InstanceName, LabelError, ModelName, NameError, RegionName,
+    ServiceName, TeamLabel, TeamName, VersionName,
 };
 pub use position::{LogPosition, PositionError, StoreEra};
 pub use units::{ByteCount, ConfigRevision, FenceNumber, LogOffset, TokenCount, TokenRate};
--- a/crates/celeryshed_base/src/names.rs
+++ b/crates/celeryshed_base/src/names.rs
@@ -109,3 +109,56 @@
     /// Name of an adapter that is applied to a model.
     AdapterName, "adapter"
 );
+
+/// Longest [`TeamLabel`].
+const MAX_LABEL_BYTES: usize = 1024;
+
+/// Error for text that isn't a valid [`TeamLabel`].
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error(
+    "{value:?} is not the name of a team: accepted are 1 to {MAX_LABEL_BYTES} bytes that a header \
+     field can carry, with no space at either end"
+)]
+pub struct LabelError {
+    /// The rejected text.
+    pub value: String,
+}
+
+/// Name of a team that another system has assigned. Endpoints get it as a header field.
+///
+/// ```
+/// use celeryshed_base::TeamLabel;
+/// let label = TeamLabel::try_from("Home Centres Kyushu").unwrap();
+/// assert_eq!(label.as_str(), "Home Centres Kyushu");
+/// assert!(TeamLabel::try_from("two\r\nlines").is_err());
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TeamLabel(String);
+
+impl TeamLabel {
+    /// The name as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl TryFrom<&str> for TeamLabel {
+    type Error = LabelError;
+
+    fn try_from(value: &str) -> Result<Self, LabelError> {
+        let is_valid = (1..=MAX_LABEL_BYTES).contains(&value.len())
+            && value.trim() == value
+            && !value.bytes().any(|byte| byte.is_ascii_control());
+        if is_valid {
+            Ok(Self(value.to_owned()))
+        } else {
+            Err(LabelError { value: value.to_owned() })
+        }
+    }
+}
+
+impl fmt::Display for TeamLabel {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
--- a/crates/celeryshed_dispatch/src/routes.rs
+++ b/crates/celeryshed_dispatch/src/routes.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use celeryshed_base::common_derives;
-use celeryshed_base::{ConfigRevision, ModelName, ServiceName, TeamName};
+use celeryshed_base::{ConfigRevision, ModelName, ServiceName, TeamLabel};
 
 common_derives! { value:
     /// Whether a request may be sent again after it may have run.
@@ -105,7 +105,7 @@
     /// A team and the priority of its requests.
     pub struct TeamProfile {
         /// Name of the team in the configuration.
-        pub name: TeamName,
+        pub name: TeamLabel,
         /// Priority that replaces that of the route; `None` keeps the route's.
         pub rank: Option<u8>,
     }
--- a/crates/celeryshed_gateway/src/request/attempt.rs
+++ b/crates/celeryshed_gateway/src/request/attempt.rs
@@ -315,7 +315,7 @@
     headers.insert(names.time_limit.clone(), limit.parse().ok()?);
     headers.insert(names.endpoint.clone(), plan.target.id.as_str().parse().ok()?);
     if let Some(team) = &request.team {
-        headers.insert(names.team.clone(), team.parse().ok()?);
+        headers.insert(names.team.clone(), HeaderValue::from_bytes(team.as_bytes()).ok()?);
     }
     if let Some(version) = plan.target.version {
         headers.insert(names.expect_version.clone(), HeaderValue::from(version));
--- a/crates/celeryshed_gateway/tests/requests.rs
+++ b/crates/celeryshed_gateway/tests/requests.rs
@@ -24,6 +24,25 @@
     ScriptedEndpoint::start(id, vec![script.to_vec()]).await
 }
 
+/// Guards against requests that are never sent because of the name of their team.
+#[tokio::test]
+async fn name_of_a_team_with_spaces_reaches_endpoint() {
+    for name in ["Home Centres Kyushu", "北海道"] {
+        let engine = endpoint("i-1", &[Send(WHOLE)]).await;
+        let mut named = snapshot(1);
+        let team = named.teams.get_mut("key-1").unwrap();
+        team.name = celeryshed_base::TeamLabel::try_from(name).unwrap();
+        let store = Arc::new(FakeStore::default());
+        store.publish(named);
+        store.register(&engine);
+        let entry = Deployment::start_with(store).await;
+        entry.wait_ready().await;
+        let answer = entry.call(&request("POST", "/book/a", "r1", "", "a body")).await;
+        assert_eq!(answer.status(), 200, "{name}");
+        assert_eq!(engine.request(0).header("x-team"), Some(name));
+    }
+}
+
 /// Guards against changed requests and forged headers: the endpoint receives the caller's request,
 /// except for the headers that the entry sets or removes.
 #[tokio::test]
