Keep an endpoint closed while its report may be older than its silence

Callers got answers made with weights from damaged pieces (WHOLE). Cause: an endpoint that stood still accepts an order of a former sidecar process as it goes on; its first report to the new process still shows the state before, since reports are some hundred ms old, so the endpoint was opened while it loaded. Change: after a silence at the start of a process, reports count once half a second has passed since the first one. Measured: report_of_before_the_end_of_a_silence_is_not_trusted failed before.

--- a/crates/celeryshed_stager/src/stage_task.rs
+++ b/crates/celeryshed_stager/src/stage_task.rs
@@ -24,6 +24,8 @@
 const IDLE_QUERY_INTERVAL: Duration = Duration::from_millis(600);
 /// Interval of calls to the endpoint while it starts, drains or loads.
 const BUSY_QUERY_INTERVAL: Duration = Duration::from_millis(40);
+/// How old the state in a report of the endpoint may be.
+const MAX_REPORT_AGE: Duration = Duration::from_millis(500);
 /// Shortest time between telling the entries that the endpoint closes and the load order.
 const MIN_DRAIN_TIME: Duration = Duration::from_millis(200);
 /// Longest time between telling the entries that the endpoint closes and the load order.
@@ -55,6 +57,8 @@
     /// Whether the endpoint was silent before its first report. It may have accepted an order then that
     /// an earlier process has sent.
     was_silent: bool,
+    /// When its silence at the start of this process ended; none without such a silence.
+    silence_ended_at: Option<MonoTime>,
 }
 
 /// Loads each version that is complete in the [`PieceStore`] at the endpoint.
@@ -124,6 +128,11 @@
     /// Like [`Self::query_endpoint`], but returns the report as received, with a doubtful load.
     async fn observe_endpoint(&self) -> Option<EngineReport> {
         match self.platform.endpoint_report().await {
+            Ok(_) if self.may_be_of_before_silence() => {
+                // The endpoint may load meanwhile, on an order that it has just accepted.
+                self.set_condition(EngineReport::default(), false);
+                None
+            }
             Ok(received) => {
                 let accepting = !received.busy;
                 self.end_doubt_if(|doubt| doubt.is_ended_by(&received));
@@ -209,6 +218,7 @@
                 started_at_ms: report.started_at_ms,
                 seq_no: Some(if is_foreign { seq_no } else { highest }),
                 was_silent: false,
+                silence_ended_at: None,
             };
             if is_foreign && condition.doubt.is_none() {
                 condition.doubt = LoadDoubt::of_foreign(&goal.model, report);
@@ -222,10 +232,27 @@
         });
     }
 
+    /// Whether a report that arrives now may be older than the end of a silence at the start of this
+    /// process, so that it lacks an order which the endpoint has accepted since.
+    fn may_be_of_before_silence(&self) -> bool {
+        let now = self.clock.now();
+        let mut is_possible = false;
+        self.condition.send_if_modified(|condition| {
+            let accounted = &mut condition.accounted;
+            if accounted.was_silent && accounted.seq_no.is_none() {
+                let ended_at = *accounted.silence_ended_at.get_or_insert(now);
+                is_possible = now - ended_at < MAX_REPORT_AGE;
+            }
+            false
+        });
+        is_possible
+    }
+
     fn record_silent_start(&self) {
         self.condition.send_if_modified(|condition| {
             let accounted = &mut condition.accounted;
             accounted.was_silent = accounted.seq_no.is_none();
+            accounted.silence_ended_at = None;
             false
         });
     }
--- a/crates/celeryshed_stager/tests/support/mod.rs
+++ b/crates/celeryshed_stager/tests/support/mod.rs
@@ -110,6 +110,8 @@
     /// The version after whose load the next report is lost; zero for none.
     pub(crate) lose_report_after: AtomicU64,
     is_report_lost: AtomicBool,
+    /// A report that is sent in place of newer ones.
+    old_report: Mutex<Option<OldReport>>,
     /// Number of layers that the engine took from damaged pieces.
     pub(crate) spoilt_layers: AtomicU32,
     /// Orders that the engine received, accepted or not.
@@ -124,6 +126,14 @@
     manifests: Mutex<BTreeSet<u64>>,
 }
 
+/// A report that is sent again until `time` after it was first sent.
+#[derive(Debug)]
+struct OldReport {
+    report: EngineReport,
+    first_sent_at: Option<Instant>,
+    time: Duration,
+}
+
 impl FakeWeights {
     /// An engine that serves version `loaded` and stores the pieces `staged`.
     pub(crate) fn new(loaded: u64, staged: impl IntoIterator<Item = (u32, Bytes)>) -> Arc<Self> {
@@ -182,6 +192,17 @@
     }
 
     /// From now on reports have only what each engine reports.
+    /// Reports the present state until `time` after the next report, whatever happens meanwhile.
+    pub(crate) fn delay_reports(&self, time: Duration) {
+        let report = EngineReport {
+            models: self.loaded.lock().unwrap().clone(),
+            started_at_ms: Some(self.started_at_ms.load(Ordering::Relaxed)),
+            seq_no: Some(self.seq_no.load(Ordering::Relaxed)),
+            ..EngineReport::default()
+        };
+        *self.old_report.lock().unwrap() = Some(OldReport { report, first_sent_at: None, time });
+    }
+
     pub(crate) fn shorten_reports(&self) {
         self.is_brief.store(true, Ordering::Relaxed);
     }
@@ -345,6 +366,12 @@
 impl WeightPlatform for FakeWeights {
     async fn endpoint_report(&self) -> Result<EngineReport, WeightError> {
         self.check_replies().await?;
+        if let Some(old) = &mut *self.old_report.lock().unwrap() {
+            let first_sent_at = *old.first_sent_at.get_or_insert_with(Instant::now);
+            if first_sent_at.elapsed() < old.time {
+                return Ok(old.report.clone());
+            }
+        }
         if self.is_report_lost.swap(false, Ordering::Relaxed) {
             return Err(self.time_out().await);
         }
--- a/crates/celeryshed_stager/tests/unsettled_orders.rs
+++ b/crates/celeryshed_stager/tests/unsettled_orders.rs
@@ -14,6 +14,8 @@
 };
 use tokio::time::{sleep, timeout};
 
+/// Age of the state that an engine reports.
+const REPORT_DELAY: Duration = Duration::from_millis(200);
 /// Longest time in which a load is done again.
 const RELOAD_TIME: Duration = Duration::from_secs(5);
 /// Longer than the time after which a load in progress is ordered again.
@@ -121,8 +123,11 @@
 }
 
 /// An engine that stands still with the order of a sidecar that has ended, and the next process of that
-/// sidecar.
-async fn restart_beside_silent_engine(is_damaged: bool) -> (Arc<FakeWeights>, SocketAddr) {
+/// sidecar, which knows of `version`.
+async fn restart_beside_silent_engine(
+    is_damaged: bool,
+    version: u64,
+) -> (Arc<FakeWeights>, SocketAddr) {
     let weights = FakeWeights::new(1, []);
     weights.disturb_orders([OrderFault::Held]);
     let earlier = start_earlier_sidecar(&weights);
@@ -132,7 +137,7 @@
     if is_damaged {
         weights.damage_piece(3);
     }
-    let sidecar = start_sidecar(&weights, 2);
+    let sidecar = start_sidecar(&weights, version);
     sleep(Duration::from_millis(500)).await;
     (weights, sidecar)
 }
@@ -142,7 +147,7 @@
 #[tokio::test]
 async fn load_that_an_earlier_process_ordered_is_checked() {
     for is_damaged in [true, false] {
-        let (weights, sidecar) = restart_beside_silent_engine(is_damaged).await;
+        let (weights, sidecar) = restart_beside_silent_engine(is_damaged, 2).await;
         weights.hold_loads.store(true, Ordering::Relaxed);
         weights.deliver_orders();
         weights.end_silence();
@@ -175,7 +180,21 @@
 #[tokio::test]
 async fn load_that_ended_before_the_first_report_is_checked() {
     for is_damaged in [true, false] {
-        let (weights, sidecar) = restart_beside_silent_engine(is_damaged).await;
+        let (weights, sidecar) = restart_beside_silent_engine(is_damaged, 2).await;
+        weights.deliver_orders();
+        weights.end_silence();
+        let status = watch_engine(&weights, sidecar, RELOAD_TIME).await;
+        assert!(status.accepting, "{status:?}");
+    }
+}
+
+/// Guards against an engine that is opened by a report of its state before it accepted the order, when its
+/// silence ended.
+#[tokio::test]
+async fn report_of_before_the_end_of_a_silence_is_not_trusted() {
+    for is_damaged in [true, false] {
+        let (weights, sidecar) = restart_beside_silent_engine(is_damaged, 1).await;
+        weights.delay_reports(REPORT_DELAY);
         weights.deliver_orders();
         weights.end_silence();
         let status = watch_engine(&weights, sidecar, RELOAD_TIME).await;
