Name the cause of a server's failed launch

Cause: a launch that fails drops the sender of its address before its outcome arrives, and launch_server took whichever came first. Operators saw "rocket reported no address" and a panic of the server library for its unread error, instead of the system's error. Change: only a sent address ends the wait; otherwise the outcome of the launch is reported, which also reads the error.

--- a/crates/celeryshed_server/src/launch.rs
+++ b/crates/celeryshed_server/src/launch.rs
@@ -115,13 +115,11 @@
     let ignited =
         rocket.ignite().await.map_err(|error| failure(error.pretty_print().to_owned()))?;
     let shutdown = ignited.shutdown();
+    let flush_limit = options.flush_limit;
     let mut task = tokio::spawn(async move { ignited.launch().await.map(drop) });
     tokio::select! {
-        address = ready => {
-            let address = address.map_err(|_| failure("rocket reported no address".to_owned()))?;
-            let flush_limit = options.flush_limit;
-            Ok(RunningServer { address, shutdown, flush_limit, closed, task })
-        }
+        // A launch that fails drops the sender; its outcome follows.
+        Ok(address) = ready => Ok(RunningServer { address, shutdown, flush_limit, closed, task }),
         outcome = &mut task => Err(failure(match outcome {
             Ok(Ok(())) => "the server stopped during the launch".to_owned(),
             Ok(Err(error)) => launch_error_text(&error),
--- a/crates/celeryshed_server/tests/launch.rs
+++ b/crates/celeryshed_server/tests/launch.rs
@@ -53,6 +53,19 @@
     running.stop().await;
 }
 
+/// The error of a launch at a port in use named no cause, in most launches.
+#[tokio::test]
+async fn failed_launch_hides_its_cause() {
+    let occupier = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = occupier.local_addr().expect("its address");
+    for _ in 0..50 {
+        let Err(error) = launch_server(ServerOptions::new(address), server()).await else {
+            panic!("the port is in use");
+        };
+        assert!(error.reason.contains("in use"), "{error}");
+    }
+}
+
 /// Guards against rocket's default HTML error pages: clients that parse JSON need the cause and a
 /// correct `not_run` for unknown paths too.
 #[tokio::test]
