Keep the ports of a fleet until its roles listen at them

Cause: the ports were chosen, released, and bound again later. Between, the stand-ins of the same fleet ask for any free port, from the same half of the range: Linux gives odd ports to sockets that ask for any and even ones to outgoing connections. Change: PortReservation holds each port with a socket that is bound and doesn't listen, which a listener with SO_REUSEADDR can share and nothing else gets.

--- a/crates/celeryshed_entry/tests/bookings/http.rs
+++ b/crates/celeryshed_entry/tests/bookings/http.rs
@@ -10,7 +10,7 @@
 use celeryshed_side::claims::{ClaimOptions, claim_routes, spawn_claims};
 use celeryshed_wire::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 
 use crate::cluster::{problem_of, start_entry};
 
@@ -64,8 +64,17 @@
     address
 }
 
+/// A free port, which no other socket gets before a server listens at it.
+fn reserve_port() -> (TcpSocket, u16) {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_reuseaddr(true).unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let port = socket.local_addr().unwrap().port();
+    (socket, port)
+}
+
 async fn serve(rocket: rocket::Rocket<rocket::Build>) -> String {
-    let port = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port();
+    let (_reservation, port) = reserve_port();
     let log_level = rocket::config::LogLevel::Off;
     let config = rocket::Config { port, log_level, ..rocket::Config::release_default() };
     tokio::spawn(rocket.configure(config).launch());
--- a/crates/celeryshed_entry/tests/fleet/traffic.rs
+++ b/crates/celeryshed_entry/tests/fleet/traffic.rs
@@ -25,7 +25,7 @@
     RevisionExchange, ScarcityRule, ServiceKind, ServiceSpec, VersionSpec, encode,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -105,7 +105,11 @@
     };
     let options = ConfigurationOptions::default();
     let configuration = spawn_configuration(identity.clone(), options, clients).unwrap();
-    let port = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap().port();
+    // Holds the port until the server listens at it.
+    let reservation = TcpSocket::new_v4().unwrap();
+    reservation.set_reuseaddr(true).unwrap();
+    reservation.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let port = reservation.local_addr().unwrap().port();
     let figment = rocket::Config::figment().merge(("port", port)).merge(("log_level", "off"));
     let server = rocket::custom(figment)
         .manage(identity)
--- a/crates/celeryshed_measure/src/fleet/launch.rs
+++ b/crates/celeryshed_measure/src/fleet/launch.rs
@@ -26,7 +26,7 @@
 
 use super::deployment::{DeploymentPlan, EndpointPlan, ZonePlan};
 use super::error::{FleetError, Result, start_error};
-use super::ports::free_addresses;
+use super::ports::PortReservation;
 use super::runtime::RoleRuntime;
 
 /// Worker threads in the runtime of one role.
@@ -166,7 +166,9 @@
 
     async fn launch_roles(&mut self, plan: &DeploymentPlan) -> Result<()> {
         let endpoints: usize = plan.endpoints.iter().map(|endpoints| endpoints.count).sum();
-        let mut addresses = free_addresses(plan.entries + endpoints)?.into_iter();
+        // Kept until every role listens at its port.
+        let ports = PortReservation::reserve(plan.entries + endpoints)?;
+        let mut addresses = ports.addresses()?.into_iter();
         let mut listed = Vec::new();
         let mut zones = plan.zones.iter().cycle();
         let mut entries = Vec::new();
--- a/crates/celeryshed_measure/src/fleet/ports.rs
+++ b/crates/celeryshed_measure/src/fleet/ports.rs
@@ -1,17 +1,41 @@
 //! Choice of free loopback ports.
 
-use std::net::{SocketAddr, TcpListener};
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+
+use tokio::net::TcpSocket;
 
 use super::error::{Result, start_error};
 
-/// Addresses on `count` different free ports.
+/// Free loopback ports that are kept for the listeners of a fleet.
 ///
-/// All listeners stay open until the last port is chosen, so that no port is chosen twice.
-pub(super) fn free_addresses(count: usize) -> Result<Vec<SocketAddr>> {
-    let mut listeners = Vec::with_capacity(count);
-    for _ in 0..count {
-        listeners.push(TcpListener::bind("127.0.0.1:0").map_err(start_error("a free port"))?);
+/// Each port is held by a socket that is bound and doesn't listen. The system gives such a port to no
+/// other socket that asks for any port, nor to an outgoing connection; a listener with `SO_REUSEADDR`,
+/// as servers set it, can share it.
+pub(super) struct PortReservation {
+    sockets: Vec<TcpSocket>,
+}
+
+impl PortReservation {
+    /// Reserves `count` different ports.
+    pub(super) fn reserve(count: usize) -> Result<Self> {
+        let sockets: io::Result<_> = (0..count).map(|_| reserve_port()).collect();
+        Ok(Self { sockets: sockets.map_err(start_error("a free port"))? })
+    }
+
+    /// The reserved addresses.
+    pub(super) fn addresses(&self) -> Result<Vec<SocketAddr>> {
+        let addresses: io::Result<_> = self.sockets.iter().map(TcpSocket::local_addr).collect();
+        addresses.map_err(start_error("a free port"))
     }
-    let addresses = listeners.iter().map(TcpListener::local_addr);
-    addresses.collect::<std::io::Result<_>>().map_err(start_error("a free port"))
 }
+
+fn reserve_port() -> io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+    Ok(socket)
+}
+
+#[cfg(test)]
+mod tests;
