Log and count the ends of long-running tasks

Operators saw one line `panicked` with the place and the main thread's name, whichever task died, and nothing at all when a task returned; no metric differed from those of a sound process.

Cause: both thin roles, the peering and the metrics service start their long-running tasks with tokio::spawn and keep no handle.

Change: a TaskGroup in celeryshed_process starts every long-running task of both roles under a name and a class (essential, finite, auxiliary), and logs `task_ended` and counts `celeryshed_tasks_ended_total{task,outcome}` when one panics or returns. Auxiliary tasks (metrics service, registry upkeep, resource watch) are started again after an exponential delay of 0.2 s to 60 s. Essential ends reach a receiver that nobody reads yet: no role reacts so far. The loops of the peer and status tasks, which were spawned from within other tasks, are tasks of the group as well. The tests of the peering pass a group along; what they check is unchanged.

--- a/crates/celeryshed_gateway/src/dispatcher_task.rs
+++ b/crates/celeryshed_gateway/src/dispatcher_task.rs
@@ -18,6 +18,7 @@
     ControlEvent, ControlPosition, CrashReport, EntryStatus, KeyedLoad, RecordAge, RequestCrashes,
     SidecarStatus, VersionAge,
 };
+use celeryshed_process::{TaskClass, TaskGroup};
 use hyper::StatusCode;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -467,8 +468,9 @@
     pub(crate) blocked_parts: watch::Receiver<Arc<BTreeSet<PartId>>>,
 }
 
-/// Starts the dispatcher task.
+/// Starts the dispatcher task as one of the `tasks` of the role.
 pub(crate) fn start_dispatcher(
+    tasks: &TaskGroup,
     settings: DispatcherSettings,
     own_address: PeerAddress,
     clock: ClockSource,
@@ -493,7 +495,7 @@
         notice_count: 0,
         activities: BTreeMap::new(),
     };
-    tokio::spawn(task.run(command_receiver, events));
+    tasks.start("dispatcher", TaskClass::Essential, task.run(command_receiver, events));
     let outputs = DispatcherOutputs {
         snapshot: snapshot_watch,
         endpoints_known: endpoints_watch,
--- a/crates/celeryshed_gateway/src/peer_task.rs
+++ b/crates/celeryshed_gateway/src/peer_task.rs
@@ -11,6 +11,7 @@
     message_lifetime,
 };
 use celeryshed_peering::{ControlHandle, EntryHeartbeat, PeerMessage, PeerSocket};
+use celeryshed_process::{TaskClass, TaskGroup};
 use tokio::time::{Instant, sleep};
 
 use crate::dispatcher_task::{DispatcherHandle, LoadQuery};
@@ -56,15 +57,17 @@
         Self { address, settings, sidecar_port, socket, dispatcher, control, entries }
     }
 
-    pub(crate) async fn run(self) {
+    /// Starts its tasks as `tasks` of the role.
+    pub(crate) fn start(self, tasks: &TaskGroup) {
         let task = Arc::new(self);
+        let class = TaskClass::Essential;
         for audience in PeerAudience::ALL {
             let sender = task.clone();
-            tokio::spawn(async move { sender.send_loads(audience).await });
+            tasks.start("loads", class, async move { sender.send_loads(audience).await });
             let sender = task.clone();
-            tokio::spawn(async move { sender.send_heartbeats(audience).await });
+            tasks.start("heartbeats", class, async move { sender.send_heartbeats(audience).await });
         }
-        task.receive().await;
+        tasks.start("peers", class, async move { task.receive().await });
     }
 
     /// Sends the entries of `audience` load reports until the process ends.
--- a/crates/celeryshed_gateway/src/process.rs
+++ b/crates/celeryshed_gateway/src/process.rs
@@ -11,8 +11,8 @@
     ControlHandle, ControlStore, PeerSocket, RecordDecoder, parse_control_query, start_control,
 };
 use celeryshed_process::{
-    ProcessSignals, ResourceWatch, RoleEnd, SOCKETS_WAIT, listen_tcp, listen_udp,
-    max_open_descriptors, open_sockets, serve_metrics,
+    ProcessSignals, ResourceWatch, RoleEnd, SOCKETS_WAIT, TaskClass, TaskGroup, listen_tcp,
+    listen_udp, max_open_descriptors, open_sockets, serve_metrics,
 };
 use hyper::{Request, Response, StatusCode};
 use tokio::net::TcpListener;
@@ -92,11 +92,13 @@
         };
         let Ok(sockets) = opened else { return Ok(RoleEnd::SocketsTaken) };
         let sockets = sockets?;
-        tokio::spawn(registry.clone().run_upkeep());
-        let (control, events) = start_control(store, decoder, settings.control);
+        let (tasks, _ends) = TaskGroup::new();
+        let upkeep = registry.clone();
+        tasks.start_auxiliary("upkeep", move || upkeep.clone().run_upkeep());
+        let (control, events) = start_control(&tasks, store, decoder, settings.control);
         let own_address = PeerAddress(settings.peer_address.to_string());
         let (dispatcher, outputs) =
-            start_dispatcher(settings.dispatcher.clone(), own_address, clock, events);
+            start_dispatcher(&tasks, settings.dispatcher.clone(), own_address, clock, events);
         let DispatcherOutputs { snapshot, endpoints_known, blocked_parts } = outputs;
         let (shutdown_phase, shutdown_watch) = watch::channel(ShutdownPhase::Serving);
         let (closing, closing_watch) = watch::channel(false);
@@ -109,11 +111,12 @@
             dispatcher.clone(),
             control.clone(),
         );
-        tokio::spawn(peer_task.run());
+        peer_task.start(&tasks);
 
         let (server_settings, settings_watch) =
             watch::channel(server_settings_of(CallerLimits::default(), settings.grace_period));
-        tokio::spawn(apply_limits(snapshot.clone(), server_settings, settings.grace_period));
+        let limits = apply_limits(snapshot.clone(), server_settings, settings.grace_period);
+        tasks.start("limits", TaskClass::Essential, limits);
         let context = Arc::new(GatewayContext {
             clock,
             headers: settings.headers.clone(),
@@ -136,12 +139,18 @@
                 ("connections", watched.open_connections()),
             ]
         });
-        tokio::spawn(resources.run());
-        tokio::spawn(
-            callers.clone().run(sockets.callers, move |request, _from| {
-                handle_request(context.clone(), request)
-            }),
-        );
+        tasks.start_auxiliary("resources", move || resources.clone().run());
+        let accepting = callers
+            .clone()
+            .run(sockets.callers, move |request, _from| handle_request(context.clone(), request));
+        let is_closing = closing_watch.clone();
+        tasks.start("callers", TaskClass::Essential, async move {
+            accepting.await;
+            if *is_closing.borrow() {
+                // The end was ordered.
+                std::future::pending().await
+            }
+        });
 
         // Internal connections stay open until the process ends.
         let (_internal_closing, internal_watch) = watch::channel(false);
@@ -151,14 +160,18 @@
                 && *endpoints_known.borrow()
                 && *shutdown_watch.borrow() == ShutdownPhase::Serving
         };
-        tokio::spawn(internal.clone().run(sockets.readiness, move |_request, _from| {
+        let readiness = internal.clone().run(sockets.readiness, move |_request, _from| {
             let status = if ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
             async move { status_response(status) }
-        }));
-        tokio::spawn(internal.clone().run(sockets.peer_queries, move |request, _from| {
-            answer_peer(control.clone(), request)
-        }));
-        tokio::spawn(serve_metrics(internal, settings.metrics_address, registry));
+        });
+        tasks.start("readiness", TaskClass::Essential, readiness);
+        let queries = internal
+            .clone()
+            .run(sockets.peer_queries, move |request, _from| answer_peer(control.clone(), request));
+        tasks.start("peer_queries", TaskClass::Essential, queries);
+        tasks.start_auxiliary("metrics", move || {
+            serve_metrics(internal.clone(), settings.metrics_address, registry.clone())
+        });
         EventLine::new("started")
             .field("role", "entry")
             .field("name", &settings.name)
--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -11,6 +11,7 @@
     DirectoryRecord, EndpointId, EndpointState, ListedEndpoint, RoutingSnapshot,
 };
 use celeryshed_observe::EventLine;
+use celeryshed_process::{TaskClass, TaskGroup};
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
 
@@ -178,8 +179,10 @@
     }
 }
 
-/// Starts the control task and the readers of the store. The receiver yields the events.
+/// Starts the control task and the readers of the store as `tasks` of the role. The receiver yields
+/// the events.
 pub fn start_control<S: ControlStore, D: RecordDecoder>(
+    tasks: &TaskGroup,
     store: Arc<S>,
     decoder: Arc<D>,
     settings: ControlSettings,
@@ -201,7 +204,21 @@
             list_failed: list_failed.clone(),
             era: era.clone(),
         };
-        tokio::spawn(reader.run());
+        let (name, class) = match (stream, settings.scope) {
+            (ControlStream::Operator, ControlScope::Everything) => {
+                ("operator_reader", TaskClass::Essential)
+            }
+            (ControlStream::Operator, ControlScope::Weights) => {
+                ("operator_reader", TaskClass::Finite)
+            }
+            (ControlStream::Endpoints, ControlScope::Everything) => {
+                ("endpoints_reader", TaskClass::Essential)
+            }
+            (ControlStream::Endpoints, ControlScope::Weights) => {
+                ("endpoints_reader", TaskClass::Finite)
+            }
+        };
+        tasks.start(name, class, reader.run());
     }
     let task = ControlTask {
         log: ControlLog::default(),
@@ -225,7 +242,7 @@
         seen: SeenRegistrations::new(&settings),
         unusable_endpoints: BTreeSet::new(),
     };
-    tokio::spawn(task.run(received));
+    tasks.start("control", TaskClass::Essential, task.run(received));
     (ControlHandle { inputs, position: position_watch, scope: settings.scope }, event_stream)
 }
 
--- a/crates/celeryshed_peering/tests/control.rs
+++ b/crates/celeryshed_peering/tests/control.rs
@@ -18,6 +18,7 @@
     DecodeError, OperatorRecord, ReadOutcome, RecordDecoder, StoreError, parse_control_query,
     start_control,
 };
+use celeryshed_process::TaskGroup;
 use quickcheck::TestResult;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -172,7 +173,8 @@
 async fn process_fetches_configuration_from_peer_while_store_refuses() {
     let store = Arc::new(LostStore::default());
     store.lost.store(true, Ordering::Relaxed);
-    let (control, mut events) = start_control(store, Arc::new(RevisionDecoder), settings());
+    let (control, mut events) =
+        start_control(&TaskGroup::new().0, store, Arc::new(RevisionDecoder), settings());
     for (revision, offset, expected) in [(7, 3, true), (6, 4, false), (9, 5, true)] {
         let mut log = ControlLog::default();
         let records = vec![record(1, offset, Some(revision))];
@@ -338,7 +340,8 @@
         batch(vec![(7, 1, big(2, 4))], 2),
         batch(vec![(7, 0, big(1, 4))], 1),
     ];
-    let (control, _events) = start_control(store, Arc::new(ServiceDecoder), settings());
+    let (control, _events) =
+        start_control(&TaskGroup::new().0, store, Arc::new(ServiceDecoder), settings());
     wait_for_position(&control, 4, 3).await;
     // The second batch repeats endpoint 1 and changes the address of endpoint 2.
     let unchanged = reply_size(&control, 3, 4, ControlScope::Weights).await;
@@ -362,11 +365,17 @@
     let weights = ControlSettings { scope: ControlScope::Weights, ..settings() };
     for peer_sends in [true, false] {
         let store = Arc::new(ScriptedStore::default());
-        let (control, mut events) = start_control(store.clone(), Arc::new(ServiceDecoder), weights);
+        let (control, mut events) =
+            start_control(&TaskGroup::new().0, store.clone(), Arc::new(ServiceDecoder), weights);
         if peer_sends {
             let peer_store = Arc::new(ScriptedStore::default());
             *peer_store.operator.lock().unwrap() = vec![batch(vec![(7, 4, vec![6, 2])], 5)];
-            let (peer, _events) = start_control(peer_store, Arc::new(ServiceDecoder), settings());
+            let (peer, _events) = start_control(
+                &TaskGroup::new().0,
+                peer_store,
+                Arc::new(ServiceDecoder),
+                settings(),
+            );
             wait_for_position(&peer, 0, 5).await;
             let address = serve_control(peer).await;
             control.fetch_from(&address).await;
@@ -414,7 +423,8 @@
 async fn versions_among_the_first_records_are_marked() {
     let store = Arc::new(LostStore::default());
     store.lost.store(true, Ordering::Relaxed);
-    let (control, mut events) = start_control(store, Arc::new(RevisionDecoder), settings());
+    let (control, mut events) =
+        start_control(&TaskGroup::new().0, store, Arc::new(RevisionDecoder), settings());
     // The empty reply of a peer that has just started must not count as the first records: after
     // all processes were killed, a version declared 17 s earlier got its whole deadline again.
     let empty = serve_peer(ControlLog::default()).await;
--- a/crates/celeryshed_peering/tests/own_cut.rs
+++ b/crates/celeryshed_peering/tests/own_cut.rs
@@ -13,6 +13,7 @@
     ControlStream, DecodeError, OperatorRecord, ReadOutcome, RecordDecoder, StoreError,
     start_control,
 };
+use celeryshed_process::TaskGroup;
 use tokio::time::sleep;
 
 /// Interval at which endpoints renew their registrations.
@@ -122,7 +123,8 @@
         endpoints_max_age: Duration::from_secs(1),
         renewal_interval: Some(RENEWAL_INTERVAL),
     };
-    let (control, mut events) = start_control(store.clone(), Arc::new(EndpointDecoder), settings);
+    let (control, mut events) =
+        start_control(&TaskGroup::new().0, store.clone(), Arc::new(EndpointDecoder), settings);
     let clock = ClockSource::start();
     let directory = Arc::new(Mutex::new(EndpointDirectory::default()));
     let applied = directory.clone();
--- a/crates/celeryshed_peering/tests/restored_list.rs
+++ b/crates/celeryshed_peering/tests/restored_list.rs
@@ -14,6 +14,7 @@
     ControlSettings, ControlStore, ControlStream, DecodeError, OperatorRecord, ReadOutcome,
     RecordDecoder, StoreError, parse_control_query, start_control,
 };
+use celeryshed_process::TaskGroup;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::time::sleep;
@@ -171,7 +172,8 @@
             renewal_interval: Some(RENEWAL_INTERVAL),
         };
         let decoder = Arc::new(RegistrationDecoder);
-        let (control, mut events) = start_control(store.clone(), decoder, settings);
+        let (control, mut events) =
+            start_control(&TaskGroup::new().0, store.clone(), decoder, settings);
         let clock = ClockSource::start();
         let directory = Arc::new(Mutex::new(EndpointDirectory::default()));
         let applied = directory.clone();
--- a/crates/celeryshed_peering/tests/restored_store.rs
+++ b/crates/celeryshed_peering/tests/restored_store.rs
@@ -17,6 +17,7 @@
     ControlSettings, ControlStore, ControlStream, DecodeError, OperatorRecord, ReadOutcome,
     RecordAge, RecordDecoder, StoreError, parse_control_query, start_control,
 };
+use celeryshed_process::TaskGroup;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc};
@@ -166,7 +167,8 @@
             endpoints_max_age: LIST_INTERVAL,
             renewal_interval: None,
         };
-        let (control, events) = start_control(store.clone(), Arc::new(NumberDecoder), settings);
+        let (control, events) =
+            start_control(&TaskGroup::new().0, store.clone(), Arc::new(NumberDecoder), settings);
         Self { control, events, revisions: vec![], versions: vec![], addresses: vec![] }
     }
 
@@ -453,7 +455,8 @@
         endpoints_max_age: Duration::from_secs(1),
         renewal_interval: None,
     };
-    let _control = start_control(store.clone(), Arc::new(NumberDecoder), settings);
+    let _control =
+        start_control(&TaskGroup::new().0, store.clone(), Arc::new(NumberDecoder), settings);
     sleep(Duration::from_secs(4)).await;
     let snapshots = store.snapshots.load(Ordering::Relaxed);
     assert!(snapshots < 20, "{snapshots} snapshots in 4 s");
--- a/crates/celeryshed_peering/tests/version_age.rs
+++ b/crates/celeryshed_peering/tests/version_age.rs
@@ -12,6 +12,7 @@
     ControlStore, ControlStream, DecodeError, OperatorRecord, ReadOutcome, RecordAge,
     RecordDecoder, StoreError, parse_control_query, start_control,
 };
+use celeryshed_process::TaskGroup;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc};
@@ -114,8 +115,12 @@
 ) -> (ControlHandle, mpsc::UnboundedReceiver<ControlEvent>) {
     store.declare(1);
     let scope = ControlScope::Everything;
-    let (control, mut events) =
-        start_control(store.clone(), Arc::new(VersionDecoder), settings(scope));
+    let (control, mut events) = start_control(
+        &TaskGroup::new().0,
+        store.clone(),
+        Arc::new(VersionDecoder),
+        settings(scope),
+    );
     assert_eq!(next_version(&mut events).await, (1, RecordAge::Unknown));
     sleep(Duration::from_secs(3)).await;
     (control, events)
@@ -209,14 +214,18 @@
     let store = Arc::new(PushStore::default());
     store.declare(1);
     let scope = ControlScope::Everything;
-    let (control, mut events) =
-        start_control(store.clone(), Arc::new(VersionDecoder), settings(scope));
+    let (control, mut events) = start_control(
+        &TaskGroup::new().0,
+        store.clone(),
+        Arc::new(VersionDecoder),
+        settings(scope),
+    );
     assert_eq!(next_version(&mut events).await.0, 1);
     let peer = serve_control(control.clone()).await;
     let scope = ControlScope::Weights;
     let unread = Arc::new(PushStore::default());
     let (sidecar, mut sidecar_events) =
-        start_control(unread, Arc::new(VersionDecoder), settings(scope));
+        start_control(&TaskGroup::new().0, unread, Arc::new(VersionDecoder), settings(scope));
     sidecar.fetch_from(&peer).await;
     assert_eq!(next_version(&mut sidecar_events).await, (1, RecordAge::Unknown));
     store.declare(2);
@@ -238,13 +247,22 @@
     let store = Arc::new(PushStore::default());
     store.declare(1);
     let entry = |store: &Arc<PushStore>| {
-        start_control(store.clone(), Arc::new(VersionDecoder), settings(ControlScope::Everything))
+        start_control(
+            &TaskGroup::new().0,
+            store.clone(),
+            Arc::new(VersionDecoder),
+            settings(ControlScope::Everything),
+        )
     };
     let (before, mut events) = entry(&store);
     assert_eq!(next_version(&mut events).await.0, 1);
     let unread = Arc::new(PushStore::default());
-    let (sidecar, mut sidecar_events) =
-        start_control(unread, Arc::new(VersionDecoder), settings(ControlScope::Weights));
+    let (sidecar, mut sidecar_events) = start_control(
+        &TaskGroup::new().0,
+        unread,
+        Arc::new(VersionDecoder),
+        settings(ControlScope::Weights),
+    );
     sidecar.fetch_from(&serve_control(before).await).await;
     assert_eq!(next_version(&mut sidecar_events).await.0, 1);
     store.declare(2);
--- a/crates/celeryshed_process/src/lib.rs
+++ b/crates/celeryshed_process/src/lib.rs
@@ -4,10 +4,16 @@
 mod listen;
 mod metrics_service;
 mod resource_watch;
+mod restart_delay;
 mod signals;
+mod task_group;
 
 pub use descriptors::max_open_descriptors;
 pub use listen::{ListenError, Result, SOCKETS_WAIT, listen_tcp, listen_udp, open_sockets};
 pub use metrics_service::serve_metrics;
 pub use resource_watch::{HolderFigure, MemoryUsage, ResourceWatch};
+pub use restart_delay::RestartDelay;
 pub use signals::{ProcessSignals, RoleEnd};
+pub use task_group::{
+    CaughtPanic, EndedTask, TaskClass, TaskEnds, TaskGroup, TaskOutcome, catch_panic,
+};
--- a/crates/celeryshed_process/src/resource_watch.rs
+++ b/crates/celeryshed_process/src/resource_watch.rs
@@ -26,7 +26,7 @@
 
 /// Logs when the process takes most of its machine's memory, and when its tasks had to wait. A process
 /// that is killed for its memory can't write a line any more.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct ResourceWatch<F> {
     memory_limit: usize,
     holders: F,
--- a/crates/celeryshed_stager/src/process.rs
+++ b/crates/celeryshed_stager/src/process.rs
@@ -9,8 +9,8 @@
 use celeryshed_observe::{EventLine, MetricsRegistry};
 use celeryshed_peering::{ControlHandle, ControlStore, PeerSocket, RecordDecoder, start_control};
 use celeryshed_process::{
-    ProcessSignals, ResourceWatch, RoleEnd, SOCKETS_WAIT, listen_tcp, listen_udp, open_sockets,
-    serve_metrics,
+    ProcessSignals, ResourceWatch, RoleEnd, SOCKETS_WAIT, TaskClass, TaskGroup, listen_tcp,
+    listen_udp, open_sockets, serve_metrics,
 };
 use tokio::net::TcpListener;
 use tokio::sync::{Mutex, Semaphore, watch};
@@ -84,16 +84,18 @@
         };
         let Ok(sockets) = opened else { return Ok(RoleEnd::SocketsTaken) };
         let sockets = sockets?;
-        tokio::spawn(registry.clone().run_upkeep());
-        let (control, events) = start_control(store, decoder, settings.control);
-        let view = start_view(clock, settings.versions, events);
+        let (tasks, _ends) = TaskGroup::new();
+        let upkeep = registry.clone();
+        tasks.start_auxiliary("upkeep", move || upkeep.clone().run_upkeep());
+        let (control, events) = start_control(&tasks, store, decoder, settings.control);
+        let view = start_view(&tasks, clock, settings.versions, events);
         let (store_sender, store_watch) = watch::channel(PieceStore::default());
         let piece_store = Arc::new(store_sender);
         let watched = store_watch.clone();
         let resources = ResourceWatch::new(settings.memory_bytes, move || {
             vec![("pieces", watched.borrow().memory_bytes())]
         });
-        tokio::spawn(resources.run());
+        tasks.start_auxiliary("resources", move || resources.clone().run());
         let (condition, condition_watch) = watch::channel(EndpointCondition::default());
 
         let socket = Arc::new(sockets.peers);
@@ -107,7 +109,7 @@
             view: view.clone(),
             inventories,
         };
-        tokio::spawn(status_task.run());
+        status_task.start(&tasks);
 
         let (_settings, server_settings) = watch::channel(ServerSettings {
             max_head_bytes: MAX_HEAD_BYTES,
@@ -126,14 +128,11 @@
                 store: store_watch.clone(),
                 inventories: inventories_watch.clone(),
             };
-            tokio::spawn(inventory_task.run());
+            tasks.start("inventories", TaskClass::Essential, inventory_task.run());
         }
-        tokio::spawn(fetch_operator_records(
-            settings.clone(),
-            clock,
-            view.clone(),
-            control.clone(),
-        ));
+        let fetching =
+            fetch_operator_records(settings.clone(), clock, view.clone(), control.clone());
+        tasks.start("first_records", TaskClass::Finite, fetching);
         let pieces = Arc::new(PieceServer {
             clock,
             control,
@@ -144,11 +143,15 @@
             view: view.clone(),
             read_memory: Arc::new(Semaphore::new(read_memory_bytes(&settings))),
         });
-        tokio::spawn(server.clone().run(sockets.pieces, move |request, _from| {
+        let serving = server.clone().run(sockets.pieces, move |request, _from| {
             let pieces = pieces.clone();
             async move { pieces.serve(request).await }
-        }));
-        tokio::spawn(serve_metrics(server, settings.metrics_address, registry));
+        });
+        tasks.start("pieces", TaskClass::Essential, serving);
+        let metrics_address = settings.metrics_address;
+        tasks.start_auxiliary("metrics", move || {
+            serve_metrics(server.clone(), metrics_address, registry.clone())
+        });
         let stage = Arc::new(EndpointStage::new(platform.clone()));
         let fetch_task = FetchTask {
             settings: settings.clone(),
@@ -159,7 +162,7 @@
             store: piece_store.clone(),
             inventories: inventories_watch,
         };
-        tokio::spawn(fetch_task.run());
+        tasks.start("fetches", TaskClass::Essential, fetch_task.run());
         let stage_task = StageTask {
             settings: settings.clone(),
             clock,
@@ -169,7 +172,7 @@
             store: piece_store,
             condition,
         };
-        tokio::spawn(stage_task.run());
+        tasks.start("stage", TaskClass::Essential, stage_task.run());
         EventLine::new("started")
             .field("role", "side")
             .field("name", &settings.name)
--- a/crates/celeryshed_stager/src/status_task.rs
+++ b/crates/celeryshed_stager/src/status_task.rs
@@ -7,7 +7,8 @@
 use celeryshed_base::ClockSource;
 use celeryshed_dispatch::{message_lifetime, status_interval};
 use celeryshed_peering::{ControlHandle, PeerMessage, PeerSocket, SidecarStatus, VersionAge};
-use tokio::sync::watch;
+use celeryshed_process::{TaskClass, TaskGroup};
+use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, timeout_at};
 
 use crate::inventory_task::InventoryMap;
@@ -39,45 +40,53 @@
 }
 
 impl StatusTask {
-    pub(crate) async fn run(self) {
-        let (entry_sender, mut entry_receiver) = tokio::sync::mpsc::unbounded_channel();
+    /// Starts its tasks as `tasks` of the role.
+    pub(crate) fn start(self, tasks: &TaskGroup) {
+        let (entry_sender, entry_receiver) = mpsc::unbounded_channel();
         let task = Arc::new(self);
         let receiving = task.clone();
-        tokio::spawn(async move {
-            let mut own_region_at: Option<Instant> = None;
-            loop {
-                match receiving.socket.receive().await.0 {
-                    PeerMessage::Hello(heartbeat) => {
-                        let now = Instant::now();
-                        let in_own_region = receiving.settings.is_in_own_region(&heartbeat.zone);
-                        own_region_at = if in_own_region { Some(now) } else { own_region_at };
-                        // Records cross the links between regions only while no entry of the own
-                        // region sends heartbeats.
-                        let own_region_silent =
-                            own_region_at.is_none_or(|at| at.elapsed() > OWN_REGION_TIMEOUT);
-                        if in_own_region || own_region_silent {
-                            receiving
-                                .control
-                                .report_peer_position(&heartbeat.entry, heartbeat.position);
-                        }
-                        // The receiver lives as long as the process.
-                        let lifetime = Duration::from_millis(heartbeat.lifetime_ms.into());
-                        let _ = entry_sender.send((heartbeat.entry, now + lifetime));
-                    }
-                    PeerMessage::Pieces(inventory) => {
-                        let now = receiving.clock.now();
-                        let key = (inventory.sidecar.clone(), inventory.version);
-                        receiving.inventories.send_modify(|inventories| {
-                            if inventories.insert(key, (now, inventory)).is_none() {
-                                inventories.retain(|_, (at, _)| now - *at < INVENTORY_LIFETIME);
-                            }
-                        });
+        let class = TaskClass::Essential;
+        tasks.start("datagrams", class, async move { receiving.receive(&entry_sender).await });
+        tasks.start("status", class, async move { task.send_statuses(entry_receiver).await });
+    }
+
+    /// Receives all datagrams, and passes the entries in heartbeats on.
+    async fn receive(&self, entry_sender: &mpsc::UnboundedSender<(String, Instant)>) {
+        let mut own_region_at: Option<Instant> = None;
+        loop {
+            match self.socket.receive().await.0 {
+                PeerMessage::Hello(heartbeat) => {
+                    let now = Instant::now();
+                    let in_own_region = self.settings.is_in_own_region(&heartbeat.zone);
+                    own_region_at = if in_own_region { Some(now) } else { own_region_at };
+                    // Records cross the links between regions only while no entry of the own
+                    // region sends heartbeats.
+                    let own_region_silent =
+                        own_region_at.is_none_or(|at| at.elapsed() > OWN_REGION_TIMEOUT);
+                    if in_own_region || own_region_silent {
+                        self.control.report_peer_position(&heartbeat.entry, heartbeat.position);
                     }
-                    PeerMessage::Load(_) | PeerMessage::Status(_) | PeerMessage::Crashes(_) => {}
+                    // The receiver lives as long as the process.
+                    let lifetime = Duration::from_millis(heartbeat.lifetime_ms.into());
+                    let _ = entry_sender.send((heartbeat.entry, now + lifetime));
                 }
+                PeerMessage::Pieces(inventory) => {
+                    let now = self.clock.now();
+                    let key = (inventory.sidecar.clone(), inventory.version);
+                    self.inventories.send_modify(|inventories| {
+                        if inventories.insert(key, (now, inventory)).is_none() {
+                            inventories.retain(|_, (at, _)| now - *at < INVENTORY_LIFETIME);
+                        }
+                    });
+                }
+                PeerMessage::Load(_) | PeerMessage::Status(_) | PeerMessage::Crashes(_) => {}
             }
-        });
-        let mut condition = task.condition.clone();
+        }
+    }
+
+    /// Sends the status to the entries.
+    async fn send_statuses(&self, mut entry_receiver: mpsc::UnboundedReceiver<(String, Instant)>) {
+        let mut condition = self.condition.clone();
         // Entries with the time at which each counts as gone unless it sends another heartbeat.
         let mut entries: BTreeMap<String, Instant> = BTreeMap::new();
         let mut next_at = Instant::now();
@@ -94,7 +103,7 @@
                 Some((entry, gone_at)) = entry_receiver.recv() => {
                     // A new entry gets the status at once, a known one at the next interval.
                     if entries.insert(entry.clone(), gone_at).is_none() {
-                        task.send_status(&condition.borrow().clone(), &entries, sent_count, [&entry]);
+                        self.send_status(&condition.borrow().clone(), &entries, sent_count, [&entry]);
                         sent_count += 1;
                     }
                     continue;
@@ -102,7 +111,7 @@
             }
             entries.retain(|_, gone_at| Instant::now() < *gone_at);
             let latest = condition.borrow_and_update().clone();
-            task.send_status(&latest, &entries, sent_count, entries.keys());
+            self.send_status(&latest, &entries, sent_count, entries.keys());
             sent_count += 1;
         }
     }
--- a/crates/celeryshed_stager/src/view.rs
+++ b/crates/celeryshed_stager/src/view.rs
@@ -9,6 +9,7 @@
     EndpointDirectory, RoutingSnapshot, SidecarPeer, VersionDeadlines, VersionTarget,
 };
 use celeryshed_peering::{ControlEvent, RecordAge};
+use celeryshed_process::{TaskClass, TaskGroup};
 use tokio::sync::{mpsc, watch};
 
 use crate::settings::SidecarSettings;
@@ -172,14 +173,15 @@
     }
 }
 
-/// Starts a task that applies control events to the view.
+/// Starts a task that applies control events to the view, as one of the `tasks` of the role.
 pub(crate) fn start_view(
+    tasks: &TaskGroup,
     clock: ClockSource,
     deadlines: VersionDeadlines,
     mut events: mpsc::UnboundedReceiver<ControlEvent>,
 ) -> watch::Receiver<Arc<StageView>> {
     let (view, receiver) = watch::channel(Arc::new(StageView::default()));
-    tokio::spawn(async move {
+    tasks.start("view", TaskClass::Essential, async move {
         let mut current = StageView::default();
         while let Some(event) = events.recv().await {
             apply(&mut current, clock.now(), deadlines, event);
