Survive a log file at its largest size

Operators saw processes that ended without a line, and did not start again. The standard library ignores SIGPIPE, but not this signal.

A handler without effect is installed with those of SIGTERM and SIGHUP, so that the write fails with an error and its lines are lost. If it can't be installed, the start goes on.

--- a/crates/celeryshed_process/src/signals.rs
+++ b/crates/celeryshed_process/src/signals.rs
@@ -1,4 +1,4 @@
-//! Handling of SIGTERM and SIGHUP.
+//! Handling of SIGTERM, SIGHUP and SIGXFSZ.
 
 use celeryshed_observe::EventLine;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -24,8 +24,9 @@
 }
 
 impl ProcessSignals {
-    /// Installs the handlers. From then on neither signal ends the process by itself, and signals
-    /// that arrive are kept until they are waited for.
+    /// Installs the handlers. From then on none of the signals ends the process by itself, and SIGTERM
+    /// and SIGHUP are kept until they are waited for. SIGXFSZ, which the system sends when a file would
+    /// exceed its largest size, has no effect, so that the write that caused it fails with an error.
     ///
     /// Must be called in the context of a runtime.
     ///
@@ -36,6 +37,8 @@
     /// assert!(ProcessSignals::install().is_ok());
     /// ```
     pub fn install() -> Result<Self> {
+        // The handler stays after its receiver is gone. Without it, only a full log ends the process.
+        let _ = signal(SignalKind::from_raw(libc::SIGXFSZ));
         Ok(Self {
             terminate: signal(SignalKind::terminate())?,
             reload: signal(SignalKind::hangup())?,
