Give the waiting events of busy streams pages of their own

Operators saw an entry keep up to 35 MB of a 64 MB machine after its callers had gone (bound 32 MB); no connection was left, and a second crowd of the same size took only 2 MB more, so nothing leaked. Batches of small events, which a connection delivers in reads of up to 32 KiB, were allocated beside longer-lived blocks. Whichever of those lay at the end of the heap decided how much of the freed memory the allocator gave back.

Buffers of 16 KiB or more, not of 64 KiB, now have pages of their own. If the system grants no further mapping, a buffer below 64 KiB is allocated as before.

Not measured: what the further mappings cost.

--- a/crates/celeryshed_gateway/src/request/buffer/storage.rs
+++ b/crates/celeryshed_gateway/src/request/buffer/storage.rs
@@ -5,8 +5,11 @@
 use super::BufferExceeded;
 
 /// Capacity from which a buffer has pages of its own. They are given back to the system as soon as it is
-/// dropped, whereas the allocator may keep large blocks between smaller ones for ever.
-const MIN_MAPPED_BYTES: usize = 64 * 1024;
+/// dropped, whereas the allocator may keep large blocks between smaller ones for ever. Half of what a
+/// connection receives at once, so that the waiting events of busy streams are among them.
+const MIN_MAPPED_BYTES: usize = 16 * 1024;
+/// Capacity below which a buffer is allocated if it can't get pages of its own.
+const MAX_ALLOCATED_BYTES: usize = 64 * 1024;
 
 /// Bytes in allocated memory, or in pages of their own.
 #[derive(Debug)]
@@ -32,17 +35,24 @@
 
     /// Grows to a capacity of at least `capacity`; an error if the system has no more pages.
     pub(super) fn grow(&mut self, capacity: usize) -> Result<(), BufferExceeded> {
-        match self {
+        let pages = match self {
             Self::Allocated(bytes) if capacity < MIN_MAPPED_BYTES => {
                 bytes.reserve_exact(capacity.saturating_sub(bytes.len()));
+                return Ok(());
+            }
+            Self::Allocated(_) | Self::Mapped { .. } => MmapMut::map_anon(capacity),
+        };
+        let length = self.as_slice().len();
+        match (pages, self) {
+            (Ok(mut pages), storage) => {
+                pages[..length].copy_from_slice(storage.as_slice());
+                *storage = Self::Mapped { pages, length };
             }
-            Self::Allocated(_) | Self::Mapped { .. } => {
-                let mut pages = MmapMut::map_anon(capacity).map_err(|_| BufferExceeded)?;
-                let bytes = self.as_slice();
-                let length = bytes.len();
-                pages[..length].copy_from_slice(bytes);
-                *self = Self::Mapped { pages, length };
+            // The system limits the number of mappings.
+            (Err(_), Self::Allocated(bytes)) if capacity < MAX_ALLOCATED_BYTES => {
+                bytes.reserve_exact(capacity.saturating_sub(length));
             }
+            (Err(_), _) => return Err(BufferExceeded),
         }
         Ok(())
     }
--- a/crates/celeryshed_gateway/src/request/buffer/tests.rs
+++ b/crates/celeryshed_gateway/src/request/buffer/tests.rs
@@ -1,6 +1,7 @@
 //! Leases of a shared budget.
 
-use super::{BufferBudget, BufferExceeded, LeaseRule};
+use super::storage::ByteStorage;
+use super::{BufferBudget, BufferExceeded, LeaseRule, LeasedBuffer};
 
 /// Guards against large bodies that leave no room for small ones.
 #[test]
@@ -60,3 +61,14 @@
     leases.truncate(14);
     assert_eq!(budget.lease().resize(10), Ok(()));
 }
+
+/// Guards against waiting events in memory that the allocator keeps once they have been dropped.
+#[test]
+fn bytes_of_a_whole_read_have_pages_of_their_own() {
+    for bytes in [16 * 1024, 32 * 1024, 64 * 1024] {
+        let lease = BufferBudget::new(1 << 20, LeaseRule::FreeShare).lease();
+        let mut buffer = LeasedBuffer::new(lease, usize::MAX);
+        buffer.append(&vec![1; bytes]).unwrap();
+        assert!(matches!(buffer.storage, ByteStorage::Mapped { .. }), "{bytes} bytes");
+    }
+}
