Add up loads of any size without an overflow

In the release build the sum wraps, so that a loaded endpoint looks idle.

Cause: loads were added in 32 bits. Token counts are what callers write in a header, and loads are what any sender of a datagram tells.

Change: an endpoint's load is a sum of 64 bits, from which each part is taken off again exactly. What placement and load reports see of it is limited to 32 bits.

The three tests of largest_numbers failed on the unchanged code (3 of 3, "attempt to add with overflow") and pass with the change.

--- a/crates/celeryshed_dispatch/src/load.rs
+++ b/crates/celeryshed_dispatch/src/load.rs
@@ -57,26 +57,65 @@
     /// ```
     #[derive(Default)]
     pub struct EndpointLoad {
-        own: PeerLoad,
+        own: LoadSum,
         /// The own load as last reported to each audience.
         last_reported: BTreeMap<PeerAudience, PeerLoad>,
         peers: BTreeMap<PeerAddress, PeerLoad>,
-        peers_total: PeerLoad,
+        peers_total: LoadSum,
     }
 }
 
 impl PeerLoad {
+    /// The load with one more request.
+    ///
+    /// ```
+    /// use celeryshed_dispatch::PeerLoad;
+    /// let load = PeerLoad { running: 1, unread_tokens: u32::MAX };
+    /// assert_eq!(load.with_request(800), PeerLoad { running: 2, unread_tokens: u32::MAX });
+    /// ```
+    #[must_use]
+    pub fn with_request(self, prompt_tokens: u32) -> Self {
+        Self {
+            running: self.running.saturating_add(1),
+            unread_tokens: self.unread_tokens.saturating_add(prompt_tokens),
+        }
+    }
+}
+
+/// A sum of loads. Callers and other processes tell the numbers, each of which may be the largest, so
+/// the sum has room for all of them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct LoadSum {
+    running: u64,
+    unread_tokens: u64,
+}
+
+impl From<PeerLoad> for LoadSum {
+    fn from(load: PeerLoad) -> Self {
+        Self { running: load.running.into(), unread_tokens: load.unread_tokens.into() }
+    }
+}
+
+impl From<LoadSum> for PeerLoad {
+    /// Larger numbers than fit count as the largest.
+    fn from(sum: LoadSum) -> Self {
+        let limited = |number| u32::try_from(number).unwrap_or(u32::MAX);
+        Self { running: limited(sum.running), unread_tokens: limited(sum.unread_tokens) }
+    }
+}
+
+impl LoadSum {
     fn plus(self, other: Self) -> Self {
         Self {
-            running: self.running + other.running,
-            unread_tokens: self.unread_tokens + other.unread_tokens,
+            running: self.running.saturating_add(other.running),
+            unread_tokens: self.unread_tokens.saturating_add(other.unread_tokens),
         }
     }
 
     fn minus(self, other: Self) -> Self {
         Self {
-            running: self.running - other.running,
-            unread_tokens: self.unread_tokens - other.unread_tokens,
+            running: self.running.saturating_sub(other.running),
+            unread_tokens: self.unread_tokens.saturating_sub(other.unread_tokens),
         }
     }
 }
@@ -84,35 +123,35 @@
 impl EndpointLoad {
     /// The load of this entry alone.
     pub fn own(&self) -> PeerLoad {
-        self.own
+        self.own.into()
     }
 
     /// Counts a request that was placed on the endpoint.
     pub fn started(&mut self, prompt_tokens: u32) {
-        self.own.running += 1;
-        self.own.unread_tokens += prompt_tokens;
+        self.own = self.own.plus(LoadSum { running: 1, unread_tokens: prompt_tokens.into() });
     }
 
     /// Discounts the prompt of a request whose first event arrived, or which ended without one.
     pub fn answered(&mut self, prompt_tokens: u32) {
-        self.own.unread_tokens = self.own.unread_tokens.saturating_sub(prompt_tokens);
+        self.own = self.own.minus(LoadSum { running: 0, unread_tokens: prompt_tokens.into() });
     }
 
     /// Discounts a request that ended.
     pub fn ended(&mut self) {
-        self.own.running = self.own.running.saturating_sub(1);
+        self.own = self.own.minus(LoadSum { running: 1, unread_tokens: 0 });
     }
 
     /// Returns the own load for a report to `audience`, and notes it as reported there.
     ///
     /// `None` if a report of this scope leaves the endpoint out.
     pub fn take_report(&mut self, audience: PeerAudience, scope: LoadScope) -> Option<PeerLoad> {
-        let reported = self.last_reported.insert(audience, self.own).unwrap_or_default();
+        let own = self.own();
+        let reported = self.last_reported.insert(audience, own).unwrap_or_default();
         let is_needed = match scope {
-            LoadScope::Changes => self.own != reported,
-            LoadScope::Whole => self.own != PeerLoad::default(),
+            LoadScope::Changes => own != reported,
+            LoadScope::Whole => own != PeerLoad::default(),
         };
-        is_needed.then_some(self.own)
+        is_needed.then_some(own)
     }
 
     /// Replaces the load that a peer reported before.
@@ -122,11 +161,12 @@
         } else {
             self.peers.insert(peer.clone(), load)
         };
-        self.peers_total = self.peers_total.minus(previous.unwrap_or_default()).plus(load);
+        let previous = previous.unwrap_or_default();
+        self.peers_total = self.peers_total.minus(previous.into()).plus(load.into());
     }
 
     /// The load of all entries together.
     pub fn total(&self) -> PeerLoad {
-        self.own.plus(self.peers_total)
+        self.own.plus(self.peers_total).into()
     }
 }
--- a/crates/celeryshed_dispatch/src/placement.rs
+++ b/crates/celeryshed_dispatch/src/placement.rs
@@ -201,9 +201,8 @@
     /// Counts a request that was placed on an endpoint after the pool was created.
     pub(crate) fn count_placement(&mut self, id: &EndpointId, prompt_tokens: u32) {
         for candidate in self.candidates.iter_mut().filter(|candidate| candidate.id == id) {
-            candidate.load.running += 1;
+            candidate.load = candidate.load.with_request(prompt_tokens);
             candidate.free_trials = candidate.free_trials.map(|free| free.saturating_sub(1));
-            candidate.load.unread_tokens += prompt_tokens;
         }
     }
 
--- a/crates/celeryshed_dispatch/src/timing.rs
+++ b/crates/celeryshed_dispatch/src/timing.rs
@@ -86,7 +86,7 @@
     pub fn answer_time(&self, running: u32, tokens: Option<u32>) -> Duration {
         let tokens = tokens.map_or(self.answer_tokens, f64::from);
         let passes = tokens / self.pass_steps;
-        let decoding = f64::from((running + 1).min(self.slots));
+        let decoding = f64::from(running.saturating_add(1).min(self.slots));
         micros(passes * self.pass_us(decoding))
     }
 
@@ -96,7 +96,7 @@
     }
 
     fn slot_wait_us(&self, load: PeerLoad) -> f64 {
-        let ahead = (load.running + 1).saturating_sub(self.slots);
+        let ahead = load.running.saturating_add(1).saturating_sub(self.slots);
         f64::from(ahead) * self.request_us() / f64::from(self.slots.max(1))
     }
 
@@ -126,7 +126,7 @@
     mean_time: Option<Duration>,
 ) -> Duration {
     let mean_time = mean_time.unwrap_or(DEFAULT_PLAIN_ANSWER_TIME);
-    let ahead = (load.running + 1).saturating_sub(slots);
+    let ahead = load.running.saturating_add(1).saturating_sub(slots);
     mean_time + mean_time.mul_f64(f64::from(ahead) / f64::from(slots.max(1)))
 }
 
--- /dev/null
+++ b/crates/celeryshed_dispatch/tests/largest_numbers.rs
@@ -0,0 +1,54 @@
+//! Numbers from outside at the end of their range: of callers, of other processes and of operators.
+
+mod support;
+
+use celeryshed_dispatch::*;
+use support::{add_endpoint, at, dispatcher, endpoint, engine_profile, stream};
+
+/// Guards against token counts of callers that end the dispatcher's task, or make a loaded endpoint
+/// look idle: two prompts of 4,294,967,295 tokens.
+#[test]
+fn longest_prompts_of_two_callers_add_up() {
+    let mut dispatcher = dispatcher();
+    add_endpoint(&mut dispatcher, "a", 1, endpoint("model", 1, Some(1)));
+    let profile = RequestProfile { prompt_tokens: u32::MAX, ..stream(at(0)) };
+    dispatcher.submit(at(0), RequestNumber(1), profile.clone(), Default::default());
+    dispatcher.submit(at(0), RequestNumber(2), profile.clone(), Default::default());
+    let decisions = dispatcher.dispatch_waiting(at(0), 1);
+    assert!(decisions.iter().all(|decision| matches!(decision, DispatchDecision::Place { .. })));
+    let own = dispatcher.take_own_loads(PeerAudience::OwnRegion, LoadScope::Whole);
+    let expected = PeerLoad { running: 2, unread_tokens: u32::MAX };
+    assert_eq!(own.values().copied().collect::<Vec<_>>(), [expected]);
+    // The prompt of the other request still counts after the first one was read.
+    dispatcher.record_end(at(1), &EndpointId::from("a"), u32::MAX, AttemptOutcome::Served);
+    let own = dispatcher.take_own_loads(PeerAudience::OwnRegion, LoadScope::Whole);
+    let expected = PeerLoad { running: 1, unread_tokens: u32::MAX };
+    assert_eq!(own.values().copied().collect::<Vec<_>>(), [expected]);
+}
+
+/// Guards against load reports of peers that end the dispatcher's task, or whose sum looks like no load:
+/// two peers report 4,294,967,295 requests each.
+#[test]
+fn largest_loads_of_two_peers_add_up() {
+    let mut load = EndpointLoad::default();
+    let largest = PeerLoad { running: u32::MAX, unread_tokens: u32::MAX };
+    let [one, other] = ["10.1.0.1:7700", "10.1.0.2:7700"].map(|text| PeerAddress(text.to_owned()));
+    load.started(5);
+    load.apply_peer_load(&one, largest);
+    load.apply_peer_load(&other, largest);
+    assert_eq!(load.total(), largest);
+    load.apply_peer_load(&one, PeerLoad::default());
+    load.apply_peer_load(&other, PeerLoad { running: 2, unread_tokens: 7 });
+    assert_eq!(load.total(), PeerLoad { running: 3, unread_tokens: 12 });
+}
+
+/// Guards against an estimate that ends the dispatcher's task, or is the shortest, at an endpoint with
+/// the largest load.
+#[test]
+fn endpoint_with_the_largest_load_is_the_slowest() {
+    let timing = EngineTiming::from(&engine_profile(16));
+    let largest = PeerLoad { running: u32::MAX, unread_tokens: u32::MAX };
+    let idle = PeerLoad::default();
+    assert!(timing.first_token_time(largest, 1000) > timing.first_token_time(idle, 1000));
+    assert!(timing.answer_time(u32::MAX, None) >= timing.answer_time(15, None));
+}
