Give requests to engines with any number of slots

Operators saw: a configuration that names slots for the engines of a service makes each entry refuse all requests of this service; with overflow checks it ends the dispatcher's task, so that the entry follows no later configuration either, while its readiness check says 200.

Cause: one request more than the slots is placed on an engine. The sum was taken in 32 bits and wrapped to no request.

Change: the sum is limited to the largest number, as is the one of plain services.

Evidence: engine_with_the_most_slots_gets_requests failed before the change in debug ("attempt to add with overflow") and in release (no placement) and passes now in both.

--- a/crates/celeryshed_dispatch/src/placement.rs
+++ b/crates/celeryshed_dispatch/src/placement.rs
@@ -92,8 +92,8 @@
 impl Candidate<'_> {
     fn has_capacity(&self) -> bool {
         let limit = match self.timing {
-            Some(timing) => timing.slots().max(1) + EXTRA_ENGINE_REQUESTS,
-            None => self.slots.max(1) * MAX_PLAIN_REQUESTS_PER_SLOT,
+            Some(timing) => timing.slots().max(1).saturating_add(EXTRA_ENGINE_REQUESTS),
+            None => self.slots.max(1).saturating_mul(MAX_PLAIN_REQUESTS_PER_SLOT),
         };
         self.load.running < limit && self.free_trials != Some(0)
     }
--- a/crates/celeryshed_dispatch/tests/largest_numbers.rs
+++ b/crates/celeryshed_dispatch/tests/largest_numbers.rs
@@ -3,7 +3,9 @@
 mod support;
 
 use celeryshed_dispatch::*;
-use support::{add_endpoint, at, dispatcher, endpoint, engine_profile, stream};
+use support::{
+    add_endpoint, at, dispatcher, endpoint, engine_profile, placed, service, stream, submit,
+};
 
 /// Guards against token counts of callers that end the dispatcher's task, or make a loaded endpoint
 /// look idle: two prompts of 4,294,967,295 tokens.
@@ -52,3 +54,16 @@
     assert!(timing.first_token_time(largest, 1000) > timing.first_token_time(idle, 1000));
     assert!(timing.answer_time(u32::MAX, None) >= timing.answer_time(15, None));
 }
+
+/// Guards against a service that gets no request at all, or a dispatcher's task that ends, because the
+/// configuration names as many slots as it can.
+#[test]
+fn engine_with_the_most_slots_gets_requests() {
+    let mut dispatcher = dispatcher();
+    let mut snapshot = RoutingSnapshot::default();
+    let engine = Some(engine_profile(u32::MAX));
+    snapshot.services.insert(service("model"), ServiceProfile { engine, origin: None });
+    dispatcher.set_configuration(&snapshot);
+    add_endpoint(&mut dispatcher, "a", 1, endpoint("model", 1, Some(1)));
+    assert_eq!(placed(&submit(&mut dispatcher, at(0), 1, stream(at(0)))), Some("a"));
+}
