Limit the expected wait instead of ending the dispatcher

Callers saw: nothing is served any more and no configuration is followed, although the readiness check says 200, since the dispatcher's task of an entry has ended. Release builds are concerned, too.

Cause: the expected wait is the time between two requests of an engine, times the requests ahead, times the entries that were heard. A configuration may name an engine that is as slow as can be, and the other two numbers come from callers and peers. Durations end the task when they overflow, in each build.

Change: the product is limited to the longest duration, and adding a duration to a time of the process's clock ends at the largest time.

Evidence: longest_wait_refuses_the_request (an engine with the slowest step, 1000 requests that wait for a paused endpoint, 2000 entries heard) failed before the change in debug and in release ("overflow when multiplying duration by scalar") and passes now in both.

--- a/crates/celeryshed_base/src/clock.rs
+++ b/crates/celeryshed_base/src/clock.rs
@@ -34,8 +34,9 @@
 impl Add<Duration> for MonoTime {
     type Output = Self;
 
+    /// The time `duration` later, limited to the largest time.
     fn add(self, duration: Duration) -> Self {
-        Self(self.0 + duration)
+        Self(self.0.saturating_add(duration))
     }
 }
 
--- a/crates/celeryshed_dispatch/src/dispatcher.rs
+++ b/crates/celeryshed_dispatch/src/dispatcher.rs
@@ -802,7 +802,8 @@
     ) -> Duration {
         let Some(timing) = self.timings.get(&profile.service) else { return Duration::ZERO };
         let endpoints = pool.len().max(1) as u32;
-        timing.slot_interval() * ahead * self.entry_count(now) / endpoints
+        let intervals = ahead.saturating_mul(self.entry_count(now));
+        timing.slot_interval().saturating_mul(intervals) / endpoints
     }
 
     fn endpoint_target(
--- a/crates/celeryshed_dispatch/tests/largest_numbers.rs
+++ b/crates/celeryshed_dispatch/tests/largest_numbers.rs
@@ -4,7 +4,8 @@
 
 use celeryshed_dispatch::*;
 use support::{
-    add_endpoint, at, dispatcher, endpoint, engine_profile, placed, service, stream, submit,
+    add_endpoint, at, dispatcher, endpoint, engine_profile, ms, peer_loads, placed, refused,
+    report_load, service, stream, submit,
 };
 
 /// Guards against token counts of callers that end the dispatcher's task, or make a loaded endpoint
@@ -67,3 +68,35 @@
     add_endpoint(&mut dispatcher, "a", 1, endpoint("model", 1, Some(1)));
     assert_eq!(placed(&submit(&mut dispatcher, at(0), 1, stream(at(0)))), Some("a"));
 }
+
+/// Guards against an expected wait that ends the dispatcher's task: the slowest engine of a configuration
+/// times the requests ahead times the entries that were heard.
+#[test]
+fn longest_wait_refuses_the_request() {
+    let mut dispatcher = dispatcher();
+    let mut snapshot = RoutingSnapshot::default();
+    let engine = EngineProfile { step_us: u64::MAX, ..engine_profile(1) };
+    let profile = ServiceProfile { engine: Some(engine), origin: None };
+    snapshot.services.insert(service("model"), profile);
+    dispatcher.set_configuration(&snapshot);
+    let full =
+        ListedEndpoint { models: [("full".to_owned(), 1)].into(), ..endpoint("model", 1, Some(1)) };
+    let paused = ListedEndpoint {
+        models: [("paused".to_owned(), 1)].into(),
+        ..endpoint("model", 2, Some(1))
+    };
+    add_endpoint(&mut dispatcher, "full", 1, full);
+    add_endpoint(&mut dispatcher, "paused", 2, paused);
+    for port in 0..2000 {
+        let peer = PeerAddress(format!("10.1.0.1:{port}"));
+        report_load(&mut dispatcher, at(0), &peer, &peer_loads(&[("full", 9, 0)]));
+    }
+    let start = EndpointStart { id: EndpointId::from("paused"), started_at_ms: 1 };
+    dispatcher.apply_notice(at(0), &start, EndpointNotice::Paused(PauseLength(ms(100))));
+    let waiting = |model: &str| RequestProfile { model: Some(model.to_owned()), ..stream(at(0)) };
+    for number in 0..1000 {
+        dispatcher.submit(at(0), RequestNumber(number), waiting("paused"), Default::default());
+    }
+    let decisions = submit(&mut dispatcher, at(0), 1000, waiting("full"));
+    assert_eq!(refused(&decisions), Some(RefusalReason::Overload));
+}
