Add up crash counts of peers without an overflow

Callers saw: in a build with overflow checks, crash counts in the load reports of two peers end the dispatcher's task of an entry at the next request that they are about; in the release build they may add up to few crashes, so that a request which crashes engines is let through.

Change: they are added in 64 bits.

Evidence: largest_crash_counts_of_two_peers_quarantine_the_request failed before the change in debug ("attempt to add with overflow") and passes now; in release it passed before, as its sum wraps to a large number.

--- a/crates/celeryshed_dispatch/src/quarantine.rs
+++ b/crates/celeryshed_dispatch/src/quarantine.rs
@@ -175,8 +175,8 @@
     /// Whether the request must be refused because it crashed several endpoints.
     pub fn is_quarantined(&self, now: MonoTime, request: RequestFingerprint) -> bool {
         self.counts.get(&request).is_some_and(|count| {
-            let total = count.own + count.peers.values().sum::<u32>();
-            total >= CRASHES_TO_QUARANTINE
+            let peers: u64 = count.peers.values().copied().map(u64::from).sum();
+            u64::from(count.own) + peers >= u64::from(CRASHES_TO_QUARANTINE)
                 && now - count.last_crash_at < CRASH_COUNT_LIFETIME
                 && !self.recently_answered.contains(now, request)
         })
--- a/crates/celeryshed_dispatch/tests/largest_numbers.rs
+++ b/crates/celeryshed_dispatch/tests/largest_numbers.rs
@@ -100,3 +100,15 @@
     let decisions = submit(&mut dispatcher, at(0), 1000, waiting("full"));
     assert_eq!(refused(&decisions), Some(RefusalReason::Overload));
 }
+
+/// Guards against crash counts of peers that end the dispatcher's task, or release the request: two
+/// peers count 4,294,967,295 crashes each.
+#[test]
+fn largest_crash_counts_of_two_peers_quarantine_the_request() {
+    let mut quarantine = RequestQuarantine::default();
+    let request = RequestFingerprint(7);
+    let crashes = [(request, u32::MAX)].into();
+    quarantine.apply_peer_crashes(at(0), "10.1.0.1:7700", &crashes);
+    quarantine.apply_peer_crashes(at(0), "10.1.0.2:7700", &crashes);
+    assert!(quarantine.is_quarantined(at(1), request));
+}
