Compute the transfer time of weights of any size

Operators saw: for weights of more than 2.3 TB, or a configuration with large numbers of pieces and bytes, sidecars count on a far too short transfer from the origin and reload too early; with overflow checks each of their tasks that needs it ends, and the sidecar goes on without them.

Cause: the size in bits was multiplied by a million in 64 bits.

Change: the product has 128 bits, and the time is limited to the longest one.

Evidence: transfer_of_the_largest_weights_takes_longest failed before the change in debug ("attempt to multiply with overflow") and in release (31.1 s instead of 400 s for 5 TB over 100 Gbit/s) and passes now in both.

--- a/crates/celeryshed_dispatch/src/routes.rs
+++ b/crates/celeryshed_dispatch/src/routes.rs
@@ -231,9 +231,10 @@
     /// assert_eq!(origin.transfer_time(10, 100_000).as_secs(), 1);
     /// ```
     pub fn transfer_time(&self, piece_count: u32, piece_bytes: u32) -> Duration {
-        let bits = u64::from(piece_count) * u64::from(piece_bytes) * 8;
-        let micros = (bits * 1_000_000).checked_div(self.link_bits_per_s).unwrap_or(0);
-        Duration::from_micros(micros)
+        // The product of the largest numbers has more than 64 bits.
+        let bits = u128::from(piece_count) * u128::from(piece_bytes) * 8;
+        let micros = (bits * 1_000_000).checked_div(self.link_bits_per_s.into()).unwrap_or(0);
+        Duration::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
     }
 }
 
--- a/crates/celeryshed_dispatch/tests/largest_numbers.rs
+++ b/crates/celeryshed_dispatch/tests/largest_numbers.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::time::Duration;
+
 use celeryshed_dispatch::*;
 use support::{
     add_endpoint, at, dispatcher, endpoint, engine_profile, ms, peer_loads, placed, refused,
@@ -112,3 +114,16 @@
     quarantine.apply_peer_crashes(at(0), "10.1.0.2:7700", &crashes);
     assert!(quarantine.is_quarantined(at(1), request));
 }
+
+/// Guards against a sidecar whose tasks end, or that counts on a far too short transfer, because of
+/// weights of several terabytes.
+#[test]
+fn transfer_of_the_largest_weights_takes_longest() {
+    let origin =
+        OriginProfile { address: "10.0.0.1:80".to_owned(), link_bits_per_s: 100_000_000_000 };
+    let terabytes = |count: u32| origin.transfer_time(count * 1000, 1_000_000_000);
+    assert_eq!(terabytes(5), Duration::from_secs(400));
+    assert!(origin.transfer_time(u32::MAX, u32::MAX) > terabytes(5));
+    let slow = OriginProfile { link_bits_per_s: 1, ..origin };
+    assert!(slow.transfer_time(u32::MAX, u32::MAX) > Duration::from_secs(1 << 40));
+}
