Keep the older daemon running after a hangup or with a full log

Cause: TerminationSignal installs handlers for SIGTERM and SIGINT only, and the default action of the other two ends a process. Change: both have handlers without effect.

--- a/crates/celeryshed_daemon/tests/starts.rs
+++ b/crates/celeryshed_daemon/tests/starts.rs
@@ -87,6 +87,25 @@
     assert_eq!(daemon.wait_exit(WAIT_LIMIT).await, 0);
 }
 
+/// Guards against a process that a hangup of its terminal ends, or a log that has reached the largest
+/// size that the system allows.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn hangup_or_full_log_ends_the_process() {
+    let directory = TempDir::new().expect("a temporary directory");
+    let lines = entry_lines();
+    let address = lines[3].2.parse().expect("an address");
+    let settings = role_settings(&lines);
+    let mut daemon = Daemon::start_with_full_log(directory.path(), "entry", "full", &settings);
+    let caller = support::Caller::new("key-portal");
+    let health = async || caller.get(address, "/healthz").await;
+    assert_eq!(wait_for_value("healthz answers", health).await.0, 200);
+    daemon.signal(support::DaemonSignal::Hangup);
+    // Requests are logged, too.
+    assert_eq!(wait_for_value("healthz answers again", health).await.0, 200);
+    daemon.signal(support::DaemonSignal::Terminate);
+    assert_eq!(daemon.wait_exit(WAIT_LIMIT).await, 0);
+}
+
 /// Guards against invalid bodies that end a connection or a process, or are refused without a
 /// problem document.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/celeryshed_daemon/tests/support/daemon.rs
+++ b/crates/celeryshed_daemon/tests/support/daemon.rs
@@ -20,6 +20,8 @@
     Pause,
     /// SIGCONT.
     Continue,
+    /// SIGHUP.
+    Hangup,
 }
 
 /// A daemon process, killed on drop.
@@ -33,6 +35,25 @@
 impl Daemon {
     /// Starts `celeryshedd ROLE --settings FILE`; settings and output are files in `directory`.
     pub fn start(directory: &Path, role: &str, name: &str, settings: &str) -> Self {
+        let command = Command::new(env!("CARGO_BIN_EXE_celeryshedd"));
+        Self::start_with(command, directory, role, name, settings)
+    }
+
+    /// Starts a daemon whose files may not grow, as if its log had reached the largest size.
+    pub fn start_with_full_log(directory: &Path, role: &str, name: &str, settings: &str) -> Self {
+        let mut command = Command::new("sh");
+        command.args(["-c", "ulimit -S -f 0 && exec \"$0\" \"$@\""]);
+        command.arg(env!("CARGO_BIN_EXE_celeryshedd"));
+        Self::start_with(command, directory, role, name, settings)
+    }
+
+    fn start_with(
+        mut command: Command,
+        directory: &Path,
+        role: &str,
+        name: &str,
+        settings: &str,
+    ) -> Self {
         let file = directory.join(format!("{name}.ini"));
         std::fs::write(&file, settings).expect("the settings file can be written");
         let log = (0..)
@@ -41,7 +62,7 @@
             .expect("an unused log number exists");
         let output = File::create(&log).expect("the log file can be created");
         let error_output = output.try_clone().expect("the log file can be shared");
-        let child = Command::new(env!("CARGO_BIN_EXE_celeryshedd"))
+        let child = command
             .arg(role)
             .arg("--settings")
             .arg(&file)
@@ -59,6 +80,7 @@
             DaemonSignal::Terminate => Signal::TERM,
             DaemonSignal::Pause => Signal::STOP,
             DaemonSignal::Continue => Signal::CONT,
+            DaemonSignal::Hangup => Signal::HUP,
         };
         kill_process(Pid::from_child(&self.child), signal).expect("the signal can be sent");
     }
--- a/crates/celeryshed_server/src/signals.rs
+++ b/crates/celeryshed_server/src/signals.rs
@@ -1,4 +1,4 @@
-//! Handling of SIGTERM and SIGINT.
+//! Handling of the signals that a process gets from its supervisor and the system.
 
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
@@ -11,7 +11,14 @@
 impl TerminationSignal {
     /// Installs handlers for both signals. From then on a signal doesn't end the process by itself,
     /// so a second signal can't interrupt a drain.
+    ///
+    /// SIGHUP and SIGXFSZ, which the system sends when a file would exceed its largest size, have no
+    /// effect from then on.
     pub fn install() -> std::io::Result<Self> {
+        for kind in [SignalKind::hangup(), SignalKind::from_raw(libc::SIGXFSZ)] {
+            // The handler stays after its receiver is gone.
+            drop(signal(kind)?);
+        }
         Ok(Self {
             terminate: signal(SignalKind::terminate())?,
             interrupt: signal(SignalKind::interrupt())?,
