Start a role anew when one of its tasks has ended

Callers and operators saw a process that lived on half alive: an entry whose reader or control task had panicked said /ready 200, never followed another configuration and sent requests to endpoints that had left; a sidecar whose stage task had panicked never loaded a version again, still said that its endpoint accepts, and sent an entry 2,383,194 status datagrams in 3 s.

Cause: the roles waited for SIGTERM alone; nobody owned the end of their tasks.

Change: the end of an essential task ends the role. An entry says at once that it isn't ready and refuses new requests as not run; requests in progress end within the grace period, as after SIGTERM but without the accepting period; a sidecar stops at once. Ruled out: to abort the tasks one by one, which misses those of connections and short calls; and to end the process, which leaves the restart to a supervisor that may be slow. The support of the gateway's tests takes a reset readiness check for one that isn't ready.

--- a/crates/celeryshed_gateway/src/process.rs
+++ b/crates/celeryshed_gateway/src/process.rs
@@ -1,5 +1,6 @@
 //! Starts the tasks of an entry, and shuts the process down after SIGTERM.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,7 +18,7 @@
 use hyper::{Request, Response, StatusCode};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::context::{GatewayContext, ShutdownPhase};
 use crate::dispatcher_task::{DispatcherOutputs, start_dispatcher};
@@ -28,7 +29,7 @@
 /// Time after SIGTERM in which requests are still accepted, because the platform sends callers here
 /// until two readiness checks have failed.
 const ACCEPTING_PERIOD: Duration = Duration::from_millis(2500);
-/// Time after [`ACCEPTING_PERIOD`] in which requests are refused, before connections are closed.
+/// Time after that, or after the end of a task, in which requests are refused, before connections are closed.
 const REFUSING_PERIOD: Duration = Duration::from_millis(700);
 /// Time between the end of the process and the end of the grace period, if requests are still open.
 const GRACE_MARGIN: Duration = Duration::from_millis(150);
@@ -65,8 +66,10 @@
 pub struct EntryProcess;
 
 impl EntryProcess {
-    /// Runs an entry until SIGTERM, and then until its connections are closed or the grace period
-    /// ends. Returns early if its sockets can't be opened.
+    /// Runs an entry until SIGTERM, or until a task ends without which it can't go on, and then until
+    /// its connections are closed or the grace period ends. Returns early if its sockets can't be opened.
+    ///
+    /// Its other tasks go on until the runtime is dropped.
     pub async fn run<S: ControlStore, D: RecordDecoder>(
         settings: GatewaySettings,
         signals: &mut ProcessSignals,
@@ -92,7 +95,7 @@
         };
         let Ok(sockets) = opened else { return Ok(RoleEnd::SocketsTaken) };
         let sockets = sockets?;
-        let (tasks, _ends) = TaskGroup::new();
+        let (tasks, mut ends) = TaskGroup::new();
         let upkeep = registry.clone();
         tasks.start_auxiliary("upkeep", move || upkeep.clone().run_upkeep());
         let (control, events) = start_control(&tasks, store, decoder, settings.control);
@@ -182,29 +185,40 @@
             .field("metrics", settings.metrics_address)
             .info();
 
-        signals.terminated().await;
+        let cause = tokio::select! {
+            () = signals.terminated() => RoleEnd::Terminated,
+            _ended = ends.next() => RoleEnd::TaskEnded,
+        };
         let started = Instant::now();
         EventLine::new("drain_started").field("open", callers.open_connections()).info();
-        shutdown_phase.send_replace(ShutdownPhase::Draining);
-        sleep(ACCEPTING_PERIOD).await;
-        shutdown_phase.send_replace(ShutdownPhase::Refusing);
-        sleep(REFUSING_PERIOD).await;
-        closing.send_replace(true);
-        let end_at = started + settings.grace_period.saturating_sub(GRACE_MARGIN);
         let drained = async {
+            if cause == RoleEnd::Terminated {
+                shutdown_phase.send_replace(ShutdownPhase::Draining);
+                sleep(ACCEPTING_PERIOD).await;
+            }
+            shutdown_phase.send_replace(ShutdownPhase::Refusing);
+            sleep(REFUSING_PERIOD).await;
+            closing.send_replace(true);
             while callers.open_connections() > 0 {
                 sleep(DRAIN_INTERVAL).await;
             }
         };
-        tokio::select! {
-            () = drained => {}
-            () = sleep_until(end_at) => {}
-        }
-        EventLine::new("stopped")
+        let end_at = started + settings.grace_period.saturating_sub(GRACE_MARGIN);
+        let mut drained = pin!(timeout_at(end_at, drained));
+        let end = tokio::select! {
+            _ = &mut drained => cause,
+            () = signals.terminated(), if cause == RoleEnd::TaskEnded => {
+                let _ = drained.await;
+                RoleEnd::Terminated
+            }
+        };
+        let event = if end == RoleEnd::Terminated { "stopped" } else { "role_stopped" };
+        EventLine::new(event)
+            .field("role", "entry")
             .field("open", callers.open_connections())
             .field("elapsed_ms", started.elapsed().as_millis())
             .info();
-        Ok(RoleEnd::Terminated)
+        Ok(end)
     }
 }
 
--- a/crates/celeryshed_gateway/tests/support/mod.rs
+++ b/crates/celeryshed_gateway/tests/support/mod.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU16, Ordering};
+use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
 use celeryshed_base::{AvailabilityZone, ClockSource, ServiceName, TeamLabel};
@@ -17,7 +18,7 @@
 };
 use celeryshed_gateway::{EntryProcess, GatewaySettings, HeaderNames};
 use celeryshed_peering::{ControlScope, ControlSettings};
-use celeryshed_process::ProcessSignals;
+use celeryshed_process::{ProcessSignals, RoleRunner};
 use hyper::header::HeaderName;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -132,6 +133,53 @@
     snapshot
 }
 
+/// Settings of an entry at a loopback address of its own.
+fn settings_of(version_deadline: Duration, budget: BudgetLimits) -> GatewaySettings {
+    let address_byte = NEXT_ADDRESS_BYTE.fetch_add(1, Ordering::Relaxed);
+    let pid = std::process::id();
+    let ip = format!("127.{}.{}.{}", 1 + pid % 250, 1 + (pid / 250) % 250, address_byte);
+    let address = |port: u16| format!("{ip}:{port}").parse().unwrap();
+    let zone = AvailabilityZone::try_from("north-a").unwrap();
+    let versions = VersionDeadlines {
+        after_declaration: version_deadline,
+        after_start: Duration::from_secs(3),
+    };
+    GatewaySettings {
+        name: "entry-1".to_owned(),
+        caller_address: address(18080),
+        readiness_address: address(18081),
+        peer_address: address(18082),
+        metrics_address: address(18083),
+        sidecar_port: 18082,
+        grace_period: Duration::from_secs(8),
+        memory_bytes: usize::MAX,
+        answer_memory_bytes: ANSWER_MEMORY_BYTES,
+        body_memory_bytes: BODY_MEMORY_BYTES,
+        max_caller_connections: usize::MAX,
+        dispatcher: DispatcherSettings {
+            zone,
+            regions: Default::default(),
+            budget,
+            versions,
+            notices: NoticeLimits { max_pause: MAX_PAUSE },
+        },
+        control: ControlSettings {
+            scope: ControlScope::Everything,
+            endpoints_interval: Duration::from_millis(50),
+            endpoints_max_age: Duration::from_millis(500),
+            renewal_interval: None,
+        },
+        headers: headers(),
+    }
+}
+
+/// Settings of an entry with the standard budget and deadline.
+pub(crate) fn standard_settings() -> GatewaySettings {
+    let budget =
+        BudgetLimits { retry_percent: 20, retry_allowance: 100, window: Duration::from_secs(10) };
+    settings_of(Duration::from_secs(8), budget)
+}
+
 impl Deployment {
     /// Starts an entry with the standard configuration and these endpoints.
     pub(crate) async fn start(endpoints: &[&ScriptedEndpoint]) -> Self {
@@ -191,42 +239,7 @@
         clock: ClockSource,
         budget: BudgetLimits,
     ) -> Self {
-        let address_byte = NEXT_ADDRESS_BYTE.fetch_add(1, Ordering::Relaxed);
-        let pid = std::process::id();
-        let ip = format!("127.{}.{}.{}", 1 + pid % 250, 1 + (pid / 250) % 250, address_byte);
-        let address = |port: u16| format!("{ip}:{port}").parse().unwrap();
-        let zone = AvailabilityZone::try_from("north-a").unwrap();
-        let versions = VersionDeadlines {
-            after_declaration: version_deadline,
-            after_start: Duration::from_secs(3),
-        };
-        let settings = GatewaySettings {
-            name: "entry-1".to_owned(),
-            caller_address: address(18080),
-            readiness_address: address(18081),
-            peer_address: address(18082),
-            metrics_address: address(18083),
-            sidecar_port: 18082,
-            grace_period: Duration::from_secs(8),
-            memory_bytes: usize::MAX,
-            answer_memory_bytes: ANSWER_MEMORY_BYTES,
-            body_memory_bytes: BODY_MEMORY_BYTES,
-            max_caller_connections: usize::MAX,
-            dispatcher: DispatcherSettings {
-                zone,
-                regions: Default::default(),
-                budget,
-                versions,
-                notices: NoticeLimits { max_pause: MAX_PAUSE },
-            },
-            control: ControlSettings {
-                scope: ControlScope::Everything,
-                endpoints_interval: Duration::from_millis(50),
-                endpoints_max_age: Duration::from_millis(500),
-                renewal_interval: None,
-            },
-            headers: headers(),
-        };
+        let settings = settings_of(version_deadline, budget);
         let (callers, readiness) = (settings.caller_address, settings.readiness_address);
         let decoder = store.clone();
         let entry_store = store.clone();
@@ -237,6 +250,23 @@
         Self { callers, readiness, store }
     }
 
+    /// Starts an entry on the given store, in a thread of its own and as the program does: it is
+    /// started again when it ends by itself. The thread ends after SIGTERM.
+    pub(crate) fn start_supervised(store: Arc<FakeStore>) -> (Self, JoinHandle<()>) {
+        let settings = standard_settings();
+        let (callers, readiness) = (settings.caller_address, settings.readiness_address);
+        let entry_store = store.clone();
+        let runner = RoleRunner::start().unwrap();
+        let thread = thread::spawn(move || {
+            let role = async |signals: &mut ProcessSignals| {
+                let (store, decoder) = (entry_store.clone(), entry_store.clone());
+                EntryProcess::run(settings.clone(), signals, store, decoder).await
+            };
+            runner.run(role).unwrap();
+        });
+        (Self { callers, readiness, store }, thread)
+    }
+
     /// Waits until the readiness check succeeds.
     pub(crate) async fn wait_ready(&self) {
         for _ in 0..200 {
@@ -248,14 +278,19 @@
         panic!("the entry is not ready");
     }
 
-    /// Status of the readiness check; 0 if the connection is refused.
+    /// Status of the readiness check; 0 if the connection is refused or reset.
     pub(crate) async fn readiness(&self) -> u16 {
         let Ok(mut stream) = TcpStream::connect(self.readiness).await else { return 0 };
         let request = b"GET /ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
-        stream.write_all(request).await.unwrap();
         let mut text = String::new();
-        stream.read_to_string(&mut text).await.unwrap();
-        Received { text }.status()
+        let exchange = async {
+            stream.write_all(request).await?;
+            stream.read_to_string(&mut text).await
+        };
+        match exchange.await {
+            Ok(_length) => Received { text }.status(),
+            Err(_reset) => 0,
+        }
     }
 
     /// Sends a request over a new connection and reads until the connection ends.
--- a/crates/celeryshed_gateway/tests/support/store.rs
+++ b/crates/celeryshed_gateway/tests/support/store.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -63,9 +63,29 @@
     records: Mutex<StoredRecords>,
     changed: Notify,
     failing: AtomicBool,
+    /// Number of reads of the records of operators that panic.
+    panicking_reads: AtomicU32,
+    /// Number of records of operators whose decoding panics.
+    panicking_records: AtomicU32,
+}
+
+/// Counts `left` down; panics unless it was zero.
+fn panic_if_left(left: &AtomicU32) {
+    let taken = left.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |left| left.checked_sub(1));
+    assert!(taken.is_err(), "a panic that the test expects");
 }
 
 impl FakeStore {
+    /// The next `count` reads of the records of operators panic.
+    pub(crate) fn panic_in_reads(&self, count: u32) {
+        self.panicking_reads.store(count, Ordering::Relaxed);
+    }
+
+    /// The decoding of the next `count` records of operators panics.
+    pub(crate) fn panic_in_records(&self, count: u32) {
+        self.panicking_records.store(count, Ordering::Relaxed);
+    }
+
     /// Publishes a configuration.
     pub(crate) fn publish(&self, snapshot: RoutingSnapshot) {
         let mut records = self.records.lock().unwrap();
@@ -202,6 +222,9 @@
         from: LogPosition,
         wait: Duration,
     ) -> Result<ReadOutcome, StoreError> {
+        if stream == ControlStream::Operator {
+            panic_if_left(&self.panicking_reads);
+        }
         let changed = self.changed.notified();
         self.check()?;
         let batch = self.batch(stream, from);
@@ -223,6 +246,7 @@
 
 impl RecordDecoder for FakeStore {
     fn operator(&self, key: &str, value: &[u8]) -> Result<OperatorRecord, DecodeError> {
+        panic_if_left(&self.panicking_records);
         let name = String::from_utf8_lossy(value).into_owned();
         let records = self.records.lock().unwrap();
         if let Some((model, version)) = records.versions.get(&name).cloned() {
--- a/crates/celeryshed_process/src/signals.rs
+++ b/crates/celeryshed_process/src/signals.rs
@@ -14,6 +14,8 @@
     /// Its sockets couldn't be opened for [`SOCKETS_WAIT`](crate::SOCKETS_WAIT). Its settings may have
     /// changed since they were read.
     SocketsTaken,
+    /// A task has ended without which it can't go on.
+    TaskEnded,
 }
 
 /// Receives the signals that a supervisor sends.
--- a/crates/celeryshed_stager/src/process.rs
+++ b/crates/celeryshed_stager/src/process.rs
@@ -60,8 +60,11 @@
 pub struct SidecarProcess;
 
 impl SidecarProcess {
-    /// Runs a sidecar until SIGTERM; returns early if its sockets can't be opened. SIGHUP only logs an
-    /// event: the settings of a running sidecar are not read again.
+    /// Runs a sidecar until SIGTERM, or until a task ends without which it can't go on; returns early if
+    /// its sockets can't be opened. SIGHUP only logs an event: the settings of a running sidecar are not
+    /// read again.
+    ///
+    /// Its other tasks go on until the runtime is dropped.
     pub async fn run<S, D, P>(
         settings: SidecarSettings,
         signals: &mut ProcessSignals,
@@ -84,7 +87,7 @@
         };
         let Ok(sockets) = opened else { return Ok(RoleEnd::SocketsTaken) };
         let sockets = sockets?;
-        let (tasks, _ends) = TaskGroup::new();
+        let (tasks, mut ends) = TaskGroup::new();
         let upkeep = registry.clone();
         tasks.start_auxiliary("upkeep", move || upkeep.clone().run_upkeep());
         let (control, events) = start_control(&tasks, store, decoder, settings.control);
@@ -180,9 +183,12 @@
             .field("peers", settings.peer_address)
             .field("metrics", settings.metrics_address)
             .info();
-        signals.terminated().await;
-        EventLine::new("stopped").field("role", "side").info();
-        Ok(RoleEnd::Terminated)
+        let (end, event) = tokio::select! {
+            () = signals.terminated() => (RoleEnd::Terminated, "stopped"),
+            _ended = ends.next() => (RoleEnd::TaskEnded, "role_stopped"),
+        };
+        EventLine::new(event).field("role", "side").info();
+        Ok(end)
     }
 }
 
--- /dev/null
+++ b/crates/celeryshed_stager/tests/ended_tasks.rs
@@ -0,0 +1,33 @@
+//! Sidecars one of whose tasks ends.
+
+mod support;
+
+use std::time::Duration;
+
+use support::{FakeWeights, MODEL, observe_statuses, start_supervised_sidecar};
+use tokio::time::sleep;
+
+/// Time in which an entry receives status messages.
+const OBSERVED_TIME: Duration = Duration::from_secs(3);
+/// Far more status messages than a sound sidecar sends in that time.
+const MAX_STATUSES: usize = 100;
+
+/// Guards against a sidecar that never loads a version again because the task has ended that asks its
+/// engine, and against one that floods the entries with status messages from then on: 2.4 million
+/// came in 3 s.
+#[tokio::test]
+async fn version_is_loaded_although_the_stage_task_has_ended() {
+    let weights = FakeWeights::new(1, []);
+    let (sidecar, store) = start_supervised_sidecar(&weights, &[1]);
+    sleep(Duration::from_millis(500)).await;
+    weights.panic_in_reports(1);
+    store.declare(2);
+    let mut statuses = Vec::new();
+    observe_statuses(sidecar, OBSERVED_TIME, |status| statuses.push(status)).await;
+    weights.wait_loaded(2).await;
+    assert!(statuses.len() < MAX_STATUSES, "{} status messages", statuses.len());
+    let mut latest = None;
+    observe_statuses(sidecar, OBSERVED_TIME, |status| latest = Some(status)).await;
+    let latest = latest.expect("a status");
+    assert!(latest.accepting && latest.models.get(MODEL) == Some(&2), "{latest:?}");
+}
--- a/crates/celeryshed_stager/tests/support/mod.rs
+++ b/crates/celeryshed_stager/tests/support/mod.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU16, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
+use std::thread;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -21,7 +22,7 @@
     ControlStream, DecodeError, EntryHeartbeat, OperatorRecord, PeerMessage, PeerSocket,
     ReadOutcome, RecordDecoder, SidecarStatus, StoreError,
 };
-use celeryshed_process::ProcessSignals;
+use celeryshed_process::{ProcessSignals, RoleRunner};
 use celeryshed_stager::{
     EngineReport, LayerRange, LoadOrder, PieceCheck, RawManifest, ReloadReply, SidecarProcess,
     SidecarSettings, WeightError, WeightPlatform,
@@ -116,6 +117,10 @@
     pub(crate) spoilt_layers: AtomicU32,
     /// Orders that the engine received, accepted or not.
     pub(crate) received: AtomicU32,
+    /// Number of reports of the engine that panic.
+    panicking_reports: AtomicU32,
+    /// Number of pieces of the origin that panic.
+    panicking_fetches: AtomicU32,
     /// Whether the origin doesn't reply.
     origin_held: AtomicBool,
     /// The oldest version that the origin still offers.
@@ -134,6 +139,12 @@
     time: Duration,
 }
 
+/// Counts `left` down; panics unless it was zero.
+fn panic_if_left(left: &AtomicU32) {
+    let taken = left.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |left| left.checked_sub(1));
+    assert!(taken.is_err(), "a panic that the test expects");
+}
+
 impl FakeWeights {
     /// An engine that serves version `loaded` and stores the pieces `staged`.
     pub(crate) fn new(loaded: u64, staged: impl IntoIterator<Item = (u32, Bytes)>) -> Arc<Self> {
@@ -155,6 +166,16 @@
         self.is_starting.store(true, Ordering::Relaxed);
     }
 
+    /// The next `count` queries of the engine's state panic.
+    pub(crate) fn panic_in_reports(&self, count: u32) {
+        self.panicking_reports.store(count, Ordering::Relaxed);
+    }
+
+    /// The next `count` fetches of pieces from the origin panic.
+    pub(crate) fn panic_in_fetches(&self, count: u32) {
+        self.panicking_fetches.store(count, Ordering::Relaxed);
+    }
+
     pub(crate) fn finish_start(&self) {
         self.is_starting.store(false, Ordering::Relaxed);
     }
@@ -365,6 +386,7 @@
 
 impl WeightPlatform for FakeWeights {
     async fn endpoint_report(&self) -> Result<EngineReport, WeightError> {
+        panic_if_left(&self.panicking_reports);
         self.check_replies().await?;
         if let Some(old) = &mut *self.old_report.lock().unwrap() {
             let first_sent_at = *old.first_sent_at.get_or_insert_with(Instant::now);
@@ -495,6 +517,7 @@
         piece: u32,
         _max_bytes: usize,
     ) -> Result<Bytes, WeightError> {
+        panic_if_left(&self.panicking_fetches);
         self.ask_origin(version).await?;
         self.fetched.lock().unwrap().push(piece);
         if self.origin_corrupt.load(Ordering::Relaxed) {
@@ -643,21 +666,11 @@
     format!("{ip}:18094")
 }
 
-/// Starts a sidecar whose store declares `version`, and returns the address of its peer socket.
-pub(crate) fn start_sidecar(weights: &Arc<FakeWeights>, version: u64) -> SocketAddr {
-    start_listed_sidecar(weights, &[version], |_own| Vec::new()).0
-}
-
-/// Starts a sidecar whose store has the versions `declared` and lists other endpoints. `others` gets the
-/// address of the own endpoint, and returns those of the others.
-pub(crate) fn start_listed_sidecar(
-    weights: &Arc<FakeWeights>,
-    declared: &[u64],
-    others: impl Fn(&str) -> Vec<String>,
-) -> (SocketAddr, Arc<FakeStore>) {
+/// Settings of a sidecar at a loopback address of its own.
+pub(crate) fn sidecar_settings() -> SidecarSettings {
     let ip = next_ip();
     let address = |port: u16| format!("{ip}:{port}").parse().unwrap();
-    let settings = SidecarSettings {
+    SidecarSettings {
         name: "side-1".to_owned(),
         peer_address: address(18092),
         metrics_address: address(18093),
@@ -681,7 +694,22 @@
             endpoints_max_age: Duration::from_millis(500),
             renewal_interval: None,
         },
-    };
+    }
+}
+
+/// Starts a sidecar whose store declares `version`, and returns the address of its peer socket.
+pub(crate) fn start_sidecar(weights: &Arc<FakeWeights>, version: u64) -> SocketAddr {
+    start_listed_sidecar(weights, &[version], |_own| Vec::new()).0
+}
+
+/// Starts a sidecar whose store has the versions `declared` and lists other endpoints. `others` gets the
+/// address of the own endpoint, and returns those of the others.
+pub(crate) fn start_listed_sidecar(
+    weights: &Arc<FakeWeights>,
+    declared: &[u64],
+    others: impl Fn(&str) -> Vec<String>,
+) -> (SocketAddr, Arc<FakeStore>) {
+    let settings = sidecar_settings();
     let mut endpoints = others(&settings.endpoint);
     endpoints.push(settings.endpoint.clone());
     let (declared, _) = watch::channel(declared.to_vec());
@@ -695,6 +723,28 @@
     (peer_address, store)
 }
 
+/// Starts a sidecar whose store has the versions `declared`, in a thread of its own and as the program
+/// does: it is started again when it ends by itself.
+pub(crate) fn start_supervised_sidecar(
+    weights: &Arc<FakeWeights>,
+    declared: &[u64],
+) -> (SocketAddr, Arc<FakeStore>) {
+    let settings = sidecar_settings();
+    let (declared, _) = watch::channel(declared.to_vec());
+    let store = Arc::new(FakeStore { declared, endpoints: vec![settings.endpoint.clone()] });
+    let (weights, fake) = (weights.clone(), store.clone());
+    let peer_address = settings.peer_address;
+    let runner = RoleRunner::start().unwrap();
+    thread::spawn(move || {
+        let role = async |signals: &mut ProcessSignals| {
+            let (store, decoder, weights) = (fake.clone(), fake.clone(), weights.clone());
+            SidecarProcess::run(settings.clone(), signals, store, decoder, weights).await
+        };
+        runner.run(role).unwrap();
+    });
+    (peer_address, store)
+}
+
 /// The status messages that an entry receives within `time`, each passed to `observe` as it arrives.
 pub(crate) async fn observe_statuses(
     sidecar: SocketAddr,
