Fetch a piece again after its fetch has panicked

Operators saw a sidecar that never loaded a declared version: seven of eight pieces were asked for, and nothing was logged but one panic.

Cause: the fetch task takes the panic of a member of its JoinSet for nothing to do, so the piece keeps its slot in the picker for ever and is never picked again.

Change: a panic within a fetch counts as a failed fetch, after which the piece is fetched again like after any other failure. The writes to the endpoint need no such care: a piece whose write panicked isn't recorded as stored and is written again before the load.

Evidence: version_is_loaded_although_fetches_have_panicked fails on the former code (version 2 not loaded after 8 s, one run) and passes now, as does the other test of its file.

--- a/crates/celeryshed_stager/src/fetch_task.rs
+++ b/crates/celeryshed_stager/src/fetch_task.rs
@@ -8,6 +8,7 @@
 use celeryshed_base::{ClockSource, MonoTime};
 use celeryshed_dispatch::{PieceFetch, PiecePicker, PieceSource, SidecarPeer, StageManifest};
 use celeryshed_observe::EventLine;
+use celeryshed_process::catch_panic;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
@@ -196,7 +197,9 @@
             while let Some(fetch) = picker.start_next_fetch(now, rand::random()) {
                 let (fetcher, manifest) = (fetcher.clone(), manifest.clone());
                 fetches.spawn(async move {
-                    let outcome = fetcher.piece(&manifest, &fetch).await;
+                    // Otherwise the piece would never be fetched again.
+                    let fetched = catch_panic(fetcher.piece(&manifest, &fetch)).await;
+                    let outcome = fetched.unwrap_or(Err(FetchFailure::Unavailable));
                     (fetch, outcome)
                 });
             }
--- a/crates/celeryshed_stager/tests/ended_tasks.rs
+++ b/crates/celeryshed_stager/tests/ended_tasks.rs
@@ -31,3 +31,15 @@
     let latest = latest.expect("a status");
     assert!(latest.accepting && latest.models.get(MODEL) == Some(&2), "{latest:?}");
 }
+
+/// Guards against a version that is never loaded because the fetch of one piece has panicked: it kept
+/// its slot, and the piece was never fetched again.
+#[tokio::test]
+async fn version_is_loaded_although_fetches_have_panicked() {
+    let weights = FakeWeights::new(1, []);
+    let (_sidecar, store) = start_supervised_sidecar(&weights, &[1]);
+    sleep(Duration::from_millis(500)).await;
+    weights.panic_in_fetches(3);
+    store.declare(2);
+    weights.wait_loaded(2).await;
+}
