Stop loops without a pause after the end of another task

Operators saw a process that took a whole core after one of its tasks had died, and entries that got more than a million status datagrams a second from one sidecar.

Cause: four loops waited for a change of a watch channel and took the error of a closed one for a change: both senders of an entry's peer task, and a sidecar's status, fetch and stage tasks. Until the role ends, which takes an entry up to its grace period, they ran without a pause, and the status task sent each time.

Change: a closed channel is no change; the loops go on at their intervals, and the status task returns, as nobody knows the condition any more.

--- a/crates/celeryshed_gateway/src/peer_task.rs
+++ b/crates/celeryshed_gateway/src/peer_task.rs
@@ -1,5 +1,8 @@
 //! Exchanges datagrams with other entries and with sidecars.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -79,8 +82,9 @@
             let entries = self.entries_in(audience);
             tokio::select! {
                 () = sleep(audience.load_interval(entries.len())) => {}
-                // Reports the position of new operator records to the other entries at once.
-                _ = position.wait_for(|latest| latest.operator != sent_offset) => {}
+                // Reports the position of new operator records to the other entries at once. A closed
+                // channel tells none.
+                Ok(_) = position.wait_for(|latest| latest.operator != sent_offset) => {}
             }
             let latest = self.control.position();
             let whole_interval = audience.whole_load_interval(entries.len());
@@ -148,8 +152,9 @@
             };
             tokio::select! {
                 () = sleep(search_interval) => {}
-                // Reports the position of new operator records to the sidecars at once.
-                _ = position.wait_for(|latest| latest.operator != sent_offset) => {}
+                // Reports the position of new operator records to the sidecars at once. A closed
+                // channel tells none.
+                Ok(_) = position.wait_for(|latest| latest.operator != sent_offset) => {}
             }
             let offset = self.control.position().operator;
             let sidecars = self.sidecars_in(audience).await;
--- a/crates/celeryshed_stager/src/fetch_task.rs
+++ b/crates/celeryshed_stager/src/fetch_task.rs
@@ -56,7 +56,8 @@
                 None => {
                     let changed = async {
                         tokio::select! {
-                            _ = self.view.changed() => {}
+                            // A closed channel tells no change.
+                            Ok(()) = self.view.changed() => {}
                             _ = store.changed() => {}
                         }
                     };
--- a/crates/celeryshed_stager/src/stage_task.rs
+++ b/crates/celeryshed_stager/src/stage_task.rs
@@ -90,7 +90,8 @@
             }
             let changed = async {
                 tokio::select! {
-                    _ = view.changed() => {}
+                    // A closed channel tells no change.
+                    Ok(()) = view.changed() => {}
                     _ = store.wait_for(|store| self.complete_goal(store).is_some()) => {}
                 }
             };
--- a/crates/celeryshed_stager/src/status_task.rs
+++ b/crates/celeryshed_stager/src/status_task.rs
@@ -95,7 +95,9 @@
             tokio::select! {
                 changed = timeout_at(next_at, condition.changed()) => {
                     let pause = match changed {
-                        Ok(_) => REPEAT_DELAY,
+                        Ok(Ok(())) => REPEAT_DELAY,
+                        // The task that knows the condition has ended.
+                        Ok(Err(_closed)) => return,
                         Err(_elapsed) => status_interval(entries.len()),
                     };
                     next_at = Instant::now() + pause;
--- a/crates/celeryshed_stager/tests/ended_tasks.rs
+++ b/crates/celeryshed_stager/tests/ended_tasks.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use support::{FakeWeights, MODEL, observe_statuses, start_supervised_sidecar};
+use support::{FakeWeights, MODEL, observe_statuses, start_sidecar, start_supervised_sidecar};
 use tokio::time::sleep;
 
 /// Time in which an entry receives status messages.
@@ -43,3 +43,17 @@
     store.declare(2);
     weights.wait_loaded(2).await;
 }
+
+/// Guards against tasks that take the end of another one for news without end, and flood the entries
+/// with it: 2.4 million status messages came in 3 s.
+#[tokio::test]
+async fn other_tasks_stay_quiet_after_the_end_of_the_stage_task() {
+    let weights = FakeWeights::new(1, []);
+    let sidecar = start_sidecar(&weights, 1);
+    sleep(Duration::from_millis(500)).await;
+    weights.panic_in_reports(1);
+    // Nobody starts this sidecar again, and its other tasks go on.
+    let mut count = 0;
+    observe_statuses(sidecar, OBSERVED_TIME, |_status| count += 1).await;
+    assert!(count < MAX_STATUSES, "{count} status messages");
+}
