Pass over a control record whose decoding panics

A record that makes the decoder panic would end the task of the control records of every process that reads it. Before the roles were started anew, that left each of them without further configurations; since then each would start anew at the same record again and again, and none would be ready.

Cause: a panic within the decoder of one record isn't bounded by that record.

Change: the control task catches it, and the record counts as unusable (`record_unusable`, detail "its decoding panicked"), like one whose decoding fails. Decoders hold no state that the panic could leave behind half changed. Panics in the control task's own handling of a record still start the role anew.

--- a/crates/celeryshed_gateway/tests/ended_tasks.rs
+++ b/crates/celeryshed_gateway/tests/ended_tasks.rs
@@ -93,3 +93,21 @@
     assert!(answer.is_complete(), "{}", answer.text);
     entry.wait_ready().await;
 }
+
+/// Guards against a record that ends the whole role: one whose decoding panics costs itself only, and
+/// later ones are followed without a restart.
+#[tokio::test]
+async fn record_whose_decoding_panics_is_passed_over() {
+    let endpoint = ScriptedEndpoint::start("i-1", vec![vec![Send(WHOLE)]; 50]).await;
+    let entry = Deployment::start(&[&endpoint]).await;
+    entry.store.panic_in_records(1);
+    entry.store.publish(snapshot(2));
+    sleep(Duration::from_millis(500)).await;
+    assert_eq!(entry.readiness().await, 200);
+    wait_status(&entry, 200).await;
+    let mut empty = snapshot(3);
+    empty.hosts.clear();
+    entry.store.publish(empty);
+    wait_status(&entry, 404).await;
+    assert_eq!(entry.readiness().await, 200);
+}
--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -2,6 +2,7 @@
 //! can't be reached, decodes new ones and sends them to its receiver as events.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -23,7 +24,7 @@
 use crate::renewals::RegistrationRenewals;
 use crate::restored::{EndpointAdvance, RepeatedRegistration, SeenRegistrations};
 use crate::services::ServiceCatalog;
-use crate::store::{ControlStore, ReadOutcome, RecordDecoder, StoreError};
+use crate::store::{ControlStore, DecodeError, ReadOutcome, RecordDecoder, StoreError};
 
 /// Time that the store may wait for a new operator record before it replies to a read.
 const OPERATOR_POLL_WAIT: Duration = Duration::from_secs(10);
@@ -497,7 +498,8 @@
         initial: bool,
         source: &RecordSource,
     ) {
-        match self.decoder.operator(&record.key, value) {
+        let decoder = &self.decoder;
+        match decode_guarded(&record.key, || decoder.operator(&record.key, value)) {
             Ok(OperatorRecord::Configuration(snapshot)) => {
                 let line = EventLine::new("configuration_read")
                     .field("revision", snapshot.revision)
@@ -625,8 +627,9 @@
 
     /// Decodes the record of an endpoint; `None` if it has no value or an unusable one.
     fn decode_endpoint(&mut self, record: &ControlRecord) -> Option<ListedEndpoint> {
-        let decoded =
-            record.value.as_deref().map(|value| self.decoder.endpoint(&record.key, value));
+        let decode =
+            |value| decode_guarded(&record.key, || self.decoder.endpoint(&record.key, value));
+        let decoded = record.value.as_deref().map(decode);
         let Some(Err(error)) = decoded else {
             self.unusable_endpoints.remove(&record.key);
             return decoded?.ok();
@@ -795,6 +798,18 @@
     }
 }
 
+/// Calls a decoder, whose panic makes the record unusable. Each process would otherwise start anew at
+/// the same record again and again.
+fn decode_guarded<R>(
+    key: &str,
+    decode: impl FnOnce() -> Result<R, DecodeError>,
+) -> Result<R, DecodeError> {
+    let decoded = catch_unwind(AssertUnwindSafe(decode));
+    decoded.unwrap_or_else(|_panic| {
+        Err(DecodeError { key: key.to_owned(), detail: "its decoding panicked".to_owned() })
+    })
+}
+
 /// Whether two registrations differ in their numbers at most.
 fn has_same_state(one: Option<&ListedEndpoint>, other: Option<&ListedEndpoint>) -> bool {
     match (one, other) {
