Pause after a failed receipt of datagrams

By reading: an error of the peer socket that doesn't pass at once, such as a shortage of memory, would have taken a whole core of the machine, and nothing would have told it.

Cause: PeerSocket::receive tries again at once after each error.

Change: it counts the failure as `celeryshed_receive_failures_total` and tries again after 1 ms. Failures of earlier sends, which the system reports here too, delay a receipt by no more than that.

--- a/crates/celeryshed_peering/src/socket.rs
+++ b/crates/celeryshed_peering/src/socket.rs
@@ -2,14 +2,18 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use celeryshed_observe::EventLine;
 use tokio::net::UdpSocket;
+use tokio::time::sleep;
 
 use crate::messages::PeerMessage;
 
 /// Size of the receive buffer; longer datagrams are truncated.
 const MAX_DATAGRAM_BYTES: usize = 32 * 1024;
+/// Delay after a failed receipt.
+const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(1);
 
 /// Sends and receives [`PeerMessage`]s; a lost message is not sent again, since later ones replace
 /// its content.
@@ -55,8 +59,16 @@
     pub async fn receive(&self) -> (PeerMessage, SocketAddr) {
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
         loop {
-            // The system reports failures of earlier sends here, for instance to a closed port.
-            let Ok((length, sender)) = self.socket.recv_from(&mut buffer).await else { continue };
+            let (length, sender) = match self.socket.recv_from(&mut buffer).await {
+                Ok(received) => received,
+                // The system reports failures of earlier sends here, for instance to a closed port,
+                // and shortages that may last.
+                Err(_error) => {
+                    metrics::counter!("celeryshed_receive_failures_total").increment(1);
+                    sleep(RECEIVE_RETRY_DELAY).await;
+                    continue;
+                }
+            };
             if let Ok(message) = rmp_serde::from_slice(&buffer[..length]) {
                 return (message, sender);
             }
