Count connections that the system refuses to accept

A process to which the system refuses descriptors accepts no connection and says nothing of it: callers wait, and log and metrics look like those of a sound process.

Change: it counts the error as `celeryshed_accept_failures_total`. What it does is unchanged: each error is retried, none ends the loop.

Evidence: by reading; no test was added, as none can make accept fail without taking the descriptors of the test's own process. All tests of celeryshed_http pass.

--- a/crates/celeryshed_http/src/server.rs
+++ b/crates/celeryshed_http/src/server.rs
@@ -123,7 +123,10 @@
             };
             match accepted {
                 Ok((stream, peer)) => self.start(stream, peer, handler.clone()).await,
-                Err(_transient) => sleep(ACCEPT_RETRY_DELAY).await,
+                Err(_transient) => {
+                    metrics::counter!("celeryshed_accept_failures_total").increment(1);
+                    sleep(ACCEPT_RETRY_DELAY).await;
+                }
             }
         }
         // Connections in the accept queue were established before; dropping the listener would
