Start the thread of the log anew after a panic

By reading: after a panic in the thread that writes the log, for instance while it writes to the output, the process would log nothing more until its end, not even lines_left_out.

Cause: the thread takes the receiver of the lines with it, and it counts as running for good.

Change: the thread gives its state back when it panics, and the next line starts another one, which goes on with the lines that wait.

--- a/crates/celeryshed_observe/src/log_writer.rs
+++ b/crates/celeryshed_observe/src/log_writer.rs
@@ -1,7 +1,11 @@
 //! The thread that writes the log.
 
+#[cfg(test)]
+mod tests;
+
 use std::fmt;
 use std::io::Write;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
@@ -54,19 +58,25 @@
         let _ = INSTALLED.set(self.clone());
     }
 
-    /// Starts the thread unless it runs; the next call tries again if the system refuses it.
+    /// Starts the thread unless it runs; the next call tries again if the system refuses it, or if it has
+    /// panicked.
     pub(crate) fn ensure_thread(&self) {
         if self.has_thread.swap(true, Ordering::Relaxed) {
             return;
         }
-        let state = self.state.clone();
+        let writer = self.clone();
         let spawned = thread::Builder::new().name("log".to_owned()).spawn(move || {
-            let state = state.lock().unwrap_or_else(PoisonError::into_inner).take();
-            if let Some(state) = state {
-                state.write_lines();
+            let taken = writer.state.lock().unwrap_or_else(PoisonError::into_inner).take();
+            let Some(mut state) = taken else { return };
+            if catch_unwind(AssertUnwindSafe(|| state.write_lines())).is_err() {
+                // The next thread goes on with the lines that wait.
+                *writer.state.lock().unwrap_or_else(PoisonError::into_inner) = Some(state);
+                writer.has_thread.store(false, Ordering::Relaxed);
             }
         });
-        self.has_thread.store(spawned.is_ok(), Ordering::Relaxed);
+        if spawned.is_err() {
+            self.has_thread.store(false, Ordering::Relaxed);
+        }
     }
 }
 
@@ -84,7 +94,7 @@
 }
 
 impl WriterState {
-    fn write_lines(mut self) {
+    fn write_lines(&mut self) {
         let mut batch = Vec::new();
         let mut flush_replies = Vec::new();
         loop {
