Answer requests whose handler panics before its first wait

A caller whose request made the handler panic at once got no answer but a closed connection; one whose handler panicked later got 500.

Cause: the call of the handler itself, such as the whole check of readiness, ran outside of the part whose panics are caught.

Change: the call is within that part.

Evidence: panics_cost_their_connection_only fails on the former code (no answer instead of 500, one run) and passes now. It also shows that 20 panics, of handlers and of bodies that are being sent, at a limit of 4 connections, poison no lock and keep no place, and that an answer broken off by one doesn't look complete. All tests of celeryshed_http pass.

--- a/crates/celeryshed_http/src/server.rs
+++ b/crates/celeryshed_http/src/server.rs
@@ -178,7 +178,9 @@
             service_fn(move |request| {
                 let guard = activity.begin();
                 let (request, unread) = RequestBody::track(request, &activity);
-                let answer = AssertUnwindSafe(handler(request, peer)).catch_unwind();
+                let handler = handler.clone();
+                let answer = AssertUnwindSafe(async move { handler(request, peer).await });
+                let answer = answer.catch_unwind();
                 let (activity, closing) = (activity.clone(), closing.clone());
                 async move {
                     let answer = answer.await;
