--- a/crates/celeryshed_stager/tests/support/mod.rs
+++ b/crates/celeryshed_stager/tests/support/mod.rs
@@ -723,6 +723,12 @@
     (peer_address, store)
 }
 
+/// A store that has the versions `declared` and lists the own endpoint of a sidecar.
+pub(crate) fn store_of(settings: &SidecarSettings, declared: &[u64]) -> Arc<FakeStore> {
+    let (declared, _) = watch::channel(declared.to_vec());
+    Arc::new(FakeStore { declared, endpoints: vec![settings.endpoint.clone()] })
+}
+
 /// Starts a sidecar whose store has the versions `declared`, in a thread of its own and as the program
 /// does: it is started again when it ends by itself.
 pub(crate) fn start_supervised_sidecar(
@@ -730,8 +736,7 @@
     declared: &[u64],
 ) -> (SocketAddr, Arc<FakeStore>) {
     let settings = sidecar_settings();
-    let (declared, _) = watch::channel(declared.to_vec());
-    let store = Arc::new(FakeStore { declared, endpoints: vec![settings.endpoint.clone()] });
+    let store = store_of(&settings, declared);
     let (weights, fake) = (weights.clone(), store.clone());
     let peer_address = settings.peer_address;
     let runner = RoleRunner::start().unwrap();
