Keep a newer record whatever number the older one has

Operators saw: in a build with overflow checks, the task of the control records ends when the lowest number (a declared version or revision) follows the highest in a record that a peer has sent after a restore of the store; in the release build, peers don't fetch the newer value.

Cause: the difference of the numbers was added to the advance of the record's position in 64 bits.

Change: the sum is limited; a position holds an advance of at most 16,383 anyway.

--- a/crates/celeryshed_peering/src/admission.rs
+++ b/crates/celeryshed_peering/src/admission.rs
@@ -59,7 +59,7 @@
         match known.map(|known| (known, known.number.checked_sub(number))) {
             Some((_, Some(0))) => Admission::Known,
             Some((known, Some(lag))) => {
-                let advance = record.position.advance() + lag;
+                let advance = record.position.advance().saturating_add(lag);
                 log.retain_value(&record.key, known.value.clone(), advance);
                 Admission::Older
             }
