Let the pieces of large versions leave a sidecar's memory

A sidecar that collects a version whose pieces take more than its memory was above the limit of its machine and would be killed, and again by each new process: with 96 pieces of 1 MB, sidecars of 128 MB took up to 149 MB, with pieces of 4 MB up to 584 MB (14 sidecars, 4 entries, real processes, several versions in quick succession). A version that didn't fit was collected whatever its size as long as nothing else was in memory, and each piece stayed there until the endpoint had loaded the version, though the endpoint stored it too.

The pieces of a version that has more bytes than the memory for pieces now leave it once the endpoint stores them. They are read from there for other sidecars and by the check before the load, as after a restart. Meanwhile no other version is collected, no more pieces are fetched than fit, and pieces that the endpoint didn't store are written again. An endpoint that is lost takes its pieces along, so that they are fetched anew.

--- a/crates/celeryshed_stager/src/endpoint_stage.rs
+++ b/crates/celeryshed_stager/src/endpoint_stage.rs
@@ -56,19 +56,27 @@
     }
 
     /// Stores a piece of a version that is being collected, unless the stage is reserved. A piece
-    /// that can't be stored is written again before the load.
-    pub(crate) async fn write_through(&self, model: &str, version: u64, piece: u32, bytes: Bytes) {
+    /// that can't be stored is written again before the load. Returns whether it was stored.
+    pub(crate) async fn write_through(
+        &self,
+        model: &str,
+        version: u64,
+        piece: u32,
+        bytes: Bytes,
+    ) -> bool {
         if self.is_reserved.load(Ordering::Relaxed) {
-            return;
+            return false;
         }
         let mut stored = self.stored.lock().await;
         if self.is_reserved.load(Ordering::Relaxed) {
-            return;
+            return false;
         }
         stored.select(version);
-        if self.write_piece(model, piece, bytes).await.is_ok() {
+        let is_stored = self.write_piece(model, piece, bytes).await.is_ok();
+        if is_stored {
             stored.pieces.insert(piece);
         }
+        is_stored
     }
 
     /// Records that valid pieces of a version were found at the endpoint.
--- a/crates/celeryshed_stager/src/fetch_task.rs
+++ b/crates/celeryshed_stager/src/fetch_task.rs
@@ -76,10 +76,23 @@
         let store = self.store.borrow();
         let version = goal.target.version;
         let loaded = store.loaded_version(&goal.model).unwrap_or(0);
-        let bytes = goal.version_bytes;
-        let fits = store.memory_bytes() == 0
-            || store.memory_bytes() + bytes <= self.settings.piece_memory_bytes;
-        store.endpoint_asked && loaded < version && !store.is_complete(version) && fits
+        let limit = self.settings.piece_memory_bytes;
+        let has_room = store.has_room(version, goal.version_bytes, limit);
+        store.endpoint_asked && loaded < version && !store.is_complete(version) && has_room
+    }
+
+    /// Whether the pieces of the goal leave the memory as soon as the endpoint stores them.
+    fn is_large(&self, goal: &StageGoal) -> bool {
+        goal.version_bytes > self.settings.piece_memory_bytes
+    }
+
+    /// Whether there is memory for another piece of the goal beside those that are being fetched. One
+    /// piece at a time is fetched whatever its size.
+    fn has_room_for_piece(&self, goal: &StageGoal, fetch_count: usize) -> bool {
+        let bytes = self.store.borrow().memory_bytes() + fetch_count * goal.piece_bytes;
+        !self.is_large(goal)
+            || bytes == 0
+            || bytes + goal.piece_bytes <= self.settings.piece_memory_bytes
     }
 
     /// Fetches all pieces of the goal, unless a newer version replaces it meanwhile.
@@ -154,14 +167,42 @@
                 && manifest.verifies(piece, &bytes)
             {
                 self.stage.record_found(manifest.version(), [piece]).await;
-                self.store.send_modify(|store| store.insert(manifest.version(), piece, bytes, &[]));
+                self.store.send_modify(|store| {
+                    store.insert(manifest.version(), piece, bytes, &[]);
+                    if self.is_large(goal) {
+                        store.release(manifest.version(), piece);
+                    }
+                });
             }
         }
     }
 
     fn missing(&self, manifest: &StageManifest) -> BTreeSet<u32> {
-        let held = self.store.borrow().in_memory(manifest.version());
-        (0..manifest.piece_count()).filter(|piece| !held.contains_key(piece)).collect()
+        let held = self.store.borrow().held(manifest.version());
+        (0..manifest.piece_count()).filter(|piece| !held.contains(piece)).collect()
+    }
+
+    /// Stores pieces of the goal at the endpoint until one can't be stored. Those of a large version
+    /// leave the memory.
+    fn write_pieces(
+        &self,
+        goal: &StageGoal,
+        pieces: impl IntoIterator<Item = (u32, Bytes), IntoIter: Send + 'static>,
+    ) -> impl Future<Output = ()> + Send + 'static {
+        let (stage, store) = (self.stage.clone(), self.store.clone());
+        let (model, version, is_large) =
+            (goal.model.clone(), goal.target.version, self.is_large(goal));
+        let pieces = pieces.into_iter();
+        async move {
+            for (piece, bytes) in pieces {
+                if !stage.write_through(&model, version, piece, bytes).await {
+                    return;
+                }
+                if is_large {
+                    store.send_modify(|store| store.release(version, piece));
+                }
+            }
+        }
     }
 
     /// Fetches pieces until none is missing, the goal changes or the manifest proves doubtful.
@@ -195,7 +236,15 @@
                 logged_at = now;
                 log_progress(now, goal, &picker);
             }
-            while let Some(fetch) = picker.start_next_fetch(now, rand::random()) {
+            while writes.try_join_next().is_some() {}
+            if writes.is_empty() && !self.has_room_for_piece(goal, picker.fetch_count()) {
+                // The endpoint didn't store them when they arrived.
+                let pieces = self.store.borrow().in_memory(version);
+                writes.spawn(self.write_pieces(goal, pieces));
+            }
+            while self.has_room_for_piece(goal, picker.fetch_count())
+                && let Some(fetch) = picker.start_next_fetch(now, rand::random())
+            {
                 let (fetcher, manifest) = (fetcher.clone(), manifest.clone());
                 fetches.spawn(async move {
                     // Otherwise the piece would never be fetched again.
@@ -220,10 +269,7 @@
                     self.store.send_modify(|store| {
                         store.insert(version, fetch.piece, bytes.clone(), uninformed);
                     });
-                    let (stage, model) = (self.stage.clone(), goal.model.clone());
-                    writes.spawn(async move {
-                        stage.write_through(&model, version, fetch.piece, bytes).await;
-                    });
+                    writes.spawn(self.write_pieces(goal, [(fetch.piece, bytes)]));
                     last_piece_at = self.clock.now();
                 }
                 Some((fetch, Err(failure))) => {
--- a/crates/celeryshed_stager/src/piece_store.rs
+++ b/crates/celeryshed_stager/src/piece_store.rs
@@ -3,9 +3,10 @@
 //! Load pattern: a version is declared while an earlier one spreads or waits for its load. The
 //! endpoint stores the pieces of a single version, so pieces are kept in memory until the endpoint
 //! has loaded them: a later version spreads meanwhile, and an endpoint whose turn comes late loads
-//! the later one alone.
+//! the later one alone. Pieces of a version that doesn't fit into the memory leave it as soon as the
+//! endpoint stores them; no other version is collected beside it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Bound;
 use std::sync::Arc;
 
@@ -19,6 +20,8 @@
         pub(crate) manifest: Arc<StageManifest>,
         /// Pieces in memory, by number; empty once the endpoint has loaded the version.
         pub(crate) in_memory: BTreeMap<u32, Bytes>,
+        /// Pieces that have left the memory early and are read from the endpoint.
+        released: BTreeSet<u32>,
     }
 
     /// The pieces of all versions that the sidecar holds, and what its endpoint has of them.
@@ -43,20 +46,46 @@
     }
 }
 
+impl VersionPieces {
+    /// Numbers of the pieces that are in memory or were released.
+    fn held(&self) -> impl Iterator<Item = u32> {
+        self.in_memory.keys().chain(&self.released).copied()
+    }
+
+    fn memory_bytes(&self) -> usize {
+        self.in_memory.values().map(Bytes::len).sum()
+    }
+}
+
 impl PieceStore {
     /// Starts to collect the pieces of a version, and returns whether its manifest is new. Pieces
-    /// that were collected under another manifest are dropped.
+    /// that were collected under another manifest are dropped. The pieces of the version replace those
+    /// of others at the endpoint.
     pub(crate) fn begin(&mut self, manifest: &Arc<StageManifest>) -> bool {
         let version = manifest.version();
+        self.forget_released(version);
         if self.versions.get(&version).is_some_and(|known| known.manifest == *manifest) {
             return false;
         }
         self.at_endpoint.take_if(|at_endpoint| *at_endpoint == version);
-        let pieces = VersionPieces { manifest: manifest.clone(), in_memory: BTreeMap::new() };
+        let pieces = VersionPieces {
+            manifest: manifest.clone(),
+            in_memory: BTreeMap::new(),
+            released: BTreeSet::new(),
+        };
         self.versions.insert(version, pieces);
         true
     }
 
+    /// Forgets the released pieces of all versions but `kept`.
+    fn forget_released(&mut self, kept: u64) {
+        for (version, pieces) in &mut self.versions {
+            if *version != kept {
+                pieces.released.clear();
+            }
+        }
+    }
+
     /// Drops a version that is no longer collected.
     pub(crate) fn abandon(&mut self, version: u64) {
         self.versions.remove(&version);
@@ -75,10 +104,20 @@
             *self.unknown_pieces.entry(*audience).or_default() += 1;
         }
         if let Some(pieces) = self.versions.get_mut(&version) {
+            pieces.released.remove(&piece);
             pieces.in_memory.insert(piece, bytes);
         }
     }
 
+    /// Drops a piece that the endpoint stores from the memory.
+    pub(crate) fn release(&mut self, version: u64, piece: u32) {
+        if let Some(pieces) = self.versions.get_mut(&version)
+            && pieces.in_memory.remove(&piece).is_some()
+        {
+            pieces.released.insert(piece);
+        }
+    }
+
     /// Number of pieces so far that an audience was not known to have.
     pub(crate) fn unknown_pieces(&self, audience: PeerAudience) -> u64 {
         self.unknown_pieces.get(&audience).copied().unwrap_or_default()
@@ -93,7 +132,7 @@
     pub(crate) fn is_complete(&self, version: u64) -> bool {
         self.versions.get(&version).is_some_and(|pieces| {
             self.at_endpoint == Some(version)
-                || pieces.in_memory.len() == pieces.manifest.piece_count() as usize
+                || pieces.held().count() == pieces.manifest.piece_count() as usize
         })
     }
 
@@ -114,10 +153,23 @@
         self.versions.get(&version).map(|pieces| pieces.in_memory.clone()).unwrap_or_default()
     }
 
+    /// Numbers of the pieces of a version that are in memory or were released.
+    pub(crate) fn held(&self, version: u64) -> BTreeSet<u32> {
+        self.versions.get(&version).map(|pieces| pieces.held().collect()).unwrap_or_default()
+    }
+
     /// Bytes of all pieces in memory.
     pub(crate) fn memory_bytes(&self) -> usize {
-        let pieces = self.versions.values().flat_map(|pieces| pieces.in_memory.values());
-        pieces.map(Bytes::len).sum()
+        self.versions.values().map(VersionPieces::memory_bytes).sum()
+    }
+
+    /// Whether a version of `bytes` may be collected with a memory of `limit`: it fits beside the other
+    /// versions, or there is no piece of any.
+    pub(crate) fn has_room(&self, version: u64, bytes: usize, limit: usize) -> bool {
+        let others = || self.versions.iter().filter(|(other, _)| **other != version);
+        let released = others().any(|(_, pieces)| !pieces.released.is_empty());
+        let held: usize = others().map(|(_, pieces)| pieces.memory_bytes()).sum();
+        !released && (held == 0 || held + bytes <= limit)
     }
 
     /// The collected versions with the pieces that other sidecars can fetch here.
@@ -126,7 +178,7 @@
             let numbers: PieceSet = if self.at_endpoint == Some(*version) {
                 (0..pieces.manifest.piece_count()).collect()
             } else {
-                pieces.in_memory.keys().copied().collect()
+                pieces.held().collect()
             };
             (&pieces.manifest, numbers)
         });
@@ -138,7 +190,8 @@
         match self.versions.get(&version).filter(|pieces| pieces.manifest.model() == model) {
             Some(pieces) => match pieces.in_memory.get(&piece) {
                 Some(bytes) => Some(PieceLocation::Memory(bytes.clone())),
-                None => (self.at_endpoint == Some(version)).then_some(PieceLocation::Endpoint),
+                None => (self.at_endpoint == Some(version) || pieces.released.contains(&piece))
+                    .then_some(PieceLocation::Endpoint),
             },
             // A sidecar that restarted knows from its endpoint alone what is stored there.
             None => (self.versions.is_empty() && self.loaded.get(model) == Some(&version))
@@ -146,9 +199,10 @@
         }
     }
 
-    /// Records that the pieces at the endpoint are being replaced.
-    pub(crate) fn record_staging(&mut self) {
+    /// Records that the pieces at the endpoint are being replaced by those of a version.
+    pub(crate) fn record_staging(&mut self, version: u64) {
         self.at_endpoint = None;
+        self.forget_released(version);
     }
 
     /// Records that all pieces of a version are stored at the endpoint.
@@ -174,6 +228,7 @@
             let newest = loaded.get(pieces.manifest.model()).copied().unwrap_or(0);
             if *version == newest && at_endpoint == Some(newest) {
                 pieces.in_memory.clear();
+                pieces.released.clear();
             }
             *version >= newest
         });
@@ -182,6 +237,9 @@
 
     /// Records that the endpoint doesn't reply: what it stored may be lost.
     pub(crate) fn record_endpoint_lost(&mut self) -> bool {
+        for pieces in self.versions.values_mut() {
+            pieces.released.clear();
+        }
         if let Some(version) = self.at_endpoint.take()
             && self.in_memory(version).is_empty()
         {
--- a/crates/celeryshed_stager/src/settings.rs
+++ b/crates/celeryshed_stager/src/settings.rs
@@ -29,8 +29,8 @@
     pub versions: VersionDeadlines,
     /// Memory of the machine, in bytes. A process that takes more is killed.
     pub memory_bytes: usize,
-    /// Memory for pieces of versions that the endpoint hasn't loaded, in bytes. A single version is
-    /// collected whatever its size.
+    /// Memory for pieces of versions that the endpoint hasn't loaded, in bytes. The pieces of a larger
+    /// version leave it as soon as the endpoint stores them.
     pub piece_memory_bytes: usize,
     /// Bandwidth of the instance's own link in bits per second; zero means no limit.
     pub link_bits_per_s: u64,
--- a/crates/celeryshed_stager/src/stage_task.rs
+++ b/crates/celeryshed_stager/src/stage_task.rs
@@ -326,7 +326,7 @@
         let pieces = self.store.borrow().in_memory(version);
         let Some(manifest) = self.store.borrow().manifest(version).cloned() else { return };
         let mut stage = self.stage.reserve(version).await;
-        self.store.send_modify(PieceStore::record_staging);
+        self.store.send_modify(|store| store.record_staging(version));
         if !stage.write(&goal.model, &pieces).await {
             sleep(BUSY_QUERY_INTERVAL).await;
             return;
--- a/crates/celeryshed_stager/tests/support/mod.rs
+++ b/crates/celeryshed_stager/tests/support/mod.rs
@@ -4,7 +4,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU16, AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU16, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -52,6 +52,39 @@
     Bytes::from(format!("{MODEL} {version} {piece} ").repeat(100))
 }
 
+/// Pieces from the origin that the sidecar holds.
+#[derive(Debug, Default)]
+struct HeldPieces {
+    count: AtomicUsize,
+    peak: AtomicUsize,
+}
+
+/// A piece that counts as held until it is dropped.
+struct HeldPiece {
+    bytes: Bytes,
+    held: Arc<HeldPieces>,
+}
+
+impl HeldPiece {
+    fn new(bytes: Bytes, held: &Arc<HeldPieces>) -> Self {
+        let count = 1 + held.count.fetch_add(1, Ordering::Relaxed);
+        held.peak.fetch_max(count, Ordering::Relaxed);
+        Self { bytes, held: held.clone() }
+    }
+}
+
+impl AsRef<[u8]> for HeldPiece {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl Drop for HeldPiece {
+    fn drop(&mut self) {
+        self.held.count.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// What happens to a load order.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum OrderFault {
@@ -131,6 +164,7 @@
     origin_corrupt: AtomicBool,
     /// Versions whose manifests the origin has sent.
     manifests: Mutex<BTreeSet<u64>>,
+    held: Arc<HeldPieces>,
 }
 
 /// A report that is sent again until `time` after it was first sent.
@@ -257,6 +291,11 @@
         }
     }
 
+    /// Most pieces from the origin that the sidecar has held at a time.
+    pub(crate) fn most_held_pieces(&self) -> usize {
+        self.held.peak.load(Ordering::Relaxed)
+    }
+
     /// Whether the engine makes tokens with a layer that was taken from damaged pieces.
     pub(crate) fn is_spoilt(&self) -> bool {
         self.layers.lock().unwrap().values().any(|is_valid| !is_valid)
@@ -459,7 +498,7 @@
 
     async fn write_piece(&self, _model: &str, piece: u32, bytes: Bytes) -> Result<(), WeightError> {
         self.check_replies().await?;
-        self.staged.lock().unwrap().insert(piece, bytes);
+        self.staged.lock().unwrap().insert(piece, Bytes::copy_from_slice(&bytes));
         self.written.lock().unwrap().push(piece);
         Ok(())
     }
@@ -536,7 +575,7 @@
         if self.origin_corrupt.load(Ordering::Relaxed) {
             return Ok(Bytes::from_static(b"corrupt"));
         }
-        Ok(piece_bytes(version, piece))
+        Ok(Bytes::from_owner(HeldPiece::new(piece_bytes(version, piece), &self.held)))
     }
 }
 
@@ -679,6 +718,9 @@
     format!("{ip}:18094")
 }
 
+/// Memory for pieces; far more than the versions of the tests take.
+const PIECE_MEMORY_BYTES: usize = 1_000_000;
+
 /// Settings of a sidecar at a loopback address of its own.
 pub(crate) fn sidecar_settings() -> SidecarSettings {
     let ip = next_ip();
@@ -696,7 +738,7 @@
             after_start: Duration::from_secs(2),
         },
         memory_bytes: usize::MAX,
-        piece_memory_bytes: 1_000_000,
+        piece_memory_bytes: PIECE_MEMORY_BYTES,
         link_bits_per_s: 0,
         endpoint_silence_limit: SILENCE_LIMIT,
         piece_check_lifetime: PAUSE / 2,
@@ -722,7 +764,17 @@
     declared: &[u64],
     others: impl Fn(&str) -> Vec<String>,
 ) -> (SocketAddr, Arc<FakeStore>) {
-    let settings = sidecar_settings();
+    start_limited_sidecar(weights, declared, others, PIECE_MEMORY_BYTES)
+}
+
+/// Like [`start_listed_sidecar`], with `piece_memory_bytes` for pieces.
+pub(crate) fn start_limited_sidecar(
+    weights: &Arc<FakeWeights>,
+    declared: &[u64],
+    others: impl Fn(&str) -> Vec<String>,
+    piece_memory_bytes: usize,
+) -> (SocketAddr, Arc<FakeStore>) {
+    let settings = SidecarSettings { piece_memory_bytes, ..sidecar_settings() };
     let mut endpoints = others(&settings.endpoint);
     endpoints.push(settings.endpoint.clone());
     let (declared, _) = watch::channel(declared.to_vec());
