--- a/crates/celeryshed_dispatch/src/dispatcher.rs
+++ b/crates/celeryshed_dispatch/src/dispatcher.rs
@@ -3,9 +3,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use celeryshed_base::{AvailabilityZone, MonoTime, RegionName, ServiceName, common_derives};
+use celeryshed_base::{
+    AvailabilityZone, ModelName, MonoTime, RegionName, ServiceName, common_derives,
+};
 
 use crate::activity::AnswerActivity;
+use crate::bounded_map::{BoundedMap, InsertOutcome};
 use crate::budget::{BudgetLimits, RetryBudget};
 use crate::deadline::VersionDeadlines;
 use crate::directory::EndpointDirectory;
@@ -16,7 +19,7 @@
 use crate::endpoint_notice::EndpointNotice;
 use crate::health::{AttemptOutcome, HealthRecord, NotRunReason, UnknownReason};
 use crate::load::{EndpointLoad, LoadReport, LoadScope, PeerLoad};
-use crate::pacing::PeerAudience;
+use crate::pacing::{MAX_PEERS, PeerAudience};
 use crate::peers::PeerAddress;
 use crate::placement::{
     Candidate, CandidatePool, ComparisonLimits, Distance, PlacementChoice, PlacementQuery,
@@ -36,8 +39,14 @@
 const PEER_LIFETIME_FACTOR: u32 = 2;
 /// Smallest number of entries assumed to share the budget, for the time in which peers are unknown.
 const MIN_ENTRY_COUNT: u32 = 3;
-/// Maximum number of declared versions stored for a model; the oldest are dropped.
+/// Maximum number of declared versions of a model that are stored because operators declared them, and
+/// of those that only other processes told; the oldest are dropped.
 const MAX_VERSIONS_PER_MODEL: usize = 8;
+/// Most models whose versions other processes told, and that neither operators nor a configuration have
+/// named. Once there is a configuration, they are dropped.
+const MAX_UNNAMED_MODELS: usize = 256;
+/// Most models in the status of an endpoint.
+const MAX_STATUS_MODELS: usize = 32;
 /// Time after which a limit of a version's age is reported like an age, unless a peer has reported
 /// one before. Only processes that were all late are left then.
 const LIMIT_REPORT_DELAY: Duration = Duration::from_secs(3);
@@ -180,6 +189,8 @@
 #[derive(Clone, Copy, Debug)]
 struct DeclaredVersion {
     due_at: MonoTime,
+    /// Whether this process has read the declaration; `false` if others told the version.
+    was_read: bool,
     /// Whether the time of the declaration is known, from this process or another one.
     age_known: bool,
     /// When the age was limited; `None` if it is known or has no limit.
@@ -223,7 +234,13 @@
     timings: BTreeMap<ServiceName, EngineTiming>,
     /// Declared versions by model.
     versions: BTreeMap<String, BTreeMap<u64, DeclaredVersion>>,
+    /// The models among them that nobody but other processes has named.
+    unnamed_models: BoundedMap<PeerAddress, String, ()>,
+    /// Models of the configuration; `None` before the first one.
+    configured_models: Option<BTreeSet<String>>,
     peers: BTreeMap<PeerAddress, PeerContact>,
+    /// Load reports of entries above [`MAX_PEERS`] since the last call of [`Self::take_dropped`].
+    dropped_reports: u64,
     hashes: BTreeMap<EndpointHash, EndpointId>,
     queue: WaitingQueue,
     budget: RetryBudget,
@@ -268,7 +285,10 @@
             statements,
             timings: BTreeMap::new(),
             versions: BTreeMap::new(),
+            unnamed_models: BoundedMap::new(MAX_UNNAMED_MODELS),
+            configured_models: None,
             peers: BTreeMap::new(),
+            dropped_reports: 0,
             hashes: BTreeMap::new(),
             queue: WaitingQueue::default(),
             budget,
@@ -339,6 +359,14 @@
         });
         self.timings = engines.collect();
         self.directory.add_services(snapshot);
+        let engines = snapshot.services.values().filter_map(|service| service.engine.as_ref());
+        let models = engines.flat_map(|engine| &engine.models).map(|model| model.to_string());
+        let models: BTreeSet<String> = models.collect();
+        self.versions.retain(|model, versions| {
+            models.contains(model) || versions.values().any(|version| version.was_read)
+        });
+        self.unnamed_models = BoundedMap::new(MAX_UNNAMED_MODELS);
+        self.configured_models = Some(models);
     }
 
     /// Adds a declared version of a model; a version that is already known stays unchanged.
@@ -351,13 +379,48 @@
         model: &str,
         version: u64,
         age: Option<Duration>,
+    ) {
+        self.unnamed_models.remove(&model.to_owned());
+        self.add_version(now, model, version, age, true);
+    }
+
+    fn add_version(
+        &mut self,
+        now: MonoTime,
+        model: &str,
+        version: u64,
+        age: Option<Duration>,
+        was_read: bool,
     ) {
         let due_at = self.settings.versions.due_at(now, age);
-        let declared = DeclaredVersion { due_at, age_known: age.is_some(), limited_at: None };
+        let age_known = age.is_some();
+        let declared = DeclaredVersion { due_at, was_read, age_known, limited_at: None };
         let known = self.versions.entry(model.to_owned()).or_default();
-        known.entry(version).or_insert(declared);
-        while known.len() > MAX_VERSIONS_PER_MODEL {
-            known.pop_first();
+        known.entry(version).or_insert(declared).was_read |= was_read;
+        for was_read in [true, false] {
+            let of_kind = known.iter().filter(|(_, declared)| declared.was_read == was_read);
+            let of_kind: Vec<u64> = of_kind.map(|(version, _)| *version).collect();
+            for version in of_kind.iter().rev().skip(MAX_VERSIONS_PER_MODEL) {
+                known.remove(version);
+            }
+        }
+    }
+
+    /// Whether the versions that `sender` tells of a model are of use. Before the first configuration,
+    /// those of some unknown models may be.
+    fn may_learn_model(&mut self, sender: &PeerAddress, model: &str) -> bool {
+        match &self.configured_models {
+            _ if self.versions.contains_key(model) => true,
+            Some(configured) => configured.contains(model),
+            None if ModelName::try_from(model).is_err() => false,
+            None => match self.unnamed_models.insert(sender.clone(), model.to_owned(), ()) {
+                InsertOutcome::Kept => true,
+                InsertOutcome::Displaced(displaced) => {
+                    self.versions.remove(&displaced);
+                    true
+                }
+                InsertOutcome::Refused => false,
+            },
         }
     }
 
@@ -382,11 +445,20 @@
     ///
     /// A version that is unknown here becomes known: the log keeps the newest declaration of a model
     /// only, so that a restarted process can't read an earlier one that is not due yet.
-    pub fn apply_version_age(&mut self, now: MonoTime, model: &str, version: u64, age: Duration) {
+    pub fn apply_version_age(
+        &mut self,
+        now: MonoTime,
+        sender: &PeerAddress,
+        model: &str,
+        version: u64,
+        age: Duration,
+    ) {
         let due_at = self.settings.versions.due_at(now, Some(age));
         let is_known = self.versions.get(model).is_some_and(|known| known.contains_key(&version));
         if !is_known {
-            self.add_declared_version(now, model, version, Some(age));
+            if self.may_learn_model(sender, model) {
+                self.add_version(now, model, version, Some(age), false);
+            }
             return;
         }
         let versions = self.versions.get_mut(model);
@@ -426,7 +498,7 @@
             if !is_kept && let Some(status) = record.status.take() {
                 let (address, until) =
                     (std::mem::take(&mut record.address), status.counts_until(max_silence));
-                unlisted.keep(now, address, Some(record.started_at_ms), status, until);
+                unlisted.keep_listed(now, address, record.started_at_ms, status, until);
             }
             is_kept
         });
@@ -486,25 +558,36 @@
     }
 
     /// Replaces the status that a sidecar reported before; unknown endpoints are ignored.
-    pub fn apply_status(&mut self, id: &EndpointId, status: EndpointStatus) {
+    pub fn apply_status(&mut self, id: &EndpointId, mut status: EndpointStatus) {
+        limit_models(&mut status);
         if let Some(record) = self.records.get_mut(id) {
             record.status = Some(status);
         }
     }
 
-    /// Keeps the status of an endpoint that isn't listed until it is.
+    /// Keeps the status of an endpoint that isn't listed, as `sender` told it, until it is.
     pub fn apply_unlisted_status(
         &mut self,
         now: MonoTime,
+        sender: &PeerAddress,
         address: String,
-        status: EndpointStatus,
+        mut status: EndpointStatus,
     ) {
+        limit_models(&mut status);
         let until = status.counts_until(self.settings.notices.max_pause);
-        self.unlisted.keep(now, address, None, status, until);
+        self.unlisted.keep_told(now, sender.clone(), address, status, until);
     }
 
-    /// Applies a load report of another entry; endpoints that are unknown here are ignored.
+    /// Applies a load report of another entry; endpoints that are unknown here are ignored, as are
+    /// entries above [`MAX_PEERS`].
     pub fn apply_peer_load(&mut self, now: MonoTime, peer: &PeerAddress, report: &LoadReport) {
+        // Their loads can't be removed once they are forgotten.
+        self.remove_silent_peer_loads(now);
+        self.peers.retain(|_, contact| contact.is_entry(now));
+        if self.peers.len() >= MAX_PEERS && !self.peers.contains_key(peer) {
+            self.dropped_reports += 1;
+            return;
+        }
         let known_audience = self.peers.get(peer).map(|contact| contact.audience);
         let audience = match &report.zone {
             Some(zone) if self.settings.is_in_own_region(zone) => PeerAudience::OwnRegion,
@@ -515,7 +598,6 @@
         let contact =
             PeerContact { last_heard_at: now, lifetime: *lifetime, audience, load_included: true };
         self.peers.insert(peer.clone(), contact);
-        self.peers.retain(|_, contact| contact.is_entry(now));
         match scope {
             LoadScope::Whole => {
                 for (hash, id) in &self.hashes {
@@ -536,6 +618,14 @@
         }
     }
 
+    /// Number of items that other processes told and that were dropped at a limit since the last call.
+    pub fn take_dropped(&mut self) -> u64 {
+        std::mem::take(&mut self.dropped_reports)
+            + self.unnamed_models.take_dropped()
+            + self.unlisted.take_dropped()
+            + self.quarantine.take_dropped()
+    }
+
     /// Removes the load of peers whose reports stopped.
     fn remove_silent_peer_loads(&mut self, now: MonoTime) {
         for (peer, contact) in &mut self.peers {
@@ -972,6 +1062,15 @@
     }
 }
 
+/// Drops what no endpoint of a configuration serves: models without a valid name, and any above the
+/// limit.
+fn limit_models(status: &mut EndpointStatus) {
+    status.models.retain(|model, _| ModelName::try_from(model.as_str()).is_ok());
+    while status.models.len() > MAX_STATUS_MODELS {
+        status.models.pop_last();
+    }
+}
+
 enum RequestDecision {
     /// The endpoint, and the expected time to the first token or answer.
     Place(EndpointTarget, Duration),
--- a/crates/celeryshed_dispatch/src/lib.rs
+++ b/crates/celeryshed_dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 //! `staging` modules hold those of a sidecar.
 
 mod activity;
+mod bounded_map;
 mod budget;
 mod caller_retry;
 mod deadline;
@@ -34,6 +35,7 @@
 mod waiting_queue;
 
 pub use activity::AnswerActivity;
+pub use bounded_map::{BoundedMap, InsertOutcome};
 pub use budget::{BudgetLimits, RetryBudget};
 pub use caller_retry::is_caller_retry;
 pub use deadline::VersionDeadlines;
@@ -45,8 +47,9 @@
 pub use health::{AttemptOutcome, HealthRecord, NotRunReason, UnknownReason};
 pub use load::{EndpointLoad, LoadReport, LoadScope, PeerLoad};
 pub use pacing::{
-    PeerAudience, heartbeat_interval, inventory_interval, load_lifetime, message_lifetime,
-    status_interval,
+    MAX_PEERS, PeerAudience, heartbeat_interval, inventory_interval, load_lifetime,
+    message_lifetime, status_interval, told_heartbeat_lifetime, told_load_lifetime,
+    told_status_lifetime,
 };
 pub use peers::PeerAddress;
 pub use prompt_guard::{
--- a/crates/celeryshed_dispatch/src/pacing.rs
+++ b/crates/celeryshed_dispatch/src/pacing.rs
@@ -34,6 +34,9 @@
 /// Shortest lifetime of a load report: a process may be delayed for a second.
 const MIN_LOAD_LIFETIME: Duration = Duration::from_millis(1500);
 
+/// Most entries, and most sidecars, that a process exchanges messages with.
+pub const MAX_PEERS: usize = 1024;
+
 common_derives! { value:
     /// The receivers of a message that a process repeats, such as a load report.
     #[derive(Copy, PartialOrd, Ord)]
@@ -128,3 +131,45 @@
 pub fn message_lifetime(interval: Duration) -> Duration {
     interval.mul_f64(LIFETIME_INTERVALS)
 }
+
+/// Time for which a load report counts that says that it does for `millis`: no longer than those to
+/// [`MAX_PEERS`] entries.
+///
+/// ```
+/// use celeryshed_dispatch::told_load_lifetime;
+/// use std::time::Duration;
+/// assert_eq!(told_load_lifetime(2600), Duration::from_millis(2600));
+/// assert_eq!(told_load_lifetime(u32::MAX), Duration::from_millis(12_288));
+/// ```
+pub fn told_load_lifetime(millis: u32) -> Duration {
+    let longest = load_lifetime(PeerAudience::OtherRegions.whole_load_interval(MAX_PEERS));
+    Duration::from_millis(millis.into()).min(longest)
+}
+
+/// Time for which a status counts that says that it does for `millis`: no longer than those to
+/// [`MAX_PEERS`] entries.
+///
+/// ```
+/// use celeryshed_dispatch::told_status_lifetime;
+/// use std::time::Duration;
+/// assert_eq!(told_status_lifetime(2600), Duration::from_millis(2600));
+/// assert_eq!(told_status_lifetime(u32::MAX), Duration::from_millis(83_200));
+/// ```
+pub fn told_status_lifetime(millis: u32) -> Duration {
+    let longest = message_lifetime(status_interval(MAX_PEERS));
+    Duration::from_millis(millis.into()).min(longest)
+}
+
+/// Time for which a heartbeat counts that says that it does for `millis`: no longer than those to
+/// [`MAX_PEERS`] sidecars.
+///
+/// ```
+/// use celeryshed_dispatch::told_heartbeat_lifetime;
+/// use std::time::Duration;
+/// assert_eq!(told_heartbeat_lifetime(2600), Duration::from_millis(2600));
+/// assert_eq!(told_heartbeat_lifetime(u32::MAX), Duration::from_millis(49_920));
+/// ```
+pub fn told_heartbeat_lifetime(millis: u32) -> Duration {
+    let longest = message_lifetime(heartbeat_interval(MAX_PEERS));
+    Duration::from_millis(millis.into()).min(longest)
+}
--- a/crates/celeryshed_dispatch/src/quarantine.rs
+++ b/crates/celeryshed_dispatch/src/quarantine.rs
@@ -5,12 +5,14 @@
 //! a request is quarantined only after crashes of several endpoints. A request that was answered
 //! recently is never quarantined, since a request that crashes every endpoint gets no answer.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use celeryshed_base::{MonoTime, common_derives};
 use sha2::{Digest, Sha256};
 
+use crate::bounded_map::BoundedMap;
 use crate::endpoint::EndpointId;
 
 /// Number of crashes after which a request is quarantined.
@@ -25,6 +27,13 @@
 const ANSWER_GENERATION_TIME: Duration = Duration::from_secs(15);
 /// Maximum number of answered requests in a generation.
 const MAX_GENERATION_REQUESTS: usize = 4096;
+/// Most requests whose crashes this entry has observed, and most that others report. At the limit, the
+/// entry that reports most of them loses the one that it reported first.
+const MAX_COUNTED_REQUESTS: usize = 8192;
+/// Most requests in a report, so that it fits into a datagram; those of most crashes are reported.
+const MAX_REPORTED_REQUESTS: usize = 1024;
+/// Most entries whose reports on one request are counted; more than it takes to quarantine it.
+const MAX_REPORTING_PEERS: usize = 8;
 
 common_derives! { index:
     /// Digest of the parts of a request that are equal whenever the request is sent again.
@@ -51,13 +60,20 @@
     }
 }
 
+/// Crashes observed by this entry.
 #[derive(Clone, Debug, Default)]
-struct CrashCount {
-    /// Crashes observed by this entry.
-    own: u32,
-    /// Crashes reported by each other entry.
+struct ObservedCrashes {
+    crashes: u32,
+    last_crash_at: MonoTime,
+}
+
+/// Crashes reported by other entries.
+#[derive(Clone, Debug, Default)]
+struct ReportedCrashes {
     peers: BTreeMap<String, u32>,
     last_crash_at: MonoTime,
+    /// When another entry last reported the request, with whatever count.
+    reported_at: MonoTime,
 }
 
 /// Crash counts of requests, and the requests that are quarantined because of them.
@@ -67,13 +83,26 @@
 /// use celeryshed_dispatch::{RequestQuarantine, RequestFingerprint};
 /// assert!(!RequestQuarantine::default().is_quarantined(MonoTime::ZERO, RequestFingerprint(1)));
 /// ```
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct RequestQuarantine {
     resets: Vec<(MonoTime, EndpointId, RequestFingerprint)>,
-    counts: BTreeMap<RequestFingerprint, CrashCount>,
+    observed: BoundedMap<(), RequestFingerprint, ObservedCrashes>,
+    /// What others report, each request by the entry that reported it first.
+    reported: BoundedMap<String, RequestFingerprint, ReportedCrashes>,
     recently_answered: AnsweredRequests,
 }
 
+impl Default for RequestQuarantine {
+    fn default() -> Self {
+        Self {
+            resets: Vec::new(),
+            observed: BoundedMap::new(MAX_COUNTED_REQUESTS),
+            reported: BoundedMap::new(MAX_COUNTED_REQUESTS),
+            recently_answered: AnsweredRequests::default(),
+        }
+    }
+}
+
 /// Recently answered requests, in two generations; the older one is dropped as a whole.
 #[derive(Clone, Debug, Default)]
 struct AnsweredRequests {
@@ -106,6 +135,16 @@
     }
 }
 
+impl ReportedCrashes {
+    fn apply_report(&mut self, now: MonoTime, peer: &str, crashes: u32) {
+        let is_counted = self.peers.contains_key(peer) || self.peers.len() < MAX_REPORTING_PEERS;
+        if is_counted && self.peers.insert(peer.to_owned(), crashes) != Some(crashes) {
+            self.last_crash_at = now;
+        }
+        self.reported_at = now;
+    }
+}
+
 impl RequestQuarantine {
     /// Records that the connection to `endpoint` broke while the request was in progress.
     pub fn record_reset(
@@ -130,16 +169,18 @@
             crashed.into_iter().map(|(_, _, request)| request).collect();
         let suspects =
             requests.into_iter().filter(|request| !self.recently_answered.contains(now, *request));
-        for request in suspects {
-            let count = self.counts.entry(request).or_default();
-            count.own += 1;
+        for request in suspects.collect::<Vec<_>>() {
+            let mut count = self.observed.remove(&request).unwrap_or_default();
+            count.crashes = count.crashes.saturating_add(1);
             count.last_crash_at = now;
+            self.observed.insert((), request, count);
         }
     }
 
     /// Records an answer to the request, which clears its crash count.
     pub fn record_answer(&mut self, now: MonoTime, request: RequestFingerprint) {
-        self.counts.remove(&request);
+        self.observed.remove(&request);
+        self.reported.remove(&request);
         self.recently_answered.insert(now, request);
     }
 
@@ -151,39 +192,72 @@
         peer: &str,
         crashes: &BTreeMap<RequestFingerprint, u32>,
     ) {
-        for (request, count) in &mut self.counts {
+        self.reported.retain(|request, count| {
             if !crashes.contains_key(request) {
                 count.peers.remove(peer);
             }
-        }
-        for (request, crashes) in crashes {
-            let count = self.counts.entry(*request).or_default();
-            if count.peers.insert(peer.to_owned(), *crashes) != Some(*crashes) {
-                count.last_crash_at = now;
+            true
+        });
+        self.remove_expired(now);
+        let reported = crashes.iter().filter(|(_, crashes)| **crashes > 0);
+        for (request, crashes) in reported.take(MAX_REPORTED_REQUESTS) {
+            if let Some(count) = self.reported.get_mut(request) {
+                count.apply_report(now, peer, *crashes);
+                continue;
             }
+            let mut count = ReportedCrashes::default();
+            count.apply_report(now, peer, *crashes);
+            self.reported.insert(peer.to_owned(), *request, count);
         }
     }
 
-    /// Crash counts observed by this entry itself, to be reported to its peers.
-    pub fn own_crashes(&self) -> impl Iterator<Item = (RequestFingerprint, u32)> + '_ {
-        self.counts
-            .iter()
-            .filter(|(_, count)| count.own > 0)
-            .map(|(request, count)| (*request, count.own))
+    /// Number of reported requests that were dropped at the limit since the last call.
+    pub(crate) fn take_dropped(&mut self) -> u64 {
+        self.reported.take_dropped()
+    }
+
+    /// Crash counts observed by this entry itself, to be reported to its peers; those of the highest
+    /// counts if there are more than fit into a report.
+    pub fn own_crashes(&self) -> impl Iterator<Item = (RequestFingerprint, u32)> + use<> {
+        let own = self.observed.iter().map(|(request, count)| (*request, count.crashes));
+        let mut own: Vec<_> = own.collect();
+        if own.len() > MAX_REPORTED_REQUESTS {
+            own.sort_by_key(|(request, crashes)| (Reverse(*crashes), *request));
+            own.truncate(MAX_REPORTED_REQUESTS);
+        }
+        own.into_iter()
     }
 
     /// Whether the request must be refused because it crashed several endpoints.
     pub fn is_quarantined(&self, now: MonoTime, request: RequestFingerprint) -> bool {
-        self.counts.get(&request).is_some_and(|count| {
-            let peers: u64 = count.peers.values().copied().map(u64::from).sum();
-            u64::from(count.own) + peers >= u64::from(CRASHES_TO_QUARANTINE)
-                && now - count.last_crash_at < CRASH_COUNT_LIFETIME
-                && !self.recently_answered.contains(now, request)
-        })
+        let observed = self.observed.get(&request);
+        let reported = self.reported.get(&request);
+        let peers = reported.into_iter().flat_map(|count| count.peers.values().copied());
+        let crashes = observed.map(|count| count.crashes).into_iter().chain(peers);
+        crashes.fold(0, u32::saturating_add) >= CRASHES_TO_QUARANTINE
+            && now - self.last_crash_at(request) < CRASH_COUNT_LIFETIME
+            && !self.recently_answered.contains(now, request)
     }
 
+    /// Time of the last crash that was observed or reported.
+    fn last_crash_at(&self, request: RequestFingerprint) -> MonoTime {
+        let observed = self.observed.get(&request).map(|count| count.last_crash_at);
+        let reported = self.reported.get(&request).map(|count| count.last_crash_at);
+        observed.max(reported).unwrap_or_default()
+    }
+
+    /// Removes what counts no more. What others still report is kept, or it would count as new.
     fn remove_expired(&mut self, now: MonoTime) {
         self.resets.retain(|(at, ..)| now - *at <= CONFIRMATION_WINDOW);
-        self.counts.retain(|_, count| now - count.last_crash_at < CRASH_COUNT_LIFETIME);
+        let observed = self.observed.iter().map(|(request, _)| *request);
+        let expired = observed
+            .filter(|request| now - self.last_crash_at(*request) >= CRASH_COUNT_LIFETIME)
+            .collect::<Vec<_>>();
+        for request in expired {
+            self.observed.remove(&request);
+        }
+        self.reported.retain(|_, count| {
+            !count.peers.is_empty() && now - count.reported_at < CRASH_COUNT_LIFETIME
+        });
     }
 }
--- a/crates/celeryshed_dispatch/src/staging/piece_set.rs
+++ b/crates/celeryshed_dispatch/src/staging/piece_set.rs
@@ -33,6 +33,23 @@
         }
     }
 
+    /// Removes the pieces from `count` on, and the memory for them.
+    ///
+    /// ```
+    /// use celeryshed_dispatch::PieceSet;
+    /// let mut set: PieceSet = [1, 70, 71, 900].into_iter().collect();
+    /// set.truncate(71);
+    /// assert_eq!(set.iter().collect::<Vec<_>>(), [1, 70]);
+    /// ```
+    pub fn truncate(&mut self, count: u32) {
+        self.0.truncate(count.div_ceil(WORD_BITS) as usize);
+        self.0.shrink_to_fit();
+        let whole_words = (count / WORD_BITS) as usize;
+        if let Some(last) = self.0.get_mut(whole_words) {
+            *last &= (1 << (count % WORD_BITS)) - 1;
+        }
+    }
+
     /// Whether a piece is in the set.
     pub fn contains(&self, piece: u32) -> bool {
         let word = self.0.get((piece / WORD_BITS) as usize);
--- a/crates/celeryshed_dispatch/tests/closed_endpoints.rs
+++ b/crates/celeryshed_dispatch/tests/closed_endpoints.rs
@@ -52,7 +52,8 @@
         unlist(&mut dispatcher, 1000, 2);
         if is_told_meanwhile {
             let closed = status(false, 1, at(4000));
-            dispatcher.apply_unlisted_status(at(1400), listed.address.clone(), closed);
+            let sender = PeerAddress("10.0.0.1:17700".into());
+            dispatcher.apply_unlisted_status(at(1400), &sender, listed.address.clone(), closed);
         }
         add_endpoint(&mut dispatcher, "i-1", 3, listed);
         assert!(!is_used(&mut dispatcher, 3000, 1));
--- a/crates/celeryshed_dispatch/tests/support/mod.rs
+++ b/crates/celeryshed_dispatch/tests/support/mod.rs
@@ -55,6 +55,13 @@
 }
 
 pub(crate) fn dispatcher() -> EntryDispatcher {
+    let mut dispatcher = unconfigured_dispatcher();
+    configure(&mut dispatcher);
+    dispatcher
+}
+
+/// A dispatcher that has no configuration yet.
+pub(crate) fn unconfigured_dispatcher() -> EntryDispatcher {
     let regions = [("north-a", "north"), ("south-a", "south")];
     let regions = regions
         .iter()
@@ -66,19 +73,22 @@
         after_declaration: Duration::from_secs(8),
         after_start: Duration::from_secs(3),
     };
-    let mut dispatcher = EntryDispatcher::new(DispatcherSettings {
+    EntryDispatcher::new(DispatcherSettings {
         zone: zone("north-a"),
         regions,
         budget,
         versions,
         notices: NoticeLimits { max_pause: MAX_PAUSE },
-    });
+    })
+}
+
+/// Applies a configuration with an engine service and a plain one.
+pub(crate) fn configure(dispatcher: &mut EntryDispatcher) {
     let mut snapshot = RoutingSnapshot::default();
     let engine = Some(engine_profile(16));
     snapshot.services.insert(service("model"), ServiceProfile { engine, origin: None });
     snapshot.services.insert(service("plain"), ServiceProfile { engine: None, origin: None });
     dispatcher.set_configuration(&snapshot);
-    dispatcher
 }
 
 pub(crate) fn endpoint(service_name: &str, index: u32, version: Option<u64>) -> ListedEndpoint {
--- a/crates/celeryshed_dispatch/tests/versions.rs
+++ b/crates/celeryshed_dispatch/tests/versions.rs
@@ -2,10 +2,14 @@
 
 mod support;
 
-use celeryshed_dispatch::{EndpointStatus, RequestProfile, RouteKind};
+use celeryshed_dispatch::{EndpointStatus, PeerAddress, RequestProfile, RouteKind};
 use std::time::Duration;
 use support::*;
 
+fn peer() -> PeerAddress {
+    PeerAddress("10.0.0.1:17700".into())
+}
+
 /// Guards against a newer declaration that replaces the deadline of the one before it. With two
 /// declarations 4 s apart, requests started on version 1 after version 2 was due.
 #[test]
@@ -46,12 +50,12 @@
     let mut dispatcher = dispatcher();
     add_endpoint(&mut dispatcher, "old", 1, endpoint("model", 1, Some(1)));
     dispatcher.add_declared_version(at(0), MODEL, 2, None);
-    dispatcher.apply_version_age(at(100), MODEL, 2, Duration::from_secs(3));
+    dispatcher.apply_version_age(at(100), &peer(), MODEL, 2, Duration::from_secs(3));
     assert_eq!(placed(&submit(&mut dispatcher, at(4000), 1, stream(at(4000)))), Some("old"));
     assert_eq!(placed(&submit(&mut dispatcher, at(4500), 2, stream(at(4500)))), None);
     dispatcher.cancel(celeryshed_dispatch::RequestNumber(2));
     dispatcher.add_declared_version(at(4600), MODEL, 3, None);
-    dispatcher.apply_version_age(at(4600), MODEL, 3, Duration::from_secs(8));
+    dispatcher.apply_version_age(at(4600), &peer(), MODEL, 3, Duration::from_secs(8));
     add_endpoint(&mut dispatcher, "second", 2, endpoint("model", 2, Some(2)));
     assert_eq!(placed(&submit(&mut dispatcher, at(4610), 3, stream(at(4610)))), None);
 }
@@ -63,8 +67,8 @@
     let mut dispatcher = dispatcher();
     add_endpoint(&mut dispatcher, "old", 1, endpoint("model", 1, Some(1)));
     dispatcher.add_declared_version(at(0), MODEL, 3, None);
-    dispatcher.apply_version_age(at(100), MODEL, 3, Duration::from_secs(3));
-    dispatcher.apply_version_age(at(100), MODEL, 2, Duration::from_secs(5));
+    dispatcher.apply_version_age(at(100), &peer(), MODEL, 3, Duration::from_secs(3));
+    dispatcher.apply_version_age(at(100), &peer(), MODEL, 2, Duration::from_secs(5));
     assert_eq!(placed(&submit(&mut dispatcher, at(2000), 1, stream(at(2000)))), Some("old"));
     assert_eq!(placed(&submit(&mut dispatcher, at(2500), 2, stream(at(2500)))), None);
     dispatcher.cancel(celeryshed_dispatch::RequestNumber(2));
@@ -84,7 +88,7 @@
     assert_eq!(placed(&submit(&mut dispatcher, at(8500), 2, stream(at(8500)))), None);
     dispatcher.cancel(celeryshed_dispatch::RequestNumber(2));
     assert_eq!(dispatcher.version_ages(at(7900)).count(), 0, "a limit is not an age");
-    dispatcher.apply_version_age(at(8600), MODEL, 2, Duration::from_millis(3700));
+    dispatcher.apply_version_age(at(8600), &peer(), MODEL, 2, Duration::from_millis(3700));
     assert_eq!(placed(&submit(&mut dispatcher, at(8700), 3, stream(at(8700)))), Some("old"));
     dispatcher.limit_version_age(at(8700), MODEL, 2, Duration::from_secs(8));
     assert_eq!(placed(&submit(&mut dispatcher, at(8800), 4, stream(at(8800)))), Some("old"));
@@ -102,7 +106,7 @@
     add_endpoint(&mut restarted, "old", 1, endpoint("model", 1, Some(1)));
     restarted.add_declared_version(at(8000), MODEL, 3, Some(Duration::from_secs(1)));
     for (model, version, age) in paused.version_ages(at(8100)) {
-        restarted.apply_version_age(at(8100), model, version, age);
+        restarted.apply_version_age(at(8100), &peer(), model, version, age);
     }
     assert_eq!(placed(&submit(&mut restarted, at(10_000), 1, stream(at(10_000)))), Some("old"));
     assert_eq!(placed(&submit(&mut restarted, at(10_500), 2, stream(at(10_500)))), None);
@@ -112,8 +116,8 @@
 fn version_ages_give_longest_reported_age() {
     let mut dispatcher = dispatcher();
     dispatcher.add_declared_version(at(1000), MODEL, 2, Some(Duration::ZERO));
-    dispatcher.apply_version_age(at(1000), MODEL, 2, Duration::from_secs(2));
-    dispatcher.apply_version_age(at(1000), MODEL, 2, Duration::from_secs(1));
+    dispatcher.apply_version_age(at(1000), &peer(), MODEL, 2, Duration::from_secs(2));
+    dispatcher.apply_version_age(at(1000), &peer(), MODEL, 2, Duration::from_secs(1));
     let ages: Vec<_> = dispatcher.version_ages(at(2000)).collect();
     assert_eq!(ages, [(MODEL, 2, Duration::from_secs(3))]);
 }
--- a/crates/celeryshed_gateway/src/dispatcher_task.rs
+++ b/crates/celeryshed_gateway/src/dispatcher_task.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
@@ -11,17 +12,17 @@
     AttemptOutcome, DispatchDecision, DispatcherSettings, EndpointId, EndpointNotice,
     EndpointStart, EndpointStatus, EndpointTarget, EntryDispatcher, GuardEvent, LoadScope, PartId,
     PeerAddress, PeerAudience, PromptPart, RefusalReason, RequestFingerprint, RequestNumber,
-    RequestProfile, RoutingSnapshot,
+    RequestProfile, RoutingSnapshot, told_status_lifetime,
 };
 use celeryshed_observe::EventLine;
 use celeryshed_peering::{
-    ControlEvent, ControlPosition, CrashReport, EntryStatus, KeyedLoad, RecordAge, RequestCrashes,
-    SidecarStatus, VersionAge,
+    ControlEvent, ControlPosition, CrashReport, DropLog, EntryStatus, KeyedLoad, RecordAge,
+    RequestCrashes, SidecarStatus, VersionAge,
 };
 use celeryshed_process::{TaskClass, TaskGroup};
 use hyper::StatusCode;
 use tokio::net::TcpStream;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch};
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 use crate::endpoint_activity::EndpointActivity;
@@ -34,6 +35,9 @@
 const PROBE_DELAY: Duration = Duration::from_millis(5);
 /// Limit for opening the connection of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(350);
+/// Messages of other processes that wait for the dispatcher. Further ones wait in the socket, which drops
+/// those that it has no room for.
+const MAX_WAITING_MESSAGES: usize = 64;
 /// Longest time that a request waits for the result of a probe before it may be sent again.
 const MAX_PROBE_WAIT: Duration = Duration::from_millis(60);
 
@@ -122,18 +126,16 @@
         service: ServiceName,
         reply: oneshot::Sender<bool>,
     },
-    PeerLoad {
-        peer: PeerAddress,
-        load: EntryStatus,
+    Peer {
+        message: DispatcherMessage,
+        _room: Option<OwnedSemaphorePermit>,
     },
-    PeerCrashes(CrashReport),
     CrashReport {
         audience: PeerAudience,
         /// Whether to report also if there is no news.
         is_regular: bool,
         reply: oneshot::Sender<Option<CrashReport>>,
     },
-    SidecarStatus(SidecarStatus),
     LoadReport {
         query: LoadQuery,
         reply: oneshot::Sender<EntryStatus>,
@@ -142,14 +144,19 @@
     Notice(NoticeCommand),
 }
 
+/// A message of another process.
+enum DispatcherMessage {
+    Load { peer: PeerAddress, load: EntryStatus },
+    Crashes(CrashReport),
+    Status { sender: PeerAddress, status: SidecarStatus },
+}
+
 impl DispatcherCommand {
     /// Whether the command passes on a message of another process, or a query for one.
     fn is_peer_news(&self) -> bool {
         match self {
-            Self::PeerLoad { .. }
-            | Self::PeerCrashes(_)
+            Self::Peer { .. }
             | Self::CrashReport { .. }
-            | Self::SidecarStatus(_)
             | Self::LoadReport { .. }
             | Self::ListedEndpoints(_) => true,
             Self::Notice(command) => command.is_query(),
@@ -177,6 +184,8 @@
     next_number: Arc<AtomicU64>,
     /// Number of notices of endpoints that were reported.
     notice_count: Arc<AtomicU64>,
+    /// Room for messages that wait for the dispatcher.
+    message_room: Arc<Semaphore>,
 }
 
 impl DispatcherHandle {
@@ -256,9 +265,15 @@
         answer.await.unwrap_or(true)
     }
 
-    /// Applies the crash report of another entry.
-    pub(crate) fn apply_peer_crashes(&self, report: CrashReport) {
-        self.send(DispatcherCommand::PeerCrashes(report));
+    /// Applies the crash report of another entry, once there is room for it.
+    pub(crate) async fn apply_peer_crashes(&self, report: CrashReport) {
+        self.send_message(DispatcherMessage::Crashes(report)).await;
+    }
+
+    async fn send_message(&self, message: DispatcherMessage) {
+        // The semaphore is never closed.
+        let room = self.message_room.clone().acquire_owned().await.ok();
+        self.send(DispatcherCommand::Peer { message, _room: room });
     }
 
     /// This entry's crash report; `None` if there is nothing to report.
@@ -277,14 +292,14 @@
         self.send(DispatcherCommand::Served(request));
     }
 
-    /// Applies the status of another entry.
-    pub(crate) fn apply_peer_load(&self, peer: PeerAddress, load: EntryStatus) {
-        self.send(DispatcherCommand::PeerLoad { peer, load });
+    /// Applies the status of another entry, once there is room for it.
+    pub(crate) async fn apply_peer_load(&self, peer: PeerAddress, load: EntryStatus) {
+        self.send_message(DispatcherMessage::Load { peer, load }).await;
     }
 
-    /// Applies the status of a sidecar.
-    pub(crate) fn apply_sidecar_status(&self, status: SidecarStatus) {
-        self.send(DispatcherCommand::SidecarStatus(status));
+    /// Applies the status of a sidecar, once there is room for it.
+    pub(crate) async fn apply_sidecar_status(&self, sender: PeerAddress, status: SidecarStatus) {
+        self.send_message(DispatcherMessage::Status { sender, status }).await;
     }
 
     /// This entry's status for other entries; `None` if the dispatcher task has ended.
@@ -480,8 +495,12 @@
     let (snapshot, snapshot_watch) = watch::channel(None);
     let (endpoints_known, endpoints_watch) = watch::channel(false);
     let (blocked_parts, blocked_watch) = watch::channel(Arc::default());
-    let handle =
-        DispatcherHandle { commands, next_number: Arc::default(), notice_count: Arc::default() };
+    let handle = DispatcherHandle {
+        commands,
+        next_number: Arc::default(),
+        notice_count: Arc::default(),
+        message_room: Arc::new(Semaphore::new(MAX_WAITING_MESSAGES)),
+    };
     let task = DispatcherTask {
         dispatcher: EntryDispatcher::new(settings),
         handle: handle.clone(),
@@ -494,6 +513,7 @@
         probes: BTreeMap::new(),
         notice_count: 0,
         activities: BTreeMap::new(),
+        drops: DropLog::default(),
     };
     tasks.start("dispatcher", TaskClass::Essential, task.run(command_receiver, events));
     let outputs = DispatcherOutputs {
@@ -526,6 +546,7 @@
     notice_count: u64,
     /// What the endpoints send, also updated by permits.
     activities: BTreeMap<EndpointId, Arc<EndpointActivity>>,
+    drops: DropLog,
 }
 
 impl DispatcherTask {
@@ -670,9 +691,7 @@
             DispatcherCommand::RefusesParts { parts, reply } => {
                 let _ = reply.send(self.dispatcher.refuses_parts(now, &self.own_address, &parts));
             }
-            DispatcherCommand::PeerCrashes(report) => {
-                self.dispatcher.prompt_guard_mut().apply_report(now, &(&report).into());
-            }
+            DispatcherCommand::Peer { message, .. } => self.apply_message(message),
             DispatcherCommand::CrashReport { audience, is_regular, reply } => {
                 let guard = self.dispatcher.prompt_guard_mut();
                 let is_due = is_regular || guard.has_news(audience);
@@ -690,8 +709,6 @@
             DispatcherCommand::Retry { service, reply } => {
                 let _ = reply.send(self.dispatcher.try_retry(now, &service));
             }
-            DispatcherCommand::PeerLoad { peer, load } => self.apply_peer_load(&peer, &load),
-            DispatcherCommand::SidecarStatus(status) => self.apply_sidecar_status(status),
             DispatcherCommand::LoadReport { query, reply } => {
                 let _ = reply.send(self.load_report(query));
             }
@@ -747,17 +764,36 @@
         });
     }
 
-    fn apply_version_ages(&mut self, versions: &[VersionAge]) {
+    fn apply_message(&mut self, message: DispatcherMessage) {
+        let sender = match message {
+            DispatcherMessage::Load { peer, load } => {
+                self.apply_peer_load(&peer, &load);
+                peer
+            }
+            DispatcherMessage::Crashes(report) => {
+                let now = self.clock.now();
+                self.dispatcher.prompt_guard_mut().apply_report(now, &(&report).into());
+                return;
+            }
+            DispatcherMessage::Status { sender, status } => {
+                self.apply_sidecar_status(&sender, status);
+                sender
+            }
+        };
+        self.drops.report("dispatcher", self.dispatcher.take_dropped(), &sender.0);
+    }
+
+    fn apply_version_ages(&mut self, sender: &PeerAddress, versions: &[VersionAge]) {
         let now = self.clock.now();
-        for version_age in versions {
-            let age = Duration::from_millis(version_age.age_ms);
-            self.dispatcher.apply_version_age(now, &version_age.model, version_age.version, age);
+        for VersionAge { model, version, age_ms } in versions {
+            let age = Duration::from_millis(*age_ms);
+            self.dispatcher.apply_version_age(now, sender, model, *version, age);
         }
     }
 
     fn apply_peer_load(&mut self, peer: &PeerAddress, load: &EntryStatus) {
         let now = self.clock.now();
-        self.apply_version_ages(&load.versions);
+        self.apply_version_ages(peer, &load.versions);
         self.dispatcher.apply_peer_load(now, peer, &load.load_report());
         self.dispatcher.quarantine_mut().apply_peer_crashes(
             now,
@@ -766,23 +802,24 @@
         );
     }
 
-    fn apply_sidecar_status(&mut self, status: SidecarStatus) {
+    fn apply_sidecar_status(&mut self, sender: &PeerAddress, status: SidecarStatus) {
         let now = self.clock.now();
-        self.apply_version_ages(&status.versions);
+        self.apply_version_ages(sender, &status.versions);
         let endpoint =
             self.dispatcher.directory().endpoints(now).find(|(_, e)| e.address == status.endpoint);
         let id = endpoint.map(|(id, _)| id.clone());
         let closing_at = status.closing_in_ms.map(|millis| now + Duration::from_millis(millis));
         let address = status.endpoint;
         let status = EndpointStatus {
-            expires_at: now + Duration::from_millis(status.lifetime_ms.into()),
+            expires_at: now + told_status_lifetime(status.lifetime_ms),
             models: status.models,
             accepting: status.accepting,
             closing_at,
         };
         match id {
             Some(id) => self.dispatcher.apply_status(&id, status),
-            None => self.dispatcher.apply_unlisted_status(now, address, status),
+            None if address.parse::<SocketAddr>().is_err() => {}
+            None => self.dispatcher.apply_unlisted_status(now, sender, address, status),
         }
     }
 
--- a/crates/celeryshed_gateway/src/peer_task.rs
+++ b/crates/celeryshed_gateway/src/peer_task.rs
@@ -3,17 +3,17 @@
 #[cfg(test)]
 mod tests;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use celeryshed_base::AvailabilityZone;
 use celeryshed_dispatch::{
-    DispatcherSettings, LoadScope, PeerAddress, PeerAudience, heartbeat_interval, load_lifetime,
-    message_lifetime,
+    BoundedMap, DispatcherSettings, LoadScope, MAX_PEERS, PeerAddress, PeerAudience,
+    heartbeat_interval, load_lifetime, message_lifetime,
 };
-use celeryshed_peering::{ControlHandle, EntryHeartbeat, PeerMessage, PeerSocket};
+use celeryshed_peering::{ControlHandle, DropLog, EntryHeartbeat, PeerMessage, PeerSocket};
 use celeryshed_process::{TaskClass, TaskGroup};
 use tokio::time::{Instant, sleep};
 
@@ -27,6 +27,9 @@
 /// sidecar named it.
 const MIN_ENTRY_LIFETIME: Duration = Duration::from_secs(5);
 
+/// Most entries that are taken from one status; sidecars name fewer.
+const MAX_NAMED_ENTRIES: usize = 16;
+
 /// Another entry.
 struct EntryContact {
     /// When the entry sent a load report, or a sidecar named it.
@@ -43,10 +46,14 @@
     pub(crate) socket: PeerSocket,
     pub(crate) dispatcher: DispatcherHandle,
     pub(crate) control: ControlHandle,
-    /// The other entries, by the address of their peer sockets.
-    entries: Mutex<BTreeMap<String, EntryContact>>,
+    /// The other entries, by the address of their peer sockets; each belongs to the process that told
+    /// of it first.
+    entries: Mutex<EntryMap>,
+    drops: Mutex<DropLog>,
 }
 
+type EntryMap = BoundedMap<SocketAddr, SocketAddr, EntryContact>;
+
 impl PeerTask {
     pub(crate) fn new(
         address: SocketAddr,
@@ -56,8 +63,16 @@
         dispatcher: DispatcherHandle,
         control: ControlHandle,
     ) -> Self {
-        let entries = Mutex::default();
-        Self { address, settings, sidecar_port, socket, dispatcher, control, entries }
+        Self {
+            address,
+            settings,
+            sidecar_port,
+            socket,
+            dispatcher,
+            control,
+            entries: Mutex::new(EntryMap::new(MAX_PEERS)),
+            drops: Mutex::default(),
+        }
     }
 
     /// Starts its tasks as `tasks` of the role.
@@ -126,16 +141,23 @@
         entries.retain(|_, entry| entry.heard_at.elapsed() < lifetime);
         let members =
             entries.iter().filter(|(_, entry)| self.audience_of(entry.zone.as_ref()) == audience);
-        members.map(|(address, _)| address.clone()).collect()
+        members.map(|(address, _)| address.to_string()).collect()
     }
 
-    fn record_entry(&self, address: &str, zone: Option<AvailabilityZone>) {
+    /// Records that `sender` told of an entry, which may be itself.
+    fn record_entry(&self, sender: SocketAddr, entry: SocketAddr, zone: Option<AvailabilityZone>) {
         let mut entries = self.entries.lock().expect("no holder of the lock panics");
         let heard_at = Instant::now();
-        let entry =
-            entries.entry(address.to_owned()).or_insert(EntryContact { heard_at, zone: None });
-        entry.heard_at = heard_at;
-        entry.zone = zone.or_else(|| entry.zone.take());
+        if let Some(known) = entries.get_mut(&entry) {
+            known.heard_at = heard_at;
+            known.zone = zone.or_else(|| known.zone.take());
+            return;
+        }
+        entries.insert(sender, entry, EntryContact { heard_at, zone });
+        let dropped = entries.take_dropped();
+        drop(entries);
+        let mut drops = self.drops.lock().expect("no holder of the lock panics");
+        drops.report("entries", dropped, sender);
     }
 
     /// Sends heartbeats to the sidecars of `audience` until the process ends.
@@ -202,23 +224,24 @@
     }
 
     async fn receive(&self) {
-        let own = self.address.to_string();
         loop {
             let (message, sender) = self.socket.receive().await;
+            let peer = PeerAddress(sender.to_string());
             match message {
                 PeerMessage::Load(load) => {
-                    let peer = sender.to_string();
-                    self.record_entry(&peer, load.zone.clone());
-                    self.control.report_peer_position(&peer, load.position);
-                    self.dispatcher.apply_peer_load(PeerAddress(peer), load);
+                    self.record_entry(sender, sender, load.zone.clone());
+                    self.control.report_peer_position(&peer.0, load.position);
+                    self.dispatcher.apply_peer_load(peer, load).await;
                 }
                 PeerMessage::Status(status) => {
-                    for entry in status.entries.iter().filter(|entry| **entry != own) {
-                        self.record_entry(entry, None);
+                    let named = status.entries.iter().take(MAX_NAMED_ENTRIES);
+                    let named = named.filter_map(|entry| entry.parse().ok());
+                    for entry in named.filter(|entry| *entry != self.address) {
+                        self.record_entry(sender, entry, None);
                     }
-                    self.dispatcher.apply_sidecar_status(status);
+                    self.dispatcher.apply_sidecar_status(peer, status).await;
                 }
-                PeerMessage::Crashes(report) => self.dispatcher.apply_peer_crashes(report),
+                PeerMessage::Crashes(report) => self.dispatcher.apply_peer_crashes(report).await,
                 PeerMessage::Hello(_) | PeerMessage::Pieces(_) => {}
             }
         }
--- a/crates/celeryshed_peering/src/messages.rs
+++ b/crates/celeryshed_peering/src/messages.rs
@@ -6,7 +6,7 @@
 use celeryshed_base::{AvailabilityZone, RegionName, common_derives};
 use celeryshed_dispatch::{
     CrashNotice, EndpointHash, GuardReport, LoadReport, LoadScope, PartId, PeerLoad, PieceSet,
-    PromptPart, RequestFingerprint, Suspicion,
+    PromptPart, RequestFingerprint, Suspicion, told_load_lifetime,
 };
 
 use crate::log::ControlPosition;
@@ -210,7 +210,7 @@
         LoadReport {
             scope: if self.whole { LoadScope::Whole } else { LoadScope::Changes },
             loads: self.loads.iter().map(|load| (EndpointHash(load.key), load.into())).collect(),
-            lifetime: Duration::from_millis(self.lifetime_ms.into()),
+            lifetime: told_load_lifetime(self.lifetime_ms),
             zone: self.zone.clone(),
         }
     }
--- a/crates/celeryshed_stager/src/fetch_task.rs
+++ b/crates/celeryshed_stager/src/fetch_task.rs
@@ -308,7 +308,7 @@
             return;
         }
         let inventories = self.inventories.borrow_and_update();
-        for (at, inventory) in inventories.values() {
+        for (_, (at, inventory)) in inventories.iter() {
             if inventory.model == goal.model
                 && inventory.version == goal.target.version
                 && now - *at < INVENTORY_MAX_AGE
--- a/crates/celeryshed_stager/src/inventory_task.rs
+++ b/crates/celeryshed_stager/src/inventory_task.rs
@@ -1,11 +1,12 @@
 //! Sends the other sidecars inventories of the pieces that this one holds.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use celeryshed_base::{ClockSource, MonoTime};
-use celeryshed_dispatch::{PeerAudience, inventory_interval};
+use celeryshed_dispatch::{BoundedMap, PeerAudience, inventory_interval};
 use celeryshed_peering::{PeerMessage, PeerSocket, PieceInventory};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until, timeout};
@@ -24,9 +25,12 @@
 /// listed.
 const SENDER_MAX_AGE: Duration = Duration::from_secs(2);
 
+/// Most inventories that are kept: those of a few versions from each sidecar of a large fleet.
+pub(crate) const MAX_INVENTORIES: usize = 2048;
+
 /// The last inventory of each version from each other sidecar, by the sidecar's address and the
-/// version, with the time of receipt.
-pub(crate) type InventoryMap = BTreeMap<(String, u64), (MonoTime, PieceInventory)>;
+/// version, with the time of receipt. Each belongs to the process that sent it.
+pub(crate) type InventoryMap = BoundedMap<SocketAddr, (String, u64), (MonoTime, PieceInventory)>;
 
 /// Sends inventories to the sidecars of one audience while versions are collected.
 ///
@@ -105,9 +109,9 @@
         // The inventory of a sidecar that just started may arrive before it is listed.
         let own_region = self.settings.region_of(&self.settings.zone);
         let inventories = self.inventories.borrow();
-        let recent = inventories.values().filter(|(at, _)| now - *at < SENDER_MAX_AGE);
-        let senders = recent.filter(|(_, sent)| (sent.region == own_region) == in_own_region);
-        receivers.extend(senders.map(|(_, inventory)| inventory.sidecar.clone()));
+        let recent = inventories.iter().filter(|(_, (at, _))| now - *at < SENDER_MAX_AGE);
+        let senders = recent.filter(|(_, (_, sent))| (sent.region == own_region) == in_own_region);
+        receivers.extend(senders.map(|(_, (_, inventory))| inventory.sidecar.clone()));
         receivers
     }
 }
--- a/crates/celeryshed_stager/src/process.rs
+++ b/crates/celeryshed_stager/src/process.rs
@@ -18,7 +18,7 @@
 
 use crate::endpoint_stage::EndpointStage;
 use crate::fetch_task::FetchTask;
-use crate::inventory_task::{InventoryMap, InventoryTask};
+use crate::inventory_task::{InventoryMap, InventoryTask, MAX_INVENTORIES};
 use crate::piece_store::PieceStore;
 use crate::pieces::{PieceServer, read_memory_bytes};
 use crate::platform::WeightPlatform;
@@ -102,7 +102,7 @@
         let (condition, condition_watch) = watch::channel(EndpointCondition::default());
 
         let socket = Arc::new(sockets.peers);
-        let (inventories, inventories_watch) = watch::channel(InventoryMap::new());
+        let (inventories, inventories_watch) = watch::channel(InventoryMap::new(MAX_INVENTORIES));
         let status_task = StatusTask {
             settings: settings.clone(),
             socket: socket.clone(),
--- a/crates/celeryshed_stager/src/status_task.rs
+++ b/crates/celeryshed_stager/src/status_task.rs
@@ -1,12 +1,17 @@
 //! Reports to the entries what the endpoint serves, and receives datagrams from peers.
 
-use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use celeryshed_base::ClockSource;
-use celeryshed_dispatch::{message_lifetime, status_interval};
-use celeryshed_peering::{ControlHandle, PeerMessage, PeerSocket, SidecarStatus, VersionAge};
+use celeryshed_base::{ClockSource, ModelName};
+use celeryshed_dispatch::{
+    BoundedMap, MAX_PEERS, message_lifetime, status_interval, told_heartbeat_lifetime,
+};
+use celeryshed_peering::{
+    ControlHandle, DropLog, EntryHeartbeat, PeerMessage, PeerSocket, PieceInventory, SidecarStatus,
+    VersionAge,
+};
 use celeryshed_process::{TaskClass, TaskGroup};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, timeout_at};
@@ -28,6 +33,23 @@
 /// their number.
 const MAX_NAMED_ENTRIES: usize = 6;
 
+/// Heartbeats that wait for the next status. Further ones wait in the socket, which drops those that it
+/// has no room for.
+const MAX_WAITING_HEARTBEATS: usize = 64;
+/// Most pieces of an inventory; a manifest lists fewer.
+const MAX_PIECES: u32 = 16 * 1024;
+
+/// Entries with the time at which each counts as gone unless it sends another heartbeat. Each belongs
+/// to the process that sent it.
+type EntryMap = BoundedMap<SocketAddr, SocketAddr, Instant>;
+
+/// A heartbeat of an entry that counts until `gone_at`.
+struct EntryContact {
+    sender: SocketAddr,
+    entry: SocketAddr,
+    gone_at: Instant,
+}
+
 /// Sends the status to the entries with a recent heartbeat, and receives all datagrams.
 pub(crate) struct StatusTask {
     pub(crate) settings: Arc<SidecarSettings>,
@@ -42,53 +64,19 @@
 impl StatusTask {
     /// Starts its tasks as `tasks` of the role.
     pub(crate) fn start(self, tasks: &TaskGroup) {
-        let (entry_sender, entry_receiver) = mpsc::unbounded_channel();
+        let (contacts, received_contacts) = mpsc::channel(MAX_WAITING_HEARTBEATS);
         let task = Arc::new(self);
         let receiving = task.clone();
         let class = TaskClass::Essential;
-        tasks.start("datagrams", class, async move { receiving.receive(&entry_sender).await });
-        tasks.start("status", class, async move { task.send_statuses(entry_receiver).await });
-    }
-
-    /// Receives all datagrams, and passes the entries in heartbeats on.
-    async fn receive(&self, entry_sender: &mpsc::UnboundedSender<(String, Instant)>) {
-        let mut own_region_at: Option<Instant> = None;
-        loop {
-            match self.socket.receive().await.0 {
-                PeerMessage::Hello(heartbeat) => {
-                    let now = Instant::now();
-                    let in_own_region = self.settings.is_in_own_region(&heartbeat.zone);
-                    own_region_at = if in_own_region { Some(now) } else { own_region_at };
-                    // Records cross the links between regions only while no entry of the own
-                    // region sends heartbeats.
-                    let own_region_silent =
-                        own_region_at.is_none_or(|at| at.elapsed() > OWN_REGION_TIMEOUT);
-                    if in_own_region || own_region_silent {
-                        self.control.report_peer_position(&heartbeat.entry, heartbeat.position);
-                    }
-                    // The receiver lives as long as the process.
-                    let lifetime = Duration::from_millis(heartbeat.lifetime_ms.into());
-                    let _ = entry_sender.send((heartbeat.entry, now + lifetime));
-                }
-                PeerMessage::Pieces(inventory) => {
-                    let now = self.clock.now();
-                    let key = (inventory.sidecar.clone(), inventory.version);
-                    self.inventories.send_modify(|inventories| {
-                        if inventories.insert(key, (now, inventory)).is_none() {
-                            inventories.retain(|_, (at, _)| now - *at < INVENTORY_LIFETIME);
-                        }
-                    });
-                }
-                PeerMessage::Load(_) | PeerMessage::Status(_) | PeerMessage::Crashes(_) => {}
-            }
-        }
+        tasks.start("datagrams", class, async move { receiving.receive(contacts).await });
+        tasks.start("status", class, async move { task.send_statuses(received_contacts).await });
     }
 
     /// Sends the status to the entries.
-    async fn send_statuses(&self, mut entry_receiver: mpsc::UnboundedReceiver<(String, Instant)>) {
+    async fn send_statuses(&self, mut received_contacts: mpsc::Receiver<EntryContact>) {
         let mut condition = self.condition.clone();
-        // Entries with the time at which each counts as gone unless it sends another heartbeat.
-        let mut entries: BTreeMap<String, Instant> = BTreeMap::new();
+        let mut entries = EntryMap::new(MAX_PEERS);
+        let mut drops = DropLog::default();
         let mut next_at = Instant::now();
         let mut sent_count = 0;
         loop {
@@ -102,10 +90,17 @@
                     };
                     next_at = Instant::now() + pause;
                 }
-                Some((entry, gone_at)) = entry_receiver.recv() => {
+                Some(EntryContact { sender, entry, gone_at }) = received_contacts.recv() => {
+                    if let Some(known) = entries.get_mut(&entry) {
+                        *known = gone_at;
+                        continue;
+                    }
+                    entries.insert(sender, entry, gone_at);
+                    drops.report("entries", entries.take_dropped(), sender);
                     // A new entry gets the status at once, a known one at the next interval.
-                    if entries.insert(entry.clone(), gone_at).is_none() {
-                        self.send_status(&condition.borrow().clone(), &entries, sent_count, [&entry]);
+                    if entries.get(&entry).is_some() {
+                        let receivers = [entry.to_string()];
+                        self.send_status(&condition.borrow().clone(), &entries, sent_count, &receivers);
                         sent_count += 1;
                     }
                     continue;
@@ -113,23 +108,88 @@
             }
             entries.retain(|_, gone_at| Instant::now() < *gone_at);
             let latest = condition.borrow_and_update().clone();
-            self.send_status(&latest, &entries, sent_count, entries.keys());
+            let receivers: Vec<String> =
+                entries.iter().map(|(entry, _)| entry.to_string()).collect();
+            self.send_status(&latest, &entries, sent_count, &receivers);
             sent_count += 1;
         }
     }
 
+    /// Receives datagrams until the process ends.
+    async fn receive(&self, contacts: mpsc::Sender<EntryContact>) {
+        let mut own_region_at: Option<Instant> = None;
+        let mut drops = DropLog::default();
+        loop {
+            let (message, sender) = self.socket.receive().await;
+            match message {
+                PeerMessage::Hello(heartbeat) => {
+                    let Ok(entry) = heartbeat.entry.parse() else { continue };
+                    self.apply_position(&heartbeat, &mut own_region_at);
+                    let gone_at = Instant::now() + told_heartbeat_lifetime(heartbeat.lifetime_ms);
+                    // The receiver lives as long as the process.
+                    let _ = contacts.send(EntryContact { sender, entry, gone_at }).await;
+                }
+                PeerMessage::Pieces(inventory) => {
+                    let dropped = self.keep_inventory(sender, inventory);
+                    drops.report("inventories", dropped, sender);
+                }
+                PeerMessage::Load(_) | PeerMessage::Status(_) | PeerMessage::Crashes(_) => {}
+            }
+        }
+    }
+
+    /// Reports the position of an entry to the control task.
+    fn apply_position(&self, heartbeat: &EntryHeartbeat, own_region_at: &mut Option<Instant>) {
+        let in_own_region = self.settings.is_in_own_region(&heartbeat.zone);
+        if in_own_region {
+            *own_region_at = Some(Instant::now());
+        }
+        // Records cross the links between regions only while no entry of the own region sends
+        // heartbeats.
+        let own_region_silent = own_region_at.is_none_or(|at| at.elapsed() > OWN_REGION_TIMEOUT);
+        if in_own_region || own_region_silent {
+            self.control.report_peer_position(&heartbeat.entry, heartbeat.position);
+        }
+    }
+
+    /// Keeps the inventory of a sidecar, unless it is of another model than the endpoint's. Returns how
+    /// many were dropped at the limit.
+    fn keep_inventory(&self, sender: SocketAddr, mut inventory: PieceInventory) -> u64 {
+        let goal = self.view.borrow().goal(&self.settings);
+        let is_of_use = match goal {
+            Some(goal) => goal.model == inventory.model,
+            None => ModelName::try_from(inventory.model.as_str()).is_ok(),
+        };
+        if !is_of_use || inventory.sidecar.parse::<SocketAddr>().is_err() {
+            return 0;
+        }
+        inventory.pieces.truncate(MAX_PIECES);
+        let now = self.clock.now();
+        let key = (inventory.sidecar.clone(), inventory.version);
+        let mut dropped = 0;
+        self.inventories.send_modify(|inventories| {
+            if inventories.get(&key).is_none() {
+                inventories.retain(|_, (at, _)| now - *at < INVENTORY_LIFETIME);
+            }
+            inventories.insert(sender, key, (now, inventory));
+            dropped = inventories.take_dropped();
+        });
+        dropped
+    }
+
     /// Sends the status to `receivers`. The message names a few of all `entries`, in turn by the
     /// number of messages sent before.
-    fn send_status<'r>(
+    fn send_status(
         &self,
         condition: &EndpointCondition,
-        entries: &BTreeMap<String, Instant>,
+        entries: &EntryMap,
         sent_count: usize,
-        receivers: impl IntoIterator<Item = &'r String>,
+        receivers: &[String],
     ) {
         let now = self.clock.now();
         let first_named = sent_count * MAX_NAMED_ENTRIES % entries.len().max(1);
-        let named = entries.keys().cycle().skip(first_named);
+        let addresses: Vec<&SocketAddr> = entries.iter().map(|(entry, _)| entry).collect();
+        let named = addresses.iter().cycle().skip(first_named);
         let view = self.view.borrow().clone();
         let versions = view.versions_of_known_age().map(|(model, target)| VersionAge {
             model: model.clone(),
@@ -142,7 +202,10 @@
             models: condition.report.models.clone(),
             accepting: condition.accepting,
             closing_in_ms: condition.closing_at.map(|at| (at - now).as_millis() as u64),
-            entries: named.take(entries.len().min(MAX_NAMED_ENTRIES)).cloned().collect(),
+            entries: named
+                .take(entries.len().min(MAX_NAMED_ENTRIES))
+                .map(|entry| entry.to_string())
+                .collect(),
             lifetime_ms: message_lifetime(status_interval(entries.len())).as_millis() as u32,
         };
         self.socket.send(&PeerMessage::Status(status), receivers);
