Shorten log lines that wait to be written

Up to 1,024 lines wait for a reader of the log, and as many in the batch that is being written. Their fields have texts from outside, such as the value that a store or an endpoint sent, so that a reader that was stuck beside long values could make a process keep as much memory as those took. Of a line longer than 4 KiB the rest is now left out, marked by "…": at most 8 MiB wait.

The test long_lines_are_shortened failed without the change (lines of 1,000,039 and 3,000,039 bytes) and passes now, as do the other tests of the crate. No such log was seen in operation.

--- a/crates/celeryshed_observe/src/bounded.rs
+++ b/crates/celeryshed_observe/src/bounded.rs
@@ -20,6 +20,9 @@
 
 /// Maximum number of lines that wait for the writer thread.
 const CHANNEL_LINES: usize = 1024;
+/// Longest line in bytes; of longer ones the rest is left out. Fields may have texts from outside of any
+/// length.
+const MAX_LINE_BYTES: usize = 4 * 1024;
 /// Refill rate of the [`LineBucket`].
 const LINES_PER_S: f64 = 200.0;
 /// Capacity of the [`LineBucket`]: lines accepted at once after a pause.
@@ -87,7 +90,7 @@
         if admitted {
             self.encoder.encode(&mut line as &mut dyn EncodeWrite, record)?;
         }
-        if !admitted || self.inputs.try_send(WriterInput::Line(line.0)).is_err() {
+        if !admitted || self.inputs.try_send(WriterInput::Line(shorten(line.0))).is_err() {
             self.dropped_lines.fetch_add(1, Ordering::Relaxed);
         }
         self.writer.ensure_thread();
@@ -103,6 +106,18 @@
     }
 }
 
+/// The line, without what exceeds [`MAX_LINE_BYTES`], in memory of no more than its size.
+fn shorten(mut line: Vec<u8>) -> Vec<u8> {
+    if line.len() > MAX_LINE_BYTES {
+        let is_inner = |byte: u8| byte & 0xc0 == 0x80;
+        let end = (0..MAX_LINE_BYTES).rev().find(|end| !is_inner(line[*end])).unwrap_or_default();
+        line.truncate(end);
+        line.extend_from_slice("…\n".as_bytes());
+    }
+    line.shrink_to_fit();
+    line
+}
+
 /// Installs the process's logger, which writes to standard output and never blocks. Lines above the
 /// rate limit are dropped and counted in `lines_left_out` events.
 ///
@@ -199,4 +214,20 @@
         assert!((500..900).contains(&lines), "{lines}");
         assert!(text.contains("event=lines_left_out count="), "{text}");
     }
+    /// Guards against texts from outside that fill the memory with lines that wait to be written.
+    #[test]
+    fn long_lines_are_shortened() {
+        let output = SharedOutput::default();
+        let appender = BoundedAppender::start(output.clone());
+        for text in ["x".repeat(1_000_000), "€".repeat(1_000_000)] {
+            log(&appender, &text);
+        }
+        log(&appender, "event=next");
+        appender.flush();
+        let text = String::from_utf8(output.0.lock().unwrap().clone()).unwrap();
+        let lengths: Vec<usize> = text.lines().map(str::len).collect();
+        assert_eq!(lengths.len(), 3);
+        assert!(lengths.iter().all(|length| *length < 4200), "{lengths:?}");
+        assert!(text.ends_with("event=next\n"));
+    }
 }
