Start sidecars whatever memory the settings name

Operators saw: a sidecar ends at its start with status 101, after the event `panicked` and no `start_failed`, if the settings name `memory_mb = inf` or more than about 1.2e13, in the release build, too.

Cause: the memory for pieces that are read for other sidecars is counted by a semaphore, which allows fewer permits than a number of bytes may have.

Change: the memory is limited to what the semaphore can count.

--- a/crates/celeryshed_stager/src/pieces.rs
+++ b/crates/celeryshed_stager/src/pieces.rs
@@ -42,9 +42,10 @@
     format!("{MANIFEST_PATH}?model={model}&version={version}")
 }
 
-/// Memory for pieces that are read from the endpoint for other sidecars, in bytes.
+/// Memory for pieces that are read from the endpoint for other sidecars, in bytes; a semaphore counts
+/// them.
 pub(crate) fn read_memory_bytes(settings: &SidecarSettings) -> usize {
-    settings.piece_memory_bytes / 2
+    (settings.piece_memory_bytes / 2).min(Semaphore::MAX_PERMITS)
 }
 
 fn parse_target(target: &str) -> Option<PieceQuery> {
--- a/crates/celeryshed_stager/tests/largest_numbers.rs
+++ b/crates/celeryshed_stager/tests/largest_numbers.rs
@@ -1,4 +1,4 @@
-//! Reports of an engine with numbers at the end of their range.
+//! Reports of an engine, and settings, with numbers at the end of their range.
 
 mod support;
 
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use celeryshed_stager::{EngineReport, LayerRange};
-use support::{FakeWeights, MODEL, start_sidecar};
+use support::{FakeWeights, MODEL, start_limited_sidecar, start_sidecar};
 use tokio::time::sleep;
 
 /// Time for which the engine sends an odd report; several queries and a reload fit in.
@@ -55,3 +55,12 @@
     let layers = Some(LayerRange { from: u32::MAX, to: u32::MAX });
     check_load_after(EngineReport { layers, ..report(2) }).await;
 }
+
+/// Guards against a sidecar that ends at its start because the settings name more memory than can be
+/// counted.
+#[tokio::test]
+async fn largest_memory_ends_no_sidecar() {
+    let weights = FakeWeights::new(1, []);
+    start_limited_sidecar(&weights, &[2], |_own| Vec::new(), usize::MAX);
+    weights.wait_loaded(2).await;
+}
