Ask a sidecar that lacks a piece for none for a second

The list says which sidecars have all pieces of a version, but one that has lost its endpoint holds none. A refusal paused one piece at one sidecar for 0.4 s, whatever its reason, so that 13 sidecars and 96 pieces never ran out.

A sidecar that answers that it doesn't have a piece counts as having none for a second, or until a newer report of it names pieces. Refusals for another reason, as by a busy sidecar, count as before. While a sidecar lacks its pieces it takes its turn at the origin again.

--- a/crates/celeryshed_dispatch/src/staging/picker.rs
+++ b/crates/celeryshed_dispatch/src/staging/picker.rs
@@ -39,6 +39,9 @@
 const REGION_TURN_DELAY: Duration = Duration::from_millis(900);
 /// Time for which a sidecar is not asked again for a piece after a failed fetch.
 const PEER_FAILURE_PAUSE: Duration = Duration::from_millis(400);
+/// Time for which a sidecar that turned out to lack a piece isn't asked for any, unless it reports
+/// pieces meanwhile.
+const LACKING_TIME: Duration = Duration::from_secs(1);
 /// Time for which the origin is not asked again for a piece after a failed fetch. It is short
 /// because all sidecars wait for the piece.
 const ORIGIN_FAILURE_PAUSE: Duration = Duration::from_millis(150);
@@ -110,11 +113,32 @@
     /// Time until which its last report that it fetches the version counts.
     heard_until: Option<MonoTime>,
     pieces: PieceSet,
+    /// When it turned out to lack a piece that it was known to have.
+    lacking_since: Option<MonoTime>,
 }
 
 impl PeerPieces {
+    fn new(region: &RegionName, has_all_pieces: bool) -> Self {
+        Self {
+            region: region.clone(),
+            has_all_pieces,
+            heard_until: None,
+            pieces: PieceSet::default(),
+            lacking_since: None,
+        }
+    }
+
     fn has_piece(&self, now: MonoTime, piece: u32) -> bool {
-        self.has_all_pieces || self.is_heard(now) && self.pieces.contains(piece)
+        self.has_all_pieces(now)
+            || !self.is_lacking(now) && self.is_heard(now) && self.pieces.contains(piece)
+    }
+
+    fn has_all_pieces(&self, now: MonoTime) -> bool {
+        self.has_all_pieces && !self.is_lacking(now)
+    }
+
+    fn is_lacking(&self, now: MonoTime) -> bool {
+        self.lacking_since.is_some_and(|since| now < since + LACKING_TIME)
     }
 
     fn is_heard(&self, now: MonoTime) -> bool {
@@ -192,12 +216,8 @@
             known.is_heard(now) || peers.iter().any(|peer| peer.address == *address)
         });
         for peer in peers {
-            let known = self.peers.entry(peer.address.clone()).or_insert_with(|| PeerPieces {
-                region: peer.region.clone(),
-                has_all_pieces: false,
-                heard_until: None,
-                pieces: PieceSet::default(),
-            });
+            let known = self.peers.entry(peer.address.clone());
+            let known = known.or_insert_with(|| PeerPieces::new(&peer.region, false));
             known.has_all_pieces |= peer.has_all_pieces;
         }
         self.record_known_pieces(now);
@@ -212,12 +232,11 @@
         pieces: &PieceSet,
     ) {
         let lifetime = self.report_lifetime(peer.region == self.region);
-        let known = self.peers.entry(peer.address.clone()).or_insert_with(|| PeerPieces {
-            region: peer.region.clone(),
-            has_all_pieces: peer.has_all_pieces,
-            heard_until: None,
-            pieces: PieceSet::default(),
-        });
+        let known = self.peers.entry(peer.address.clone());
+        let known = known.or_insert_with(|| PeerPieces::new(&peer.region, peer.has_all_pieces));
+        if !pieces.is_empty() {
+            known.lacking_since.take_if(|since| *since < heard_at);
+        }
         known.heard_until = Some(heard_at + lifetime);
         known.pieces.union_with(pieces);
         self.record_known_pieces(now);
@@ -283,6 +302,32 @@
         self.paused.insert((fetch.piece, fetch.source), now + pause);
     }
 
+    /// Records that a fetch failed because its source doesn't have the piece. Another sidecar that lacks
+    /// one has lost what it was known to have.
+    ///
+    /// ```
+    /// # use celeryshed_base::{MonoTime, RegionName};
+    /// # use celeryshed_dispatch::{PiecePicker, PieceSource, SidecarPeer};
+    /// # let region = RegionName::try_from("north").unwrap();
+    /// # let copy = std::time::Duration::from_secs(3);
+    /// let now = MonoTime::ZERO;
+    /// let mut picker = PiecePicker::new("10.0.0.1:7700", &region, 2, 0..4, copy, now);
+    /// let peer = SidecarPeer { address: "10.0.0.2:7700".into(), region, has_all_pieces: true };
+    /// picker.set_peers(now, &[peer]);
+    /// let fetch = picker.start_next_fetch(now, 0).unwrap();
+    /// picker.record_missing(now, fetch);
+    /// assert_eq!(picker.start_next_fetch(now, 0).unwrap().source, PieceSource::Origin);
+    /// ```
+    pub fn record_missing(&mut self, now: MonoTime, fetch: PieceFetch) {
+        if let PieceSource::Peer(address) = &fetch.source
+            && let Some(peer) = self.peers.get_mut(address)
+        {
+            peer.pieces = PieceSet::default();
+            peer.lacking_since = Some(now);
+        }
+        self.record_failure(now, fetch);
+    }
+
     /// Starts the next fetch; `None` if no piece may be fetched now.
     ///
     /// `random` is a random number that varies the order of pieces and sources.
@@ -352,10 +397,10 @@
     fn held_pieces(&self, now: MonoTime, eligible: impl Fn(&PeerPieces) -> bool) -> PieceSet {
         let mut held = PieceSet::default();
         for peer in self.peers.values().filter(|peer| eligible(peer)) {
-            if peer.has_all_pieces {
+            if peer.has_all_pieces(now) {
                 return self.missing.iter().copied().collect();
             }
-            if peer.is_heard(now) {
+            if peer.is_heard(now) && !peer.is_lacking(now) {
                 held.union_with(&peer.pieces);
             }
         }
@@ -501,7 +546,7 @@
         let before = self
             .peers
             .iter()
-            .filter(|(_, peer)| eligible(peer) && !peer.has_all_pieces)
+            .filter(|(_, peer)| eligible(peer) && !peer.has_all_pieces(now))
             .filter(|(_, peer)| !reports_expected || peer.is_heard(now))
             .filter(|(address, _)| rendezvous(address, salt) < own);
         before.count() as u32
--- a/crates/celeryshed_dispatch/tests/staging.rs
+++ b/crates/celeryshed_dispatch/tests/staging.rs
@@ -269,6 +269,61 @@
     assert_eq!(picker.start_next_fetch(at(20), 1).unwrap().source, PieceSource::Origin);
 }
 
+/// Guards against sidecars that ask each other for every piece again and again, although none of them
+/// has any, since their endpoints are still listed with the version.
+#[test]
+fn sidecars_without_pieces_are_asked_seldom() {
+    let mut picker = fleet(14).remove(0);
+    let peers: Vec<SidecarPeer> = (1..14)
+        .map(|other| SidecarPeer {
+            address: address(other),
+            region: region_of(other),
+            has_all_pieces: true,
+        })
+        .collect();
+    picker.set_peers(at(0), &peers);
+    let mut asked = 0;
+    for millis in 0..10_000 {
+        let now = at(millis);
+        while let Some(fetch) = picker.start_next_fetch(now, millis) {
+            match fetch.source {
+                PieceSource::Origin => picker.record_failure(now, fetch),
+                PieceSource::Peer(_) => {
+                    asked += 1;
+                    picker.record_missing(now, fetch);
+                }
+            }
+        }
+    }
+    // Each of 13 sidecars once a second.
+    assert!(asked <= 13 * 11, "{asked}");
+}
+
+/// Guards against a sidecar that isn't asked any more, although it has reported new pieces since it
+/// lacked one.
+#[test]
+fn sidecar_is_asked_again_once_it_reports_pieces() {
+    let mut picker = fleet(2).remove(0);
+    let peer = SidecarPeer { address: address(1), region: region_of(1), has_all_pieces: false };
+    let pieces: PieceSet = (0..PIECES).collect();
+    picker.record_peer_pieces(at(0), at(0), &peer, &pieces);
+    let fetch = (0..4000).find_map(|millis| picker.start_next_fetch(at(millis), 0)).unwrap();
+    assert_eq!(fetch.source, PieceSource::Peer(address(1)));
+    picker.record_missing(at(4000), fetch);
+    // The report from before doesn't count again.
+    picker.record_peer_pieces(at(4100), at(3900), &peer, &pieces);
+    let sources = |picker: &mut PiecePicker, now: MonoTime| {
+        let mut fetches = Vec::new();
+        while let Some(fetch) = picker.start_next_fetch(now, 0) {
+            fetches.push(fetch.source);
+        }
+        fetches
+    };
+    assert!(!sources(&mut picker, at(4100)).contains(&PieceSource::Peer(address(1))));
+    picker.record_peer_pieces(at(4200), at(4200), &peer, &pieces);
+    assert!(sources(&mut picker, at(4200)).contains(&PieceSource::Peer(address(1))));
+}
+
 #[test]
 fn manifest_verifies_pieces() {
     use sha2::{Digest, Sha256};
--- a/crates/celeryshed_stager/src/fetch.rs
+++ b/crates/celeryshed_stager/src/fetch.rs
@@ -35,10 +35,15 @@
 pub(crate) enum FetchFailure {
     /// The request failed or was refused.
     Unavailable,
+    /// The other sidecar doesn't have the piece.
+    Missing,
     /// The bytes don't match the digest in the manifest.
     Corrupt,
 }
 
+/// The bytes that a source sent, or why it sent none, with the detail that is logged.
+type SourceResult = Result<Bytes, (FetchFailure, String)>;
+
 /// Fetches the manifest and the pieces of one [`StageGoal`].
 pub(crate) struct PieceFetcher<P> {
     pub(crate) platform: Arc<P>,
@@ -142,9 +147,9 @@
                 self.log_failure("piece_corrupt", Some(fetch.piece), &detail);
                 Err(FetchFailure::Corrupt)
             }
-            Err(detail) => {
+            Err((failure, detail)) => {
                 self.log_failure("piece_failed", Some(fetch.piece), &detail);
-                Err(FetchFailure::Unavailable)
+                Err(failure)
             }
         }
     }
@@ -153,7 +158,7 @@
         let StageGoal { model, target, .. } = &self.goal;
         let limits = CallLimits::from(PEER_TIMEOUT).with_max_body(MAX_MANIFEST_BYTES);
         let path = manifest_target(model, target.version);
-        let bytes = get_from_peer(address, &path, limits).await?;
+        let bytes = get_from_peer(address, &path, limits).await.map_err(|(_, detail)| detail)?;
         let digests: Vec<String> =
             rmp_serde::from_slice(&bytes).map_err(|error| error.to_string())?;
         StageManifest::parse(model, target.version, &digests).map_err(|error| error.to_string())
@@ -172,17 +177,17 @@
         StageManifest::parse(model, target.version, &raw.digests).map_err(|error| error.to_string())
     }
 
-    async fn peer_piece(&self, address: &str, piece: u32) -> Result<Bytes, String> {
+    async fn peer_piece(&self, address: &str, piece: u32) -> SourceResult {
         let StageGoal { model, target, .. } = &self.goal;
         let limits = CallLimits::from(PEER_TIMEOUT).with_max_body(self.goal.piece_bytes);
         get_from_peer(address, &piece_target(model, target.version, piece), limits).await
     }
 
-    async fn origin_piece(&self, piece: u32) -> Result<Bytes, String> {
+    async fn origin_piece(&self, piece: u32) -> SourceResult {
         let StageGoal { model, target, origin, .. } = &self.goal;
         let limit = self.goal.piece_bytes;
         let bytes = self.platform.origin_piece(origin, model, target.version, piece, limit).await;
-        bytes.map_err(|error| error.to_string())
+        bytes.map_err(|error| (FetchFailure::Unavailable, error.to_string()))
     }
 
     fn log_failure(&self, event: &str, piece: Option<u32>, detail: &str) {
@@ -197,14 +202,16 @@
     }
 }
 
-async fn get_from_peer(address: &str, target: &str, limits: CallLimits) -> Result<Bytes, String> {
+async fn get_from_peer(address: &str, target: &str, limits: CallLimits) -> SourceResult {
     let client = HttpClient::new(address, "application/msgpack");
     let reply = client
         .call(Method::GET, target, Bytes::new(), limits)
         .await
-        .map_err(|error| error.to_string())?;
-    match reply.status {
-        StatusCode::OK => Ok(reply.body),
-        status => Err(format!("{address} answered with status {status}")),
-    }
+        .map_err(|error| (FetchFailure::Unavailable, error.to_string()))?;
+    let failure = match reply.status {
+        StatusCode::OK => return Ok(reply.body),
+        StatusCode::NOT_FOUND => FetchFailure::Missing,
+        _ => FetchFailure::Unavailable,
+    };
+    Err((failure, format!("{address} answered with status {}", reply.status)))
 }
--- a/crates/celeryshed_stager/src/fetch_task.rs
+++ b/crates/celeryshed_stager/src/fetch_task.rs
@@ -275,7 +275,13 @@
                 Some((fetch, Err(failure))) => {
                     let from_origin = fetch.source == PieceSource::Origin;
                     corrupt_count += u32::from(from_origin && failure == FetchFailure::Corrupt);
-                    picker.record_failure(self.clock.now(), fetch);
+                    let now = self.clock.now();
+                    match failure {
+                        FetchFailure::Missing => picker.record_missing(now, fetch),
+                        FetchFailure::Unavailable | FetchFailure::Corrupt => {
+                            picker.record_failure(now, fetch);
+                        }
+                    }
                 }
                 None => {}
             }
