Skip nested datagrams before they take up the stack

Operators saw: a single datagram to an entry or sidecar ends the process ("has overflowed its stack", SIGABRT) in the debug build with a stack of 2 MiB or less. In the release build it was not seen down to 256 KiB.

Cause: a part of a message that is skipped is decoded level by level up to 1,024 levels, each of which takes 2.7 KB of stack in the debug build.

--- a/crates/celeryshed_peering/src/fetch.rs
+++ b/crates/celeryshed_peering/src/fetch.rs
@@ -11,6 +11,7 @@
 use serde_bytes::ByteBuf;
 use tokio::time::Instant;
 
+use crate::decode::decode_peer_bytes;
 use crate::log::{ControlLog, ControlPosition};
 use crate::recency::RecordAge;
 use crate::record::{ControlBatch, ControlRecord, ControlStream};
@@ -282,5 +283,5 @@
     if reply.status != StatusCode::OK {
         return Err(FetchError::Refused(reply.status));
     }
-    Ok(rmp_serde::from_slice(&reply.body)?)
+    Ok(decode_peer_bytes(&reply.body)?)
 }
--- a/crates/celeryshed_peering/src/lib.rs
+++ b/crates/celeryshed_peering/src/lib.rs
@@ -5,6 +5,7 @@
 //! newest record of each key and merges batches from any source in any order.
 
 mod admission;
+mod decode;
 mod drop_log;
 mod fetch;
 mod log;
@@ -19,6 +20,7 @@
 mod task;
 
 pub use admission::{Admission, NewestValues};
+pub use decode::decode_peer_bytes;
 pub use drop_log::DropLog;
 pub use fetch::{
     ControlQuery, ControlReply, ControlScope, FetchError, fetch_control, parse_control_query,
--- a/crates/celeryshed_peering/src/socket.rs
+++ b/crates/celeryshed_peering/src/socket.rs
@@ -8,6 +8,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
+use crate::decode::decode_peer_bytes;
 use crate::messages::PeerMessage;
 
 /// Size of the receive buffer; longer datagrams are truncated.
@@ -69,7 +70,7 @@
                     continue;
                 }
             };
-            if let Ok(message) = rmp_serde::from_slice(&buffer[..length]) {
+            if let Ok(message) = decode_peer_bytes(&buffer[..length]) {
                 return (message, sender);
             }
         }
--- a/crates/celeryshed_stager/src/fetch.rs
+++ b/crates/celeryshed_stager/src/fetch.rs
@@ -9,6 +9,7 @@
 use celeryshed_dispatch::{PieceFetch, PieceSource, StageManifest, manifest_sources};
 use celeryshed_http::{CallLimits, HttpClient};
 use celeryshed_observe::EventLine;
+use celeryshed_peering::decode_peer_bytes;
 use hyper::{Method, StatusCode};
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -159,8 +160,7 @@
         let limits = CallLimits::from(PEER_TIMEOUT).with_max_body(MAX_MANIFEST_BYTES);
         let path = manifest_target(model, target.version);
         let bytes = get_from_peer(address, &path, limits).await.map_err(|(_, detail)| detail)?;
-        let digests: Vec<String> =
-            rmp_serde::from_slice(&bytes).map_err(|error| error.to_string())?;
+        let digests: Vec<String> = decode_peer_bytes(&bytes).map_err(|error| error.to_string())?;
         StageManifest::parse(model, target.version, &digests).map_err(|error| error.to_string())
     }
 
