--- a/crates/celeryshed_stager/tests/support/mod.rs
+++ b/crates/celeryshed_stager/tests/support/mod.rs
@@ -688,14 +688,18 @@
         Ok(OperatorRecord::Configuration(Box::new(snapshot)))
     }
 
+    /// The address of the endpoint, or address and loaded version with a space between.
     fn endpoint(&self, _key: &str, value: &[u8]) -> Result<ListedEndpoint, DecodeError> {
+        let text = std::str::from_utf8(value).unwrap();
+        let (address, version) = text.split_once(' ').unwrap_or((text, ""));
+        let version = version.parse().ok().map(|version| (MODEL.to_owned(), version));
         Ok(ListedEndpoint {
             service: service("writer"),
-            address: String::from_utf8(value.to_vec()).unwrap(),
+            address: address.to_owned(),
             zone: AvailabilityZone::try_from("north-a").unwrap(),
             slots: 4,
             state: EndpointState::Ready,
-            models: BTreeMap::new(),
+            models: version.into_iter().collect(),
             started_at_ms: 1,
             seq_no: None,
         })
