Forget the oldest removals of the list of endpoints

What operators saw: an entry or sidecar that ran for weeks grew with each start of an endpoint, as each start has a new key, and its whole replies to peers grew alike.

Cause: the control log, the control task, the seen registrations (with their whole values) and the directory kept each removed key for ever.

Change: the 4,096 newest removals are remembered (MAX_REMOVED_ENDPOINTS, nearly seven for each endpoint of the largest fleet); older ones leave all four maps together. Removals that only peers tell after a restore stay, so the sum of the advances never falls.

--- a/crates/celeryshed_dispatch/src/directory.rs
+++ b/crates/celeryshed_dispatch/src/directory.rs
@@ -12,6 +12,9 @@
 /// Time after an outage of the store within which endpoints register again.
 const REGISTRATION_GRACE: Duration = Duration::from_millis(2200);
 
+/// Most removed endpoints that are remembered; nearly seven times the endpoints of the largest fleet.
+pub const MAX_REMOVED_ENDPOINTS: usize = 4096;
+
 common_derives! { value:
     /// A change to one endpoint in the list.
     pub struct DirectoryRecord {
@@ -37,8 +40,12 @@
 impl StoredRecord {
     /// The endpoint, if its removal hasn't taken effect and its service is named.
     fn registered(&self, now: MonoTime) -> Option<&ListedEndpoint> {
-        let is_removed = self.removal_at.is_some_and(|due| due <= now);
-        self.endpoint.as_ref().filter(|_| self.is_named && !is_removed)
+        self.endpoint.as_ref().filter(|_| self.is_named && !self.is_removed(now))
+    }
+
+    /// Whether a removal has taken effect, or the registration is unusable.
+    fn is_removed(&self, now: MonoTime) -> bool {
+        self.endpoint.is_none() || self.removal_at.is_some_and(|due| due <= now)
     }
 }
 
@@ -147,6 +154,7 @@
     /// Applies a record, and returns whether it is newer than the stored one of the same endpoint.
     pub fn apply(&mut self, now: MonoTime, record: DirectoryRecord) -> bool {
         let DirectoryRecord { id, position, endpoint } = record;
+        let is_removal = endpoint.is_none();
         let stored = self.records.get(&id);
         if stored.is_some_and(|stored| stored.position >= position) {
             return false;
@@ -164,9 +172,25 @@
         for address in [old_address, address].into_iter().flatten() {
             self.update_claims(address);
         }
+        if is_removal {
+            self.forget_removed(now);
+        }
         true
     }
 
+    /// Forgets the endpoint that was removed first if more than [`MAX_REMOVED_ENDPOINTS`] are remembered.
+    fn forget_removed(&mut self, now: MonoTime) {
+        let removed = self.records.iter().filter(|(_, stored)| stored.is_removed(now));
+        if removed.clone().count() <= MAX_REMOVED_ENDPOINTS {
+            return;
+        }
+        let oldest = removed.min_by_key(|(_, stored)| stored.position).map(|(id, _)| id.clone());
+        let forgotten = oldest.and_then(|id| self.records.remove(&id));
+        if let Some(endpoint) = forgotten.and_then(|stored| stored.endpoint) {
+            self.update_claims(endpoint.address);
+        }
+    }
+
     fn is_named(&self, service: &ServiceName) -> bool {
         self.services.as_ref().is_none_or(|services| services.contains(service))
     }
--- a/crates/celeryshed_dispatch/src/lib.rs
+++ b/crates/celeryshed_dispatch/src/lib.rs
@@ -39,7 +39,7 @@
 pub use budget::{BudgetLimits, RetryBudget};
 pub use caller_retry::is_caller_retry;
 pub use deadline::VersionDeadlines;
-pub use directory::{DirectoryRecord, EndpointDirectory};
+pub use directory::{DirectoryRecord, EndpointDirectory, MAX_REMOVED_ENDPOINTS};
 pub use dispatcher::{DispatchDecision, DispatcherSettings, EndpointTarget, EntryDispatcher};
 pub use endpoint::{EndpointHash, EndpointId, EndpointState, EndpointStatus, ListedEndpoint};
 pub use endpoint_access::{EndpointStart, NoticeChange, NoticeLimits, ReopeningCause};
--- a/crates/celeryshed_dispatch/tests/directory.rs
+++ b/crates/celeryshed_dispatch/tests/directory.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use celeryshed_base::{LogOffset, LogPosition, StoreEra};
 use celeryshed_dispatch::*;
 use support::*;
 
@@ -136,3 +137,32 @@
     let decisions = dispatcher.dispatch_waiting(at(10), 0);
     assert!(matches!(decisions[..], [DispatchDecision::Place { .. }]), "{decisions:?}");
 }
+
+/// Guards against memory that grows with each endpoint that has left. The one that stays, and a key
+/// that returns, must remain listed.
+#[test]
+fn directory_keeps_removed_endpoints_for_ever() {
+    let mut directory = EndpointDirectory::default();
+    let mut offset = 0;
+    let mut apply = |directory: &mut EndpointDirectory, id: &str, is_listed: bool| {
+        offset += 1;
+        let position = LogPosition::new(StoreEra::default(), LogOffset(offset)).unwrap();
+        let endpoint = is_listed.then(|| started("letters", u32::from(id != "stays"), offset));
+        directory
+            .apply(at(offset), DirectoryRecord { id: EndpointId::from(id), position, endpoint });
+    };
+    apply(&mut directory, "stays", true);
+    let mut sizes = Vec::new();
+    for round in 0..2 {
+        for number in 0..4_200 {
+            let id = format!("e{:06}", round * 4_200 + number);
+            apply(&mut directory, &id, true);
+            apply(&mut directory, &id, false);
+        }
+        sizes.push(format!("{directory:?}").len());
+    }
+    assert!(sizes[1] <= sizes[0] * 11 / 10, "{sizes:?}");
+    apply(&mut directory, "e000000", true);
+    let listed = |id: &str| directory.get(at(30_000), &EndpointId::from(id)).is_some();
+    assert!(listed("stays") && listed("e000000") && !listed("e000001"));
+}
--- a/crates/celeryshed_peering/src/log.rs
+++ b/crates/celeryshed_peering/src/log.rs
@@ -109,6 +109,26 @@
         }
     }
 
+    /// Forgets the endpoints that were removed first, so that `limit` removals remain, and returns their
+    /// keys. Removals that only peers tell stay, as the store may still list the endpoints.
+    pub(crate) fn forget_removed(&mut self, limit: usize) -> Vec<String> {
+        let records = self.endpoints.values();
+        let removed = records.filter(|r| r.value.is_none() && r.position.advance() == 0);
+        let excess = removed.clone().count().saturating_sub(limit);
+        if excess == 0 {
+            return Vec::new();
+        }
+        let mut removed: Vec<&ControlRecord> = removed.collect();
+        removed.sort_by_key(|record| record.position);
+        let forgotten: Vec<String> =
+            removed.into_iter().take(excess).map(|record| record.key.clone()).collect();
+        for key in &forgotten {
+            self.endpoints.remove(key);
+            self.changed_at.remove(&(ControlStream::Endpoints, key.clone()));
+        }
+        forgotten
+    }
+
     /// Whether a peer has told that the endpoint of a record has left, which the restored store
     /// doesn't show.
     pub(crate) fn is_taken_back(&self, record: &ControlRecord) -> bool {
--- a/crates/celeryshed_peering/src/restored.rs
+++ b/crates/celeryshed_peering/src/restored.rs
@@ -182,6 +182,12 @@
         self.seen.get(&record.key).is_some_and(|known| known.era < record.position.era())
     }
 
+    /// Forgets an endpoint that the store no longer lists.
+    pub(crate) fn forget(&mut self, key: &str) {
+        self.seen.remove(key);
+        self.repeated.remove(key);
+    }
+
     /// Value of the last registration of an endpoint that was read.
     pub(crate) fn value(&self, key: &str) -> Option<&Bytes> {
         self.seen.get(key)?.value.as_ref()
--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -9,7 +9,8 @@
 use bytes::Bytes;
 use celeryshed_base::{ClockSource, LogPosition, MonoTime, StoreEra, common_derives};
 use celeryshed_dispatch::{
-    DirectoryRecord, EndpointId, EndpointState, ListedEndpoint, RoutingSnapshot,
+    DirectoryRecord, EndpointId, EndpointState, ListedEndpoint, MAX_REMOVED_ENDPOINTS,
+    RoutingSnapshot,
 };
 use celeryshed_observe::EventLine;
 use celeryshed_process::{TaskClass, TaskGroup};
@@ -469,6 +470,10 @@
                 ControlStream::Endpoints => self.apply_endpoint_record(record),
             }
         }
+        for key in self.log.forget_removed(MAX_REMOVED_ENDPOINTS) {
+            self.endpoints.remove(&key);
+            self.seen.forget(&key);
+        }
         self.position.send_replace(self.log.position());
     }
 
