Fetch only the damaged pieces of a large version again

Operators would have seen a sidecar that fetches a whole version a second time, over a link that is priced, and loads it late, once a single piece at its endpoint was damaged between its write and the check before the load: with 96 pieces, 96 fetches for one. Damage at each attempt kept such a version from ever being loaded. Smaller versions write the piece again from memory.

Cause: since the pieces of large versions leave the memory early, the repair had nothing to write, and dropped the version with all pieces that the endpoint stored soundly. They are found again only at the start of a sidecar.

Change: only the damaged pieces count as missing, and are fetched and written again before the next check. A version is still dropped, with its manifest, if no other piece of it is held.

Not seen in a real run.

--- a/crates/celeryshed_stager/src/piece_store.rs
+++ b/crates/celeryshed_stager/src/piece_store.rs
@@ -205,6 +205,17 @@
         self.forget_released(version);
     }
 
+    /// Records that pieces of a version at the endpoint are damaged. The version is dropped if no other
+    /// piece of it is held.
+    pub(crate) fn record_damaged(&mut self, version: u64, damaged: &[u32]) {
+        self.at_endpoint.take_if(|at_endpoint| *at_endpoint == version);
+        let Some(pieces) = self.versions.get_mut(&version) else { return };
+        pieces.released.retain(|piece| !damaged.contains(piece));
+        if pieces.held().next().is_none() {
+            self.abandon(version);
+        }
+    }
+
     /// Records that all pieces of a version are stored at the endpoint.
     pub(crate) fn record_staged(&mut self, version: u64) {
         self.at_endpoint = Some(version);
--- a/crates/celeryshed_stager/src/stage_task/loading.rs
+++ b/crates/celeryshed_stager/src/stage_task/loading.rs
@@ -105,7 +105,8 @@
                 EventLine::new("staged_pieces_spoilt").field("count", damaged.len()).warn();
                 if !damaged.iter().all(|piece| job.pieces.contains_key(piece)) {
                     // The pieces have left the memory and must be fetched again.
-                    self.store.send_modify(|store| store.abandon(version));
+                    job.stage.record_damaged(&damaged);
+                    self.store.send_modify(|store| store.record_damaged(version, &damaged));
                     return None;
                 }
                 is_untouched = false;
--- a/crates/celeryshed_stager/tests/large_version.rs
+++ b/crates/celeryshed_stager/tests/large_version.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use support::{FakeStore, FakeWeights, PIECES, piece_bytes, start_limited_sidecar};
+use tokio::task::yield_now;
 use tokio::time::sleep;
 
 /// Pieces for which there is memory.
@@ -69,3 +70,25 @@
         assert_eq!(reply.body, piece_bytes(2, piece), "piece {piece}");
     }
 }
+
+/// Guards against a large version that is fetched anew as a whole for one damaged piece.
+#[tokio::test]
+async fn damaged_piece_costs_a_large_version() {
+    let weights = FakeWeights::new(1, []);
+    let memory = MEMORY_PIECES * piece_bytes(1, 0).len();
+    let (_address, store) = start_limited_sidecar(&weights, &[1], |_own| Vec::new(), memory);
+    // Pieces that are found at the endpoint are kept only at the start of the sidecar.
+    sleep(Duration::from_secs(1)).await;
+    store.declare(2);
+    while weights.written.lock().unwrap().len() < MEMORY_PIECES {
+        yield_now().await;
+    }
+    assert!(weights.fetched.lock().unwrap().len() < PIECES as usize, "all pieces are fetched");
+    let damaged = weights.written.lock().unwrap()[0];
+    weights.damage_piece(damaged);
+    weights.wait_loaded(2).await;
+    let fetched = weights.fetched.lock().unwrap().clone();
+    assert_eq!(fetched.len(), PIECES as usize + 1, "{fetched:?}");
+    assert_eq!(fetched.last(), Some(&damaged));
+    assert!(weights.most_held_pieces() <= MEMORY_PIECES, "{}", weights.most_held_pieces());
+}
