Tell a late read of a piece from a missing one

Operators would have seen: a sidecar whose endpoint is slow to send one piece counts as having none for a second, so that others ask the origin instead. Cause: a read that fails was answered with 404 like a piece that isn't there, and takes 404 for all pieces. Change: a failed read is answered with 503, which pauses that piece there as before. Result: late_read_counts_as_a_missing_piece failed before (404 instead of 503) and passes now.

--- a/crates/celeryshed_stager/src/pieces.rs
+++ b/crates/celeryshed_stager/src/pieces.rs
@@ -150,7 +150,9 @@
         let memory = memory.map_err(|_| StatusCode::TOO_MANY_REQUESTS)?;
         match self.platform.read_piece(model, piece, max_bytes).await {
             Ok(Some(bytes)) => Ok(Bytes::from_owner(ReadPiece { bytes, _memory: memory })),
-            Ok(None) | Err(_) => Err(StatusCode::NOT_FOUND),
+            Ok(None) => Err(StatusCode::NOT_FOUND),
+            // The endpoint may still have the piece.
+            Err(_) => Err(StatusCode::SERVICE_UNAVAILABLE),
         }
     }
 }
--- a/crates/celeryshed_stager/tests/missing_pieces.rs
+++ b/crates/celeryshed_stager/tests/missing_pieces.rs
@@ -6,7 +6,10 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use support::{FakeWeights, start_listed_sidecar};
+use bytes::Bytes;
+use celeryshed_http::{CallLimits, HttpClient};
+use hyper::{Method, StatusCode};
+use support::{FakeWeights, MODEL, piece_bytes, start_listed_sidecar, start_sidecar};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::time::sleep;
@@ -62,3 +65,20 @@
     let most = OTHERS * 2 * (1 + COUNTED_TIME.as_secs() as usize);
     assert!(asked.load(Ordering::Relaxed) <= most, "{asked:?}");
 }
+
+/// Guards against a sidecar that counts as having no pieces, and so isn't asked for any, because its
+/// endpoint was slow to send one.
+#[tokio::test]
+async fn late_read_counts_as_a_missing_piece() {
+    let weights = FakeWeights::new(1, [(0, piece_bytes(1, 0))]);
+    let sidecar = start_sidecar(&weights, 1);
+    sleep(Duration::from_millis(500)).await;
+    weights.delay_reads(1);
+    let client = HttpClient::new(&sidecar.to_string(), "application/msgpack");
+    let target = format!("/piece?model={MODEL}&version=1&piece=0");
+    for expected in [StatusCode::SERVICE_UNAVAILABLE, StatusCode::OK] {
+        let limits = CallLimits::from(Duration::from_secs(5));
+        let reply = client.call(Method::GET, &target, Bytes::new(), limits).await.unwrap();
+        assert_eq!(reply.status, expected);
+    }
+}
