Spread the moments at which roles start anew

Cause: processes that end at the same record would all refuse requests and start anew at the same moments (found by reading in the review). Change: half to all of each delay, by chance. Result: the tests of celeryshed_process pass; no run shows the fleet with and without it.

--- a/crates/celeryshed_process/src/role_runner.rs
+++ b/crates/celeryshed_process/src/role_runner.rs
@@ -102,7 +102,9 @@
                 Ok(Err(_refused)) => RestartCause::RuntimeRefused,
                 Err(_panic) => RestartCause::RolePanicked,
             };
-            let pause = delay.next_after(started_at.elapsed());
+            // Processes that ended at the same record don't start anew at the same moment.
+            let pause =
+                delay.next_after(started_at.elapsed()).mul_f64(rand::random_range(0.5..1.0));
             metrics::counter!("celeryshed_role_restarts_total", "cause" => cause.name())
                 .increment(1);
             EventLine::new("role_restarting")
