Keep the futures of handlers out of the connections

Cause: since the future of a handler holds the request and the handler beside the call, and each connection has room for it, idle ones too. Change: the call is caught by itself, and its future is boxed. The tests of celeryshed_http, panics.rs among them, pass.

--- a/crates/celeryshed_http/src/server.rs
+++ b/crates/celeryshed_http/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::panic::AssertUnwindSafe;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -178,12 +178,15 @@
             service_fn(move |request| {
                 let guard = activity.begin();
                 let (request, unread) = RequestBody::track(request, &activity);
-                let handler = handler.clone();
-                let answer = AssertUnwindSafe(async move { handler(request, peer).await });
-                let answer = answer.catch_unwind();
+                // Boxed, as each connection has room for the future of its service.
+                let call = || Box::pin(AssertUnwindSafe(handler(request, peer)).catch_unwind());
+                let answer = catch_unwind(AssertUnwindSafe(call));
                 let (activity, closing) = (activity.clone(), closing.clone());
                 async move {
-                    let answer = answer.await;
+                    let answer = match answer {
+                        Ok(answer) => answer.await,
+                        Err(panic) => Err(panic),
+                    };
                     let has_panicked = answer.is_err();
                     if has_panicked {
                         EndReason::HandlerPanicked.report(peer);
