Map only answers and events from 16 KiB on

Cause: gave bodies of 16 to 64 KiB pages of their own as well. Bodies grow in small steps, and the blocks that they leave in the heap serve other bodies, but no mapping. Change: the threshold goes by the kind of the memory: 16 KiB for answers and events, 64 KiB for bodies, as before.

--- a/crates/celeryshed_gateway/src/request/buffer.rs
+++ b/crates/celeryshed_gateway/src/request/buffer.rs
@@ -12,8 +12,11 @@
 
 use bytes::Bytes;
 
-use self::storage::ByteStorage;
+use self::storage::{ByteStorage, MAX_ALLOCATED_BYTES};
 
+/// Capacity from which answers and events have pages of their own. Half of what a connection receives at
+/// once, so that the waiting events of busy streams are among them.
+const MIN_MAPPED_ANSWER_BYTES: usize = 16 * 1024;
 /// Largest growth of a budget for the sake of a single lease.
 const MAX_BUDGET_GROWTH: usize = 2;
 
@@ -27,6 +30,17 @@
     FreeShare,
 }
 
+impl LeaseRule {
+    /// Capacity from which a buffer has pages of its own. Bodies grow in small steps, in blocks that
+    /// former ones have left.
+    fn min_mapped_bytes(self) -> usize {
+        match self {
+            Self::Fraction(_) => MIN_MAPPED_ANSWER_BYTES,
+            Self::FreeShare => MAX_ALLOCATED_BYTES,
+        }
+    }
+}
+
 /// Memory that all requests share.
 #[derive(Clone, Debug)]
 pub(crate) struct BufferBudget {
@@ -133,7 +147,7 @@
             let doubled = capacity.saturating_mul(2).min(self.max_capacity).max(length);
             let grown = if self.lease.check(doubled).is_ok() { doubled } else { length };
             self.lease.resize(grown)?;
-            self.storage.grow(grown)?;
+            self.storage.grow(grown, self.lease.budget.rule.min_mapped_bytes())?;
         }
         self.storage.append(data);
         Ok(())
--- a/crates/celeryshed_gateway/src/request/buffer/storage.rs
+++ b/crates/celeryshed_gateway/src/request/buffer/storage.rs
@@ -4,12 +4,9 @@
 
 use super::BufferExceeded;
 
-/// Capacity from which a buffer has pages of its own. They are given back to the system as soon as it is
-/// dropped, whereas the allocator may keep large blocks between smaller ones for ever. Half of what a
-/// connection receives at once, so that the waiting events of busy streams are among them.
-const MIN_MAPPED_BYTES: usize = 16 * 1024;
-/// Capacity below which a buffer is allocated if it can't get pages of its own.
-const MAX_ALLOCATED_BYTES: usize = 64 * 1024;
+/// Capacity from which a buffer must have pages of its own. They are given back to the system as soon as
+/// it is dropped, whereas the allocator may keep large blocks between smaller ones for ever.
+pub(super) const MAX_ALLOCATED_BYTES: usize = 64 * 1024;
 
 /// Bytes in allocated memory, or in pages of their own.
 #[derive(Debug)]
@@ -33,10 +30,15 @@
         }
     }
 
-    /// Grows to a capacity of at least `capacity`; an error if the system has no more pages.
-    pub(super) fn grow(&mut self, capacity: usize) -> Result<(), BufferExceeded> {
+    /// Grows to a capacity of at least `capacity`, with pages of its own from `min_mapped` bytes on; an
+    /// error if the system has no more pages.
+    pub(super) fn grow(
+        &mut self,
+        capacity: usize,
+        min_mapped: usize,
+    ) -> Result<(), BufferExceeded> {
         let pages = match self {
-            Self::Allocated(bytes) if capacity < MIN_MAPPED_BYTES => {
+            Self::Allocated(bytes) if capacity < min_mapped => {
                 bytes.reserve_exact(capacity.saturating_sub(bytes.len()));
                 return Ok(());
             }
--- a/crates/celeryshed_gateway/src/request/buffer/tests.rs
+++ b/crates/celeryshed_gateway/src/request/buffer/tests.rs
@@ -66,7 +66,7 @@
 #[test]
 fn bytes_of_a_whole_read_have_pages_of_their_own() {
     for bytes in [16 * 1024, 32 * 1024, 64 * 1024] {
-        let lease = BufferBudget::new(1 << 20, LeaseRule::FreeShare).lease();
+        let lease = BufferBudget::new(1 << 21, LeaseRule::Fraction(16)).lease();
         let mut buffer = LeasedBuffer::new(lease, usize::MAX);
         buffer.append(&vec![1; bytes]).unwrap();
         assert!(matches!(buffer.storage, ByteStorage::Mapped { .. }), "{bytes} bytes");
