Log what the age of a declared version is derived from

Callers saw VERSION: a request began on version 1 over 8 s after version 2 was acknowledged. The lines named an age, but not by which read, so a pause whose answer lay unread couldn't be told from an age that grew on its way.

version_declared names the evidence, process_resumed the end of a pause, and version_due each change of a due time with its source.

--- a/crates/celeryshed_dispatch/src/dispatcher.rs
+++ b/crates/celeryshed_dispatch/src/dispatcher.rs
@@ -468,6 +468,11 @@
         }
     }
 
+    /// When a declared version is due; `None` if it isn't known.
+    pub fn version_due_at(&self, model: &str, version: u64) -> Option<MonoTime> {
+        self.versions.get(model)?.get(&version).map(|declared| declared.due_at)
+    }
+
     /// The declared versions whose age is reported, as model, version and age.
     pub fn version_ages(&self, now: MonoTime) -> impl Iterator<Item = (&str, u64, Duration)> + '_ {
         let deadline = self.settings.versions.after_declaration;
--- a/crates/celeryshed_gateway/src/dispatcher_task.rs
+++ b/crates/celeryshed_gateway/src/dispatcher_task.rs
@@ -38,6 +38,9 @@
 /// Messages of other processes that wait for the dispatcher. Further ones wait in the socket, which drops
 /// those that it has no room for.
 const MAX_WAITING_MESSAGES: usize = 64;
+/// Smaller changes of the time at which a version is due aren't logged: reports of its age vary by the
+/// time for which messages are under way.
+const MIN_LOGGED_DUE_CHANGE: Duration = Duration::from_millis(50);
 /// Longest time that a request waits for the result of a probe before it may be sent again.
 const MAX_PROBE_WAIT: Duration = Duration::from_millis(60);
 
@@ -619,6 +622,7 @@
                 if let RecordAge::AtMost(limit) = age {
                     self.dispatcher.limit_version_age(now, &model, version, limit);
                 }
+                self.log_due_change(now, &model, version, None, "control");
             }
             ControlEvent::Endpoint(record) => {
                 let id = record.id.clone();
@@ -787,7 +791,31 @@
         let now = self.clock.now();
         for VersionAge { model, version, age_ms } in versions {
             let age = Duration::from_millis(*age_ms);
+            let before = self.dispatcher.version_due_at(model, *version);
             self.dispatcher.apply_version_age(now, sender, model, *version, age);
+            self.log_due_change(now, model, *version, before, &sender.0);
+        }
+    }
+
+    /// Logs when a version is due, if that has changed since `before` or become known.
+    fn log_due_change(
+        &self,
+        now: MonoTime,
+        model: &str,
+        version: u64,
+        before: Option<MonoTime>,
+        source: &str,
+    ) {
+        let Some(due_at) = self.dispatcher.version_due_at(model, version) else { return };
+        let is_logged = before
+            .is_none_or(|before| (before - due_at).max(due_at - before) > MIN_LOGGED_DUE_CHANGE);
+        if is_logged {
+            EventLine::new("version_due")
+                .field("model", model)
+                .field("version", version)
+                .field("due_in", format_args!("{:?}", due_at - now))
+                .field("source", source)
+                .info();
         }
     }
 
--- a/crates/celeryshed_peering/src/recency.rs
+++ b/crates/celeryshed_peering/src/recency.rs
@@ -66,6 +66,17 @@
         Unknown,
     }
 
+    /// What the age of a record is derived from, for logs.
+    #[derive(Copy)]
+    pub(crate) struct ReadEvidence {
+        /// Time since the latest answered read that proves the records complete was sent.
+        pub(crate) verified_before: Option<Duration>,
+        /// Time for which records may have been written that haven't been processed.
+        pub(crate) complete_before: Option<Duration>,
+        /// Time since the process last went on after a pause, or since its start.
+        pub(crate) running_for: Duration,
+    }
+
     /// The age of a record at some time.
     #[derive(Copy)]
     pub(crate) struct AgeReading {
@@ -88,9 +99,11 @@
         }
     }
 
-    /// Records that the process runs.
-    pub(crate) fn record_tick(&mut self, now: MonoTime) {
-        if now - self.ticked_at > MAX_TICK_GAP {
+    /// Records that the process runs. Returns the length of the pause that has just ended, if any.
+    pub(crate) fn record_tick(&mut self, now: MonoTime) -> Option<Duration> {
+        let gap = now - self.ticked_at;
+        let pause = (gap > MAX_TICK_GAP).then_some(gap);
+        if pause.is_some() {
             self.resumed_at = now;
             self.reachable_until = None;
         }
@@ -99,6 +112,7 @@
             self.complete_until = self.complete_until.max(Some(self.ticked_at));
         }
         self.ticked_at = now;
+        pause
     }
 
     /// Records an answer of the store to a read that was sent at `sent_at`.
@@ -136,6 +150,15 @@
         self.outage = Some(StoreOutage { unnoticed, last_failure_at: now });
     }
 
+    /// What [`Self::record_age`] is derived from.
+    pub(crate) fn evidence(&self, now: MonoTime) -> ReadEvidence {
+        ReadEvidence {
+            verified_before: self.verified_until.map(|until| now - until),
+            complete_before: self.complete_until.map(|until| now - until),
+            running_for: now - self.resumed_at,
+        }
+    }
+
     /// Age of a record that has just been read.
     pub(crate) fn record_age(&self, now: MonoTime) -> RecordAge {
         if let Some(outage) = self.outage {
--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -349,7 +349,9 @@
             let input = tokio::select! {
                 input = inputs.recv() => input,
                 _ = ticks.tick(), if self.settings.scope == ControlScope::Everything => {
-                    self.recency.record_tick(self.clock.now());
+                    if let Some(pause) = self.recency.record_tick(self.clock.now()) {
+                        EventLine::new("process_resumed").field("pause", format_args!("{pause:?}")).info();
+                    }
                     continue;
                 }
             };
@@ -536,14 +538,18 @@
                     return;
                 }
                 let age = source.record_age(record, initial);
-                let reading = AgeReading::new(self.clock.now(), age);
-                self.version_ages.insert(record.key.clone(), reading);
+                let now = self.clock.now();
+                self.version_ages.insert(record.key.clone(), AgeReading::new(now, age));
+                let evidence = self.recency.evidence(now);
                 EventLine::new("version_declared")
                     .field("model", &model)
                     .field("version", version)
                     .field("position", record.position)
                     .field("age", format_args!("{age:?}"))
                     .field("source", source.name())
+                    .field("verified_before", format_args!("{:?}", evidence.verified_before))
+                    .field("complete_before", format_args!("{:?}", evidence.complete_before))
+                    .field("running_for", format_args!("{:?}", evidence.running_for))
                     .info();
                 self.emit(ControlEvent::ModelVersion { model, version, initial, age });
             }
