Add a failing test of a version that counts as new after a pause

The store answers the poll for operators' records during the pause, and the process handles that answer 50 ms after it has read the list of endpoints. On this code the age is Known(50 ms) instead of 1.47 s or more.

--- a/crates/celeryshed_peering/tests/version_age.rs
+++ b/crates/celeryshed_peering/tests/version_age.rs
@@ -32,6 +32,8 @@
     written: Mutex<Vec<ControlRecord>>,
     changed: Notify,
     unreachable: Mutex<bool>,
+    /// Time between the arrival of the answer to a poll and its processing.
+    unread_time: Mutex<Duration>,
 }
 
 impl PushStore {
@@ -84,7 +86,14 @@
             let _ = timeout(wait, changed).await;
         }
         self.check()?;
-        Ok(ReadOutcome::Records(self.batch(stream, from)))
+        let batch = self.batch(stream, from);
+        if stream == ControlStream::Operator {
+            let unread_time = *self.unread_time.lock().unwrap();
+            if !unread_time.is_zero() {
+                sleep(unread_time).await;
+            }
+        }
+        Ok(ReadOutcome::Records(batch))
     }
 }
 
@@ -207,6 +216,22 @@
     assert!(age >= pause && age < pause + LIST_INTERVAL, "{age:?}");
 }
 
+/// Guards against an answer to a read of the list that counts as proof for operators' records: the
+/// answer to their poll arrived during the pause and was processed after that of the list.
+#[tokio::test(start_paused = true)]
+async fn list_read_after_a_pause_makes_version_of_the_pause_new() {
+    let store = Arc::new(PushStore::default());
+    let (_control, mut events) = start_entry(&store).await;
+    *store.unread_time.lock().unwrap() = Duration::from_millis(50);
+    store.declare(2);
+    let pause = Duration::from_millis(1470);
+    advance(pause).await;
+    let (version, age) = next_version(&mut events).await;
+    assert_eq!(version, 2);
+    let RecordAge::AtMost(age) = age else { panic!("{age:?}") };
+    assert!(age >= pause && age < pause + LIST_INTERVAL * 2, "{age:?}");
+}
+
 /// Guards against a sidecar that counts the age of a version from the time at which an entry sends
 /// the record, and so loads it after the entries have stopped using the older one.
 #[tokio::test]
