Take no read of the list as proof for operators' records after a pause

Cause: ReadRecency took the answer to a read of the list of endpoints that was sent after the pause as proof that the operators' records were complete up to then. The answer to the poll for those had arrived during the pause and was still unread, so the version counted as known to be 11 ms old, and the known age replaced the limits of entries that had read it first.

Change: only answered reads of the operators' records prove them complete. Those of the list show that the store can be reached, and after a pause not before a read of the operators' records that was sent since is answered. The reader cancels the poll at the end of a pause and reads at once.

Evidence: version_declared logged Known(11 ms), verified_before=11 ms, running_for=11 ms; now AtMost(1.64 s), verified_before=11.5 s. The test list_read_after_a_pause_makes_version_of_the_pause_new failed with Known(50 ms) and passes.

--- a/crates/celeryshed_peering/src/recency.rs
+++ b/crates/celeryshed_peering/src/recency.rs
@@ -26,14 +26,19 @@
 common_derives! { value:
     /// Time up to which every operator record has been read.
     ///
-    /// The long poll for new records proves nothing while it is unanswered. Answers to reads of the
-    /// list of endpoints, which are sent at intervals on another connection, make it likely that the
-    /// store could have answered it.
+    /// Only answers to reads of the operators' records prove that. While the long poll for new ones
+    /// is unanswered, the process has to run to receive the answer, and answers to reads of the list of
+    /// endpoints, which are sent at intervals on another connection, show that the store can be
+    /// reached. After a pause, an answer that arrived meanwhile may be unread, so the list shows
+    /// nothing until a read of the operators' records that was sent since has been answered.
     pub(crate) struct ReadRecency {
         /// Interval at which the store is read.
         interval: Duration,
-        /// When the latest answered read was sent that would have returned all earlier records.
+        /// When the latest answered read of the operators' records was sent.
         verified_until: Option<MonoTime>,
+        /// When the latest answered read of either stream was sent that shows that the poll could
+        /// have been answered.
+        reached_at: Option<MonoTime>,
         /// Time up to which the poll would have returned new records; later than `verified_until`
         /// while the process runs and reads are answered.
         complete_until: Option<MonoTime>,
@@ -91,6 +96,7 @@
         Self {
             interval,
             verified_until: None,
+            reached_at: None,
             complete_until: None,
             reachable_until: None,
             outage: None,
@@ -123,28 +129,34 @@
         sent_at: MonoTime,
     ) {
         match stream {
-            ControlStream::Operator => self.outage = None,
-            // No poll for operators' records is pending.
-            ControlStream::Endpoints if self.verified_until.is_none() || self.outage.is_some() => {
-                return;
+            ControlStream::Operator => {
+                self.outage = None;
+                self.verified_until = self.verified_until.max(Some(sent_at));
+                self.complete_until = self.complete_until.max(self.verified_until);
             }
+            // No poll for operators' records is pending, or its answer may be unread.
+            ControlStream::Endpoints if self.outage.is_some() || !self.is_verified() => return,
             ControlStream::Endpoints => {}
         }
-        self.verified_until = self.verified_until.max(Some(sent_at));
-        self.complete_until = self.complete_until.max(self.verified_until);
         if sent_at >= self.resumed_at {
+            self.reached_at = self.reached_at.max(Some(sent_at));
             self.reachable_until = Some(now + self.interval + ANSWER_SLACK);
         }
     }
 
+    /// Whether a read of the operators' records that was sent after the latest pause was answered.
+    fn is_verified(&self) -> bool {
+        self.verified_until.is_some_and(|until| until >= self.resumed_at)
+    }
+
     /// Records that the store did not answer. It may have been out of reach since the latest read
     /// that it answered was sent.
     pub(crate) fn record_failure(&mut self, now: MonoTime) {
         self.reachable_until = None;
-        self.complete_until = self.verified_until;
-        let unnoticed = match (self.outage, self.verified_until) {
+        self.complete_until = self.complete_until.min(self.reached_at).max(self.verified_until);
+        let unnoticed = match (self.outage, self.complete_until) {
             (Some(outage), _) => outage.unnoticed,
-            (None, Some(verified)) => now - verified,
+            (None, Some(complete)) => now - complete,
             (None, None) => return,
         };
         self.outage = Some(StoreOutage { unnoticed, last_failure_at: now });
--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -193,7 +193,7 @@
     let (inputs, received) = mpsc::unbounded_channel();
     let (events, event_stream) = mpsc::unbounded_channel();
     let (position, position_watch) = watch::channel(ControlPosition::default());
-    let list_failed = Arc::new(Notify::new());
+    let poll_doubt = Arc::new(PollDoubt::default());
     let (era, _) = watch::channel(StoreEra::default());
     for stream in [ControlStream::Operator, ControlStream::Endpoints] {
         let reader = StoreReader {
@@ -203,7 +203,7 @@
             inputs: inputs.clone(),
             position: position_watch.clone(),
             clock,
-            list_failed: list_failed.clone(),
+            poll_doubt: poll_doubt.clone(),
             era: era.clone(),
         };
         let (name, class) = match (stream, settings.scope) {
@@ -240,6 +240,7 @@
         clock,
         recency: ReadRecency::new(clock.now(), settings.endpoints_interval),
         version_ages: BTreeMap::new(),
+        poll_doubt,
         renewals: RegistrationRenewals::new(settings.renewal_interval),
         seen: SeenRegistrations::new(&settings),
         unusable_endpoints: BTreeSet::new(),
@@ -335,6 +336,7 @@
     recency: ReadRecency,
     /// Ages of declared versions by the record's key.
     version_ages: BTreeMap<String, AgeReading>,
+    poll_doubt: Arc<PollDoubt>,
     renewals: RegistrationRenewals,
     seen: SeenRegistrations,
     /// Keys of the unusable registrations that were logged.
@@ -350,6 +352,7 @@
                 input = inputs.recv() => input,
                 _ = ticks.tick(), if self.settings.scope == ControlScope::Everything => {
                     if let Some(pause) = self.recency.record_tick(self.clock.now()) {
+                        self.poll_doubt.process_resumed.notify_one();
                         EventLine::new("process_resumed").field("pause", format_args!("{pause:?}")).info();
                     }
                     continue;
@@ -841,6 +844,15 @@
     }
 }
 
+/// Events after which the pending read of the operators' records is cancelled and sent again.
+#[derive(Debug, Default)]
+struct PollDoubt {
+    /// A read of the list of endpoints failed; the pending read may wait on a dead connection.
+    list_failed: Notify,
+    /// The process was paused; the answer to the pending read may have arrived meanwhile.
+    process_resumed: Notify,
+}
+
 /// Reads one stream of the store: with [`ControlScope::Everything`] until the process ends, with
 /// [`ControlScope::Weights`] until the first success.
 struct StoreReader<S> {
@@ -850,9 +862,7 @@
     inputs: mpsc::UnboundedSender<ControlInput>,
     position: watch::Receiver<ControlPosition>,
     clock: ClockSource,
-    /// Notified when a read of the list of endpoints fails. The pending read of the operators'
-    /// records may then wait on a dead connection, so it is cancelled and sent again.
-    list_failed: Arc<Notify>,
+    poll_doubt: Arc<PollDoubt>,
     /// The latest era in an answer to either reader.
     era: watch::Sender<StoreEra>,
 }
@@ -883,13 +893,19 @@
                     let read = self.store.read(self.stream, from, wait);
                     tokio::select! {
                         outcome = read => outcome,
-                        () = self.list_failed.notified(),
+                        () = self.poll_doubt.list_failed.notified(),
                             if self.stream == ControlStream::Operator =>
                         {
                             is_verifying = true;
                             sleep(STORE_RETRY_PAUSE).await;
                             continue;
                         }
+                        () = self.poll_doubt.process_resumed.notified(),
+                            if self.stream == ControlStream::Operator =>
+                        {
+                            is_verifying = true;
+                            continue;
+                        }
                         // A poll that was sent to the store of before may never be answered.
                         () = wait_for_era_after(&mut latest_era, from.era()) => {
                             position = None;
@@ -940,7 +956,7 @@
                 }
                 Err(error) => {
                     if stream == ControlStream::Endpoints {
-                        self.list_failed.notify_one();
+                        self.poll_doubt.list_failed.notify_one();
                     }
                     ControlInput::StoreFailed { stream, error, sent_at }
                 }
