Count the time of an answer's transit in the age of a record

Callers would see VERSION: while the store or the way to it is slow, a version counted as up to 200 ms old, however long the answer with its record was under way, and requests began on the older version that much too late.

Cause: the pending poll counted as complete up to the tick before the last. That holds only if an answer takes less than a tick to arrive and be handled.

Change: the poll counts as complete up to that tick less the time that the latest read of the list took, from its sending to its handling.

Evidence: transit_of_the_answer_is_missing_in_the_age, with answers that take 320 ms, failed with an age of 120 ms and passes.

--- a/crates/celeryshed_peering/src/recency.rs
+++ b/crates/celeryshed_peering/src/recency.rs
@@ -39,6 +39,9 @@
         /// When the latest answered read of either stream was sent that shows that the poll could
         /// have been answered.
         reached_at: Option<MonoTime>,
+        /// Time that the latest read of the list of endpoints took. The poll's answer may be under way,
+        /// or wait to be processed, for as long.
+        list_read_time: Duration,
         /// Time up to which the poll would have returned new records; later than `verified_until`
         /// while the process runs and reads are answered.
         complete_until: Option<MonoTime>,
@@ -97,6 +100,7 @@
             interval,
             verified_until: None,
             reached_at: None,
+            list_read_time: Duration::ZERO,
             complete_until: None,
             reachable_until: None,
             outage: None,
@@ -115,7 +119,8 @@
         }
         if self.reachable_until.is_some_and(|until| now <= until) {
             // Records that arrived since the last tick may not be processed yet.
-            self.complete_until = self.complete_until.max(Some(self.ticked_at));
+            let until = self.ticked_at - self.list_read_time;
+            self.complete_until = self.complete_until.max(Some(until));
         }
         self.ticked_at = now;
         pause
@@ -136,7 +141,7 @@
             }
             // No poll for operators' records is pending, or its answer may be unread.
             ControlStream::Endpoints if self.outage.is_some() || !self.is_verified() => return,
-            ControlStream::Endpoints => {}
+            ControlStream::Endpoints => self.list_read_time = now - sent_at,
         }
         if sent_at >= self.resumed_at {
             self.reached_at = self.reached_at.max(Some(sent_at));
--- a/crates/celeryshed_peering/tests/version_age.rs
+++ b/crates/celeryshed_peering/tests/version_age.rs
@@ -34,6 +34,8 @@
     unreachable: Mutex<bool>,
     /// Time between the arrival of the answer to a poll and its processing.
     unread_time: Mutex<Duration>,
+    /// Time that each answer takes from the store to the process.
+    transit_time: Mutex<Duration>,
 }
 
 impl PushStore {
@@ -87,6 +89,10 @@
         }
         self.check()?;
         let batch = self.batch(stream, from);
+        let transit_time = *self.transit_time.lock().unwrap();
+        if !transit_time.is_zero() {
+            sleep(transit_time).await;
+        }
         if stream == ControlStream::Operator {
             let unread_time = *self.unread_time.lock().unwrap();
             if !unread_time.is_zero() {
@@ -232,6 +238,21 @@
     assert!(age >= pause && age < pause + LIST_INTERVAL * 2, "{age:?}");
 }
 
+/// Guards against an age that leaves out how long answers are under way from a slow store.
+#[tokio::test(start_paused = true)]
+async fn transit_of_the_answer_is_missing_in_the_age() {
+    let store = Arc::new(PushStore::default());
+    let (_control, mut events) = start_entry(&store).await;
+    let transit = Duration::from_millis(320);
+    *store.transit_time.lock().unwrap() = transit;
+    sleep(LIST_INTERVAL * 3).await;
+    store.declare(2);
+    let (version, age) = next_version(&mut events).await;
+    assert_eq!(version, 2);
+    let age = age.limit().expect("the store was read before");
+    assert!(age >= transit && age < transit * 2 + LIST_INTERVAL, "{age:?}");
+}
+
 /// Guards against a sidecar that counts the age of a version from the time at which an entry sends
 /// the record, and so loads it after the entries have stopped using the older one.
 #[tokio::test]
