Count the age of a version from its reading, not from the event's handling

Callers would see VERSION: if the process is paused or busy between the reading of a declaration and the handling of its event in the dispatcher or the sidecar's view, the version is due that much too late.

Cause: the event held the age at the time of the reading, and its receiver applied it at its own time.

Change: the event holds an AgeReading, whose age grows until it is used.

--- a/crates/celeryshed_gateway/src/dispatcher_task.rs
+++ b/crates/celeryshed_gateway/src/dispatcher_task.rs
@@ -613,6 +613,7 @@
                 self.snapshot.send_replace(Some(snapshot));
             }
             ControlEvent::ModelVersion { model, version, age, .. } => {
+                let age = age.age();
                 let known = match age {
                     RecordAge::Known(age) => Some(age),
                     RecordAge::AtMost(_) | RecordAge::Unknown => None,
--- a/crates/celeryshed_peering/src/lib.rs
+++ b/crates/celeryshed_peering/src/lib.rs
@@ -30,7 +30,7 @@
     CrashReport, EndpointCrash, EntryHeartbeat, EntryStatus, KeyedLoad, PeerMessage,
     PieceInventory, RequestCrashes, SidecarStatus, SuspectPart, VersionAge,
 };
-pub use recency::RecordAge;
+pub use recency::{AgeReading, RecordAge};
 pub use record::{ControlBatch, ControlRecord, ControlStream, OperatorRecord};
 pub use services::ServiceCatalog;
 pub use socket::PeerSocket;
--- a/crates/celeryshed_peering/src/recency.rs
+++ b/crates/celeryshed_peering/src/recency.rs
@@ -9,7 +9,7 @@
 
 use std::time::Duration;
 
-use celeryshed_base::{MonoTime, common_derives};
+use celeryshed_base::{ClockSource, MonoTime, common_derives};
 
 use crate::record::ControlStream;
 
@@ -85,12 +85,14 @@
         pub(crate) running_for: Duration,
     }
 
-    /// The age of a record at some time.
-    #[derive(Copy)]
-    pub(crate) struct AgeReading {
-        age: RecordAge,
-        at: MonoTime,
-    }
+}
+
+/// The age of a record, counted on from the time at which the record was read.
+#[derive(Clone, Copy, Debug)]
+pub struct AgeReading {
+    age: RecordAge,
+    read_at: MonoTime,
+    clock: ClockSource,
 }
 
 impl ReadRecency {
@@ -226,12 +228,25 @@
 }
 
 impl AgeReading {
-    pub(crate) fn new(now: MonoTime, age: RecordAge) -> Self {
-        Self { age, at: now }
+    /// The age of a record that is read now.
+    ///
+    /// ```
+    /// use celeryshed_base::ClockSource;
+    /// use celeryshed_peering::{AgeReading, RecordAge};
+    /// use std::time::Duration;
+    /// let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap();
+    /// runtime.block_on(async {
+    ///     let second = Duration::from_secs(1);
+    ///     let reading = AgeReading::new(ClockSource::start(), RecordAge::Known(second));
+    ///     assert!(reading.age().limit().unwrap() >= second);
+    /// });
+    /// ```
+    pub fn new(clock: ClockSource, age: RecordAge) -> Self {
+        Self { age, read_at: clock.now(), clock }
     }
 
-    /// The age at a later time.
-    pub(crate) fn age_at(self, now: MonoTime) -> RecordAge {
-        self.age.after(now - self.at)
+    /// The age of the record now.
+    pub fn age(&self) -> RecordAge {
+        self.age.after(self.clock.now() - self.read_at)
     }
 }
--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -58,35 +58,36 @@
         /// Time between two renewals of an endpoint's registration; `None` if it isn't known.
         pub renewal_interval: Option<Duration>,
     }
+}
 
-    /// A new control record, or the result of a call to the store.
-    pub enum ControlEvent {
-        /// A configuration with a higher revision than the previous one.
-        Configuration(Arc<RoutingSnapshot>),
-        /// A version of a model was declared.
-        ModelVersion {
-            /// Name of the model.
-            model: String,
-            /// The declared version.
-            version: u64,
-            /// Whether the record was among the first ones that the process read, in which case the
-            /// version may have been declared long ago.
-            initial: bool,
-            /// Time since the declaration.
-            age: RecordAge,
-        },
-        /// An endpoint was added to the list, changed or removed.
-        Endpoint(DirectoryRecord),
-        /// A call to the store failed.
-        StoreFailed,
-        /// A call to the store succeeded.
-        StoreAnswered,
-        /// Endpoints renewed their registrations while calls to the store failed: the store was
-        /// available to them, and those whose removal the preceding events tell have left.
-        RegistrationsRenewed,
-        /// The store was restored from a copy, which may lack records that were read before.
-        StoreRestored,
-    }
+/// A new control record, or the result of a call to the store.
+#[derive(Clone, Debug)]
+pub enum ControlEvent {
+    /// A configuration with a higher revision than the previous one.
+    Configuration(Arc<RoutingSnapshot>),
+    /// A version of a model was declared.
+    ModelVersion {
+        /// Name of the model.
+        model: String,
+        /// The declared version.
+        version: u64,
+        /// Whether the record was among the first ones that the process read, in which case the
+        /// version may have been declared long ago.
+        initial: bool,
+        /// Time since the declaration.
+        age: AgeReading,
+    },
+    /// An endpoint was added to the list, changed or removed.
+    Endpoint(DirectoryRecord),
+    /// A call to the store failed.
+    StoreFailed,
+    /// A call to the store succeeded.
+    StoreAnswered,
+    /// Endpoints renewed their registrations while calls to the store failed: the store was
+    /// available to them, and those whose removal the preceding events tell have left.
+    RegistrationsRenewed,
+    /// The store was restored from a copy, which may lack records that were read before.
+    StoreRestored,
 }
 
 /// The position that a peer told.
@@ -446,9 +447,8 @@
         if !query.with_ages {
             return reply;
         }
-        let now = self.clock.now();
         let ages = self.version_ages.iter();
-        reply.with_version_ages(ages.map(|(key, reading)| (key.clone(), reading.age_at(now))))
+        reply.with_version_ages(ages.map(|(key, reading)| (key.clone(), reading.age())))
     }
 
     fn merge(&mut self, stream: ControlStream, batch: ControlBatch, source: &RecordSource) {
@@ -541,9 +541,9 @@
                     return;
                 }
                 let age = source.record_age(record, initial);
-                let now = self.clock.now();
-                self.version_ages.insert(record.key.clone(), AgeReading::new(now, age));
-                let evidence = self.recency.evidence(now);
+                let reading = AgeReading::new(self.clock, age);
+                self.version_ages.insert(record.key.clone(), reading);
+                let evidence = self.recency.evidence(self.clock.now());
                 EventLine::new("version_declared")
                     .field("model", &model)
                     .field("version", version)
@@ -554,7 +554,7 @@
                     .field("complete_before", format_args!("{:?}", evidence.complete_before))
                     .field("running_for", format_args!("{:?}", evidence.running_for))
                     .info();
-                self.emit(ControlEvent::ModelVersion { model, version, initial, age });
+                self.emit(ControlEvent::ModelVersion { model, version, initial, age: reading });
             }
             Ok(OperatorRecord::Other) => {}
             Err(error) => {
--- a/crates/celeryshed_peering/tests/restored_store.rs
+++ b/crates/celeryshed_peering/tests/restored_store.rs
@@ -179,7 +179,7 @@
             match event {
                 ControlEvent::Configuration(snapshot) => self.revisions.push(snapshot.revision.0),
                 ControlEvent::ModelVersion { model, version, age, .. } => {
-                    self.versions.push((model, version, age));
+                    self.versions.push((model, version, age.age()));
                 }
                 ControlEvent::Endpoint(record) => {
                     self.addresses.extend(record.endpoint.map(|endpoint| endpoint.address));
--- a/crates/celeryshed_peering/tests/version_age.rs
+++ b/crates/celeryshed_peering/tests/version_age.rs
@@ -146,7 +146,7 @@
     loop {
         let event = timeout(Duration::from_secs(20), events.recv()).await.unwrap().unwrap();
         if let ControlEvent::ModelVersion { version, age, .. } = event {
-            return (version, age);
+            return (version, age.age());
         }
     }
 }
@@ -238,6 +238,20 @@
     assert!(age >= pause && age < pause + LIST_INTERVAL * 2, "{age:?}");
 }
 
+/// Guards against an age that is counted from the handling of the event and not from its reading.
+#[tokio::test(start_paused = true)]
+async fn time_until_the_event_is_handled_is_missing_in_the_age() {
+    let store = Arc::new(PushStore::default());
+    let (_control, mut events) = start_entry(&store).await;
+    store.declare(2);
+    let delay = Duration::from_millis(1500);
+    sleep(delay).await;
+    let (version, age) = next_version(&mut events).await;
+    assert_eq!(version, 2);
+    let age = age.limit().expect("the store was read before");
+    assert!(age >= delay && age < delay + LIST_INTERVAL, "{age:?}");
+}
+
 /// Guards against an age that leaves out how long answers are under way from a slow store.
 #[tokio::test(start_paused = true)]
 async fn transit_of_the_answer_is_missing_in_the_age() {
--- a/crates/celeryshed_stager/src/view.rs
+++ b/crates/celeryshed_stager/src/view.rs
@@ -201,6 +201,7 @@
             view.snapshot = Some(snapshot);
         }
         ControlEvent::ModelVersion { model, version, initial, age } => {
+            let age = age.age();
             let limit = match age {
                 // Its sender was started after the declaration, as other entries may have been, to
                 // which the version is due this long after their start.
