Don't count a poll as unanswered while its answer arrives

Callers would see VERSION: a declaration whose answer takes long to arrive, for instance behind a large configuration on a narrow link, counted as up to 200 ms old, since reads of the list were answered meanwhile.

Cause: the control task took the poll as pending from its own ticks, as long as the whole answer hadn't reached it, and also before the store could have answered a poll that had just been sent.

Change: the reader of the operators' records, which waits for the answer, tells the control task when the poll was last seen pending with no part of its answer there (ReadProgress, from the head of the response). A poll proves nothing before the time that an answer takes. A pause is noticed before any input is handled, whichever task goes on first.

Evidence: arrival_of_a_large_answer_is_missing_in_the_age, with an answer that arrives for 1.2 s, failed with 200 ms and passes.

--- a/crates/celeryshed_http/src/client.rs
+++ b/crates/celeryshed_http/src/client.rs
@@ -75,11 +75,15 @@
 }
 
 /// A request of an [`HttpClient`], which may be sent twice.
-struct PreparedCall<'c> {
+struct PreparedCall<'c, M, H> {
     method: Method,
     target: &'c str,
     body: Bytes,
     limits: CallLimits,
+    /// Called directly before each sending.
+    may_send: M,
+    /// Called when the head of the response has arrived.
+    on_head: H,
 }
 
 /// A client of one address that reuses its connection and opens a new one after a failure.
@@ -131,15 +135,35 @@
         may_send: impl Fn() -> bool,
     ) -> Result<HttpResponse> {
         let limits = limits.into();
+        let on_head = || ();
+        self.run(PreparedCall { method, target, body, limits, may_send, on_head }).await
+    }
+
+    /// Like [`HttpClient::call`], and calls `on_head` when the head of the response has arrived.
+    pub async fn call_observed(
+        &self,
+        method: Method,
+        target: &str,
+        body: Bytes,
+        limits: impl Into<CallLimits>,
+        on_head: impl Fn(),
+    ) -> Result<HttpResponse> {
+        let limits = limits.into();
+        let may_send = || true;
+        self.run(PreparedCall { method, target, body, limits, may_send, on_head }).await
+    }
+
+    async fn run<M: Fn() -> bool, H: Fn()>(
+        &self,
+        call: PreparedCall<'_, M, H>,
+    ) -> Result<HttpResponse> {
+        let limits = call.limits;
         let reused = self.idle_connection.lock().await.take();
         let was_reused = reused.is_some();
         let exchange = async {
-            let call = PreparedCall { method, target, body, limits };
-            let first = self.exchange(reused, &call, &may_send).await;
+            let first = self.exchange(reused, &call).await;
             match first {
-                Err(HttpError::Exchange { .. }) if was_reused => {
-                    self.exchange(None, &call, &may_send).await
-                }
+                Err(HttpError::Exchange { .. }) if was_reused => self.exchange(None, &call).await,
                 outcome => outcome,
             }
         };
@@ -149,13 +173,12 @@
         Ok(reply)
     }
 
-    async fn exchange(
+    async fn exchange<M: Fn() -> bool, H: Fn()>(
         &self,
         reused: Option<HttpConnection>,
-        call: &PreparedCall<'_>,
-        may_send: &impl Fn() -> bool,
+        call: &PreparedCall<'_, M, H>,
     ) -> Result<(HttpConnection, HttpResponse)> {
-        let PreparedCall { method, target, body, limits } = call;
+        let PreparedCall { method, target, body, limits, may_send, on_head } = call;
         let mut connection = match reused.filter(HttpConnection::is_open) {
             Some(connection) => connection,
             _ => HttpConnection::connect(&self.address, limits.connect).await?,
@@ -177,6 +200,7 @@
         }
         let response =
             timeout(limits.head, connection.send(request)).await.map_err(head_timed_out)??;
+        on_head();
         let (head, body) = response.into_parts();
         let mut body = Limited::new(body, limits.max_body_bytes);
         let mut bytes = BytesMut::new();
--- a/crates/celeryshed_peering/src/lib.rs
+++ b/crates/celeryshed_peering/src/lib.rs
@@ -34,5 +34,5 @@
 pub use record::{ControlBatch, ControlRecord, ControlStream, OperatorRecord};
 pub use services::ServiceCatalog;
 pub use socket::PeerSocket;
-pub use store::{ControlStore, DecodeError, ReadOutcome, RecordDecoder, StoreError};
+pub use store::{ControlStore, DecodeError, ReadOutcome, ReadProgress, RecordDecoder, StoreError};
 pub use task::{ControlEvent, ControlHandle, ControlSettings, start_control};
--- a/crates/celeryshed_peering/src/recency.rs
+++ b/crates/celeryshed_peering/src/recency.rs
@@ -13,7 +13,7 @@
 
 use crate::record::ControlStream;
 
-/// Interval of calls to [`ReadRecency::record_tick`].
+/// Interval of calls to [`ReadRecency::record_tick`] and [`ReadRecency::record_pending`].
 pub(crate) const RECENCY_TICK: Duration = Duration::from_millis(100);
 /// Time between two ticks above which the process counts as paused in between.
 const MAX_TICK_GAP: Duration = Duration::from_millis(300);
@@ -50,6 +50,8 @@
         /// The failures since the operators' records were last read; none if no read failed.
         outage: Option<StoreOutage>,
         ticked_at: MonoTime,
+        /// When the poll for operators' records was last seen pending.
+        pending_at: MonoTime,
         /// When the process last went on after a pause. Answers to earlier reads may have arrived
         /// long before.
         resumed_at: MonoTime,
@@ -107,6 +109,7 @@
             reachable_until: None,
             outage: None,
             ticked_at: now,
+            pending_at: now,
             resumed_at: now,
         }
     }
@@ -119,15 +122,27 @@
             self.resumed_at = now;
             self.reachable_until = None;
         }
-        if self.reachable_until.is_some_and(|until| now <= until) {
-            // Records that arrived since the last tick may not be processed yet.
-            let until = self.ticked_at - self.list_read_time;
-            self.complete_until = self.complete_until.max(Some(until));
-        }
         self.ticked_at = now;
         pause
     }
 
+    /// Records that the poll for operators' records that was sent at `sent_at` was pending at
+    /// `pending_at`, and that no part of its answer had arrived.
+    pub(crate) fn record_pending(
+        &mut self,
+        now: MonoTime,
+        sent_at: MonoTime,
+        pending_at: MonoTime,
+    ) {
+        // What arrived since the last time may not be processed yet.
+        let until = self.pending_at - self.list_read_time;
+        self.pending_at = pending_at;
+        // The store may be about to answer with records from before the poll.
+        if until >= sent_at && self.reachable_until.is_some_and(|reachable| now <= reachable) {
+            self.complete_until = self.complete_until.max(Some(until));
+        }
+    }
+
     /// Records an answer of the store to a read that was sent at `sent_at`.
     pub(crate) fn record_answer(
         &mut self,
--- a/crates/celeryshed_peering/src/store.rs
+++ b/crates/celeryshed_peering/src/store.rs
@@ -1,5 +1,6 @@
 //! Traits that a platform adapter implements, and their errors.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use celeryshed_base::LogPosition;
@@ -51,6 +52,31 @@
     Restored,
 }
 
+/// Shows whether the answer to a read of the store has begun to arrive.
+///
+/// ```
+/// let progress = celeryshed_peering::ReadProgress::default();
+/// assert!(!progress.has_begun());
+/// progress.record_begin();
+/// assert!(progress.has_begun());
+/// ```
+#[derive(Debug, Default)]
+pub struct ReadProgress {
+    has_begun: AtomicBool,
+}
+
+impl ReadProgress {
+    /// Records that the first bytes of the answer have arrived.
+    pub fn record_begin(&self) {
+        self.has_begun.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the first bytes of the answer have arrived.
+    pub fn has_begun(&self) -> bool {
+        self.has_begun.load(Ordering::Relaxed)
+    }
+}
+
 /// Access to the platform's store.
 pub trait ControlStore: Send + Sync + 'static {
     /// Reads the newest record of every key of a stream.
@@ -66,6 +92,18 @@
         from: LogPosition,
         wait: Duration,
     ) -> impl Future<Output = Result<ReadOutcome, StoreError>> + Send;
+
+    /// Like [`Self::read`], and records in `progress` when the answer begins to arrive. The default
+    /// suits stores whose answers arrive as a whole.
+    fn read_observed(
+        &self,
+        stream: ControlStream,
+        from: LogPosition,
+        wait: Duration,
+        _progress: &ReadProgress,
+    ) -> impl Future<Output = Result<ReadOutcome, StoreError>> + Send {
+        self.read(stream, from, wait)
+    }
 }
 
 /// Decodes and checks the values of the platform's records.
--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -3,6 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -25,7 +26,9 @@
 use crate::renewals::RegistrationRenewals;
 use crate::restored::{EndpointAdvance, RepeatedRegistration, SeenRegistrations};
 use crate::services::ServiceCatalog;
-use crate::store::{ControlStore, DecodeError, ReadOutcome, RecordDecoder, StoreError};
+use crate::store::{
+    ControlStore, DecodeError, ReadOutcome, ReadProgress, RecordDecoder, StoreError,
+};
 
 /// Time that the store may wait for a new operator record before it replies to a read.
 const OPERATOR_POLL_WAIT: Duration = Duration::from_secs(10);
@@ -105,6 +108,13 @@
         /// When the read was sent.
         sent_at: MonoTime,
     },
+    /// The poll for operators' records is pending, and no part of its answer has arrived.
+    PollPending {
+        /// When the poll was sent.
+        sent_at: MonoTime,
+        /// When it was seen pending.
+        pending_at: MonoTime,
+    },
     PeerReply {
         reply: ControlReply,
         /// When the query was sent.
@@ -348,19 +358,22 @@
     async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<ControlInput>) {
         let mut ticks = interval(RECENCY_TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let keeps_reading = self.settings.scope == ControlScope::Everything;
         loop {
             let input = tokio::select! {
-                input = inputs.recv() => input,
-                _ = ticks.tick(), if self.settings.scope == ControlScope::Everything => {
-                    if let Some(pause) = self.recency.record_tick(self.clock.now()) {
-                        self.poll_doubt.process_resumed.notify_one();
-                        EventLine::new("process_resumed").field("pause", format_args!("{pause:?}")).info();
-                    }
-                    continue;
-                }
+                input = inputs.recv() => Some(input),
+                _ = ticks.tick(), if keeps_reading => None,
             };
+            // A pause has to be known before what happened since is handled.
+            if keeps_reading {
+                self.note_running();
+            }
+            let Some(input) = input else { continue };
             let Some(input) = input else { return };
             match input {
+                ControlInput::PollPending { sent_at, pending_at } => {
+                    self.recency.record_pending(self.clock.now(), sent_at, pending_at);
+                }
                 ControlInput::Batch { stream, batch, sent_at } => {
                     self.store_answered();
                     let now = self.clock.now();
@@ -416,6 +429,14 @@
         }
     }
 
+    /// Records that the process runs, and has the pending poll sent again after a pause.
+    fn note_running(&mut self) {
+        if let Some(pause) = self.recency.record_tick(self.clock.now()) {
+            self.poll_doubt.process_resumed.notify_one();
+            EventLine::new("process_resumed").field("pause", format_args!("{pause:?}")).info();
+        }
+    }
+
     fn reply_to(&self, query: ControlQuery) -> ControlReply {
         if query.with_eras {
             return self.reply_by_era(query);
@@ -867,7 +888,55 @@
     era: watch::Sender<StoreEra>,
 }
 
+/// How a read of the store ended.
+enum ReadEnd {
+    Answered(Result<ReadOutcome, StoreError>),
+    /// The answer may be lost, or may have waited for long; the read is sent again after a pause.
+    Cancelled {
+        pause: Duration,
+    },
+    /// The store was restored since, so the read may never be answered.
+    Outdated,
+}
+
 impl<S: ControlStore> StoreReader<S> {
+    /// Reads the records from the position `from` on, and tells the control task as long as the poll
+    /// for operators' records is pending.
+    async fn read(
+        &self,
+        from: LogPosition,
+        wait: Duration,
+        sent_at: MonoTime,
+        latest_era: &mut watch::Receiver<StoreEra>,
+    ) -> ReadEnd {
+        let is_operator = self.stream == ControlStream::Operator;
+        let is_poll =
+            is_operator && self.settings.scope == ControlScope::Everything && !wait.is_zero();
+        let progress = ReadProgress::default();
+        let mut read = pin!(self.store.read_observed(self.stream, from, wait, &progress));
+        let mut ticks = interval(RECENCY_TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                // The answer goes first: it is pending only if nothing of it can be processed.
+                biased;
+                outcome = &mut read => return ReadEnd::Answered(outcome),
+                () = self.poll_doubt.list_failed.notified(), if is_operator => {
+                    return ReadEnd::Cancelled { pause: STORE_RETRY_PAUSE };
+                }
+                () = self.poll_doubt.process_resumed.notified(), if is_operator => {
+                    return ReadEnd::Cancelled { pause: Duration::ZERO };
+                }
+                () = wait_for_era_after(latest_era, from.era()) => return ReadEnd::Outdated,
+                _ = ticks.tick(), if is_poll && !progress.has_begun() => {
+                    let pending_at = self.clock.now();
+                    // The task ends only with the process.
+                    let _ = self.inputs.send(ControlInput::PollPending { sent_at, pending_at });
+                }
+            }
+        }
+    }
+
     async fn run(mut self) {
         let keeps_reading = self.settings.scope == ControlScope::Everything;
         if !keeps_reading && self.stream == ControlStream::Operator {
@@ -889,30 +958,18 @@
             let sent_at = self.clock.now();
             let outcome = match position {
                 None => self.store.newest(self.stream).await.map(ReadOutcome::Records),
-                Some(from) => {
-                    let read = self.store.read(self.stream, from, wait);
-                    tokio::select! {
-                        outcome = read => outcome,
-                        () = self.poll_doubt.list_failed.notified(),
-                            if self.stream == ControlStream::Operator =>
-                        {
-                            is_verifying = true;
-                            sleep(STORE_RETRY_PAUSE).await;
-                            continue;
-                        }
-                        () = self.poll_doubt.process_resumed.notified(),
-                            if self.stream == ControlStream::Operator =>
-                        {
-                            is_verifying = true;
-                            continue;
-                        }
-                        // A poll that was sent to the store of before may never be answered.
-                        () = wait_for_era_after(&mut latest_era, from.era()) => {
-                            position = None;
-                            continue;
-                        }
+                Some(from) => match self.read(from, wait, sent_at, &mut latest_era).await {
+                    ReadEnd::Answered(outcome) => outcome,
+                    ReadEnd::Cancelled { pause } => {
+                        is_verifying = true;
+                        sleep(pause).await;
+                        continue;
                     }
-                }
+                    ReadEnd::Outdated => {
+                        position = None;
+                        continue;
+                    }
+                },
             };
             let stream = self.stream;
             let input = match outcome {
--- a/crates/celeryshed_peering/tests/version_age.rs
+++ b/crates/celeryshed_peering/tests/version_age.rs
@@ -9,7 +9,7 @@
 use celeryshed_dispatch::ListedEndpoint;
 use celeryshed_peering::{
     ControlBatch, ControlEvent, ControlHandle, ControlRecord, ControlScope, ControlSettings,
-    ControlStore, ControlStream, DecodeError, OperatorRecord, ReadOutcome, RecordAge,
+    ControlStore, ControlStream, DecodeError, OperatorRecord, ReadOutcome, ReadProgress, RecordAge,
     RecordDecoder, StoreError, parse_control_query, start_control,
 };
 use celeryshed_process::TaskGroup;
@@ -80,6 +80,16 @@
         stream: ControlStream,
         from: LogPosition,
         wait: Duration,
+    ) -> Result<ReadOutcome, StoreError> {
+        self.read_observed(stream, from, wait, &ReadProgress::default()).await
+    }
+
+    async fn read_observed(
+        &self,
+        stream: ControlStream,
+        from: LogPosition,
+        wait: Duration,
+        progress: &ReadProgress,
     ) -> Result<ReadOutcome, StoreError> {
         self.check()?;
         let changed = self.changed.notified();
@@ -96,6 +106,7 @@
         if stream == ControlStream::Operator {
             let unread_time = *self.unread_time.lock().unwrap();
             if !unread_time.is_zero() {
+                progress.record_begin();
                 sleep(unread_time).await;
             }
         }
@@ -252,6 +263,24 @@
     assert!(age >= delay && age < delay + LIST_INTERVAL, "{age:?}");
 }
 
+/// Guards against a poll that counts as unanswered while its large answer is still arriving.
+#[tokio::test(start_paused = true)]
+async fn arrival_of_a_large_answer_is_missing_in_the_age() {
+    let store = Arc::new(PushStore::default());
+    let (_control, mut events) = start_entry(&store).await;
+    let arrival = Duration::from_millis(1200);
+    *store.unread_time.lock().unwrap() = arrival;
+    store.declare(2);
+    sleep(Duration::from_millis(200)).await;
+    store.declare(3);
+    for version in 2..4 {
+        let (read, age) = next_version(&mut events).await;
+        assert_eq!(read, version);
+        let age = age.limit().expect("the store was read before");
+        assert!(age >= arrival && age < arrival * 3, "{age:?}");
+    }
+}
+
 /// Guards against an age that leaves out how long answers are under way from a slow store.
 #[tokio::test(start_paused = true)]
 async fn transit_of_the_answer_is_missing_in_the_age() {
