Count suspensions during a fetch in the age of a fetched record

Cause: the time of a fetch was counted by the runtime's clock, which stands still in a suspension, and the control task had a clock of its own beside that of its role.

Change: fetches are timed by the role's ClockSource.

Evidence: suspension_during_a_fetch_is_missing_in_the_age, suspended for 5 s, failed with 53 ms and passes.

--- a/crates/celeryshed_gateway/src/process.rs
+++ b/crates/celeryshed_gateway/src/process.rs
@@ -9,7 +9,8 @@
 use celeryshed_http::{ConnectionServer, RequestBody, ServerSettings};
 use celeryshed_observe::{EventLine, MetricsRegistry};
 use celeryshed_peering::{
-    ControlHandle, ControlStore, PeerSocket, RecordDecoder, parse_control_query, start_control,
+    ControlHandle, ControlStore, PeerSocket, RecordDecoder, parse_control_query,
+    start_control_with_clock,
 };
 use celeryshed_process::{
     ProcessSignals, ResourceWatch, RoleEnd, SOCKETS_WAIT, TaskClass, TaskGroup, listen_tcp,
@@ -98,7 +99,8 @@
         let (tasks, mut ends) = TaskGroup::new();
         let upkeep = registry.clone();
         tasks.start_auxiliary("upkeep", move || upkeep.clone().run_upkeep());
-        let (control, events) = start_control(&tasks, store, decoder, settings.control);
+        let (control, events) =
+            start_control_with_clock(&tasks, clock, store, decoder, settings.control);
         let own_address = PeerAddress(settings.peer_address.to_string());
         let (dispatcher, outputs) =
             start_dispatcher(&tasks, settings.dispatcher.clone(), own_address, clock, events);
--- a/crates/celeryshed_peering/src/lib.rs
+++ b/crates/celeryshed_peering/src/lib.rs
@@ -35,4 +35,6 @@
 pub use services::ServiceCatalog;
 pub use socket::PeerSocket;
 pub use store::{ControlStore, DecodeError, ReadOutcome, ReadProgress, RecordDecoder, StoreError};
-pub use task::{ControlEvent, ControlHandle, ControlSettings, start_control};
+pub use task::{
+    ControlEvent, ControlHandle, ControlSettings, start_control, start_control_with_clock,
+};
--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -118,7 +118,7 @@
     PeerReply {
         reply: ControlReply,
         /// When the query was sent.
-        sent_at: Instant,
+        sent_at: MonoTime,
     },
     /// A fetch from a peer failed or turned out to be unnecessary.
     NoPeerReply,
@@ -141,6 +141,7 @@
     inputs: mpsc::UnboundedSender<ControlInput>,
     position: watch::Receiver<ControlPosition>,
     scope: ControlScope,
+    clock: ClockSource,
 }
 
 impl ControlHandle {
@@ -186,7 +187,7 @@
             with_ages: true,
             with_eras: true,
         };
-        let input = fetch_input(peer, query).await;
+        let input = fetch_input(peer, query, self.clock).await;
         // The task ends only with the process.
         let _ = self.inputs.send(input);
     }
@@ -200,7 +201,17 @@
     decoder: Arc<D>,
     settings: ControlSettings,
 ) -> (ControlHandle, mpsc::UnboundedReceiver<ControlEvent>) {
-    let clock = ClockSource::start();
+    start_control_with_clock(tasks, ClockSource::start(), store, decoder, settings)
+}
+
+/// Starts the control task like [`start_control`], on a given clock.
+pub fn start_control_with_clock<S: ControlStore, D: RecordDecoder>(
+    tasks: &TaskGroup,
+    clock: ClockSource,
+    store: Arc<S>,
+    decoder: Arc<D>,
+    settings: ControlSettings,
+) -> (ControlHandle, mpsc::UnboundedReceiver<ControlEvent>) {
     let (inputs, received) = mpsc::unbounded_channel();
     let (events, event_stream) = mpsc::unbounded_channel();
     let (position, position_watch) = watch::channel(ControlPosition::default());
@@ -257,7 +268,8 @@
         unusable_endpoints: BTreeSet::new(),
     };
     tasks.start("control", TaskClass::Essential, task.run(received));
-    (ControlHandle { inputs, position: position_watch, scope: settings.scope }, event_stream)
+    let scope = settings.scope;
+    (ControlHandle { inputs, position: position_watch, scope, clock }, event_stream)
 }
 
 /// The services that sidecars get instead of the configuration.
@@ -399,11 +411,12 @@
                     if let Some(catalog) = reply.take_services() {
                         self.apply_services(reply.position().operator, catalog);
                     }
+                    let now = self.clock.now();
                     self.list_read_at = self.list_read_at.max(reply.list_read_at());
                     let source = RecordSource::Peer {
                         ages: reply.version_ages(),
-                        delay: sent_at.elapsed(),
-                        own: self.recency.record_age(self.clock.now()),
+                        delay: now - sent_at,
+                        own: self.recency.record_age(now),
                     };
                     for (stream, batch) in reply.into_batches() {
                         self.merge(stream, batch, &source);
@@ -807,6 +820,7 @@
         let peer = sender.peer;
         let inputs = self.inputs.clone();
         let scope = self.settings.scope;
+        let clock = self.clock;
         let mut latest = self.position.subscribe();
         tokio::spawn(async move {
             if scope == ControlScope::Everything && position.operator > known.operator {
@@ -818,7 +832,7 @@
             }
             let position = *latest.borrow();
             let query = ControlQuery { position, scope, with_ages: true, with_eras: true };
-            let input = fetch_input(&peer, query).await;
+            let input = fetch_input(&peer, query, clock).await;
             if matches!(input, ControlInput::NoPeerReply) {
                 sleep(PEER_RETRY_PAUSE).await;
             }
@@ -854,8 +868,8 @@
 }
 
 /// Sends a query to a peer and turns the result into an input of the control task.
-async fn fetch_input(peer: &str, query: ControlQuery) -> ControlInput {
-    let sent_at = Instant::now();
+async fn fetch_input(peer: &str, query: ControlQuery, clock: ClockSource) -> ControlInput {
+    let sent_at = clock.now();
     match fetch_control(peer, query).await {
         Ok(reply) => ControlInput::PeerReply { reply, sent_at },
         Err(error) => {
--- a/crates/celeryshed_peering/tests/version_age.rs
+++ b/crates/celeryshed_peering/tests/version_age.rs
@@ -2,15 +2,16 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
-use celeryshed_base::{LogOffset, LogPosition, StoreEra};
+use celeryshed_base::{ClockSource, LogOffset, LogPosition, StoreEra, UnixMillis};
 use celeryshed_dispatch::ListedEndpoint;
 use celeryshed_peering::{
     ControlBatch, ControlEvent, ControlHandle, ControlRecord, ControlScope, ControlSettings,
     ControlStore, ControlStream, DecodeError, OperatorRecord, ReadOutcome, ReadProgress, RecordAge,
-    RecordDecoder, StoreError, parse_control_query, start_control,
+    RecordDecoder, StoreError, parse_control_query, start_control, start_control_with_clock,
 };
 use celeryshed_process::TaskGroup;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -361,8 +362,53 @@
     assert_eq!(next_version(&mut sidecar_events).await, (2, RecordAge::Unknown));
 }
 
+static SUSPENDED_MS: AtomicU64 = AtomicU64::new(0);
+
+/// Guards against a suspension during a fetch that is missing in the age of the fetched record.
+#[tokio::test]
+async fn suspension_during_a_fetch_is_missing_in_the_age() {
+    let suspended = || Duration::from_millis(SUSPENDED_MS.load(Ordering::Relaxed));
+    let store = Arc::new(PushStore::default());
+    let (control, mut events) = start_control(
+        &TaskGroup::new().0,
+        store.clone(),
+        Arc::new(VersionDecoder),
+        settings(ControlScope::Everything),
+    );
+    sleep(Duration::from_millis(50)).await;
+    store.declare(1);
+    assert_eq!(next_version(&mut events).await.0, 1);
+    store.declare(2);
+    assert_eq!(next_version(&mut events).await.0, 2);
+    let (sidecar, mut sidecar_events) = start_control_with_clock(
+        &TaskGroup::new().0,
+        ClockSource::start_with(UnixMillis(0), suspended),
+        Arc::new(PushStore::default()),
+        Arc::new(VersionDecoder),
+        settings(ControlScope::Weights),
+    );
+    let suspension = Duration::from_secs(5);
+    let suspend = move || {
+        SUSPENDED_MS.fetch_add(suspension.as_millis() as u64, Ordering::Relaxed);
+    };
+    let peer = serve_control_after(control, suspend).await;
+    sidecar.fetch_from(&peer).await;
+    let (version, age) = next_version(&mut sidecar_events).await;
+    assert_eq!(version, 2);
+    let age = age.limit().expect("the entry tells the age");
+    assert!(age >= suspension, "{age:?}");
+}
+
 /// Starts a server that answers queries with the records of `control`; returns its address.
 async fn serve_control(control: ControlHandle) -> String {
+    serve_control_after(control, || ()).await
+}
+
+/// Like [`serve_control`], and calls `before_reply` when a query has arrived.
+async fn serve_control_after(
+    control: ControlHandle,
+    before_reply: impl Fn() + Send + 'static,
+) -> String {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap().to_string();
     tokio::spawn(async move {
@@ -373,6 +419,7 @@
             let text = String::from_utf8_lossy(&request[..length]).into_owned();
             let query = parse_control_query(text.split(' ').nth(1).unwrap()).unwrap();
             let body = control.answer_query(query).await.unwrap();
+            before_reply();
             let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
             stream.write_all(head.as_bytes()).await.unwrap();
             stream.write_all(&body).await.unwrap();
--- a/crates/celeryshed_stager/src/process.rs
+++ b/crates/celeryshed_stager/src/process.rs
@@ -7,7 +7,9 @@
 use celeryshed_dispatch::{PeerAudience, UploadPacer};
 use celeryshed_http::{ConnectionServer, ServerSettings};
 use celeryshed_observe::{EventLine, MetricsRegistry};
-use celeryshed_peering::{ControlHandle, ControlStore, PeerSocket, RecordDecoder, start_control};
+use celeryshed_peering::{
+    ControlHandle, ControlStore, PeerSocket, RecordDecoder, start_control_with_clock,
+};
 use celeryshed_process::{
     ProcessSignals, ResourceWatch, RoleEnd, SOCKETS_WAIT, TaskClass, TaskGroup, listen_tcp,
     listen_udp, open_sockets, serve_metrics,
@@ -90,7 +92,8 @@
         let (tasks, mut ends) = TaskGroup::new();
         let upkeep = registry.clone();
         tasks.start_auxiliary("upkeep", move || upkeep.clone().run_upkeep());
-        let (control, events) = start_control(&tasks, store, decoder, settings.control);
+        let (control, events) =
+            start_control_with_clock(&tasks, clock, store, decoder, settings.control);
         let view = start_view(&tasks, clock, settings.versions, events);
         let (store_sender, store_watch) = watch::channel(PieceStore::default());
         let piece_store = Arc::new(store_sender);
