Count the age of the list of endpoints from the sending of its read

Callers would see DRAIN: a list whose answer was under way for long, or unread during a pause, counted as read when it was handled. Peers took it for newer than their own and for proof that registrations of a restored store had been renewed.

Cause: list_read_at was the time of the answer's handling, and at a peer that of the reply's arrival less the told age.

Change: a ListReading counts from the sending of the read, and from that of the query at a peer; it may be older than the process.

--- a/crates/celeryshed_peering/src/fetch.rs
+++ b/crates/celeryshed_peering/src/fetch.rs
@@ -9,7 +9,6 @@
 use celeryshed_http::{CallLimits, HttpClient, HttpError};
 use hyper::{Method, StatusCode};
 use serde_bytes::ByteBuf;
-use tokio::time::Instant;
 
 use crate::decode::decode_peer_bytes;
 use crate::log::{ControlLog, ControlPosition};
@@ -74,7 +73,8 @@
         /// Sent instead of the configuration's record if the scope is [`ControlScope::Weights`].
         services: Option<ServiceCatalog>,
         position: ControlPosition,
-        /// Milliseconds since the list of endpoints was read from the store; none if it never was.
+        /// Milliseconds since the read of the list of endpoints was sent to the store; none if it never
+        /// was.
         list_age_ms: Option<u64>,
         /// Ages of declared versions by the record's key; those of unknown age are missing. None in
         /// replies to processes that didn't ask for ages, whose build may not decode them.
@@ -179,9 +179,10 @@
         Some(ages.map(|(key, age)| (key.clone(), RecordAge::from(age))).collect())
     }
 
-    /// When the list of endpoints was read from the store; `None` if it never was.
-    pub(crate) fn list_read_at(&self) -> Option<Instant> {
-        Instant::now().checked_sub(Duration::from_millis(self.list_age_ms?))
+    /// Time from the read of the list of endpoints to the sending of the reply; `None` if it was never
+    /// read.
+    pub(crate) fn list_age(&self) -> Option<Duration> {
+        self.list_age_ms.map(Duration::from_millis)
     }
 
     /// The reply to a process that orders records by offset only: its own reads of the store must not
--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -16,7 +16,7 @@
 use celeryshed_observe::EventLine;
 use celeryshed_process::{TaskClass, TaskGroup};
 use tokio::sync::{Notify, mpsc, oneshot, watch};
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 use crate::admission::{Admission, NewestValues};
 use crate::fetch::{ControlQuery, ControlReply, ControlScope, fetch_control};
@@ -255,7 +255,7 @@
         services: None,
         revision: None,
         newest_values: NewestValues::default(),
-        list_read_at: None,
+        list_reading: None,
         store_failing: false,
         fetching: false,
         pending_peer: None,
@@ -281,6 +281,24 @@
     catalog: ServiceCatalog,
 }
 
+/// When a list of endpoints was read: so long before a time of this process, which may be before its
+/// start.
+#[derive(Clone, Copy, Debug)]
+struct ListReading {
+    at: MonoTime,
+    age_then: Duration,
+}
+
+impl ListReading {
+    fn new(at: MonoTime, age_then: Duration) -> Self {
+        Self { at, age_then }
+    }
+
+    fn age(self, now: MonoTime) -> Duration {
+        self.age_then + (now - self.at)
+    }
+}
+
 /// Where records come from, and what is known of the ages of declared versions among them.
 enum RecordSource {
     Store {
@@ -348,8 +366,8 @@
     revision: Option<celeryshed_base::ConfigRevision>,
     /// The newest configuration and declared versions.
     newest_values: NewestValues,
-    /// When the known list of endpoints was read from the store, by this process or a peer.
-    list_read_at: Option<Instant>,
+    /// When the read of the known list of endpoints was sent to the store, by this process or a peer.
+    list_reading: Option<ListReading>,
     store_failing: bool,
     /// Whether a fetch from a peer is in progress.
     fetching: bool,
@@ -391,7 +409,7 @@
                     let now = self.clock.now();
                     let mut is_renewed = false;
                     if stream == ControlStream::Endpoints {
-                        self.list_read_at = Some(Instant::now());
+                        self.keep_newer_list(now, ListReading::new(sent_at, Duration::ZERO));
                         self.renewals.record_answer(now, &batch);
                         self.seen.record_answer(now);
                         is_renewed = self.renewals.are_shown();
@@ -412,7 +430,9 @@
                         self.apply_services(reply.position().operator, catalog);
                     }
                     let now = self.clock.now();
-                    self.list_read_at = self.list_read_at.max(reply.list_read_at());
+                    if let Some(age) = reply.list_age() {
+                        self.keep_newer_list(now, ListReading::new(sent_at, age));
+                    }
                     let source = RecordSource::Peer {
                         ages: reply.version_ages(),
                         delay: now - sent_at,
@@ -421,8 +441,8 @@
                     for (stream, batch) in reply.into_batches() {
                         self.merge(stream, batch, &source);
                     }
-                    if let Some(age) = self.list_read_at.map(|at| at.elapsed()) {
-                        self.apply_renewed(self.clock.now() - age);
+                    if let Some(reading) = self.list_reading {
+                        self.apply_renewed(now - reading.age(now));
                     }
                     self.fetch_from_pending_peer();
                 }
@@ -442,6 +462,12 @@
         }
     }
 
+    fn keep_newer_list(&mut self, now: MonoTime, reading: ListReading) {
+        if self.list_reading.is_none_or(|known| reading.age(now) < known.age(now)) {
+            self.list_reading = Some(reading);
+        }
+    }
+
     /// Records that the process runs, and has the pending poll sent again after a pause.
     fn note_running(&mut self) {
         if let Some(pause) = self.recency.record_tick(self.clock.now()) {
@@ -464,7 +490,8 @@
 
     fn reply_by_era(&self, query: ControlQuery) -> ControlReply {
         let position = query.position;
-        let list_age = self.list_read_at.map(|at| at.elapsed());
+        let now = self.clock.now();
+        let list_age = self.list_reading.map(|reading| reading.age(now));
         let reply = match (query.scope, &self.services) {
             (ControlScope::Weights, Some(known)) => {
                 let end = self.log.position().operator;
@@ -805,7 +832,8 @@
         let position = sender.position;
         let known = self.log.position();
         let max_age = self.settings.endpoints_max_age;
-        let stale = self.list_read_at.is_none_or(|at| at.elapsed() > max_age);
+        let now = self.clock.now();
+        let stale = self.list_reading.is_none_or(|reading| reading.age(now) > max_age);
         // The store doesn't show what a peer knows beyond its copy.
         let is_advanced = position.endpoints.advance() > known.endpoints.advance();
         let behind = position.operator > known.operator
--- a/crates/celeryshed_peering/tests/version_age.rs
+++ b/crates/celeryshed_peering/tests/version_age.rs
@@ -14,6 +14,7 @@
     RecordDecoder, StoreError, parse_control_query, start_control, start_control_with_clock,
 };
 use celeryshed_process::TaskGroup;
+use serde::de::IgnoredAny;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc};
@@ -399,6 +400,25 @@
     assert!(age >= suspension, "{age:?}");
 }
 
+/// Guards against a list of endpoints that is told to be as old as the answer to its read: the answer
+/// may have been under way, or unread during a pause.
+#[tokio::test(start_paused = true)]
+async fn age_of_the_list_is_counted_from_the_answer() {
+    let store = Arc::new(PushStore::default());
+    let transit = Duration::from_millis(900);
+    *store.transit_time.lock().unwrap() = transit;
+    let (control, _events) = start_entry(&store).await;
+    for _ in 0..40 {
+        sleep(Duration::from_millis(70)).await;
+        let query = parse_control_query("/control?operator=0&endpoints=0").unwrap();
+        let reply = control.answer_query(query).await.unwrap();
+        let told: (IgnoredAny, IgnoredAny, IgnoredAny, IgnoredAny, u64) =
+            rmp_serde::from_slice(&reply).unwrap();
+        let age = Duration::from_millis(told.4);
+        assert!(age >= transit, "{age:?}");
+    }
+}
+
 /// Starts a server that answers queries with the records of `control`; returns its address.
 async fn serve_control(control: ControlHandle) -> String {
     serve_control_after(control, || ()).await
