Count the time in which a batch is decoded in the ages of its records

Callers would see VERSION: a pause, or a large configuration in the same batch, between the handling of an answer and the decoding of the declaration in it made the version due that much too late.

Cause: the age was computed before the batch was merged, and counted on from the time of its decoding.

Change: an AgeReading refers to the time at which its age was computed.

Evidence: found by the review. time_of_decoding_counts_in_the_age, with a decoding of 5 s, failed with 200 ms and passes. By a test only.

--- a/crates/celeryshed_peering/src/recency.rs
+++ b/crates/celeryshed_peering/src/recency.rs
@@ -243,7 +243,7 @@
 }
 
 impl AgeReading {
-    /// The age of a record that is read now.
+    /// The age of a record that was read at `read_at` by `clock`.
     ///
     /// ```
     /// use celeryshed_base::ClockSource;
@@ -252,12 +252,13 @@
     /// let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap();
     /// runtime.block_on(async {
     ///     let second = Duration::from_secs(1);
-    ///     let reading = AgeReading::new(ClockSource::start(), RecordAge::Known(second));
+    ///     let clock = ClockSource::start();
+    ///     let reading = AgeReading::new(clock, clock.now(), RecordAge::Known(second));
     ///     assert!(reading.age().limit().unwrap() >= second);
     /// });
     /// ```
-    pub fn new(clock: ClockSource, age: RecordAge) -> Self {
-        Self { age, read_at: clock.now(), clock }
+    pub fn new(clock: ClockSource, read_at: MonoTime, age: RecordAge) -> Self {
+        Self { age, read_at, clock }
     }
 
     /// The age of the record now.
--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -304,8 +304,12 @@
     Store {
         /// Age of any record.
         age: RecordAge,
+        /// When that was its age.
+        read_at: MonoTime,
     },
     Peer {
+        /// When the reply was handled.
+        read_at: MonoTime,
         /// Ages by the record's key; none if the peer's build doesn't tell them.
         ages: Option<BTreeMap<String, RecordAge>>,
         /// Time since the peer was asked.
@@ -321,8 +325,8 @@
     fn record_age(&self, record: &ControlRecord, initial: bool) -> RecordAge {
         match self {
             Self::Store { .. } if initial => RecordAge::Unknown,
-            Self::Store { age } => *age,
-            Self::Peer { ages, delay, own } => {
+            Self::Store { age, .. } => *age,
+            Self::Peer { ages, delay, own, .. } => {
                 let told = ages.as_ref().and_then(|ages| ages.get(&record.key));
                 let told = told.map_or(RecordAge::Unknown, |age| age.delayed(*delay));
                 // Reads of the restored store don't show records that the restore took back.
@@ -344,6 +348,13 @@
         }
     }
 
+    /// The time to which ages of records refer.
+    fn read_at(&self) -> MonoTime {
+        match self {
+            Self::Store { read_at, .. } | Self::Peer { read_at, .. } => *read_at,
+        }
+    }
+
     /// The source as written to logs.
     fn name(&self) -> &'static str {
         match self {
@@ -414,7 +425,8 @@
                         self.seen.record_answer(now);
                         is_renewed = self.renewals.are_shown();
                     }
-                    let source = RecordSource::Store { age: self.recency.record_age(now) };
+                    let age = self.recency.record_age(now);
+                    let source = RecordSource::Store { age, read_at: now };
                     self.merge(stream, batch, &source);
                     self.recency.record_answer(now, stream, sent_at);
                     if stream == ControlStream::Endpoints {
@@ -434,6 +446,7 @@
                         self.keep_newer_list(now, ListReading::new(sent_at, age));
                     }
                     let source = RecordSource::Peer {
+                        read_at: now,
                         ages: reply.version_ages(),
                         delay: now - sent_at,
                         own: self.recency.record_age(now),
@@ -602,7 +615,7 @@
                     return;
                 }
                 let age = source.record_age(record, initial);
-                let reading = AgeReading::new(self.clock, age);
+                let reading = AgeReading::new(self.clock, source.read_at(), age);
                 self.version_ages.insert(record.key.clone(), reading);
                 let evidence = self.recency.evidence(self.clock.now());
                 EventLine::new("version_declared")
--- a/crates/celeryshed_peering/tests/version_age.rs
+++ b/crates/celeryshed_peering/tests/version_age.rs
@@ -363,6 +363,46 @@
     assert_eq!(next_version(&mut sidecar_events).await, (2, RecordAge::Unknown));
 }
 
+static SLOW_DECODING_MS: AtomicU64 = AtomicU64::new(0);
+
+/// A decoder that takes 5 s for version 2.
+struct SlowDecoder;
+
+impl RecordDecoder for SlowDecoder {
+    fn operator(&self, key: &str, value: &[u8]) -> Result<OperatorRecord, DecodeError> {
+        if value[0] == 2 {
+            SLOW_DECODING_MS.store(5000, Ordering::Relaxed);
+        }
+        VersionDecoder.operator(key, value)
+    }
+
+    fn endpoint(&self, key: &str, value: &[u8]) -> Result<ListedEndpoint, DecodeError> {
+        VersionDecoder.endpoint(key, value)
+    }
+}
+
+/// Guards against an age that leaves out the time in which the records of its batch are decoded.
+#[tokio::test(start_paused = true)]
+async fn time_of_decoding_counts_in_the_age() {
+    let store = Arc::new(PushStore::default());
+    store.declare(1);
+    let slow = || Duration::from_millis(SLOW_DECODING_MS.load(Ordering::Relaxed));
+    let (_control, mut events) = start_control_with_clock(
+        &TaskGroup::new().0,
+        ClockSource::start_with(UnixMillis(0), slow),
+        store.clone(),
+        Arc::new(SlowDecoder),
+        settings(ControlScope::Everything),
+    );
+    assert_eq!(next_version(&mut events).await.0, 1);
+    sleep(Duration::from_secs(3)).await;
+    store.declare(2);
+    let (version, age) = next_version(&mut events).await;
+    assert_eq!(version, 2);
+    let age = age.limit().expect("the store was read before");
+    assert!(age >= Duration::from_secs(5), "{age:?}");
+}
+
 static SUSPENDED_MS: AtomicU64 = AtomicU64::new(0);
 
 /// Guards against a suspension during a fetch that is missing in the age of the fetched record.
