Keep a pause during an outage in the ages of records

Cause: an outage doesn't age a version, since deadlines don't run while the store is out of reach; each failure moved the end of the outage on, across the pause. A paused process doesn't know that the store was out of reach.

Change: the time from the latest failure to the end of a pause counts.

--- a/crates/celeryshed_peering/src/recency.rs
+++ b/crates/celeryshed_peering/src/recency.rs
@@ -60,7 +60,7 @@
     /// Failures of reads in a row.
     #[derive(Copy)]
     struct StoreOutage {
-        /// Time from the latest answered read to the first failure.
+        /// Time from the latest answered read to the first failure, and that of pauses since.
         unnoticed: Duration,
         last_failure_at: MonoTime,
     }
@@ -121,6 +121,11 @@
         if pause.is_some() {
             self.resumed_at = now;
             self.reachable_until = None;
+            if let Some(outage) = &mut self.outage {
+                // The store may have been back during the pause.
+                outage.unnoticed += now - outage.last_failure_at;
+                outage.last_failure_at = now;
+            }
         }
         self.ticked_at = now;
         pause
--- a/crates/celeryshed_peering/tests/version_age.rs
+++ b/crates/celeryshed_peering/tests/version_age.rs
@@ -38,6 +38,8 @@
     unread_time: Mutex<Duration>,
     /// Time that each answer takes from the store to the process.
     transit_time: Mutex<Duration>,
+    /// Number of the next reads that fail.
+    failing_reads: Mutex<u32>,
 }
 
 impl PushStore {
@@ -61,7 +63,9 @@
     }
 
     fn check(&self) -> Result<(), StoreError> {
-        if *self.unreachable.lock().unwrap() {
+        let mut failing_reads = self.failing_reads.lock().unwrap();
+        if *self.unreachable.lock().unwrap() || *failing_reads > 0 {
+            *failing_reads = failing_reads.saturating_sub(1);
             return Err(StoreError::Refused { address: "fake".to_owned(), status: 503 });
         }
         Ok(())
@@ -403,6 +407,24 @@
     assert!(age >= Duration::from_secs(5), "{age:?}");
 }
 
+/// Guards against a pause that is lost with the time of an outage, if a read fails on both sides.
+#[tokio::test(start_paused = true)]
+async fn pause_during_an_outage_counts_in_the_age() {
+    let store = Arc::new(PushStore::default());
+    let (_control, mut events) = start_entry(&store).await;
+    *store.unreachable.lock().unwrap() = true;
+    sleep(Duration::from_secs(2)).await;
+    *store.unreachable.lock().unwrap() = false;
+    *store.failing_reads.lock().unwrap() = 2;
+    store.declare(2);
+    let pause = Duration::from_secs(4);
+    advance(pause).await;
+    let (version, age) = next_version(&mut events).await;
+    assert_eq!(version, 2);
+    let age = age.limit().expect("the store was read before");
+    assert!(age >= pause && age < pause + LIST_INTERVAL * 4, "{age:?}");
+}
+
 static SUSPENDED_MS: AtomicU64 = AtomicU64::new(0);
 
 /// Guards against a suspension during a fetch that is missing in the age of the fetched record.
