Don't take reads of the list as proof for a poll that stays silent

Callers would see VERSION: with a silent connection of the poll alone, a version that was declared 8 s before counted as at most 0.9 s old.

Cause: after a failed read, records counted as complete up to the latest answered read of the list, also if the poll itself wasn't answered within the time for which the store may wait.

Change: after such a poll, only answered reads of its own stream count.

--- a/crates/celeryshed_peering/src/recency.rs
+++ b/crates/celeryshed_peering/src/recency.rs
@@ -176,6 +176,13 @@
         self.verified_until.is_some_and(|until| until >= self.resumed_at)
     }
 
+    /// Records that a poll wasn't answered when it had to be: its connection may have been silent since
+    /// it was sent, whatever reads of the list show.
+    pub(crate) fn record_silent_poll(&mut self) {
+        self.complete_until = self.verified_until;
+        self.reached_at = self.verified_until;
+    }
+
     /// Records that the store did not answer. It may have been out of reach since the latest read
     /// that it answered was sent.
     pub(crate) fn record_failure(&mut self, now: MonoTime) {
--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -820,6 +820,9 @@
 
     fn store_failed(&mut self, stream: ControlStream, error: &StoreError, sent_at: MonoTime) {
         let now = self.clock.now();
+        if stream == ControlStream::Operator && now - sent_at >= OPERATOR_POLL_WAIT {
+            self.recency.record_silent_poll();
+        }
         self.recency.record_failure(now);
         self.renewals.record_failure(now, sent_at);
         if stream == ControlStream::Endpoints {
--- a/crates/celeryshed_peering/tests/version_age.rs
+++ b/crates/celeryshed_peering/tests/version_age.rs
@@ -40,6 +40,8 @@
     transit_time: Mutex<Duration>,
     /// Number of the next reads that fail.
     failing_reads: Mutex<u32>,
+    /// Whether polls for operators' records stay unanswered.
+    silent_polls: Mutex<bool>,
 }
 
 impl PushStore {
@@ -98,6 +100,10 @@
         progress: &ReadProgress,
     ) -> Result<ReadOutcome, StoreError> {
         self.check()?;
+        if stream == ControlStream::Operator && *self.silent_polls.lock().unwrap() {
+            sleep(wait + Duration::from_millis(900)).await;
+            return Err(StoreError::Refused { address: "fake".to_owned(), status: 503 });
+        }
         let changed = self.changed.notified();
         if self.batch(stream, from).records.is_empty() {
             // A poll ends with or without a record.
@@ -425,6 +431,21 @@
     assert!(age >= pause && age < pause + LIST_INTERVAL * 4, "{age:?}");
 }
 
+/// Guards against a connection that is silent for the poll alone, while the list can be read.
+#[tokio::test(start_paused = true)]
+async fn version_behind_a_silent_poll_is_as_old_as_the_poll() {
+    let store = Arc::new(PushStore::default());
+    *store.silent_polls.lock().unwrap() = true;
+    let (_control, mut events) = start_entry(&store).await;
+    store.declare(2);
+    sleep(Duration::from_secs(5)).await;
+    *store.silent_polls.lock().unwrap() = false;
+    let (version, age) = next_version(&mut events).await;
+    assert_eq!(version, 2);
+    let age = age.limit().expect("the store was read before");
+    assert!(age >= Duration::from_secs(8), "{age:?}");
+}
+
 static SUSPENDED_MS: AtomicU64 = AtomicU64::new(0);
 
 /// Guards against a suspension during a fetch that is missing in the age of the fetched record.
