Tell the whole age of a version that is older than the process

Cause: the sidecar kept the age as the time of the declaration, and the process's clock has no time before the start of the process.

Change: the view keeps the AgeReading of a known age and reports what it has grown to. The times in VersionTarget plan reloads only.

Evidence: age_from_before_the_start_is_told_in_full (age 5 s, learned 1 s after the start, told 2 s later) failed with 3 s and passes.

--- a/crates/celeryshed_stager/src/status_task.rs
+++ b/crates/celeryshed_stager/src/status_task.rs
@@ -191,10 +191,10 @@
         let addresses: Vec<&SocketAddr> = entries.iter().map(|(entry, _)| entry).collect();
         let named = addresses.iter().cycle().skip(first_named);
         let view = self.view.borrow().clone();
-        let versions = view.versions_of_known_age().map(|(model, target)| VersionAge {
-            model: model.clone(),
-            version: target.version,
-            age_ms: (now - target.learned_at).as_millis() as u64,
+        let versions = view.newest_known_ages().map(|(model, version, age)| VersionAge {
+            model: model.to_owned(),
+            version,
+            age_ms: age.as_millis() as u64,
         });
         let status = SidecarStatus {
             versions: versions.collect(),
--- a/crates/celeryshed_stager/src/view.rs
+++ b/crates/celeryshed_stager/src/view.rs
@@ -1,6 +1,9 @@
 //! The configuration, versions and endpoints that a sidecar knows from control records.
 
-use std::collections::{BTreeMap, BTreeSet};
+#[cfg(test)]
+mod tests;
+
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,7 +11,7 @@
 use celeryshed_dispatch::{
     EndpointDirectory, RoutingSnapshot, SidecarPeer, VersionDeadlines, VersionTarget,
 };
-use celeryshed_peering::{ControlEvent, RecordAge};
+use celeryshed_peering::{AgeReading, ControlEvent, RecordAge};
 use celeryshed_process::{TaskClass, TaskGroup};
 use tokio::sync::{mpsc, watch};
 
@@ -48,8 +51,9 @@
     pub(crate) snapshot: Option<Arc<RoutingSnapshot>>,
     /// Declared versions by model, in the order in which they became known.
     versions: BTreeMap<String, Vec<VersionTarget>>,
-    /// Models and versions of known age.
-    known_ages: BTreeSet<(String, u64)>,
+    /// Known ages by model and version. Those from before the start of the process have no
+    /// [`MonoTime`].
+    known_ages: BTreeMap<(String, u64), AgeReading>,
     directory: EndpointDirectory,
 }
 
@@ -94,13 +98,16 @@
         versions.iter().find(|target| target.version > loaded).map(|target| target.due_at)
     }
 
-    /// The newest version of each model, if its age is known.
-    pub(crate) fn versions_of_known_age(
-        &self,
-    ) -> impl Iterator<Item = (&String, &VersionTarget)> + '_ {
+    /// The newest version of each model with its age, if that is known.
+    pub(crate) fn newest_known_ages(&self) -> impl Iterator<Item = (&str, u64, Duration)> + '_ {
         let newest = self.versions.iter().filter_map(|(m, versions)| Some((m, versions.last()?)));
-        newest
-            .filter(|(model, target)| self.known_ages.contains(&((*model).clone(), target.version)))
+        newest.filter_map(|(model, target)| {
+            let reading = self.known_ages.get(&(model.clone(), target.version))?;
+            match reading.age() {
+                RecordAge::Known(age) => Some((model.as_str(), target.version, age)),
+                RecordAge::AtMost(_) | RecordAge::Unknown => None,
+            }
+        })
     }
 
     /// Addresses of all endpoints of the service.
@@ -200,8 +207,8 @@
             view.directory.add_services(&snapshot);
             view.snapshot = Some(snapshot);
         }
-        ControlEvent::ModelVersion { model, version, initial, age } => {
-            let age = age.age();
+        ControlEvent::ModelVersion { model, version, initial, age: reading } => {
+            let age = reading.age();
             let limit = match age {
                 // Its sender was started after the declaration, as other entries may have been, to
                 // which the version is due this long after their start.
@@ -212,7 +219,7 @@
             };
             let due_at = deadlines.due_at(now, limit);
             if matches!(age, RecordAge::Known(_)) {
-                view.known_ages.insert((model.clone(), version));
+                view.known_ages.insert((model.clone(), version), reading);
             }
             let versions = view.versions.entry(model).or_default();
             if versions.last().is_none_or(|known| version > known.version) {
