Let an entry's own reading of a version make a told age older

Callers would see VERSION: if a peer told too young an age first, an entry that then read the declaration itself kept the peer's age, and the version was due later than the entry's own age says. In the other order the older age counted.

Cause: a version that is already known stayed unchanged when it was read.

Change: a known age counts in either order if it is the longest.

Evidence: own_reading_after_a_report_counts_if_it_is_older failed with 9 s instead of 7 s and passes.

--- a/crates/celeryshed_dispatch/src/dispatcher.rs
+++ b/crates/celeryshed_dispatch/src/dispatcher.rs
@@ -198,6 +198,12 @@
 }
 
 impl DeclaredVersion {
+    /// Applies a known age, after which the version is due at `due_at`; the longest counts.
+    fn apply_known_age(&mut self, due_at: MonoTime) {
+        self.due_at = if self.age_known { self.due_at.min(due_at) } else { due_at };
+        self.age_known = true;
+    }
+
     /// Whether other processes are told the age. A limit is told once the peers that know the age
     /// have had time to tell it.
     fn is_reported(&self, now: MonoTime) -> bool {
@@ -369,10 +375,11 @@
         self.configured_models = Some(models);
     }
 
-    /// Adds a declared version of a model; a version that is already known stays unchanged.
+    /// Adds a declared version of a model.
     ///
-    /// `age` is the time since the declaration. If it is `None`, the age is unknown and the version
-    /// is due once [`VersionDeadlines::after_start`] has passed.
+    /// `age` is the time since the declaration; if the version is already known, the longest known
+    /// age counts. If it is `None`, the age is unknown and a new version is due once
+    /// [`VersionDeadlines::after_start`] has passed.
     pub fn add_declared_version(
         &mut self,
         now: MonoTime,
@@ -396,7 +403,11 @@
         let age_known = age.is_some();
         let declared = DeclaredVersion { due_at, was_read, age_known, limited_at: None };
         let known = self.versions.entry(model.to_owned()).or_default();
-        known.entry(version).or_insert(declared).was_read |= was_read;
+        let added = known.entry(version).or_insert(declared);
+        added.was_read |= was_read;
+        if age_known {
+            added.apply_known_age(due_at);
+        }
         for was_read in [true, false] {
             let of_kind = known.iter().filter(|(_, declared)| declared.was_read == was_read);
             let of_kind: Vec<u64> = of_kind.map(|(version, _)| *version).collect();
@@ -463,8 +474,7 @@
         }
         let versions = self.versions.get_mut(model);
         if let Some(known) = versions.and_then(|versions| versions.get_mut(&version)) {
-            known.due_at = if known.age_known { known.due_at.min(due_at) } else { due_at };
-            known.age_known = true;
+            known.apply_known_age(due_at);
         }
     }
 
--- a/crates/celeryshed_dispatch/tests/versions.rs
+++ b/crates/celeryshed_dispatch/tests/versions.rs
@@ -122,6 +122,19 @@
     assert_eq!(ages, [(MODEL, 2, Duration::from_secs(3))]);
 }
 
+/// Guards against an entry that ignores what it reads itself: a peer that counted from its own late
+/// reading told a younger age first.
+#[test]
+fn own_reading_after_a_report_counts_if_it_is_older() {
+    let mut dispatcher = dispatcher();
+    dispatcher.apply_version_age(at(1000), &peer(), MODEL, 2, Duration::ZERO);
+    dispatcher.add_declared_version(at(1000), MODEL, 2, Some(Duration::from_secs(2)));
+    assert_eq!(dispatcher.version_due_at(MODEL, 2), Some(at(7000)));
+    // A younger one doesn't.
+    dispatcher.add_declared_version(at(1000), MODEL, 2, Some(Duration::from_secs(1)));
+    assert_eq!(dispatcher.version_due_at(MODEL, 2), Some(at(7000)));
+}
+
 /// From shortly before a version's deadline, requests require it, so that an endpoint of another
 /// version refuses them.
 #[test]
