Take ages in messages that waited in a socket as limits

Callers would see VERSION: an entry that was paused reads reports of its peers that arrived during the pause, took the ages in them for known ones, replaced a limit with them and passed them on. The version was due later by the time for which the report had waited, until a newer report came; if the peers that know the age are gone by then, it stayed so.

Cause: an age in a datagram holds at its sending, and the entry counted it from the time at which it applied it.

Change: MessageReader notes when the socket was last found empty, and checks it at least every 100 ms while the process runs. The dispatcher task takes an age as known only if its message can't have waited for longer than 300 ms there and in its own queue. Otherwise the age plus the longest wait is a limit for a version of which nothing more is known. Ages don't grow from peer to peer: no wait is added to a known age.

Evidence: age_in_a_message_that_waited_is_no_known_age (told age 100 ms, pause 4 s) failed with 150 ms told to others as a known age and passes.

--- a/crates/celeryshed_dispatch/src/dispatcher.rs
+++ b/crates/celeryshed_dispatch/src/dispatcher.rs
@@ -478,6 +478,32 @@
         }
     }
 
+    /// Applies a limit of a version's age that another process reported. It counts for a version of
+    /// which nothing more is known.
+    pub fn apply_version_age_limit(
+        &mut self,
+        now: MonoTime,
+        sender: &PeerAddress,
+        model: &str,
+        version: u64,
+        max_age: Duration,
+    ) {
+        let known = self.versions.get(model).and_then(|versions| versions.get(&version)).copied();
+        let is_open = match known {
+            Some(known) => !known.age_known && known.limited_at.is_none(),
+            None => {
+                let is_of_use = self.may_learn_model(sender, model);
+                if is_of_use {
+                    self.add_version(now, model, version, None, false);
+                }
+                is_of_use
+            }
+        };
+        if is_open {
+            self.limit_version_age(now, model, version, max_age);
+        }
+    }
+
     /// When a declared version is due; `None` if it isn't known.
     pub fn version_due_at(&self, model: &str, version: u64) -> Option<MonoTime> {
         self.versions.get(model)?.get(&version).map(|declared| declared.due_at)
--- a/crates/celeryshed_dispatch/tests/versions.rs
+++ b/crates/celeryshed_dispatch/tests/versions.rs
@@ -112,6 +112,25 @@
     assert_eq!(placed(&submit(&mut restarted, at(10_500), 2, stream(at(10_500)))), None);
 }
 
+/// Guards against an age of which a peer's late message tells but a limit, and which replaces what is
+/// known better here.
+#[test]
+fn limit_from_a_peer_counts_only_for_a_version_of_unknown_age() {
+    let max_age = Duration::from_secs(5);
+    let mut dispatcher = dispatcher();
+    dispatcher.add_declared_version(at(5000), MODEL, 2, Some(Duration::ZERO));
+    dispatcher.add_declared_version(at(5000), MODEL, 3, None);
+    dispatcher.limit_version_age(at(5000), MODEL, 3, Duration::from_secs(2));
+    dispatcher.add_declared_version(at(5000), MODEL, 4, None);
+    for version in 2..=5 {
+        dispatcher.apply_version_age_limit(at(5000), &peer(), MODEL, version, max_age);
+    }
+    for (version, due_at) in [(2, at(13_000)), (3, at(11_000)), (4, at(8000)), (5, at(8000))] {
+        assert_eq!(dispatcher.version_due_at(MODEL, version), Some(due_at), "version {version}");
+    }
+    assert_eq!(dispatcher.version_ages(at(5000)).map(|(_, version, _)| version).max(), Some(2));
+}
+
 #[test]
 fn version_ages_give_longest_reported_age() {
     let mut dispatcher = dispatcher();
--- a/crates/celeryshed_gateway/src/dispatcher_task.rs
+++ b/crates/celeryshed_gateway/src/dispatcher_task.rs
@@ -41,6 +41,9 @@
 /// Smaller changes of the time at which a version is due aren't logged: reports of its age vary by the
 /// time for which messages are under way.
 const MIN_LOGGED_DUE_CHANGE: Duration = Duration::from_millis(50);
+/// Longest time for which a message may have waited whose ages of versions count as known. The socket is
+/// checked more often than that while the process runs.
+const MAX_MESSAGE_WAIT: Duration = Duration::from_millis(300);
 /// Longest time that a request waits for the result of a probe before it may be sent again.
 const MAX_PROBE_WAIT: Duration = Duration::from_millis(60);
 
@@ -149,9 +152,9 @@
 
 /// A message of another process.
 enum DispatcherMessage {
-    Load { peer: PeerAddress, load: EntryStatus },
+    Load { peer: PeerAddress, load: EntryStatus, arrived_after: MonoTime },
     Crashes(CrashReport),
-    Status { sender: PeerAddress, status: SidecarStatus },
+    Status { sender: PeerAddress, status: SidecarStatus, arrived_after: MonoTime },
 }
 
 impl DispatcherCommand {
@@ -296,13 +299,23 @@
     }
 
     /// Applies the status of another entry, once there is room for it.
-    pub(crate) async fn apply_peer_load(&self, peer: PeerAddress, load: EntryStatus) {
-        self.send_message(DispatcherMessage::Load { peer, load }).await;
+    pub(crate) async fn apply_peer_load(
+        &self,
+        peer: PeerAddress,
+        load: EntryStatus,
+        arrived_after: MonoTime,
+    ) {
+        self.send_message(DispatcherMessage::Load { peer, load, arrived_after }).await;
     }
 
     /// Applies the status of a sidecar, once there is room for it.
-    pub(crate) async fn apply_sidecar_status(&self, sender: PeerAddress, status: SidecarStatus) {
-        self.send_message(DispatcherMessage::Status { sender, status }).await;
+    pub(crate) async fn apply_sidecar_status(
+        &self,
+        sender: PeerAddress,
+        status: SidecarStatus,
+        arrived_after: MonoTime,
+    ) {
+        self.send_message(DispatcherMessage::Status { sender, status, arrived_after }).await;
     }
 
     /// This entry's status for other entries; `None` if the dispatcher task has ended.
@@ -771,7 +784,8 @@
 
     fn apply_message(&mut self, message: DispatcherMessage) {
         let sender = match message {
-            DispatcherMessage::Load { peer, load } => {
+            DispatcherMessage::Load { peer, load, arrived_after } => {
+                self.apply_version_ages(&peer, &load.versions, arrived_after);
                 self.apply_peer_load(&peer, &load);
                 peer
             }
@@ -780,7 +794,8 @@
                 self.dispatcher.prompt_guard_mut().apply_report(now, &(&report).into());
                 return;
             }
-            DispatcherMessage::Status { sender, status } => {
+            DispatcherMessage::Status { sender, status, arrived_after } => {
+                self.apply_version_ages(&sender, &status.versions, arrived_after);
                 self.apply_sidecar_status(&sender, status);
                 sender
             }
@@ -788,12 +803,24 @@
         self.drops.report("dispatcher", self.dispatcher.take_dropped(), &sender.0);
     }
 
-    fn apply_version_ages(&mut self, sender: &PeerAddress, versions: &[VersionAge]) {
+    /// Applies ages that were true when their message was sent, shortly before it arrived.
+    fn apply_version_ages(
+        &mut self,
+        sender: &PeerAddress,
+        versions: &[VersionAge],
+        arrived_after: MonoTime,
+    ) {
         let now = self.clock.now();
+        let max_wait = now - arrived_after;
         for VersionAge { model, version, age_ms } in versions {
             let age = Duration::from_millis(*age_ms);
             let before = self.dispatcher.version_due_at(model, *version);
-            self.dispatcher.apply_version_age(now, sender, model, *version, age);
+            if max_wait <= MAX_MESSAGE_WAIT {
+                self.dispatcher.apply_version_age(now, sender, model, *version, age);
+            } else {
+                let max_age = age.saturating_add(max_wait);
+                self.dispatcher.apply_version_age_limit(now, sender, model, *version, max_age);
+            }
             self.log_due_change(now, model, *version, before, &sender.0);
         }
     }
@@ -822,7 +849,6 @@
 
     fn apply_peer_load(&mut self, peer: &PeerAddress, load: &EntryStatus) {
         let now = self.clock.now();
-        self.apply_version_ages(peer, &load.versions);
         self.dispatcher.apply_peer_load(now, peer, &load.load_report());
         self.dispatcher.quarantine_mut().apply_peer_crashes(
             now,
@@ -833,7 +859,6 @@
 
     fn apply_sidecar_status(&mut self, sender: &PeerAddress, status: SidecarStatus) {
         let now = self.clock.now();
-        self.apply_version_ages(sender, &status.versions);
         let endpoint =
             self.dispatcher.directory().endpoints(now).find(|(_, e)| e.address == status.endpoint);
         let id = endpoint.map(|(id, _)| id.clone());
--- a/crates/celeryshed_gateway/src/peer_task.rs
+++ b/crates/celeryshed_gateway/src/peer_task.rs
@@ -8,12 +8,14 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use celeryshed_base::AvailabilityZone;
+use celeryshed_base::{AvailabilityZone, ClockSource};
 use celeryshed_dispatch::{
     BoundedMap, DispatcherSettings, LoadScope, MAX_PEERS, PeerAddress, PeerAudience,
     heartbeat_interval, load_lifetime, message_lifetime,
 };
-use celeryshed_peering::{ControlHandle, DropLog, EntryHeartbeat, PeerMessage, PeerSocket};
+use celeryshed_peering::{
+    ControlHandle, DropLog, EntryHeartbeat, PeerMessage, PeerSocket, ReceivedMessage,
+};
 use celeryshed_process::{TaskClass, TaskGroup};
 use tokio::time::{Instant, sleep};
 
@@ -45,6 +47,7 @@
     pub(crate) sidecar_port: u16,
     pub(crate) socket: PeerSocket,
     pub(crate) dispatcher: DispatcherHandle,
+    pub(crate) clock: ClockSource,
     pub(crate) control: ControlHandle,
     /// The other entries, by the address of their peer sockets; each belongs to the process that told
     /// of it first.
@@ -61,6 +64,7 @@
         sidecar_port: u16,
         socket: PeerSocket,
         dispatcher: DispatcherHandle,
+        clock: ClockSource,
         control: ControlHandle,
     ) -> Self {
         Self {
@@ -69,6 +73,7 @@
             sidecar_port,
             socket,
             dispatcher,
+            clock,
             control,
             entries: Mutex::new(EntryMap::new(MAX_PEERS)),
             drops: Mutex::default(),
@@ -224,14 +229,15 @@
     }
 
     async fn receive(&self) {
+        let mut reader = self.socket.reader(self.clock);
         loop {
-            let (message, sender) = self.socket.receive().await;
+            let ReceivedMessage { message, sender, arrived_after } = reader.receive().await;
             let peer = PeerAddress(sender.to_string());
             match message {
                 PeerMessage::Load(load) => {
                     self.record_entry(sender, sender, load.zone.clone());
                     self.control.report_peer_position(&peer.0, load.position);
-                    self.dispatcher.apply_peer_load(peer, load).await;
+                    self.dispatcher.apply_peer_load(peer, load, arrived_after).await;
                 }
                 PeerMessage::Status(status) => {
                     let named = status.entries.iter().take(MAX_NAMED_ENTRIES);
@@ -239,7 +245,7 @@
                     for entry in named.filter(|entry| *entry != self.address) {
                         self.record_entry(sender, entry, None);
                     }
-                    self.dispatcher.apply_sidecar_status(peer, status).await;
+                    self.dispatcher.apply_sidecar_status(peer, status, arrived_after).await;
                 }
                 PeerMessage::Crashes(report) => self.dispatcher.apply_peer_crashes(report).await,
                 PeerMessage::Hello(_) | PeerMessage::Pieces(_) => {}
--- a/crates/celeryshed_gateway/src/peer_task/tests.rs
+++ b/crates/celeryshed_gateway/src/peer_task/tests.rs
@@ -1,4 +1,4 @@
-//! Loops of the peer task beside a control task that has ended.
+//! Loops of the peer task beside a control task that has ended, and messages that wait in its socket.
 
 use std::sync::mpsc;
 use std::thread;
@@ -6,10 +6,12 @@
 use celeryshed_base::{ClockSource, LogPosition};
 use celeryshed_dispatch::{BudgetLimits, ListedEndpoint, NoticeLimits, VersionDeadlines};
 use celeryshed_peering::{
-    ControlBatch, ControlScope, ControlSettings, ControlStore, ControlStream, DecodeError,
-    OperatorRecord, ReadOutcome, RecordDecoder, StoreError, start_control,
+    ControlBatch, ControlPosition, ControlScope, ControlSettings, ControlStore, ControlStream,
+    DecodeError, EntryStatus, OperatorRecord, ReadOutcome, RecordDecoder, StoreError, VersionAge,
+    start_control,
 };
 use tokio::runtime::{Builder, Runtime};
+use tokio::time::advance;
 
 use super::*;
 use crate::dispatcher_task::start_dispatcher;
@@ -91,10 +93,88 @@
             let clock = ClockSource::start();
             let (dispatcher, _outputs) =
                 start_dispatcher(&tasks, settings.clone(), own, clock, events);
-            PeerTask::new(address, settings, 18082, socket, dispatcher, control).start(&tasks);
+            PeerTask::new(address, settings, 18082, socket, dispatcher, clock, control)
+                .start(&tasks);
             sleep(Duration::from_secs(10)).await;
         });
         done.send(()).unwrap();
     });
     assert!(finished.recv_timeout(WAIT_LIMIT).is_ok(), "the loops never pause");
 }
+
+/// Starts a dispatcher and a peer task that receives from `socket`.
+fn start_receiver(
+    tasks: &TaskGroup,
+    socket: PeerSocket,
+    control: ControlHandle,
+) -> DispatcherHandle {
+    let address = socket.address().unwrap();
+    let own = PeerAddress(address.to_string());
+    let (_events, events) = tokio::sync::mpsc::unbounded_channel();
+    let settings = dispatcher_settings();
+    let clock = ClockSource::start();
+    let (dispatcher, _outputs) = start_dispatcher(tasks, settings.clone(), own, clock, events);
+    PeerTask::new(address, settings, 18082, socket, dispatcher.clone(), clock, control)
+        .start(tasks);
+    dispatcher
+}
+
+/// A whole report of an entry that knows a version of model `m`.
+fn report(version: u64, age: Duration) -> PeerMessage {
+    PeerMessage::Load(EntryStatus {
+        position: ControlPosition::default(),
+        zone: None,
+        lifetime_ms: 1000,
+        whole: true,
+        loads: Vec::new(),
+        crashes: Vec::new(),
+        versions: vec![VersionAge {
+            model: "m".to_owned(),
+            version,
+            age_ms: age.as_millis() as u64,
+        }],
+    })
+}
+
+/// The ages that the entry tells others.
+async fn told_ages(dispatcher: &DispatcherHandle) -> Vec<(u64, Duration)> {
+    let query = LoadQuery {
+        audience: PeerAudience::OwnRegion,
+        scope: LoadScope::Whole,
+        position: ControlPosition::default(),
+        lifetime: Duration::from_secs(1),
+    };
+    let status = dispatcher.load_report(query).await.unwrap();
+    let ages = status.versions.iter();
+    ages.map(|told| (told.version, Duration::from_millis(told.age_ms))).collect()
+}
+
+/// Guards against an age that leaves out how long its message waited in the socket of a paused
+/// process: the version counted as new there, and the age was passed on.
+#[test]
+fn age_in_a_message_that_waited_is_no_known_age() {
+    let told_age = Duration::from_millis(100);
+    let pause = Duration::from_secs(4);
+    let control = ended_control();
+    paused_runtime().block_on(async {
+        let (tasks, _ends) = TaskGroup::new();
+        let socket = PeerSocket::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
+        let target = [socket.address().unwrap().to_string()];
+        let peer = PeerSocket::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
+        let dispatcher = start_receiver(&tasks, socket, control);
+        sleep(Duration::from_secs(2)).await;
+        peer.send(&report(2, told_age), &target);
+        advance(pause).await;
+        sleep(Duration::from_millis(50)).await;
+        assert_eq!(told_ages(&dispatcher).await, []);
+        // A report that is read at once tells the age.
+        peer.send(&report(3, told_age), &target);
+        sleep(Duration::from_millis(500)).await;
+        let ages = told_ages(&dispatcher).await;
+        assert!(matches!(ages[..], [(3, age)] if age < Duration::from_secs(1)), "{ages:?}");
+        // The longest possible age is told if no peer has told a known one.
+        sleep(Duration::from_secs(3)).await;
+        let ages = told_ages(&dispatcher).await;
+        assert!(matches!(ages[..], [(2, age), _] if age >= told_age + pause), "{ages:?}");
+    });
+}
--- a/crates/celeryshed_gateway/src/process.rs
+++ b/crates/celeryshed_gateway/src/process.rs
@@ -112,6 +112,7 @@
             settings.sidecar_port,
             sockets.peers,
             dispatcher.clone(),
+            clock,
             control.clone(),
         );
         peer_task.start(&tasks);
--- a/crates/celeryshed_peering/src/lib.rs
+++ b/crates/celeryshed_peering/src/lib.rs
@@ -33,6 +33,6 @@
 pub use recency::{AgeReading, RecordAge};
 pub use record::{ControlBatch, ControlRecord, ControlStream, OperatorRecord};
 pub use services::ServiceCatalog;
-pub use socket::PeerSocket;
+pub use socket::{MessageReader, PeerSocket, ReceivedMessage};
 pub use store::{ControlStore, DecodeError, ReadOutcome, RecordDecoder, StoreError};
 pub use task::{ControlEvent, ControlHandle, ControlSettings, start_control};
--- a/crates/celeryshed_peering/src/socket.rs
+++ b/crates/celeryshed_peering/src/socket.rs
@@ -4,9 +4,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use celeryshed_base::{ClockSource, MonoTime};
 use celeryshed_observe::EventLine;
 use tokio::net::UdpSocket;
-use tokio::time::sleep;
+use tokio::task::coop::consume_budget;
+use tokio::time::{sleep, timeout};
 
 use crate::decode::decode_peer_bytes;
 use crate::messages::PeerMessage;
@@ -16,6 +18,9 @@
 /// Delay after a failed receipt.
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(1);
 
+/// Longest time between two checks for waiting datagrams.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Sends and receives [`PeerMessage`]s; a lost message is not sent again, since later ones replace
 /// its content.
 #[derive(Debug)]
@@ -23,6 +28,30 @@
     socket: UdpSocket,
 }
 
+/// A message with the time before which it can't have arrived.
+#[derive(Debug)]
+pub struct ReceivedMessage {
+    /// The message.
+    pub message: PeerMessage,
+    /// Address of its sender.
+    pub sender: SocketAddr,
+    /// Earliest time at which it may have arrived at the socket.
+    pub arrived_after: MonoTime,
+}
+
+/// Receives the messages of a [`PeerSocket`] and limits the time for which they waited there, for
+/// instance while the process was paused.
+#[derive(Debug)]
+pub struct MessageReader<'s> {
+    socket: &'s PeerSocket,
+    clock: ClockSource,
+    /// When the socket was last found empty.
+    checked_at: MonoTime,
+    /// When the socket was found empty before that. The latest check may have missed a datagram that
+    /// the runtime had not seen yet.
+    empty_at: MonoTime,
+}
+
 impl From<UdpSocket> for PeerSocket {
     fn from(socket: UdpSocket) -> Self {
         Self { socket }
@@ -75,4 +104,58 @@
             }
         }
     }
+
+    /// Receives messages with the time for which they may have waited.
+    ///
+    /// ```
+    /// use celeryshed_base::{AvailabilityZone, ClockSource};
+    /// use celeryshed_peering::{ControlPosition, EntryHeartbeat, PeerMessage, PeerSocket};
+    /// use std::time::Duration;
+    /// let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    /// runtime.block_on(async {
+    ///     let clock = ClockSource::start();
+    ///     let socket = PeerSocket::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    ///     let address = socket.address().unwrap().to_string();
+    ///     let zone = AvailabilityZone::try_from("north-a").unwrap();
+    ///     let position = ControlPosition::default();
+    ///     let heartbeat = EntryHeartbeat { entry: address.clone(), zone, position, lifetime_ms: 1000 };
+    ///     // The runtime has to find the new socket writable first.
+    ///     tokio::time::sleep(Duration::from_millis(1)).await;
+    ///     socket.send(&PeerMessage::Hello(heartbeat), [address]);
+    ///     let received = socket.reader(clock).receive().await;
+    ///     assert!(received.arrived_after <= clock.now());
+    /// });
+    /// ```
+    pub fn reader(&self, clock: ClockSource) -> MessageReader<'_> {
+        let started_at = MonoTime::ZERO;
+        MessageReader { socket: self, clock, checked_at: started_at, empty_at: started_at }
+    }
+}
+
+impl MessageReader<'_> {
+    /// Receives the next message; skips datagrams that can't be decoded.
+    pub async fn receive(&mut self) -> ReceivedMessage {
+        let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+        let socket = &self.socket.socket;
+        loop {
+            consume_budget().await;
+            match socket.try_recv_from(&mut buffer) {
+                Ok((length, sender)) => {
+                    if let Ok(message) = decode_peer_bytes(&buffer[..length]) {
+                        return ReceivedMessage { message, sender, arrived_after: self.empty_at };
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    self.empty_at = self.checked_at;
+                    self.checked_at = self.clock.now();
+                    // The next attempt shows whether there is anything to read.
+                    let _ = timeout(CHECK_INTERVAL, socket.readable()).await;
+                }
+                Err(_error) => {
+                    metrics::counter!("celeryshed_receive_failures_total").increment(1);
+                    sleep(RECEIVE_RETRY_DELAY).await;
+                }
+            }
+        }
+    }
 }
