--- a/crates/celeryshed_gateway/src/process.rs
+++ b/crates/celeryshed_gateway/src/process.rs
@@ -114,6 +114,7 @@
             settings.sidecar_port,
             sockets.peers,
             dispatcher.clone(),
+            clock,
             control.clone(),
         );
         peer_task.start(&tasks);
--- a/crates/celeryshed_peering/src/lib.rs
+++ b/crates/celeryshed_peering/src/lib.rs
@@ -33,7 +33,7 @@
 pub use recency::{AgeReading, RecordAge};
 pub use record::{ControlBatch, ControlRecord, ControlStream, OperatorRecord};
 pub use services::ServiceCatalog;
-pub use socket::PeerSocket;
+pub use socket::{MessageReader, PeerSocket, ReceivedMessage};
 pub use store::{ControlStore, DecodeError, ReadOutcome, ReadProgress, RecordDecoder, StoreError};
 pub use task::{
     ControlEvent, ControlHandle, ControlSettings, start_control, start_control_with_clock,
