Count an entry's time from the start of its process

Callers would see requests begin on an older version for up to 3 s (`stable_window_ms`) after the platform holds the entry to the newer one: at an entry one of whose tasks has ended, and at one that waited at its start for its settings or its sockets.

Cause: a version of unknown age is due a time after `MonoTime::ZERO`, the start of the process, but the clock was started with each call of the role, after the settings were read. The class of the incident: a time counted from a later stage than the event.

Fix: `RoleRunner` starts the clock as the first thing in the program, and the entry gets it. A version of unknown age is due at once after a restart of the role in an older process. If a peer knows the age, its report replaces that, as before; if none does, endpoints without the newer version get no requests until they have loaded it. Sidecars still count from the call of their role; no test shows a request that begins late for it.

--- a/crates/celeryshed_gateway/src/process.rs
+++ b/crates/celeryshed_gateway/src/process.rs
@@ -69,18 +69,9 @@
     /// Runs an entry until SIGTERM, or until a task ends without which it can't go on, and then until
     /// its connections are closed or the grace period ends. Returns early if its sockets can't be opened.
     ///
-    /// Its other tasks go on until the runtime is dropped.
+    /// `clock` counts from the start of the process, which may be long before this call. The entry's
+    /// other tasks go on until the runtime is dropped.
     pub async fn run<S: ControlStore, D: RecordDecoder>(
-        settings: GatewaySettings,
-        signals: &mut ProcessSignals,
-        store: Arc<S>,
-        decoder: Arc<D>,
-    ) -> Result<RoleEnd> {
-        Self::run_with_clock(settings, ClockSource::start(), signals, store, decoder).await
-    }
-
-    /// Runs an entry like [`EntryProcess::run`], on a given clock.
-    pub async fn run_with_clock<S: ControlStore, D: RecordDecoder>(
         settings: GatewaySettings,
         clock: ClockSource,
         signals: &mut ProcessSignals,
--- a/crates/celeryshed_gateway/tests/ended_tasks.rs
+++ b/crates/celeryshed_gateway/tests/ended_tasks.rs
@@ -111,3 +111,30 @@
     wait_status(&entry, 404).await;
     assert_eq!(entry.readiness().await, 200);
 }
+
+/// Guards against requests on an older version at an entry whose process has run for long: a role that
+/// starts anew doesn't know how old the declaration is.
+#[tokio::test]
+async fn version_in_force_stays_in_force_when_a_task_ends() {
+    let endpoint = ScriptedEndpoint::start("i-1", vec![vec![Send(WHOLE)]; 500]).await;
+    let store = Arc::new(FakeStore::default());
+    store.publish(snapshot(1));
+    store.register_model(&endpoint, "letters", 1);
+    store.declare("letters", 2);
+    let (entry, _thread) = Deployment::start_supervised(store);
+    entry.wait_ready().await;
+    let call = request("POST", "/book/a", "r1", "x-model: letters\r\n", "x");
+    let started = Instant::now();
+    while entry.call(&call).await.status() != 503 {
+        assert!(started.elapsed() < WAIT_LIMIT, "the version is not in force");
+        sleep(Duration::from_millis(50)).await;
+    }
+    let served = endpoint.count();
+    assert!(served > 0, "the version was in force from the start");
+    entry.store.panic_in_reads(1);
+    entry.store.publish(snapshot(2));
+    wait_not_ready(&entry).await;
+    entry.wait_ready().await;
+    let answer = entry.call(&call).await;
+    assert_eq!((answer.status(), endpoint.count()), (503, served), "{}", answer.text);
+}
--- a/crates/celeryshed_gateway/tests/restarts.rs
+++ b/crates/celeryshed_gateway/tests/restarts.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use celeryshed_base::ClockSource;
 use celeryshed_gateway::EntryProcess;
 use celeryshed_process::{ProcessSignals, RoleEnd};
 use support::{FakeStore, snapshot, standard_settings};
@@ -40,8 +41,9 @@
         let runtime = Builder::new_current_thread().enable_all().start_paused(true).build();
         let end = runtime.unwrap().block_on(async {
             let mut signals = ProcessSignals::install().unwrap();
+            let (clock, decoder) = (ClockSource::start(), store.clone());
             let run =
-                EntryProcess::run(settings.clone(), &mut signals, store.clone(), store.clone());
+                EntryProcess::run(settings.clone(), clock, &mut signals, store.clone(), decoder);
             let spoil = async {
                 // A connection to the former run's sockets must not reach them.
                 let _connection = loop {
--- a/crates/celeryshed_gateway/tests/support/mod.rs
+++ b/crates/celeryshed_gateway/tests/support/mod.rs
@@ -245,7 +245,7 @@
         let entry_store = store.clone();
         tokio::spawn(async move {
             let mut signals = ProcessSignals::install().unwrap();
-            EntryProcess::run_with_clock(settings, clock, &mut signals, entry_store, decoder).await
+            EntryProcess::run(settings, clock, &mut signals, entry_store, decoder).await
         });
         Self { callers, readiness, store }
     }
@@ -257,10 +257,11 @@
         let (callers, readiness) = (settings.caller_address, settings.readiness_address);
         let entry_store = store.clone();
         let runner = RoleRunner::start().unwrap();
+        let clock = runner.clock();
         let thread = thread::spawn(move || {
             let role = async |signals: &mut ProcessSignals| {
                 let (store, decoder) = (entry_store.clone(), entry_store.clone());
-                EntryProcess::run(settings.clone(), signals, store, decoder).await
+                EntryProcess::run(settings.clone(), clock, signals, store, decoder).await
             };
             runner.run(role).unwrap();
         });
--- a/crates/celeryshed_process/src/role_runner.rs
+++ b/crates/celeryshed_process/src/role_runner.rs
@@ -4,6 +4,7 @@
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::time::{Duration, Instant};
 
+use celeryshed_base::ClockSource;
 use celeryshed_observe::EventLine;
 use tokio::runtime::{Builder, Runtime};
 use tokio::time::sleep;
@@ -57,17 +58,32 @@
     /// Receives signals while no role runs.
     runtime: Runtime,
     signals: ProcessSignals,
+    clock: ClockSource,
 }
 
 impl RoleRunner {
-    /// Installs the signal handlers; from then on no signal that is sent is lost.
+    /// Installs the signal handlers; from then on no signal that is sent is lost. A program calls this
+    /// first, as [`Self::clock`] counts from here.
     pub fn start() -> Result<Self> {
+        let clock = ClockSource::start();
         let runtime = role_runtime().map_err(RunnerError::Runtime)?;
         let signals = {
             let _context = runtime.enter();
             ProcessSignals::install().map_err(RunnerError::Signals)?
         };
-        Ok(Self { runtime, signals })
+        Ok(Self { runtime, signals, clock })
+    }
+
+    /// The clock of the process. It also counts the time before a call of the role, and goes on when
+    /// the role is called again.
+    ///
+    /// ```
+    /// use celeryshed_process::RoleRunner;
+    /// let clock = RoleRunner::start().unwrap().clock();
+    /// assert!(clock.now() <= clock.now());
+    /// ```
+    pub fn clock(&self) -> ClockSource {
+        self.clock
     }
 
     /// Calls `role` until SIGTERM has ended it, or it returns an error. After an end by itself or a
--- a/crates/celeryshed_process/tests/role_runner.rs
+++ b/crates/celeryshed_process/tests/role_runner.rs
@@ -1,5 +1,8 @@
 //! When a role is called again.
 
+use std::thread::sleep;
+use std::time::Duration;
+
 use celeryshed_process::{ProcessSignals, RoleEnd, RoleRunner};
 use tokio::sync::mpsc;
 
@@ -43,3 +46,19 @@
     });
     assert_eq!(ended, Ok(()));
 }
+
+/// Guards against times since the start of the process that begin anew with each call.
+#[test]
+fn clock_counts_the_time_before_a_call() {
+    const RUN_TIME: Duration = Duration::from_millis(200);
+    let runner = RoleRunner::start().unwrap();
+    let clock = runner.clock();
+    let mut starts = Vec::new();
+    let ended = runner.run(async |_signals: &mut ProcessSignals| {
+        starts.push(clock.now().0);
+        sleep(RUN_TIME);
+        Ok::<_, ()>(if starts.len() < 2 { RoleEnd::TaskEnded } else { RoleEnd::Terminated })
+    });
+    assert_eq!(ended, Ok(()));
+    assert!(starts[1] - starts[0] >= RUN_TIME, "{starts:?}");
+}
