Send no request that is certain to start in time only if sent at once

An endpoint is chosen on an older version only if the request is certain to start before the newer one is due, given the requests ahead of it. But the request could then still be sent until 0.45 s before that time, whatever was ahead of it: the time from the choice to the sending (a connection that opens slowly, a wait for the budget, a delayed process) was not counted. Callers could get an answer that began on the older version after the newer one was due.

The time until which a request may be sent now leaves as much time as it needs to start for certain, and at least 0.45 s as before.

--- a/crates/celeryshed_dispatch/src/dispatcher.rs
+++ b/crates/celeryshed_dispatch/src/dispatcher.rs
@@ -56,9 +56,9 @@
 /// older version are withdrawn. It covers the delay with which the declaration became known and the
 /// delay from the first token to the arrival of its event at the entry.
 const OLD_VERSION_START_MARGIN: Duration = Duration::from_millis(150);
-/// Time that a request may take from its arrival at an endpoint of an older version to its start. A
-/// request that is withdrawn later may run all the same: not every endpoint notices that its
-/// connection was closed.
+/// Shortest time that is left to a request from its arrival at an endpoint of an older version to its
+/// start; behind other requests, it may take longer. A request that is withdrawn later may run all the
+/// same: not every endpoint notices that its connection was closed.
 const OLD_VERSION_QUEUE_TIME: Duration = Duration::from_millis(450);
 
 common_derives! { value:
@@ -917,7 +917,8 @@
         let version = profile.version.or(due.and(served));
         let latest_start =
             model.zip(served).and_then(|(model, served)| self.start_deadline(model, served));
-        let send_deadline = latest_start.map(|at| at - OLD_VERSION_QUEUE_TIME);
+        let queue_time = OLD_VERSION_QUEUE_TIME.max(certain_start_time(expected, &record.health));
+        let send_deadline = latest_start.map(|at| at - queue_time);
         // An overdue request may be held up on the way, and arrive after any time.
         let expected = expected + self.time_to_reply(profile, record);
         let certain_start = now + certain_start_time(expected, &record.health);
