Count the queue of an endpoint of unknown load as full near a due version

An entry that has just started, or that heard none of its peers for the lifetime of their reports, counted endpoints as idle. It placed requests on endpoints of an older version that it held certain to start in time, behind requests of other entries, and of entries that had ended, that it didn't know. Callers got answers that began on the older version after the newer one was due.

Until an endpoint has been listed for the lifetime of a load report, and for as long after the loads of all peers were dropped, the queue may be full: a request is placed on an older version only if it starts in time behind it.

Before, endpoint_of_unknown_load_gets_no_request_shortly_before_newer_version_is_due, endpoint_of_newer_version_gets_requests_although_its_load_is_unknown and load_is_unknown_once_all_peers_have_been_silent failed: the endpoint of the older version was chosen. The tests that pin placements before a due version are unchanged.

--- a/crates/celeryshed_dispatch/src/dispatcher.rs
+++ b/crates/celeryshed_dispatch/src/dispatcher.rs
@@ -19,7 +19,7 @@
 use crate::endpoint_notice::EndpointNotice;
 use crate::health::{AttemptOutcome, HealthRecord, NotRunReason, UnknownReason};
 use crate::load::{EndpointLoad, LoadReport, LoadScope, PeerLoad};
-use crate::pacing::{MAX_PEERS, PeerAudience};
+use crate::pacing::{MAX_PEERS, PeerAudience, load_lifetime};
 use crate::peers::PeerAddress;
 use crate::placement::{
     Candidate, CandidatePool, ComparisonLimits, Distance, PlacementChoice, PlacementQuery,
@@ -164,6 +164,8 @@
 #[derive(Clone, Debug, Default)]
 struct EndpointRecord {
     load: EndpointLoad,
+    /// When the entry began to count the load of the endpoint.
+    load_counted_from: MonoTime,
     health: HealthRecord,
     status: Option<EndpointStatus>,
     activity: AnswerActivity,
@@ -239,6 +241,8 @@
     /// Models of the configuration; `None` before the first one.
     configured_models: Option<BTreeSet<String>>,
     peers: BTreeMap<PeerAddress, PeerContact>,
+    /// When the load of the last peer that still reported one was dropped; `None` if it never was.
+    peer_loads_lost_at: Option<MonoTime>,
     /// Load reports of entries above [`MAX_PEERS`] since the last call of [`Self::take_dropped`].
     dropped_reports: u64,
     hashes: BTreeMap<EndpointHash, EndpointId>,
@@ -288,6 +292,7 @@
             unnamed_models: BoundedMap::new(MAX_UNNAMED_MODELS),
             configured_models: None,
             peers: BTreeMap::new(),
+            peer_loads_lost_at: None,
             dropped_reports: 0,
             hashes: BTreeMap::new(),
             queue: WaitingQueue::default(),
@@ -510,7 +515,10 @@
         self.statements.sync(now, &start_times);
         self.hashes = start_times.keys().map(|id| (EndpointHash::from(id), id.clone())).collect();
         for (id, started_at_ms) in start_times {
-            let record = self.records.entry(id.clone()).or_default();
+            let record = self.records.entry(id.clone()).or_insert_with(|| EndpointRecord {
+                load_counted_from: now,
+                ..EndpointRecord::default()
+            });
             if record.started_at_ms != started_at_ms {
                 record.started_at_ms = started_at_ms;
                 record.health = HealthRecord::default();
@@ -633,14 +641,31 @@
 
     /// Removes the load of peers whose reports stopped.
     fn remove_silent_peer_loads(&mut self, now: MonoTime) {
+        let mut removed_any = false;
         for (peer, contact) in &mut self.peers {
             if contact.load_included && now - contact.last_heard_at >= contact.lifetime {
                 contact.load_included = false;
+                removed_any = true;
                 for record in self.records.values_mut() {
                     record.load.apply_peer_load(peer, PeerLoad::default());
                 }
             }
         }
+        // Peers that fall silent together go on placing requests: this entry doesn't hear them.
+        if removed_any && self.peers.values().all(|contact| !contact.load_included) {
+            self.peer_loads_lost_at = Some(now);
+        }
+    }
+
+    /// Time after which the load of an endpoint holds the requests of all entries: those that run have
+    /// reported theirs by then, and the requests of those that ended have ended too. `None` while the
+    /// loads of all peers are lost.
+    fn load_settling_time(&self, now: MonoTime) -> Option<Duration> {
+        let intervals = PeerAudience::ALL
+            .map(|audience| audience.whole_load_interval(self.audience_size(now, audience)));
+        let lifetime = intervals.into_iter().max().map_or(Duration::ZERO, load_lifetime);
+        let is_lost = self.peer_loads_lost_at.is_some_and(|at| now - at < lifetime);
+        (!is_lost).then_some(lifetime)
     }
 
     /// Returns this entry's own load for a report to `audience`, and notes it as reported there.
@@ -858,8 +883,8 @@
         let query = PlacementQuery { profile, excluded: &request.excluded, now, random };
         let until = wait_until(profile, request.queued_at);
         match pool.choose(&query) {
-            PlacementChoice::Place { id, expected } => {
-                Some(match self.endpoint_target(now, profile, &id, expected) {
+            PlacementChoice::Place { id, expected, certain_start } => {
+                Some(match self.endpoint_target(now, profile, &id, certain_start) {
                     Some(target) => RequestDecision::Place(target, expected),
                     None => RequestDecision::Refuse(RefusalReason::NoEndpoint),
                 })
@@ -906,7 +931,7 @@
         now: MonoTime,
         profile: &RequestProfile,
         id: &EndpointId,
-        expected: Duration,
+        certain_start: Duration,
     ) -> Option<EndpointTarget> {
         let endpoint = self.directory.get(now, id)?;
         let record = self.records.get(id)?;
@@ -917,14 +942,14 @@
         let version = profile.version.or(due.and(served));
         let latest_start =
             model.zip(served).and_then(|(model, served)| self.start_deadline(model, served));
-        let queue_time = OLD_VERSION_QUEUE_TIME.max(certain_start_time(expected, &record.health));
+        let queue_time = OLD_VERSION_QUEUE_TIME.max(certain_start);
         let send_deadline = latest_start.map(|at| at - queue_time);
         // An overdue request may be held up on the way, and arrive after any time.
-        let expected = expected + self.time_to_reply(profile, record);
-        let certain_start = now + certain_start_time(expected, &record.health);
+        let reply_time = certain_start_time(self.time_to_reply(profile, record), &record.health);
+        let certain_reply = now + certain_start + reply_time;
         let start_deadline = latest_start
             .zip(send_deadline)
-            .map(|(latest, send)| latest.min(send.max(certain_start)));
+            .map(|(latest, send)| latest.min(send.max(certain_reply)));
         Some(EndpointTarget {
             id: id.clone(),
             started_at_ms: endpoint.started_at_ms,
@@ -955,6 +980,7 @@
             let slot_interval = timing.slot_interval();
             ComparisonLimits::new(slot_interval, |audience| self.load_interval(now, audience))
         });
+        let settling_time = self.load_settling_time(now);
         let mut reopens_at: Option<MonoTime> = None;
         let candidates = self.directory.endpoints(now).filter_map(|(id, endpoint)| {
             let record = self.records.get(id)?;
@@ -974,6 +1000,8 @@
                 id,
                 slots: endpoint.slots,
                 load: record.load.total(),
+                is_load_known: settling_time
+                    .is_some_and(|settling| now - record.load_counted_from >= settling),
                 health: &record.health,
                 distance: self.distance(&endpoint.zone),
                 timing,
@@ -988,8 +1016,13 @@
 
     /// Time between two load reports from the same entry of `audience`.
     fn load_interval(&self, now: MonoTime, audience: PeerAudience) -> Duration {
+        audience.load_interval(self.audience_size(now, audience))
+    }
+
+    /// Number of entries of `audience` that were heard recently.
+    fn audience_size(&self, now: MonoTime, audience: PeerAudience) -> usize {
         let members = self.peers.values().filter(|peer| peer.audience == audience);
-        audience.load_interval(members.filter(|peer| peer.is_entry(now)).count())
+        members.filter(|peer| peer.is_entry(now)).count()
     }
 
     fn serves(
--- a/crates/celeryshed_dispatch/src/placement.rs
+++ b/crates/celeryshed_dispatch/src/placement.rs
@@ -53,6 +53,8 @@
     pub(crate) id: &'c EndpointId,
     pub(crate) slots: u32,
     pub(crate) load: PeerLoad,
+    /// Whether `load` holds the requests of all entries; `false` until they have told theirs.
+    pub(crate) is_load_known: bool,
     pub(crate) health: &'c HealthRecord,
     pub(crate) distance: Distance,
     pub(crate) timing: Option<EngineTiming>,
@@ -81,6 +83,9 @@
             id: EndpointId,
             /// Expected time to the first token, or to the answer of a plain service.
             expected: Duration,
+            /// Time within which the request is certain to start, if the endpoint works and is
+            /// reached.
+            certain_start: Duration,
         },
         /// All endpoints that serve the request are full.
         Full,
@@ -91,25 +96,51 @@
 
 impl Candidate<'_> {
     fn has_capacity(&self) -> bool {
-        let limit = match self.timing {
+        self.load.running < self.request_limit() && self.free_trials != Some(0)
+    }
+
+    /// Number of requests from which on the endpoint gets no more.
+    fn request_limit(&self) -> u32 {
+        match self.timing {
             Some(timing) => timing.slots().max(1).saturating_add(EXTRA_ENGINE_REQUESTS),
             None => self.slots.max(1).saturating_mul(MAX_PLAIN_REQUESTS_PER_SLOT),
-        };
-        self.load.running < limit && self.free_trials != Some(0)
+        }
     }
 
     /// Whether the request is certain enough to start before a newer version is in force. A request
     /// that is withdrawn at that time may run all the same: not every endpoint notices at once.
     fn starts_in_time(&self, query: &PlacementQuery<'_>) -> bool {
         let Some(start_deadline) = self.start_deadline else { return true };
-        let expected = self.expected_time(query.profile);
-        query.now + certain_start_time(expected, self.health) <= start_deadline
+        query.now + self.certain_start(query.profile) <= start_deadline
+    }
+
+    /// Time from its placement within which a request is certain to start. The queue of an endpoint
+    /// whose load isn't known may be full.
+    fn certain_start(&self, profile: &RequestProfile) -> Duration {
+        let certain = certain_start_time(self.expected_time(profile), self.health);
+        if self.is_load_known {
+            return certain;
+        }
+        let behind_full_queue = self.time_at_load(self.full_load(), profile);
+        certain.max(behind_full_queue.mul_f64(self.health.slowdown()))
+    }
+
+    /// The load of an endpoint that gets no more requests and has read no prompt yet.
+    fn full_load(&self) -> PeerLoad {
+        let running = self.request_limit();
+        let unread_tokens = self.timing.map_or(0, |timing| timing.unread_tokens(running));
+        PeerLoad { running, unread_tokens }
     }
 
     fn expected_time(&self, profile: &RequestProfile) -> Duration {
+        self.time_at_load(self.load, profile)
+    }
+
+    /// Expected time to the first token, or to the answer of a plain service, behind `load`.
+    fn time_at_load(&self, load: PeerLoad, profile: &RequestProfile) -> Duration {
         match self.timing {
-            Some(timing) => timing.first_token_time(self.load, profile.prompt_tokens),
-            None => plain_answer_time(self.load, self.slots, self.health.mean_answer_time()),
+            Some(timing) => timing.first_token_time(load, profile.prompt_tokens),
+            None => plain_answer_time(load, self.slots, self.health.mean_answer_time()),
         }
     }
 
@@ -235,10 +266,13 @@
         };
         let scored = compared.iter().map(|candidate| {
             let expected = candidate.expected_time(query.profile);
-            (candidate.score(query, expected), candidate.id, expected)
+            let certain_start = candidate.certain_start(query.profile);
+            (candidate.score(query, expected), candidate.id, expected, certain_start)
         });
         match scored.min() {
-            Some((_, id, expected)) => PlacementChoice::Place { id: id.clone(), expected },
+            Some((_, id, expected, certain_start)) => {
+                PlacementChoice::Place { id: id.clone(), expected, certain_start }
+            }
             None => PlacementChoice::Full,
         }
     }
--- a/crates/celeryshed_dispatch/src/timing.rs
+++ b/crates/celeryshed_dispatch/src/timing.rs
@@ -90,6 +90,11 @@
         micros(passes * self.pass_us(decoding))
     }
 
+    /// Expected number of prompt tokens of `requests` that an engine has not started to read.
+    pub(crate) fn unread_tokens(&self, requests: u32) -> u32 {
+        (self.prompt_tokens * f64::from(requests)) as u32
+    }
+
     /// Mean time between the ends of two requests at a full engine.
     pub fn slot_interval(&self) -> Duration {
         micros(self.request_us() / f64::from(self.slots.max(1)))
--- a/crates/celeryshed_dispatch/tests/old_versions.rs
+++ b/crates/celeryshed_dispatch/tests/old_versions.rs
@@ -32,6 +32,48 @@
     }
 }
 
+/// Guards against an entry that has just started and counts the endpoints as idle: other entries had
+/// filled their queues, and its requests began after the newer version was due.
+#[test]
+fn endpoint_of_unknown_load_gets_no_request_shortly_before_newer_version_is_due() {
+    let mut dispatcher = dispatcher();
+    list_old_endpoint(&mut dispatcher, 8100);
+    declare_newer_version(&mut dispatcher, 8100);
+    assert_eq!(placed(&submit(&mut dispatcher, at(8110), 1, stream(at(8110)))), None);
+}
+
+/// Guards against callers who are refused longer than needed: an endpoint of unknown load gets
+/// requests that start in time also behind a full queue, and one whose load is known all others.
+#[test]
+fn endpoint_of_unknown_load_gets_requests_long_before_newer_version_is_due() {
+    let mut dispatcher = dispatcher();
+    list_old_endpoint(&mut dispatcher, 5900);
+    declare_newer_version(&mut dispatcher, 5900);
+    assert_eq!(placed(&submit(&mut dispatcher, at(5910), 1, stream(at(5910)))), Some("old"));
+    assert_eq!(placed(&submit(&mut dispatcher, at(8110), 2, stream(at(8110)))), Some("old"));
+}
+
+/// An endpoint of the newer version gets requests at once, whatever its load.
+#[test]
+fn endpoint_of_newer_version_gets_requests_although_its_load_is_unknown() {
+    let mut dispatcher = dispatcher();
+    list_old_endpoint(&mut dispatcher, 8100);
+    add_endpoint(&mut dispatcher, "new", 2, endpoint("model", 2, Some(2)));
+    declare_newer_version(&mut dispatcher, 8100);
+    assert_eq!(placed(&submit(&mut dispatcher, at(8110), 1, stream(at(8110)))), Some("new"));
+}
+
+/// Guards against an entry that heard nothing of the others for a while, drops what they reported,
+/// and counts the endpoints as idle.
+#[test]
+fn load_is_unknown_once_all_peers_have_been_silent() {
+    let mut dispatcher = dispatcher();
+    list_old_endpoint(&mut dispatcher, 0);
+    declare_newer_version(&mut dispatcher, 1000);
+    report_load(&mut dispatcher, at(6500), &peer(), &peer_loads(&[("old", 15, 0)]));
+    assert_eq!(placed(&submit(&mut dispatcher, at(8100), 1, stream(at(8100)))), None);
+}
+
 /// Guards against a request that is chosen in time behind other requests, and sent later, when it can
 /// no longer start before the newer version is due.
 #[test]
