Count the time over a busy link before a newer version is due

A request to an endpoint of an older version was sent if the time left to it covered its start there; the time on the way counted as nothing. Over a link that others fill, the bytes arrived after the request had been withdrawn, the reset came later still, and the request began on the older version after the newer one was due; the caller had got a 502 by then.

The time that the connection took to open shows how busy the link is. The request is sent only if 2.5 times as much is left beside the time to start. Otherwise it has certainly not run and is placed again.

--- a/crates/celeryshed_dispatch/src/dispatcher.rs
+++ b/crates/celeryshed_dispatch/src/dispatcher.rs
@@ -23,7 +23,7 @@
 use crate::peers::PeerAddress;
 use crate::placement::{
     Candidate, CandidatePool, ComparisonLimits, Distance, PlacementChoice, PlacementQuery,
-    certain_start_time,
+    certain_start_time, certain_transit_time,
 };
 use crate::prompt_guard::{PromptGuard, PromptPart};
 use crate::quarantine::RequestQuarantine;
@@ -129,6 +129,14 @@
     pub fn start(&self) -> EndpointStart {
         EndpointStart { id: self.id.clone(), started_at_ms: self.started_at_ms }
     }
+
+    /// Whether a request that is sent now is certain to start before a newer version is in force. The
+    /// connection took `connect_time` to open: bytes that follow take as long over busy links, and
+    /// longer while these fill up.
+    pub fn is_in_time(&self, now: MonoTime, connect_time: Duration) -> bool {
+        let arrives_by = now + certain_transit_time(connect_time);
+        self.send_deadline.is_none_or(|send_deadline| arrives_by < send_deadline)
+    }
 }
 
 impl DispatcherSettings {
--- a/crates/celeryshed_dispatch/src/placement.rs
+++ b/crates/celeryshed_dispatch/src/placement.rs
@@ -34,6 +34,8 @@
 const OTHER_ZONE_PENALTY: Duration = Duration::from_millis(6);
 /// Multiple of the expected time to the first token within which a request is certain to start.
 const START_TIME_RESERVE: f64 = 2.5;
+/// Multiple of the time that a connection takes to open within which bytes are certain to arrive.
+const TRANSIT_TIME_RESERVE: f64 = 2.5;
 /// Smallest number of endpoints of a region, or of all other regions, that are compared.
 const MIN_COMPARED: usize = 2;
 /// Maximum random time added to a score, so that entries with equal information choose differently.
@@ -284,6 +286,12 @@
     expected.mul_f64(health.slowdown() * START_TIME_RESERVE)
 }
 
+/// Time within which bytes are certain to arrive over a connection that took `connect_time` to open, if
+/// no link is down.
+pub(crate) fn certain_transit_time(connect_time: Duration) -> Duration {
+    connect_time.mul_f64(TRANSIT_TIME_RESERVE)
+}
+
 /// A random sample of at most `limit` candidates.
 fn sample<'p, 'c>(
     mut candidates: Vec<&'p Candidate<'c>>,
--- a/crates/celeryshed_dispatch/tests/old_versions.rs
+++ b/crates/celeryshed_dispatch/tests/old_versions.rs
@@ -91,3 +91,17 @@
     let send_deadline = target(&decisions).send_deadline.expect("a newer version is declared");
     assert!(send_deadline + expected.mul_f64(2.0) < at(9000), "{send_deadline:?} {expected:?}");
 }
+
+/// Guards against requests that are sent over a busy link: the connection took long to open, their
+/// bytes took longer still, and they arrived after they had been withdrawn.
+#[test]
+fn request_over_busy_link_is_sent_while_it_is_certain_to_arrive_in_time() {
+    let mut dispatcher = dispatcher();
+    list_old_endpoint(&mut dispatcher, 0);
+    declare_newer_version(&mut dispatcher, 1000);
+    let decisions = submit(&mut dispatcher, at(8000), 1, stream(at(8000)));
+    let target = target(&decisions);
+    assert!(target.is_in_time(at(8010), ms(2)), "{target:?}");
+    // Bytes that follow may take 0.8 s and more.
+    assert!(!target.is_in_time(at(8010), ms(300)), "{target:?}");
+}
--- a/crates/celeryshed_gateway/src/request/attempt.rs
+++ b/crates/celeryshed_gateway/src/request/attempt.rs
@@ -113,9 +113,6 @@
     /// because a newer version than the endpoint's then takes effect; none if no such version is
     /// known.
     pub(crate) start_deadline: Option<MonoTime>,
-    /// When the request may no longer be sent, since it might start after a newer version is in
-    /// force; none if no such version is known.
-    pub(crate) send_deadline: Option<MonoTime>,
     /// Id of the event after which the stream resumes; none for a stream from its start.
     pub(crate) last_event: Option<u64>,
     /// Memory for answers that are not complete, or not yet received by their callers.
@@ -131,6 +128,7 @@
     request: &CallerRequest,
     plan: &AttemptPlan<'_>,
 ) -> AttemptReply {
+    let connecting_since = plan.clock.now();
     let mut connection = match HttpConnection::connect(&plan.target.address, CONNECT_TIMEOUT).await
     {
         Ok(connection) => connection,
@@ -139,7 +137,7 @@
     // The process may have been paused, or the endpoint slow to accept the connection: meanwhile it
     // may have begun to drain, or the request may no longer start before a newer version is in force.
     let now = plan.clock.now();
-    let is_in_time = plan.send_deadline.is_none_or(|at| now < at);
+    let is_in_time = plan.target.is_in_time(now, now - connecting_since);
     if now - plan.decided_at > MAX_DECISION_AGE || !is_in_time {
         return AttemptReply::Ended(AttemptOutcome::NotRun(NotRunReason::StaleDecision));
     }
--- a/crates/celeryshed_gateway/src/request/failover.rs
+++ b/crates/celeryshed_gateway/src/request/failover.rs
@@ -137,7 +137,6 @@
         decided_at: context.clock.now(),
         give_up_at: due_at,
         start_deadline: target.start_deadline,
-        send_deadline: target.send_deadline,
         last_event: Some(last_event),
         buffers: &context.buffers,
         permit: &permit,
--- a/crates/celeryshed_gateway/src/request/placed.rs
+++ b/crates/celeryshed_gateway/src/request/placed.rs
@@ -71,7 +71,6 @@
             decided_at: started_at,
             give_up_at: due_at,
             start_deadline: target.start_deadline,
-            send_deadline: target.send_deadline,
             last_event: request.last_event,
             buffers: &context.buffers,
             permit: &permit,
