Count the time of reads without an answer in the ages of records

Cause: reads of the list timed out, which counted as an outage of the store, in which deadlines don't run. Two entries read the declaration as at most 2.1 s old, 3.9 s after its ack.

Change: only refused reads keep an outage from ageing a version. The time before reads without an answer counts.

--- a/crates/celeryshed_peering/src/recency.rs
+++ b/crates/celeryshed_peering/src/recency.rs
@@ -4,14 +4,16 @@
 //! together, so that no peer knows better. What is certain is the time up to which every earlier
 //! record has been read; a record that is read later is at most that old.
 //!
-//! While the store is known to be out of reach, nobody can follow its records, and deadlines that
-//! they set don't run. Only the time until that was noticed counts.
+//! While the store refuses reads, nobody can follow its records, and deadlines that they set don't run.
+//! Only the time until that was noticed counts. A read that isn't answered shows no such thing: the
+//! process or its own links may be slow, while the store serves others.
 
 use std::time::Duration;
 
 use celeryshed_base::{ClockSource, MonoTime, common_derives};
 
 use crate::record::ControlStream;
+use crate::store::StoreError;
 
 /// Interval of calls to [`ReadRecency::record_tick`] and [`ReadRecency::record_pending`].
 pub(crate) const RECENCY_TICK: Duration = Duration::from_millis(100);
@@ -57,10 +59,20 @@
         resumed_at: MonoTime,
     }
 
+    /// Why a read of the store failed.
+    #[derive(Copy)]
+    pub(crate) enum FailureCause {
+        /// The store refused it.
+        Refused,
+        /// No usable answer arrived.
+        Unanswered,
+    }
+
     /// Failures of reads in a row.
     #[derive(Copy)]
     struct StoreOutage {
-        /// Time from the latest answered read to the first failure, and that of pauses since.
+        /// Time from the latest answered read to the first failure, and that of pauses and before reads
+        /// without an answer since.
         unnoticed: Duration,
         last_failure_at: MonoTime,
     }
@@ -185,11 +197,14 @@
 
     /// Records that the store did not answer. It may have been out of reach since the latest read
     /// that it answered was sent.
-    pub(crate) fn record_failure(&mut self, now: MonoTime) {
+    pub(crate) fn record_failure(&mut self, now: MonoTime, cause: FailureCause) {
         self.reachable_until = None;
         self.complete_until = self.complete_until.min(self.reached_at).max(self.verified_until);
         let unnoticed = match (self.outage, self.complete_until) {
-            (Some(outage), _) => outage.unnoticed,
+            (Some(outage), _) => match cause {
+                FailureCause::Refused => outage.unnoticed,
+                FailureCause::Unanswered => outage.unnoticed + (now - outage.last_failure_at),
+            },
             (None, Some(complete)) => now - complete,
             (None, None) => return,
         };
@@ -218,6 +233,15 @@
     }
 }
 
+impl From<&StoreError> for FailureCause {
+    fn from(error: &StoreError) -> Self {
+        match error {
+            StoreError::Refused { .. } => Self::Refused,
+            StoreError::CallFailed { .. } => Self::Unanswered,
+        }
+    }
+}
+
 impl RecordAge {
     /// The age, or the longest possible one; `None` if it is unknown.
     ///
--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -823,7 +823,7 @@
         if stream == ControlStream::Operator && now - sent_at >= OPERATOR_POLL_WAIT {
             self.recency.record_silent_poll();
         }
-        self.recency.record_failure(now);
+        self.recency.record_failure(now, error.into());
         self.renewals.record_failure(now, sent_at);
         if stream == ControlStream::Endpoints {
             self.seen.record_failure(sent_at);
--- a/crates/celeryshed_peering/tests/version_age.rs
+++ b/crates/celeryshed_peering/tests/version_age.rs
@@ -34,6 +34,8 @@
     written: Mutex<Vec<ControlRecord>>,
     changed: Notify,
     unreachable: Mutex<bool>,
+    /// Whether reads end without an answer.
+    cut_off: Mutex<bool>,
     /// Time between the arrival of the answer to a poll and its processing.
     unread_time: Mutex<Duration>,
     /// Time that each answer takes from the store to the process.
@@ -65,6 +67,10 @@
     }
 
     fn check(&self) -> Result<(), StoreError> {
+        if *self.cut_off.lock().unwrap() {
+            let (address, detail) = ("fake".to_owned(), "timeout".to_owned());
+            return Err(StoreError::CallFailed { address, detail });
+        }
         let mut failing_reads = self.failing_reads.lock().unwrap();
         if *self.unreachable.lock().unwrap() || *failing_reads > 0 {
             *failing_reads = failing_reads.saturating_sub(1);
@@ -413,6 +419,22 @@
     assert!(age >= Duration::from_secs(5), "{age:?}");
 }
 
+/// Guards against a narrow link that is taken for an outage of the store, which ages no version.
+#[tokio::test(start_paused = true)]
+async fn version_declared_while_reads_time_out_is_as_old_as_the_latest_answer() {
+    let store = Arc::new(PushStore::default());
+    let (_control, mut events) = start_entry(&store).await;
+    *store.cut_off.lock().unwrap() = true;
+    store.declare(2);
+    let outage = Duration::from_secs(4);
+    sleep(outage).await;
+    *store.cut_off.lock().unwrap() = false;
+    let (version, age) = next_version(&mut events).await;
+    assert_eq!(version, 2);
+    let age = age.limit().expect("the store was read before");
+    assert!(age >= outage && age < outage + LIST_INTERVAL * 3, "{age:?}");
+}
+
 /// Guards against a pause that is lost with the time of an outage, if a read fails on both sides.
 #[tokio::test(start_paused = true)]
 async fn pause_during_an_outage_counts_in_the_age() {
--- a/crates/celeryshed_stager/src/view/tests.rs
+++ b/crates/celeryshed_stager/src/view/tests.rs
@@ -15,7 +15,7 @@
 async fn age_from_before_the_start_is_told_in_full() {
     let clock = ClockSource::start();
     sleep(Duration::from_secs(1)).await;
-    let age = AgeReading::new(clock, RecordAge::Known(Duration::from_secs(5)));
+    let age = AgeReading::new(clock, clock.now(), RecordAge::Known(Duration::from_secs(5)));
     let model = "m".to_owned();
     let event = ControlEvent::ModelVersion { model, version: 2, initial: true, age };
     let mut view = StageView::default();
