Let reads end at a process that is paused often

Callers would see CONFIG and VERSION at a process that is slowed or paused again and again: it read no more of the operators' records.

Change: only a poll is cancelled of whose answer nothing has arrived.

--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -982,7 +982,11 @@
                 () = self.poll_doubt.list_failed.notified(), if is_operator => {
                     return ReadEnd::Cancelled { pause: STORE_RETRY_PAUSE };
                 }
-                () = self.poll_doubt.process_resumed.notified(), if is_operator => {
+                // A read that doesn't wait, or whose answer has begun to arrive, goes on: cancelled at each
+                // pause, it would never end at a process that is paused often.
+                () = self.poll_doubt.process_resumed.notified(),
+                    if is_poll && !progress.has_begun() =>
+                {
                     return ReadEnd::Cancelled { pause: Duration::ZERO };
                 }
                 () = wait_for_era_after(latest_era, from.era()) => return ReadEnd::Outdated,
--- a/crates/celeryshed_peering/tests/version_age.rs
+++ b/crates/celeryshed_peering/tests/version_age.rs
@@ -435,6 +435,27 @@
     assert!(age >= outage && age < outage + LIST_INTERVAL * 3, "{age:?}");
 }
 
+/// Guards against a read that is cancelled at the end of each pause, so that a process which is often
+/// paused for a moment never reads a declaration.
+#[tokio::test(start_paused = true)]
+async fn declaration_is_read_by_a_process_with_many_short_pauses() {
+    let store = Arc::new(PushStore::default());
+    let (_control, mut events) = start_entry(&store).await;
+    *store.transit_time.lock().unwrap() = Duration::from_millis(900);
+    store.declare(2);
+    let mut read = vec![];
+    for _ in 0..50 {
+        advance(Duration::from_millis(400)).await;
+        sleep(Duration::from_millis(20)).await;
+        while let Ok(event) = events.try_recv() {
+            if let ControlEvent::ModelVersion { version, .. } = event {
+                read.push(version);
+            }
+        }
+    }
+    assert_eq!(read, [2]);
+}
+
 /// Guards against a pause that is lost with the time of an outage, if a read fails on both sides.
 #[tokio::test(start_paused = true)]
 async fn pause_during_an_outage_counts_in_the_age() {
