--- a/crates/celeryshed_http/src/client.rs
+++ b/crates/celeryshed_http/src/client.rs
@@ -140,6 +140,19 @@
     }
 
     /// Like [`HttpClient::call`], and calls `on_head` when the head of the response has arrived.
+    ///
+    /// ```
+    /// use bytes::Bytes;
+    /// use celeryshed_http::HttpClient;
+    /// use hyper::Method;
+    /// use std::time::Duration;
+    /// let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    /// let client = HttpClient::new("not an address", "application/json");
+    /// let limit = Duration::from_secs(1);
+    /// let on_head = || panic!("no response can arrive");
+    /// let call = client.call_observed(Method::GET, "/", Bytes::new(), limit, on_head);
+    /// assert!(runtime.block_on(call).is_err());
+    /// ```
     pub async fn call_observed(
         &self,
         method: Method,
--- a/crates/celeryshed_peering/src/recency.rs
+++ b/crates/celeryshed_peering/src/recency.rs
@@ -15,11 +15,13 @@
 use crate::record::ControlStream;
 use crate::store::StoreError;
 
-/// Interval of calls to [`ReadRecency::record_tick`] and [`ReadRecency::record_pending`].
+/// Longest time between two calls of [`ReadRecency::record_tick`], and interval of those of
+/// [`ReadRecency::record_pending`] while a poll is pending.
 pub(crate) const RECENCY_TICK: Duration = Duration::from_millis(100);
 /// Time between two ticks above which the process counts as paused in between.
 const MAX_TICK_GAP: Duration = Duration::from_millis(300);
-/// Longest age that counts as known: a record is assigned to the tick before the latest one.
+/// Longest age that counts as known: records count as complete up to the last but one time at which the
+/// poll was seen pending.
 const MAX_KNOWN_AGE: Duration = Duration::from_millis(400);
 /// Time beyond the interval of reads within which the next read is answered, unless the store or the
 /// link to it has failed.
@@ -38,8 +40,8 @@
         interval: Duration,
         /// When the latest answered read of the operators' records was sent.
         verified_until: Option<MonoTime>,
-        /// When the latest answered read of either stream was sent that shows that the poll could
-        /// have been answered.
+        /// When the latest read was sent whose answer shows that the store could be reached, while a
+        /// poll was pending.
         reached_at: Option<MonoTime>,
         /// Time that the latest read of the list of endpoints took. The poll's answer may be under way,
         /// or wait to be processed, for as long.
--- a/crates/celeryshed_peering/src/task.rs
+++ b/crates/celeryshed_peering/src/task.rs
@@ -401,7 +401,7 @@
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let keeps_reading = self.settings.scope == ControlScope::Everything;
         loop {
-            let input = tokio::select! {
+            let received = tokio::select! {
                 input = inputs.recv() => Some(input),
                 _ = ticks.tick(), if keeps_reading => None,
             };
@@ -409,8 +409,11 @@
             if keeps_reading {
                 self.note_running();
             }
-            let Some(input) = input else { continue };
-            let Some(input) = input else { return };
+            let input = match received {
+                Some(Some(input)) => input,
+                Some(None) => return,
+                None => continue,
+            };
             match input {
                 ControlInput::PollPending { sent_at, pending_at } => {
                     self.recency.record_pending(self.clock.now(), sent_at, pending_at);
